--- /dev/null
+++ b/turnward/budgets/__init__.py
@@ -0,0 +1,43 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Prepaid budgets: grants out of the table, reservations, bills."""
+
+from turnward.budgets.billing import Bill, BillBatchResult, BillWriter
+from turnward.budgets.grants import GrantChange, GrantStore
+from turnward.budgets.ledger import (
+    BudgetView,
+    GrantAsk,
+    GrantLedger,
+    RefusalReason,
+    Reservation,
+    SizingRule,
+)
+from turnward.budgets.rows import (
+    BillRow,
+    BudgetRow,
+    GrantRow,
+    bill_key,
+    budget_key,
+    grant_key,
+    grants_prefix,
+)
+
+__all__ = [
+    "Bill",
+    "BillBatchResult",
+    "BillRow",
+    "BillWriter",
+    "BudgetRow",
+    "BudgetView",
+    "GrantAsk",
+    "GrantChange",
+    "GrantLedger",
+    "GrantRow",
+    "GrantStore",
+    "RefusalReason",
+    "Reservation",
+    "SizingRule",
+    "bill_key",
+    "budget_key",
+    "grant_key",
+    "grants_prefix",
+]
--- /dev/null
+++ b/turnward/budgets/grants.py
@@ -0,0 +1,245 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Moves tokens between a budget's row and a router's grant row.
+
+Each change names the change before it and carries an id of its own. After a
+lost answer the change is cancelled by a second write under the same check, and
+a read tells which of the two took effect; so a write that is late in the
+network can't surprise anyone.
+"""
+
+from collections import Counter
+
+import msgspec
+
+from turnward.budgets.ledger import BudgetView, GrantAsk
+from turnward.budgets.rows import BudgetRow, GrantRow, budget_key, grant_key
+from turnward.fleet import FencedError, live_check, router_key
+from turnward.ids import new_id
+from turnward.platform import (
+    Absent,
+    Add,
+    Check,
+    Committed,
+    FieldAtLeast,
+    FieldIs,
+    OutcomeUnknownError,
+    Put,
+    SetField,
+    TableBase,
+    Transaction,
+    Write,
+)
+
+__all__ = ["GrantChange", "GrantStore"]
+
+#: Budgets in one transaction; each takes three items of the table's limit of 100.
+BATCH_BUDGETS = 30
+
+
+class GrantChange(msgspec.Struct, frozen=True):
+    """A change of one grant.
+
+    Attributes
+    ----------
+    delta_tokens : int
+        Above 0 to take, below 0 to return.
+    fold_tokens : int
+        Billed tokens that move from the grant row to the budget's
+        ``spent_tokens``, so that other routers see them.
+    """
+
+    budget: str
+    delta_tokens: int
+    fold_tokens: int
+    change_id: str
+    previous_id: str | None
+
+
+class GrantStore:
+    """The grant rows of one router incarnation.
+
+    Not safe for concurrent calls: one task owns it.
+
+    Parameters
+    ----------
+    table : TableBase
+        The platform's table.
+    incarnation : str
+        The router incarnation that owns the rows.
+    share : float
+        Largest part of a budget's ungranted tokens one take may claim beyond
+        what waiting requests need.
+    """
+
+    def __init__(self, table: TableBase, incarnation: str, share: float = 0.25):
+        self._table = table
+        self._incarnation = incarnation
+        self._share = share
+        self._last_change: dict[str, str] = {}
+        self._unresolved: dict[str, GrantChange] = {}
+        self._unfolded_tokens: Counter[str] = Counter()
+
+    def note_billed(self, budget: str, tokens: int) -> None:
+        """Take in that a bill on this incarnation's grant stands in the table."""
+        self._unfolded_tokens[budget] += tokens
+
+    def unfolded_tokens(self, budget: str) -> int:
+        """Return billed tokens that the budget's row does not show yet."""
+        return self._unfolded_tokens[budget]
+
+    @property
+    def unresolved(self) -> list[GrantChange]:
+        """Changes whose outcome is not known yet."""
+        return list(self._unresolved.values())
+
+    async def read_views(self, budgets: list[str]) -> dict[str, BudgetView]:
+        """Return the budget rows as the table has them."""
+        rows = await self._table.read([budget_key(budget) for budget in budgets])
+        views = {}
+        for budget in budgets:
+            row = rows.get(budget_key(budget))
+            if row:
+                account = msgspec.convert(row.value, BudgetRow)
+                views[budget] = BudgetView(
+                    account.limit_tokens, account.ungranted_tokens, account.spent_tokens
+                )
+        return views
+
+    def plan_take(self, asks: dict[str, GrantAsk], views: dict[str, BudgetView]):
+        """Return the changes that the asks and the rows allow."""
+        changes = []
+        for budget, ask in asks.items():
+            if budget not in views or budget in self._unresolved:
+                continue
+            ungranted = views[budget].ungranted_tokens
+            shared = int(ungranted * self._share)
+            tokens = min(ask.most_tokens, max(ask.least_tokens, shared))
+            if ask.least_tokens <= ungranted and tokens > 0:
+                changes.append(self._change(budget, tokens))
+            elif self._unfolded_tokens[budget]:
+                changes.append(self._change(budget, 0))
+        return changes
+
+    def plan_return(self, budget: str, tokens: int) -> GrantChange | None:
+        """Return the change that gives tokens back, or None while one is unresolved."""
+        if budget in self._unresolved:
+            return None
+        return self._change(budget, -tokens)
+
+    async def apply(self, changes: list[GrantChange]) -> dict[str, int]:
+        """Apply changes and return the deltas that took effect, by budget.
+
+        Changes whose answer is lost are kept in ``unresolved``.
+
+        Raises
+        ------
+        FencedError
+            The incarnation is not live any more.
+        PlatformUnavailableError
+            The table was not reached.
+        """
+        done: dict[str, int] = {}
+        for start in range(0, len(changes), BATCH_BUDGETS):
+            done.update(await self._apply_batch(changes[start : start + BATCH_BUDGETS]))
+        return done
+
+    async def _apply_batch(self, changes: list[GrantChange]) -> dict[str, int]:
+        while changes:
+            try:
+                result = await self._table.transact(self._transaction(changes))
+            except OutcomeUnknownError:
+                self._unresolved.update({change.budget: change for change in changes})
+                return {}
+            if isinstance(result, Committed):
+                for change in changes:
+                    self._finish(change)
+                return {change.budget: change.delta_tokens for change in changes}
+            self._require_live(result.keys)
+            failed = set(result.keys)
+            changes = [change for change in changes if not failed & self._keys(change.budget)]
+        return {}
+
+    async def resolve(self) -> dict[str, int]:
+        """Settle changes of unknown outcome; return the deltas, 0 for those cancelled."""
+        settled: dict[str, int] = {}
+        for change in self.unresolved:
+            cancel_id = f"cancel-{change.change_id}"
+            await self._cancel(change, cancel_id)
+            key = grant_key(self._incarnation, change.budget)
+            row = (await self._table.read([key])).get(key)
+            last_change = row.value["last_change"] if row else None
+            if last_change not in (change.change_id, cancel_id):
+                continue
+            took_effect = last_change == change.change_id
+            settled[change.budget] = change.delta_tokens if took_effect else 0
+            if took_effect:
+                self._finish(change)
+            self._last_change[change.budget] = last_change
+            del self._unresolved[change.budget]
+        return settled
+
+    def _finish(self, change: GrantChange) -> None:
+        self._last_change[change.budget] = change.change_id
+        self._unfolded_tokens[change.budget] -= change.fold_tokens
+
+    async def _cancel(self, change: GrantChange, cancel_id: str) -> None:
+        key = grant_key(self._incarnation, change.budget)
+        cancel = msgspec.structs.replace(change, change_id=cancel_id, delta_tokens=0, fold_tokens=0)
+        checks = (live_check(self._incarnation), self._row_check(key, change))
+        try:
+            result = await self._table.transact(Transaction(checks, (self._row_write(cancel),)))
+        except OutcomeUnknownError:
+            return
+        if not isinstance(result, Committed):
+            self._require_live(result.keys)
+
+    def _change(self, budget: str, delta_tokens: int) -> GrantChange:
+        fold_tokens = self._unfolded_tokens[budget]
+        previous_id = self._last_change.get(budget)
+        return GrantChange(budget, delta_tokens, fold_tokens, new_id(), previous_id)
+
+    def _transaction(self, changes: list[GrantChange]) -> Transaction:
+        checks: list[Check] = [live_check(self._incarnation)]
+        writes: list[Write] = []
+        for change in changes:
+            self._extend_grant(change, checks, writes)
+            self._extend_budget(change, checks, writes)
+        return Transaction(tuple(checks), tuple(writes))
+
+    def _extend_grant(self, change: GrantChange, checks, writes) -> None:
+        key = grant_key(self._incarnation, change.budget)
+        checks.append(self._row_check(key, change))
+        writes.append(self._row_write(change))
+        if change.previous_id is None:
+            return
+        writes.append(Add(key, "granted_tokens", change.delta_tokens - change.fold_tokens))
+        if change.fold_tokens:
+            writes.append(Add(key, "settled_tokens", -change.fold_tokens))
+
+    def _extend_budget(self, change: GrantChange, checks, writes) -> None:
+        key = budget_key(change.budget)
+        if change.delta_tokens > 0:
+            checks.append(FieldAtLeast(key, "ungranted_tokens", change.delta_tokens))
+        if change.delta_tokens:
+            writes.append(Add(key, "ungranted_tokens", -change.delta_tokens))
+        if change.fold_tokens:
+            writes.append(Add(key, "spent_tokens", change.fold_tokens))
+
+    def _row_check(self, key: str, change: GrantChange):
+        if change.previous_id is None:
+            return Absent(key)
+        return FieldIs(key, "last_change", change.previous_id)
+
+    def _row_write(self, change: GrantChange):
+        key = grant_key(self._incarnation, change.budget)
+        if change.previous_id is not None:
+            return SetField(key, "last_change", change.change_id)
+        row = GrantRow(change.budget, self._incarnation, change.delta_tokens, 0, change.change_id)
+        return Put(key, msgspec.to_builtins(row))
+
+    def _keys(self, budget: str) -> set[str]:
+        return {budget_key(budget), grant_key(self._incarnation, budget)}
+
+    def _require_live(self, failed_keys) -> None:
+        if router_key(self._incarnation) in failed_keys:
+            raise FencedError(f"incarnation {self._incarnation} is fenced")
--- /dev/null
+++ b/turnward/budgets/ledger.py
@@ -0,0 +1,225 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The router's own account of its grants: pure decisions, no input or output."""
+
+from enum import StrEnum
+
+import msgspec
+from expression import Error, Ok, Result
+
+from turnward.budgets.demand import DemandMeter
+
+__all__ = ["BudgetView", "GrantAsk", "GrantLedger", "RefusalReason", "Reservation", "SizingRule"]
+
+
+class RefusalReason(StrEnum):
+    """Why a reservation was refused."""
+
+    EXHAUSTED = "budget_exhausted"
+    UNREACHABLE = "budget_unreachable"
+
+
+class Reservation(msgspec.Struct):
+    """Tokens set aside for one request; settled once."""
+
+    budget: str
+    tokens: int
+    open: bool = True
+
+
+class BudgetView(msgspec.Struct, frozen=True):
+    """The budget's row as last read by this router."""
+
+    limit_tokens: int
+    ungranted_tokens: int
+    spent_tokens: int
+
+
+class GrantAsk(msgspec.Struct, frozen=True):
+    """A wish for more tokens.
+
+    Attributes
+    ----------
+    least_tokens : int
+        What waiting requests need; less is of no use. 0 when nothing waits.
+    most_tokens : int
+        What demand over the horizon calls for.
+    """
+
+    least_tokens: int
+    most_tokens: int
+
+
+class SizingRule(msgspec.Struct, frozen=True):
+    """How far ahead grants are taken.
+
+    Attributes
+    ----------
+    horizon_s : float
+        Seconds of demand a full grant covers.
+    minimum_tokens : int
+        Smallest grant worth a write.
+    share : float
+        Largest part of the ungranted tokens that one take may claim beyond
+        what waiting requests need.
+    keep_s : float
+        Idle time after which spare tokens are returned.
+    """
+
+    horizon_s: float = 20.0
+    minimum_tokens: int = 2_000
+    share: float = 0.25
+    keep_s: float = 5.0
+
+
+class _Account:
+    """One budget's figures in this router."""
+
+    __slots__ = (
+        "demand",
+        "granted_tokens",
+        "idle_since_s",
+        "reserved_tokens",
+        "settled_tokens",
+        "view",
+        "wanted_tokens",
+    )
+
+    def __init__(self):
+        self.granted_tokens = 0
+        self.settled_tokens = 0
+        self.reserved_tokens = 0
+        self.wanted_tokens = 0
+        self.idle_since_s = 0.0
+        self.demand = DemandMeter()
+        self.view: BudgetView | None = None
+
+    @property
+    def free_tokens(self) -> int:
+        return self.granted_tokens - self.settled_tokens - self.reserved_tokens
+
+
+class GrantLedger:
+    """Grants, reservations and settlements of one router incarnation.
+
+    Parameters
+    ----------
+    rule : SizingRule
+        How grants are sized.
+    """
+
+    def __init__(self, rule: SizingRule):
+        self._rule = rule
+        self._accounts: dict[str, _Account] = {}
+
+    def budgets(self) -> list[str]:
+        """Return the budgets this router has dealt with."""
+        return list(self._accounts)
+
+    def free_tokens(self, budget: str) -> int:
+        """Return what can still be reserved."""
+        account = self._accounts.get(budget)
+        return account.free_tokens if account else 0
+
+    def held_tokens(self, budget: str) -> int:
+        """Return granted tokens that are not settled."""
+        account = self._accounts.get(budget)
+        return account.granted_tokens - account.settled_tokens if account else 0
+
+    def reserve(
+        self, budget: str, tokens: int, now_s: float, first_try: bool = True
+    ) -> Result[Reservation, RefusalReason]:
+        """Set tokens aside, or say why not.
+
+        A refused request's need is remembered, so that the next plan asks for
+        it; ``first_try`` is False when the same request tries again.
+        """
+        account = self._account(budget)
+        if first_try:
+            account.demand.add(tokens, now_s)
+        account.idle_since_s = now_s
+        if tokens <= account.free_tokens:
+            account.reserved_tokens += tokens
+            return Ok(Reservation(budget, tokens))
+        account.wanted_tokens = max(account.wanted_tokens, tokens)
+        return Error(self._refusal(account, tokens))
+
+    def settle(self, reservation: Reservation, used_tokens: int) -> int:
+        """Close a reservation and return the tokens to bill, at most those reserved."""
+        if not reservation.open:
+            raise ValueError("the reservation is settled already")
+        reservation.open = False
+        account = self._account(reservation.budget)
+        billed = min(used_tokens, reservation.tokens)
+        account.reserved_tokens -= reservation.tokens
+        account.settled_tokens += billed
+        return billed
+
+    def unsettle(self, budget: str, tokens: int) -> None:
+        """Take back a settlement whose request proved to be billed already."""
+        self._account(budget).settled_tokens -= tokens
+
+    def add(self, budget: str, tokens: int) -> None:
+        """Take in tokens that the table granted."""
+        self._account(budget).granted_tokens += tokens
+
+    def withdraw(self, budget: str, tokens: int) -> int:
+        """Take up to ``tokens`` free tokens out, before they are returned."""
+        account = self._account(budget)
+        taken = max(0, min(tokens, account.free_tokens))
+        account.granted_tokens -= taken
+        return taken
+
+    def observe(self, budget: str, view: BudgetView) -> None:
+        """Take in the budget's row as read."""
+        self._account(budget).view = view
+
+    def clear_want(self, budget: str) -> None:
+        """Forget what waiting requests wanted; they ask again if they still wait."""
+        self._account(budget).wanted_tokens = 0
+
+    def plan_takes(self, now_s: float) -> dict[str, GrantAsk]:
+        """Return the budgets that need more tokens, and how many."""
+        asks = {}
+        for budget, account in self._accounts.items():
+            target = self._target_tokens(account, now_s)
+            shortfall = max(0, account.wanted_tokens - account.free_tokens)
+            if shortfall == 0 and account.free_tokens >= target / 2:
+                continue
+            most = max(shortfall, int(target) - account.free_tokens)
+            if most > 0:
+                asks[budget] = GrantAsk(shortfall, most)
+        return asks
+
+    def plan_returns(self, now_s: float) -> dict[str, int]:
+        """Return the spare tokens of budgets, to be given back."""
+        spare = {}
+        for budget, account in self._accounts.items():
+            target = self._target_tokens(account, now_s)
+            keep = 0 if self._recalled(account) else target * 2
+            idle = now_s - account.idle_since_s >= self._rule.keep_s
+            if account.free_tokens > keep and (idle or self._recalled(account)):
+                spare[budget] = account.free_tokens - int(keep)
+        return spare
+
+    def _target_tokens(self, account: _Account, now_s: float) -> float:
+        rate = account.demand.rate_tokens_per_s(now_s)
+        if rate < 1.0:
+            return 0.0
+        return max(self._rule.minimum_tokens, rate * self._rule.horizon_s)
+
+    def _recalled(self, account: _Account) -> bool:
+        return account.view is not None and account.view.ungranted_tokens < 0
+
+    def _refusal(self, account: _Account, tokens: int) -> RefusalReason:
+        view = account.view
+        if view is None:
+            return RefusalReason.UNREACHABLE
+        own_settled = account.settled_tokens
+        left = view.limit_tokens - view.spent_tokens - own_settled
+        return RefusalReason.EXHAUSTED if left < tokens else RefusalReason.UNREACHABLE
+
+    def _account(self, budget: str) -> _Account:
+        account = self._accounts.get(budget)
+        if account is None:
+            account = self._accounts[budget] = _Account()
+        return account
--- /dev/null
+++ b/turnward/budgets/tests/test_grants.py
@@ -0,0 +1,94 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Grants under lost answers, outages and fences."""
+
+import pytest
+
+from tests.helpers import add_budget, add_router, run
+from turnward.budgets import GrantAsk, GrantStore, budget_key, grant_key
+from turnward.fleet import FencedError, RouterRegistry
+from turnward.platform import FaultyTable, MemoryTable, PlatformUnavailableError
+
+
+@pytest.fixture
+def table():
+    table = MemoryTable()
+    add_budget(table, "b", 1_000)
+    add_router(table, "r1")
+    add_router(table, "r2")
+    return table
+
+
+def take(store, tokens):
+    views = run(store.read_views(["b"]))
+    return run(store.apply(store.plan_take({"b": GrantAsk(tokens, tokens)}, views)))
+
+
+def ungranted(table):
+    return run(table.read([budget_key("b")]))[budget_key("b")].value["ungranted_tokens"]
+
+
+def test_takes_of_two_routers_never_pass_the_limit(table):
+    stores = [GrantStore(table, "r1"), GrantStore(table, "r2")]
+    taken = sum(take(store, 400).get("b", 0) for store in stores * 3)
+    assert taken == 800
+    assert ungranted(table) == 200
+
+
+def test_stale_view_cannot_take_what_another_took(table):
+    first, second = GrantStore(table, "r1"), GrantStore(table, "r2")
+    stale = run(second.read_views(["b"]))
+    assert take(first, 900) == {"b": 900}
+    assert run(second.apply(second.plan_take({"b": GrantAsk(900, 900)}, stale))) == {}
+
+
+@pytest.mark.parametrize("lost", [1, 2])
+def test_lost_answer_of_a_take_is_counted_once(table, lost):
+    faulty = FaultyTable(table)
+    store = GrantStore(faulty, "r1")
+    take(store, 100)
+    faulty.lose_answers = lost
+    assert take(store, 200) == {}
+    assert [change.delta_tokens for change in store.unresolved] == [200]
+    assert run(store.resolve()) == {"b": 200}
+    assert ungranted(table) == 700
+
+
+def test_cancelled_take_cannot_arrive_later(table):
+    faulty = FaultyTable(table)
+    store = GrantStore(faulty, "r1")
+    take(store, 100)
+    views = run(store.read_views(["b"]))
+    changes = store.plan_take({"b": GrantAsk(200, 200)}, views)
+    late_write = store._transaction(changes)
+    store._unresolved["b"] = changes[0]
+    assert run(store.resolve()) == {"b": 0}
+    table.apply(late_write)
+    assert ungranted(table) == 900
+
+
+def test_outage_takes_nothing(table):
+    faulty = FaultyTable(table)
+    store = GrantStore(faulty, "r1")
+    faulty.down = True
+    with pytest.raises(PlatformUnavailableError):
+        take(store, 100)
+    assert ungranted(table) == 1_000
+
+
+def test_fenced_router_takes_nothing(table):
+    store = GrantStore(table, "r1")
+    assert run(RouterRegistry(table).fence("r1", "r2"))
+    with pytest.raises(FencedError):
+        take(store, 100)
+    assert ungranted(table) == 1_000
+
+
+def test_returned_tokens_are_for_others(table):
+    store = GrantStore(table, "r1")
+    take(store, 600)
+    store.note_billed("b", 250)
+    assert run(store.apply([store.plan_return("b", 350)])) == {"b": -350}
+    row = run(table.read([budget_key("b"), grant_key("r1", "b")]))
+    assert row[budget_key("b")].value["ungranted_tokens"] == 750
+    assert row[budget_key("b")].value["spent_tokens"] == 250
+    assert row[grant_key("r1", "b")].value["granted_tokens"] == 0
--- /dev/null
+++ b/turnward/callers/answers.py
@@ -0,0 +1,89 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Where an answer goes: an abstract base class and its HTTP form."""
+
+from abc import ABC, abstractmethod
+
+from turnward.callers.problems import Refusal, problem_body
+
+__all__ = ["AnswerBase", "HttpAnswer", "send_refusal"]
+
+
+class AnswerBase(ABC):
+    """The one answer of one request."""
+
+    @abstractmethod
+    def head(self, status: int, headers: dict[str, str]) -> None:
+        """Send status and headers; once."""
+
+    @abstractmethod
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+
+    @abstractmethod
+    def finish(self) -> None:
+        """End the answer as whole."""
+
+    @abstractmethod
+    def abort(self) -> None:
+        """End the answer so that the caller can tell that it is not whole."""
+
+    @property
+    @abstractmethod
+    def caller_gone(self) -> bool:
+        """Whether nobody reads any more."""
+
+
+class HttpAnswer(AnswerBase):
+    """An answer over a ``twisted.web`` request."""
+
+    def __init__(self, request):
+        self._request = request
+        self._gone = False
+        self._ended = False
+        self.on_gone = lambda: None
+        request.notifyFinish().addErrback(self._lost)
+
+    def head(self, status, headers):
+        """See ``AnswerBase.head``."""
+        if self._gone:
+            return
+        self._request.setResponseCode(status)
+        for name, value in headers.items():
+            self._request.setHeader(name, value)
+
+    def write(self, data):
+        """See ``AnswerBase.write``."""
+        if not self._gone:
+            self._request.write(data)
+
+    def finish(self):
+        """See ``AnswerBase.finish``."""
+        if not self._gone and not self._ended:
+            self._ended = True
+            self._request.finish()
+
+    def abort(self):
+        """See ``AnswerBase.abort``."""
+        if not self._gone and not self._ended:
+            self._ended = True
+            self._request.channel.abortConnection()
+
+    @property
+    def caller_gone(self):
+        """See ``AnswerBase.caller_gone``."""
+        return self._gone
+
+    def _lost(self, _reason) -> None:
+        self._gone = True
+        if not self._ended:
+            self.on_gone()
+
+
+def send_refusal(answer: AnswerBase, refusal: Refusal, request_id: str) -> None:
+    """Send a refusal as problem details and end the answer."""
+    headers = {"Content-Type": "application/problem+json", "X-Outcome": str(refusal.outcome)}
+    if refusal.retry_after_s is not None:
+        headers["Retry-After"] = str(refusal.retry_after_s)
+    answer.head(refusal.status, headers)
+    answer.write(problem_body(refusal, request_id))
+    answer.finish()
--- /dev/null
+++ b/turnward/callers/chat.py
@@ -0,0 +1,342 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Serves ``/v1/chat/completions``, whole and streamed."""
+
+import msgspec
+from twisted.internet import defer, task
+
+from turnward.callers.answers import AnswerBase
+from turnward.callers.flights import Flight, FlightDesk, StoredReply
+from turnward.callers.problems import Outcome, Reason, Refusal, RefusedError, problem_body
+from turnward.callers.sse import END_MARK, EventSplitter
+from turnward.endpoints import EndpointError, NotRunError, RunState, RunUncertainError
+from turnward.ids import fingerprint
+from turnward.resources import Model, Workspace
+
+__all__ = ["ChatRequest", "ChatServer", "parse_chat"]
+
+#: Times a cut stream is resumed.
+RESUME_LIMIT = 3
+#: Seconds between questions for a run's account, and how often to ask.
+ACCOUNT_PAUSE_S = 0.5
+ACCOUNT_TRIES = 20
+_OK = 200
+_BAD_REQUEST_FROM = 400
+#: Tokens that the engine's own markup may add to each message.
+MARKUP_TOKENS = 8
+
+
+class ChatMessage(msgspec.Struct):
+    """One message of the conversation."""
+
+    role: str
+    content: str
+
+
+class ChatRequest(msgspec.Struct):
+    """The parts of the request that the router reads."""
+
+    model: str
+    messages: list[ChatMessage]
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+
+    def output_limit_tokens(self, model: Model) -> int:
+        """Return the most tokens the answer may have."""
+        asked = self.max_completion_tokens or self.max_tokens or model.default_output_tokens
+        return min(asked, model.output_limit_tokens)
+
+    def prompt_limit_tokens(self) -> int:
+        """Return an upper bound of the prompt's tokens: one a byte, plus markup."""
+        return sum(len(message.content.encode()) + MARKUP_TOKENS for message in self.messages)
+
+    def prefix(self) -> str:
+        """Return a digest of the part of the prompt that requests share."""
+        first = self.messages[0].content.encode()
+        return fingerprint(self.model.encode(), first)[:16]
+
+
+class _Usage(msgspec.Struct):
+    total_tokens: int = 0
+
+
+class _WholeAnswer(msgspec.Struct):
+    usage: _Usage | None = None
+
+
+def parse_chat(body: bytes) -> ChatRequest:
+    """Check and return the request.
+
+    Raises
+    ------
+    RefusedError
+        The body is not a chat request.
+    """
+    try:
+        request = msgspec.json.decode(body, type=ChatRequest)
+    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError) as failure:
+        raise RefusedError(Refusal(Reason.BAD_REQUEST, str(failure))) from failure
+    if not request.messages:
+        raise RefusedError(Refusal(Reason.BAD_REQUEST, "messages: expected one or more"))
+    for limit in (request.max_tokens, request.max_completion_tokens):
+        if limit is not None and limit < 1:
+            raise RefusedError(Refusal(Reason.BAD_REQUEST, "max_tokens: expected 1 or more"))
+    return request
+
+
+class _Relay:
+    """Passes one run's answer on to the caller and reads its usage."""
+
+    def __init__(self, answer: AnswerBase, stream: bool, headers: dict[str, str]):
+        self._answer = answer
+        self._stream = stream
+        self._headers = headers
+        self._body: list[bytes] = []
+        self._splitter = EventSplitter()
+        self.relayed_events = 0
+        self.whole = False
+        self.used_tokens: int | None = None
+        self.status = 0
+
+    def head(self, response) -> None:
+        self.status = response.status
+        if self._stream and response.status == _OK:
+            self._answer.head(_OK, {**self._headers, "Content-Type": "text/event-stream"})
+
+    def data(self, data: bytes) -> None:
+        if not self._stream or self.status != _OK:
+            self._body.append(data)
+            return
+        for event in self._splitter.feed(data):
+            self._event(event)
+
+    def _event(self, event) -> None:
+        if event.data == END_MARK:
+            self.whole = True
+        elif event.usage_tokens is not None:
+            self.used_tokens = event.usage_tokens
+        else:
+            self.relayed_events += 1
+        self._answer.write(event.raw)
+
+    def begin_resumed(self) -> None:
+        """Drop the half event that was cut."""
+        self._splitter = EventSplitter()
+
+    def body(self) -> bytes:
+        """Return the whole answer's body and read its usage."""
+        body = b"".join(self._body)
+        try:
+            usage = msgspec.json.decode(body, type=_WholeAnswer).usage
+        except (msgspec.DecodeError, msgspec.ValidationError):
+            return body
+        if usage is not None:
+            self.used_tokens = usage.total_tokens
+            self.whole = True
+        return body
+
+
+class ChatServer:
+    """Runs chat requests.
+
+    Parameters
+    ----------
+    context : RouterContext
+        The router's shared parts.
+    desk : FlightDesk
+        Opens and closes flights.
+    """
+
+    def __init__(self, context, desk: FlightDesk):
+        self._context = context
+        self._desk = desk
+
+    async def serve(
+        self, workspace: Workspace, request_id: str, body: bytes, answer: AnswerBase
+    ) -> None:
+        """Serve one request to its end.
+
+        Raises
+        ------
+        RefusedError
+            Nothing of an answer was sent yet.
+        """
+        self._desk.require_serving()
+        chat = parse_chat(body)
+        model = self._context.config.resources.get("models", chat.model)
+        pool = self._pool_of(chat.model)
+        if model is None or pool is None:
+            raise RefusedError(Refusal(Reason.NOT_FOUND, f"no model {chat.model!r}"))
+        flight = Flight(
+            workspace,
+            request_id,
+            fingerprint(body),
+            pool,
+            workspace.priority_class,
+            repeatable=True,
+        )
+        reply = self._desk.stored_reply(flight)
+        if reply is not None:
+            self._replay(answer, reply)
+            return
+        self._desk.register(flight)
+        try:
+            await self._fly(flight, chat, model, body, answer)
+        finally:
+            self._desk.close(flight)
+
+    def _pool_of(self, model: str) -> str | None:
+        for pool in self._context.config.resources.by_kind["pools"].values():
+            if pool.kind == "engine" and pool.model == model:
+                return pool.name
+        return None
+
+    def _replay(self, answer: AnswerBase, reply: StoredReply) -> None:
+        answer.head(reply.status, {**reply.headers, "Idempotency-Replayed": "true"})
+        answer.write(reply.body)
+        answer.finish()
+
+    async def _fly(self, flight: Flight, chat: ChatRequest, model, body, answer) -> None:
+        await self._desk.admit(flight)
+        output_tokens = chat.output_limit_tokens(model)
+        await self._desk.reserve(flight, chat.prompt_limit_tokens() + output_tokens)
+        sent_body = self._engine_body(flight, body, output_tokens)
+        try:
+            await self._attempts(flight, chat, sent_body, answer)
+        except RefusedError:
+            if flight.reservation.open:
+                self._desk.discard(flight)
+            raise
+
+    def _engine_body(self, flight: Flight, body: bytes, output_tokens: int) -> bytes:
+        fields = msgspec.json.decode(body)
+        fields.pop("max_completion_tokens", None)
+        fields["max_tokens"] = output_tokens
+        classes = self._context.config.resources.by_kind["priority_classes"]
+        fields["priority"] = classes[flight.priority_class].rank
+        if fields.get("stream"):
+            fields["stream_options"] = {"include_usage": True}
+        return msgspec.json.encode(fields)
+
+    async def _attempts(self, flight: Flight, chat: ChatRequest, body: bytes, answer) -> None:
+        retries = self._context.retries(flight.workspace.name, flight.workspace.retry_share)
+        while True:
+            self._desk.choose(flight, chat.prefix(), chat.prompt_limit_tokens())
+            await self._desk.hold(flight)
+            relay = _Relay(answer, chat.stream, {"X-Request-Id": flight.request_id})
+            self._desk.sent(flight, chat.prefix())
+            try:
+                await self._run(flight, body, relay, answer)
+            except NotRunError as failure:
+                self._desk.returned(flight, ok=False)
+                if retries.take():
+                    continue
+                raise RefusedError(self._endpoint_refused(failure)) from failure
+            except RunUncertainError as failure:
+                self._desk.returned(flight, ok=False)
+                if relay.relayed_events == 0 and not answer.caller_gone and retries.take():
+                    await self._cancel(flight)
+                    continue
+                await self._end_cut(flight, relay, answer, failure)
+                return
+            self._desk.returned(flight, ok=True)
+            retries.note_success()
+            self._end_whole(flight, relay, answer)
+            return
+
+    def _endpoint_refused(self, failure) -> Refusal:
+        return Refusal(Reason.ENDPOINT_REFUSED, str(failure), retry_after_s=1)
+
+    async def _run(self, flight: Flight, body: bytes, relay: _Relay, answer) -> None:
+        """Run once, resuming a cut stream where it broke off."""
+        url = flight.view.endpoint.url
+        call = defer.ensureDeferred(
+            self._context.engines.chat(url, flight.run_id, body, relay.head, relay.data)
+        )
+        answer.on_gone = call.cancel
+        try:
+            await call
+        except RunUncertainError:
+            if answer.caller_gone or relay.relayed_events == 0:
+                raise
+            await self._resume(flight, relay, answer)
+        except defer.CancelledError as failure:
+            raise RunUncertainError("the caller has gone") from failure
+        if relay.status == _OK and flight.record and relay._stream and not relay.whole:
+            await self._resume(flight, relay, answer)
+
+    async def _resume(self, flight: Flight, relay: _Relay, answer) -> None:
+        url = flight.view.endpoint.url
+        for _ in range(RESUME_LIMIT):
+            relay.begin_resumed()
+            self._context.events.emit(
+                "request.resumed",
+                request_id=flight.request_id,
+                endpoint=flight.view.name,
+                start=relay.relayed_events,
+            )
+            call = defer.ensureDeferred(
+                self._context.engines.resume(url, flight.run_id, relay.relayed_events, relay.data)
+            )
+            answer.on_gone = call.cancel
+            try:
+                await call
+            except RunUncertainError:
+                continue
+            except defer.CancelledError as failure:
+                raise RunUncertainError("the caller has gone") from failure
+            if relay.whole:
+                return
+        raise RunUncertainError("the stream ended without its end mark")
+
+    async def _cancel(self, flight: Flight) -> None:
+        try:
+            await self._context.engines.cancel(flight.view.endpoint.url, flight.run_id)
+        except EndpointError:
+            self._context.metrics.count("runs.uncancelled")
+
+    def _end_whole(self, flight: Flight, relay: _Relay, answer: AnswerBase) -> None:
+        body = relay.body() if not relay._stream or relay.status != _OK else b""
+        self._desk.bill(flight, relay.used_tokens or 0)
+        if relay._stream and relay.status == _OK:
+            answer.finish()
+            return
+        outcome = Outcome.RAN if relay.status < _BAD_REQUEST_FROM else Outcome.NOT_RUN
+        headers = {
+            "Content-Type": "application/json",
+            "X-Outcome": str(outcome),
+            "X-Request-Id": flight.request_id,
+        }
+        if outcome is Outcome.RAN:
+            reply = StoredReply(flight.fingerprint, relay.status, headers, body)
+            self._desk.keep_reply(flight, reply)
+        answer.head(relay.status, headers)
+        answer.write(body)
+        answer.finish()
+
+    async def _end_cut(self, flight: Flight, relay: _Relay, answer: AnswerBase, failure) -> None:
+        """End an answer that broke off: tell the caller at once, then settle by the account."""
+        refusal = Refusal(Reason.ENDPOINT_FAILED, str(failure), Outcome.UNKNOWN, 1)
+        if relay.relayed_events:
+            answer.write(b"event: error\ndata: ")
+            answer.write(problem_body(refusal, flight.request_id) + b"\n\n")
+            answer.abort()
+        else:
+            from turnward.callers.answers import send_refusal
+
+            send_refusal(answer, refusal, flight.request_id)
+        used_tokens = await self._account(flight, relay)
+        self._desk.bill(flight, used_tokens)
+
+    async def _account(self, flight: Flight, relay: _Relay) -> int:
+        """Return a cut run's usage by the engine's account, else what was passed on."""
+        url = flight.view.endpoint.url
+        for _ in range(ACCOUNT_TRIES):
+            try:
+                account = await self._context.engines.cancel(url, flight.run_id)
+            except EndpointError:
+                account = None
+            if account is not None and account.state is not RunState.RUNNING:
+                return account.used_tokens
+            await task.deferLater(self._context.reactor, ACCOUNT_PAUSE_S)
+        return relay.relayed_events
--- /dev/null
+++ b/turnward/callers/services.py
@@ -0,0 +1,267 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Serves ``/services/NAME/...``: calls of plain services, some of which may not be repeated."""
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet.defer import Deferred
+
+from turnward.callers.answers import AnswerBase
+from turnward.callers.flights import Flight, FlightDesk
+from turnward.callers.problems import Outcome, Reason, Refusal, RefusedError
+from turnward.claims import ClaimOutcome, ClaimRow, ClaimState, StoredAnswer, claim_key
+from turnward.endpoints import NotRunError, RunUncertainError
+from turnward.ids import fingerprint, minted_s, new_id
+from turnward.platform import SetField
+from turnward.resources import Pool, Workspace
+from turnward.router.claim_task import ReleaseClaim, WantClaim
+
+__all__ = ["ServiceRequest", "ServiceServer"]
+
+#: Methods that may be repeated where the configuration says nothing (RFC 9110, 9.2.2).
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+#: Seconds a call waits for its claim.
+CLAIM_WAIT_S = 2.0
+
+
+class ServiceRequest(msgspec.Struct, frozen=True):
+    """One call of a plain service."""
+
+    service: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+
+
+class ServiceServer:
+    """Runs service calls.
+
+    Parameters
+    ----------
+    context : RouterContext
+        The router's shared parts.
+    desk : FlightDesk
+        Opens and closes flights.
+    """
+
+    def __init__(self, context, desk: FlightDesk):
+        self._context = context
+        self._desk = desk
+
+    async def serve(
+        self, workspace: Workspace, request_id: str, call: ServiceRequest, answer: AnswerBase
+    ) -> None:
+        """Serve one call to its end.
+
+        Raises
+        ------
+        RefusedError
+            Nothing of an answer was sent yet.
+        """
+        self._desk.require_serving()
+        pool = self._context.config.resources.get("pools", call.service)
+        if pool is None or pool.kind != "service":
+            raise RefusedError(Refusal(Reason.NOT_FOUND, f"no service {call.service!r}"))
+        repeatable, priority_class = _rule(pool, call, workspace)
+        digest = fingerprint(call.method.encode(), call.path.encode(), call.body)
+        flight = Flight(workspace, request_id, digest, pool.name, priority_class, repeatable)
+        if not repeatable:
+            self._require_young(request_id)
+        self._desk.register(flight)
+        try:
+            await self._fly(flight, call, pool, answer)
+        finally:
+            self._desk.close(flight)
+
+    def _require_young(self, request_id: str) -> None:
+        minted = minted_s(request_id)
+        oldest_s = self._context.clock.wall_s() - self._context.settings.id_retention_s
+        if minted is not None and minted < oldest_s:
+            raise RefusedError(
+                Refusal(
+                    Reason.ID_TOO_OLD,
+                    "the id is older than claims are kept, so its outcome is not known",
+                    Outcome.UNKNOWN,
+                )
+            )
+
+    async def _fly(self, flight: Flight, call: ServiceRequest, pool: Pool, answer) -> None:
+        await self._desk.admit(flight)
+        await self._desk.reserve(flight, pool.tokens_per_call)
+        try:
+            if flight.repeatable:
+                await self._run_repeatable(flight, call, pool, answer)
+            else:
+                await self._run_once(flight, call, pool, answer)
+        except RefusedError:
+            if flight.reservation.open:
+                self._desk.discard(flight)
+            raise
+
+    async def _run_repeatable(self, flight: Flight, call, pool: Pool, answer) -> None:
+        retries = self._context.retries(flight.workspace.name, flight.workspace.retry_share)
+        while True:
+            self._desk.choose(flight, "", 0)
+            await self._desk.hold(flight)
+            try:
+                response = await self._send(flight, call)
+            except (NotRunError, RunUncertainError) as failure:
+                if retries.take():
+                    continue
+                outcome = Outcome.NOT_RUN
+                if isinstance(failure, RunUncertainError):
+                    outcome = Outcome.UNKNOWN
+                raise RefusedError(
+                    Refusal(Reason.ENDPOINT_FAILED, str(failure), outcome, 1)
+                ) from failure
+            retries.note_success()
+            self._desk.bill(flight, pool.tokens_per_call)
+            _pass_on(answer, response, flight.request_id)
+            return
+
+    async def _run_once(self, flight: Flight, call, pool: Pool, answer) -> None:
+        claim = ClaimRow(
+            flight.request_id,
+            flight.workspace.name,
+            flight.core.incarnation,
+            new_id(),
+            flight.fingerprint,
+        )
+        stored = await self._claim(flight, claim)
+        if stored is not None:
+            _replay(answer, stored, flight.request_id)
+            self._desk.discard(flight)
+            return
+        try:
+            await self._send_claimed(flight, call, pool, claim, answer)
+        except RefusedError as refused:
+            if refused.refusal.outcome is Outcome.NOT_RUN:
+                flight.core.claims.tell(ReleaseClaim(claim))
+            raise
+
+    async def _claim(self, flight: Flight, claim: ClaimRow) -> StoredAnswer | None:
+        """Take the claim, or return the stored answer of the run that took it before."""
+        answer: Deferred = Deferred()
+        flight.core.claims.tell(WantClaim(claim, answer))
+        try:
+            result = await answer.addTimeout(CLAIM_WAIT_S, self._context.reactor)
+        except defer.TimeoutError:
+            flight.core.claims.tell(ReleaseClaim(claim))
+            raise RefusedError(_claims_unreachable()) from None
+        if result.outcome is ClaimOutcome.TAKEN:
+            return None
+        if result.outcome is ClaimOutcome.STANDING:
+            return self._judge_standing(result.standing, claim)
+        raise RefusedError(_claims_unreachable())
+
+    def _judge_standing(self, standing: ClaimRow, claim: ClaimRow) -> StoredAnswer:
+        if standing.fingerprint != claim.fingerprint:
+            raise RefusedError(Refusal(Reason.ID_REUSED, "this id was used for another request"))
+        if standing.state is ClaimState.DONE:
+            return standing.answer
+        owner = self._context.rows.get(standing.incarnation)
+        if standing.state is ClaimState.CLAIMED and owner is not None and owner.writable:
+            raise RefusedError(
+                Refusal(
+                    Reason.IN_PROGRESS,
+                    "the call runs at another router",
+                    Outcome.UNKNOWN,
+                    1,
+                )
+            )
+        raise RefusedError(
+            Refusal(
+                Reason.OUTCOME_UNKNOWN,
+                "the call was sent once and its outcome is not known; it is not sent again",
+                Outcome.UNKNOWN,
+            )
+        )
+
+    async def _send_claimed(self, flight: Flight, call, pool: Pool, claim, answer) -> None:
+        retries = self._context.retries(flight.workspace.name, flight.workspace.retry_share)
+        while True:
+            self._desk.choose(flight, "", 0)
+            await self._desk.hold(flight)
+            try:
+                response = await self._send(flight, call)
+            except NotRunError as failure:
+                if retries.take():
+                    continue
+                raise RefusedError(
+                    Refusal(Reason.ENDPOINT_REFUSED, str(failure), retry_after_s=1)
+                ) from failure
+            except RunUncertainError as failure:
+                self._desk.bill(flight, 0, _claim_writes(claim, ClaimState.UNKNOWN, None))
+                raise RefusedError(
+                    Refusal(Reason.OUTCOME_UNKNOWN, str(failure), Outcome.UNKNOWN)
+                ) from failure
+            content_type = response.headers.get("content-type", "application/octet-stream")
+            stored = StoredAnswer(response.status, content_type, response.body)
+            writes = _claim_writes(claim, ClaimState.DONE, stored)
+            self._desk.bill(flight, pool.tokens_per_call, writes)
+            _pass_on(answer, response, flight.request_id)
+            return
+
+    async def _send(self, flight: Flight, call: ServiceRequest):
+        self._desk.sent(flight)
+        headers = {"Content-Type": call.content_type, "Idempotency-Key": flight.request_id}
+        try:
+            response = await self._context.services.call(
+                flight.view.endpoint.url,
+                flight.run_id,
+                call.method,
+                call.path,
+                call.body,
+                headers,
+            )
+        except (NotRunError, RunUncertainError):
+            self._desk.returned(flight, ok=False)
+            raise
+        self._desk.returned(flight, ok=True)
+        return response
+
+
+def _claims_unreachable() -> Refusal:
+    return Refusal(
+        Reason.CLAIMS_UNREACHABLE,
+        "the call may run only once, and that can't be made sure of now",
+        retry_after_s=2,
+    )
+
+
+def _rule(pool: Pool, call: ServiceRequest, workspace: Workspace) -> tuple[bool, str]:
+    for rule in pool.calls:
+        if rule.method == call.method and call.path.startswith(rule.path):
+            return rule.repeatable, rule.priority_class or workspace.priority_class
+    return call.method in IDEMPOTENT_METHODS, workspace.priority_class
+
+
+def _claim_writes(claim: ClaimRow, state: ClaimState, stored: StoredAnswer | None):
+    key = claim_key(claim.workspace, claim.request_id)
+    writes = [SetField(key, "state", state.value)]
+    if stored is not None:
+        writes.append(SetField(key, "answer", msgspec.to_builtins(stored)))
+    return tuple(writes)
+
+
+def _pass_on(answer: AnswerBase, response, request_id: str) -> None:
+    headers = {
+        "Content-Type": response.headers.get("content-type", "application/octet-stream"),
+        "X-Outcome": str(Outcome.RAN),
+        "X-Request-Id": request_id,
+    }
+    answer.head(response.status, headers)
+    answer.write(response.body)
+    answer.finish()
+
+
+def _replay(answer: AnswerBase, stored: StoredAnswer, request_id: str) -> None:
+    headers = {
+        "Content-Type": stored.content_type,
+        "X-Outcome": str(Outcome.RAN),
+        "X-Request-Id": request_id,
+        "Idempotency-Replayed": "true",
+    }
+    answer.head(stored.status, headers)
+    answer.write(stored.body)
+    answer.finish()
--- /dev/null
+++ b/turnward/cli/__init__.py
@@ -0,0 +1,6 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The command line."""
+
+from turnward.cli.commands import Commands, main
+
+__all__ = ["Commands", "main"]
--- /dev/null
+++ b/turnward/endpoints/clients.py
@@ -0,0 +1,122 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""HTTP clients of model engines and plain services."""
+
+import msgspec
+
+from turnward.endpoints.core import (
+    EndpointError,
+    EngineClientBase,
+    LoadReport,
+    NotRunError,
+    RunAccount,
+    RunUncertainError,
+    ServiceClientBase,
+)
+from turnward.http import HttpClient, NotSentError, SentUnansweredError
+
+__all__ = ["HttpEngineClient", "HttpServiceClient"]
+
+#: Header that carries the run id; one attempt, one id.
+RUN_ID_HEADER = "X-Request-Id"
+
+_SERVICE_UNAVAILABLE = 503
+_OK = 200
+
+
+class HttpEngineClient(EngineClientBase):
+    """Model engines with an OpenAI-style interface.
+
+    Parameters
+    ----------
+    runs : HttpClient
+        Opens a fresh connection per run.
+    asks : HttpClient
+        Keeps connections, for accounts and load.
+    timeout_s : float
+        Limit for one run, in seconds.
+    """
+
+    def __init__(self, runs: HttpClient, asks: HttpClient, timeout_s: float):
+        self._runs = runs
+        self._asks = asks
+        self._timeout_s = timeout_s
+
+    async def chat(self, url, run_id, body, on_head, on_data):
+        """See ``EngineClientBase.chat``."""
+        headers = {RUN_ID_HEADER: run_id, "Content-Type": "application/json"}
+        try:
+            head = await self._runs.stream(
+                "POST",
+                f"{url}/v1/chat/completions",
+                on_data,
+                on_head=on_head,
+                body=body,
+                headers=headers,
+                timeout_s=self._timeout_s,
+            )
+        except NotSentError as failure:
+            raise NotRunError(str(failure)) from failure
+        except SentUnansweredError as failure:
+            raise RunUncertainError(str(failure)) from failure
+        if head.status == _SERVICE_UNAVAILABLE:
+            raise NotRunError("the engine takes no new work")
+        return head
+
+    async def resume(self, url, run_id, start, on_data):
+        """See ``EngineClientBase.resume``."""
+        try:
+            return await self._runs.stream(
+                "GET",
+                f"{url}/v1/runs/{run_id}/stream?from={start}",
+                on_data,
+                timeout_s=self._timeout_s,
+            )
+        except (NotSentError, SentUnansweredError) as failure:
+            raise RunUncertainError(str(failure)) from failure
+
+    async def account(self, url, run_id):
+        """See ``EngineClientBase.account``."""
+        return await self._ask("GET", f"{url}/v1/runs/{run_id}", RunAccount)
+
+    async def cancel(self, url, run_id):
+        """See ``EngineClientBase.cancel``."""
+        return await self._ask("POST", f"{url}/v1/runs/{run_id}/cancel", RunAccount)
+
+    async def load(self, url):
+        """See ``EngineClientBase.load``."""
+        return await self._ask("GET", f"{url}/load", LoadReport)
+
+    async def _ask(self, method, address, answer_type):
+        try:
+            response = await self._asks.request(method, address, timeout_s=2.0)
+        except (NotSentError, SentUnansweredError) as failure:
+            raise EndpointError(str(failure)) from failure
+        if response.status != _OK:
+            raise EndpointError(f"engine answered {response.status}")
+        try:
+            return msgspec.json.decode(response.body, type=answer_type)
+        except msgspec.DecodeError as failure:
+            raise EndpointError(f"engine's answer is damaged: {failure}") from failure
+
+
+class HttpServiceClient(ServiceClientBase):
+    """Plain services over HTTP, a fresh connection for each call."""
+
+    def __init__(self, http: HttpClient, timeout_s: float):
+        self._http = http
+        self._timeout_s = timeout_s
+
+    async def call(self, url, run_id, method, path, body, headers):
+        """See ``ServiceClientBase.call``."""
+        sent = {**headers, RUN_ID_HEADER: run_id}
+        try:
+            response = await self._http.request(
+                method, url + path, body=body, headers=sent, timeout_s=self._timeout_s
+            )
+        except NotSentError as failure:
+            raise NotRunError(str(failure)) from failure
+        except SentUnansweredError as failure:
+            raise RunUncertainError(str(failure)) from failure
+        if response.status == _SERVICE_UNAVAILABLE and "x-not-run" in response.headers:
+            raise NotRunError("the service takes no new work")
+        return response
--- /dev/null
+++ b/turnward/events/__init__.py
@@ -0,0 +1,23 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Events, logs, metrics and clocks."""
+
+from turnward.events.clock import ClockBase, HybridClock, ManualClock, Stamp, SystemClock
+from turnward.events.logs import configure_logs, get_log
+from turnward.events.metrics import Metrics
+from turnward.events.timeline import Event, EventLog, matches, merge_events, render_event
+
+__all__ = [
+    "ClockBase",
+    "Event",
+    "EventLog",
+    "HybridClock",
+    "ManualClock",
+    "Metrics",
+    "Stamp",
+    "SystemClock",
+    "configure_logs",
+    "get_log",
+    "matches",
+    "merge_events",
+    "render_event",
+]
--- /dev/null
+++ b/turnward/fleet/__init__.py
@@ -0,0 +1,21 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Membership: router rows, fencing, and the choice of buddies."""
+
+from turnward.fleet.buddies import BUDDY_COUNT, choose_buddies, rendezvous_weight
+from turnward.fleet.errors import FencedError, FleetError
+from turnward.fleet.registry import RouterRegistry
+from turnward.fleet.rows import ROUTERS_PREFIX, RouterRow, RouterState, live_check, router_key
+
+__all__ = [
+    "BUDDY_COUNT",
+    "ROUTERS_PREFIX",
+    "FencedError",
+    "FleetError",
+    "RouterRegistry",
+    "RouterRow",
+    "RouterState",
+    "choose_buddies",
+    "live_check",
+    "rendezvous_weight",
+    "router_key",
+]
--- /dev/null
+++ b/turnward/fleet/rows.py
@@ -0,0 +1,61 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The router rows in the platform's table: who is live, and who was fenced."""
+
+from enum import StrEnum
+
+import msgspec
+
+from turnward.platform import FieldIs
+
+__all__ = [
+    "ROUTERS_PREFIX",
+    "RouterRow",
+    "RouterState",
+    "live_check",
+    "router_key",
+]
+
+ROUTERS_PREFIX = "router/"
+
+
+class RouterState(StrEnum):
+    """States of a router incarnation; see ``lifecycle/charts/router.toml``."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    LEFT = "left"
+    FENCED = "fenced"
+    RECOVERED = "recovered"
+
+
+class RouterRow(msgspec.Struct, frozen=True):
+    """One incarnation of a router.
+
+    Attributes
+    ----------
+    writable : bool
+        False once fenced or left; every write of the incarnation checks it.
+    buddies : tuple of str
+        Incarnations that may hold its run records.
+    """
+
+    incarnation: str
+    instance: str
+    zone: str
+    region: str
+    peers_address: str
+    operators_address: str
+    state: RouterState
+    writable: bool = True
+    buddies: tuple[str, ...] = ()
+    recoverer: str = ""
+
+
+def router_key(incarnation: str) -> str:
+    """Return the key of an incarnation's row."""
+    return f"{ROUTERS_PREFIX}{incarnation}"
+
+
+def live_check(incarnation: str) -> FieldIs:
+    """Return the check that the incarnation may still write."""
+    return FieldIs(router_key(incarnation), "writable", True)
--- /dev/null
+++ b/turnward/http.py
@@ -0,0 +1,150 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""A small asynchronous HTTP client over ``twisted.web``'s agent."""
+
+from io import BytesIO
+
+import msgspec
+from twisted.internet import defer, error
+from twisted.internet.protocol import Protocol
+from twisted.web.client import (
+    Agent,
+    FileBodyProducer,
+    HTTPConnectionPool,
+    ResponseDone,
+    ResponseFailed,
+    ResponseNeverReceived,
+)
+from twisted.web.http_headers import Headers
+
+from turnward.errors import TurnwardError
+
+__all__ = ["HttpClient", "HttpResponse", "NotSentError", "SentUnansweredError"]
+
+#: Failures that prove that no byte of the request has left this process.
+_NOT_SENT = (
+    error.ConnectError,
+    error.ConnectionRefusedError,
+    error.TimeoutError,
+    error.DNSLookupError,
+)
+
+
+class NotSentError(TurnwardError):
+    """No connection came about: nothing of the request was sent."""
+
+
+class SentUnansweredError(TurnwardError):
+    """The request, or part of it, may have been received; no whole answer came."""
+
+
+class HttpResponse(msgspec.Struct):
+    """A response's head, and its body where it was read whole."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes = b""
+
+
+class _Collector(Protocol):
+    """Passes body bytes on and reports how the body ended."""
+
+    def __init__(self, on_data, finished):
+        self._on_data = on_data
+        self._finished = finished
+
+    def dataReceived(self, data):  # noqa: N802 - the name is twisted's
+        self._on_data(data)
+
+    def connectionLost(self, reason):  # noqa: N802 - the name is twisted's
+        if self._finished.called:
+            return
+        if reason.check(ResponseDone):
+            self._finished.callback(None)
+        else:
+            self._finished.errback(SentUnansweredError("the answer was cut short"))
+
+
+class HttpClient:
+    """Sends requests with a time limit and tells unsent from unanswered.
+
+    Parameters
+    ----------
+    reactor
+        Twisted's reactor.
+    connect_timeout_s : float
+        Limit for opening a connection, in seconds.
+    persistent : bool
+        Keep connections for further requests. A kept connection may be closed
+        by the far side at any time, so requests that must not be sent twice
+        use a fresh one.
+    """
+
+    def __init__(self, reactor, connect_timeout_s=1.0, persistent=True):
+        self._reactor = reactor
+        self._pool = HTTPConnectionPool(reactor, persistent=persistent)
+        self._pool.maxPersistentPerHost = 16
+        self._pool.retryAutomatically = False
+        self._agent = Agent(reactor, connectTimeout=connect_timeout_s, pool=self._pool)
+
+    async def request(self, method, url, body=b"", headers=None, timeout_s=5.0) -> HttpResponse:
+        """Send a request and read the whole answer.
+
+        Raises
+        ------
+        NotSentError
+            Nothing was sent.
+        SentUnansweredError
+            No whole answer came within ``timeout_s``.
+        """
+        chunks: list[bytes] = []
+        response = await self.stream(
+            method, url, chunks.append, body=body, headers=headers, timeout_s=timeout_s
+        )
+        response.body = b"".join(chunks)
+        return response
+
+    async def stream(
+        self, method, url, on_data, on_head=None, body=b"", headers=None, timeout_s=5.0
+    ) -> HttpResponse:
+        """Send a request, pass the answer's body to ``on_data`` as it comes.
+
+        ``on_head`` is called with the ``HttpResponse`` before the first byte.
+        Cancelling the awaiting deferred closes the connection.
+        """
+        wire_headers = Headers({key: [value] for key, value in (headers or {}).items()})
+        producer = FileBodyProducer(BytesIO(body), cooperator=_cooperator()) if body else None
+        sent = self._agent.request(method.encode(), url.encode(), wire_headers, producer)
+        try:
+            response = await sent.addTimeout(timeout_s, self._reactor)
+        except _NOT_SENT as failure:
+            raise NotSentError(f"no connection to {url}: {failure}") from failure
+        except (defer.TimeoutError, ResponseNeverReceived, ResponseFailed) as failure:
+            raise SentUnansweredError(f"no answer from {url}") from failure
+        except error.ConnectionLost as failure:
+            raise SentUnansweredError(f"connection to {url} lost") from failure
+        head = HttpResponse(
+            response.code,
+            {
+                name.decode().lower(): values[-1].decode("latin-1")
+                for name, values in response.headers.getAllRawHeaders()
+            },
+        )
+        if on_head is not None:
+            on_head(head)
+        finished = defer.Deferred(lambda _: response._transport.abortConnection())
+        response.deliverBody(_Collector(on_data, finished))
+        try:
+            await finished.addTimeout(timeout_s, self._reactor)
+        except (defer.TimeoutError, defer.CancelledError) as failure:
+            raise SentUnansweredError(f"no whole answer from {url}") from failure
+        return head
+
+    def close(self):
+        """Close kept connections; returns a deferred."""
+        return self._pool.closeCachedConnections()
+
+
+def _cooperator():
+    from twisted.internet.task import Cooperator
+
+    return Cooperator()
--- /dev/null
+++ b/turnward/ids.py
@@ -0,0 +1,54 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Ids and fingerprints.
+
+References
+----------
+RFC 9562 (UUIDv7); draft-ietf-httpapi-idempotency-key-header.
+"""
+
+import hashlib
+import uuid
+
+import uuid6
+
+__all__ = ["fingerprint", "key_hash", "minted_s", "new_id"]
+
+_UUID7 = 7
+
+
+def new_id() -> str:
+    """Return a new UUIDv7 as text."""
+    return str(uuid6.uuid7())
+
+
+def minted_s(request_id: str) -> float | None:
+    """Return the time in an id, in seconds since 1970, or None if it has none.
+
+    Examples
+    --------
+    >>> minted_s("not an id") is None
+    True
+    >>> minted_s("0190163d-8694-739b-aea5-966c26f8ad91")
+    1718353724.052
+    """
+    try:
+        parsed = uuid.UUID(request_id)
+    except ValueError:
+        return None
+    if parsed.version != _UUID7:
+        return None
+    return (parsed.int >> 80) / 1000
+
+
+def fingerprint(*parts: bytes) -> str:
+    """Return a digest that tells one request's content from another's."""
+    digest = hashlib.sha256()
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()[:32]
+
+
+def key_hash(key: str) -> str:
+    """Return the SHA-256 of a bearer key in hexadecimal."""
+    return hashlib.sha256(key.encode()).hexdigest()
--- /dev/null
+++ b/turnward/peers/book.py
@@ -0,0 +1,98 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The records a router holds for others, and those it has handed to others."""
+
+from collections import OrderedDict
+
+from turnward.peers.messages import RecordState, RunRecord
+
+__all__ = ["RecordBook", "RecordOutbox"]
+
+
+class RecordBook:
+    """Run records held for other routers, by their incarnation.
+
+    A record that is not billed is never dropped by age; only its owner's
+    ``BILLED`` or a closed recovery removes it.
+    """
+
+    def __init__(self):
+        self._records: dict[str, dict[str, RunRecord]] = {}
+        self._closed: set[str] = set()
+
+    def put(self, incarnation: str, records: tuple[RunRecord, ...]) -> bool:
+        """Hold records; False when the incarnation is fenced as far as known here."""
+        if incarnation in self._closed:
+            return False
+        held = self._records.setdefault(incarnation, {})
+        for record in records:
+            if record.state is RecordState.BILLED:
+                held.pop(record.run_id, None)
+            else:
+                held[record.run_id] = record
+        return True
+
+    def close(self, incarnation: str) -> tuple[RunRecord, ...]:
+        """Accept no more records of a fenced incarnation; return those held."""
+        self._closed.add(incarnation)
+        return tuple(self._records.get(incarnation, {}).values())
+
+    def forget(self, incarnation: str) -> None:
+        """Drop the records of an incarnation whose recovery is closed."""
+        self._records.pop(incarnation, None)
+
+    def is_closed(self, incarnation: str) -> bool:
+        """Tell whether records of the incarnation are refused."""
+        return incarnation in self._closed
+
+    def owners(self) -> list[str]:
+        """Return the incarnations for which records are held."""
+        return [incarnation for incarnation, held in self._records.items() if held]
+
+    def count(self) -> int:
+        """Return how many records are held."""
+        return sum(len(held) for held in self._records.values())
+
+
+class RecordOutbox:
+    """This router's own records, and which of them a buddy has not acknowledged.
+
+    Attributes
+    ----------
+    open_records : dict
+        Every record not billed yet, by run id.
+    """
+
+    def __init__(self):
+        self.open_records: OrderedDict[str, RunRecord] = OrderedDict()
+        self._unsent: dict[str, OrderedDict[str, RunRecord]] = {}
+
+    def set_buddies(self, buddies: tuple[str, ...]) -> None:
+        """Change whom records go to; a new buddy is sent every open record."""
+        self._unsent = {
+            buddy: self._unsent.get(buddy, OrderedDict(self.open_records)) for buddy in buddies
+        }
+
+    def put(self, record: RunRecord) -> None:
+        """Queue a new or changed record for every buddy."""
+        if record.state is RecordState.BILLED:
+            self.open_records.pop(record.run_id, None)
+        else:
+            self.open_records[record.run_id] = record
+        for queue in self._unsent.values():
+            queue[record.run_id] = record
+
+    def take_unsent(self, buddy: str, limit: int) -> tuple[RunRecord, ...]:
+        """Return up to ``limit`` records to send to a buddy."""
+        queue = self._unsent.get(buddy, {})
+        return tuple(list(queue.values())[:limit])
+
+    def mark_held(self, buddy: str, records: tuple[RunRecord, ...]) -> None:
+        """Take in that a buddy holds these records."""
+        queue = self._unsent.get(buddy, {})
+        for record in records:
+            if queue.get(record.run_id) == record:
+                del queue[record.run_id]
+
+    def unsent_count(self, buddy: str) -> int:
+        """Return how many records a buddy has not acknowledged."""
+        return len(self._unsent.get(buddy, {}))
--- /dev/null
+++ b/turnward/peers/wire.capnp
@@ -0,0 +1,55 @@
+# SPDX-License-Identifier: BSD-3-Clause
+# Messages between routers. One Envelope is one length-prefixed frame on a TCP
+# connection; an answer carries the number of the message it answers.
+@0xd4c3a1b20f9e8d77;
+
+struct RunRecord {
+  requestId @0 :Text;
+  runId @1 :Text;
+  workspace @2 :Text;
+  budget @3 :Text;
+  endpoint @4 :Text;
+  fingerprint @5 :Text;
+  reservedTokens @6 :UInt64;
+  usedTokens @7 :UInt64;
+  state @8 :UInt8;
+  repeatable @9 :Bool;
+}
+
+struct ConfigEntry {
+  revision @0 :UInt64;
+  body @1 :Data;
+}
+
+struct Envelope {
+  number @0 :UInt64;
+  incarnation @1 :Text;
+  wallMs @2 :UInt64;
+  counter @3 :UInt32;
+  union {
+    heartbeat :group {
+      revision @4 :UInt64;
+    }
+    heartbeatAck :group {
+      revision @5 :UInt64;
+    }
+    putRecords @6 :List(RunRecord);
+    recordsAck :group {
+      accepted @7 :Bool;
+    }
+    handOver :group {
+      fenced @8 :Text;
+    }
+    handOverAck @9 :List(RunRecord);
+    configAsk :group {
+      after @10 :UInt64;
+    }
+    configDelta @11 :List(ConfigEntry);
+    statusAsk :group {
+      kind @12 :Text;
+    }
+    statusReply :group {
+      body @13 :Data;
+    }
+  }
+}
--- /dev/null
+++ b/turnward/platform/client.py
@@ -0,0 +1,90 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""HTTP clients of the platform's services."""
+
+from typing import Any
+
+import msgspec
+
+from turnward.http import HttpClient, NotSentError, SentUnansweredError
+from turnward.platform.core import InstanceListBase, ObjectStoreBase, TableBase
+from turnward.platform.errors import OutcomeUnknownError, PlatformUnavailableError
+from turnward.platform.messages import Instance, Row, Transaction, TransactionResult
+
+__all__ = ["HttpInstanceList", "HttpObjectStore", "HttpTable"]
+
+_OK = 200
+_NOT_FOUND = 404
+_NO_EFFECT = 503
+
+
+class _PlatformClient:
+    """Shared by the three clients: one call, with the platform's errors."""
+
+    def __init__(self, http: HttpClient, url: str, timeout_s: float):
+        self._http = http
+        self._url = url.rstrip("/")
+        self._timeout_s = timeout_s
+
+    async def _call(self, method: str, path: str, body: bytes = b"") -> bytes | None:
+        try:
+            response = await self._http.request(
+                method, self._url + path, body=body, timeout_s=self._timeout_s
+            )
+        except NotSentError as failure:
+            raise PlatformUnavailableError(str(failure)) from failure
+        except SentUnansweredError as failure:
+            raise OutcomeUnknownError(str(failure)) from failure
+        if response.status == _OK:
+            return response.body
+        if response.status == _NOT_FOUND:
+            return None
+        if response.status == _NO_EFFECT:
+            raise PlatformUnavailableError(f"platform answered {response.status}")
+        raise OutcomeUnknownError(f"platform answered {response.status}")
+
+    async def _post(self, path: str, message: Any, answer_type: Any) -> Any:
+        answer = await self._call("POST", path, msgspec.json.encode(message))
+        return msgspec.json.decode(answer or b"null", type=answer_type)
+
+
+class HttpTable(_PlatformClient, TableBase):
+    """The table over HTTP."""
+
+    async def read(self, keys):
+        """See ``TableBase.read``."""
+        rows = await self._post("/table/read", {"keys": keys}, list[Row])
+        return {row.key: row for row in rows}
+
+    async def scan(self, prefix, after="", limit=1000):
+        """See ``TableBase.scan``."""
+        query = {"prefix": prefix, "after": after, "limit": limit}
+        return await self._post("/table/scan", query, list[Row])
+
+    async def transact(self, transaction: Transaction):
+        """See ``TableBase.transact``."""
+        return await self._post("/table/transact", transaction, TransactionResult)
+
+
+class HttpObjectStore(_PlatformClient, ObjectStoreBase):
+    """The object store over HTTP."""
+
+    async def put(self, name, body):
+        """See ``ObjectStoreBase.put``."""
+        await self._call("PUT", f"/objects/{name}", body)
+
+    async def get(self, name):
+        """See ``ObjectStoreBase.get``."""
+        return await self._call("GET", f"/objects/{name}")
+
+    async def names(self, prefix):
+        """See ``ObjectStoreBase.names``."""
+        return await self._post("/object-names", {"prefix": prefix}, list[str])
+
+
+class HttpInstanceList(_PlatformClient, InstanceListBase):
+    """The instance list over HTTP."""
+
+    async def instances(self):
+        """See ``InstanceListBase.instances``."""
+        answer = await self._call("GET", "/instances")
+        return msgspec.json.decode(answer or b"[]", type=list[Instance])
--- /dev/null
+++ b/turnward/resources/types.py
@@ -0,0 +1,125 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The resources that operators write: workspaces, budgets, pools, endpoints and so on."""
+
+from typing import Literal
+
+import msgspec
+
+__all__ = [
+    "Budget",
+    "Endpoint",
+    "KINDS",
+    "Model",
+    "Pool",
+    "PriorityClass",
+    "Resource",
+    "ServiceCall",
+    "Workspace",
+]
+
+
+class Workspace(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A customer's space: its key, its budget and its usual priority class.
+
+    Attributes
+    ----------
+    key_sha256 : str
+        SHA-256 in hexadecimal of the bearer key.
+    weighs : str
+        What this customer minds more: ``overspend`` or ``refusals``; it sets
+        how far ahead grants are taken.
+    """
+
+    name: str
+    key_sha256: str
+    budget: str
+    priority_class: str
+    home_region: str = ""
+    weighs: Literal["overspend", "refusals"] = "overspend"
+    retry_share: float = 0.2
+
+
+class Budget(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A prepaid limit in tokens."""
+
+    name: str
+    limit_tokens: int
+
+
+class ServiceCall(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A call of a plain service, by method and path prefix."""
+
+    method: str
+    path: str
+    repeatable: bool
+    priority_class: str = ""
+
+
+class Pool(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A set of like endpoints; a pool of kind ``service`` is reached by its name."""
+
+    name: str
+    kind: Literal["engine", "service"]
+    model: str = ""
+    tokens_per_call: int = 0
+    calls: tuple[ServiceCall, ...] = ()
+
+
+class Endpoint(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """One back end of a pool.
+
+    Attributes
+    ----------
+    checks_orders : bool
+        The endpoint refuses orders of an old epoch by itself.
+    drained : bool
+        Operators want no new work on it.
+    """
+
+    name: str
+    pool: str
+    url: str
+    zone: str
+    slots: int = 8
+    checks_orders: bool = False
+    drained: bool = False
+
+
+class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A model that callers name."""
+
+    name: str
+    default_output_tokens: int = 256
+    output_limit_tokens: int = 4_096
+    context_limit_tokens: int = 32_768
+
+
+class PriorityClass(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """How urgent a request is; a lower ``rank`` goes first.
+
+    Attributes
+    ----------
+    max_wait_s : float
+        A request that would wait longer is refused at once.
+    floor_share : float
+        Share of the slots that higher ranks leave to this class.
+    """
+
+    name: str
+    rank: int
+    max_wait_s: float
+    floor_share: float = 0.0
+    queue_limit: int = 200
+
+
+Resource = Workspace | Budget | Pool | Endpoint | Model | PriorityClass
+
+#: Resource types by the plural name used in files, addresses and the command line.
+KINDS: dict[str, type] = {
+    "workspaces": Workspace,
+    "budgets": Budget,
+    "pools": Pool,
+    "endpoints": Endpoint,
+    "models": Model,
+    "priority_classes": PriorityClass,
+}
--- /dev/null
+++ b/turnward/router/claim_task.py
@@ -0,0 +1,49 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Writes claims before calls that may not be repeated."""
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from turnward.claims import ClaimAnswer, ClaimRegister, ClaimRow
+from turnward.router.task import TaskBase, Tick
+
+__all__ = ["ClaimTask", "ReleaseClaim", "WantClaim"]
+
+
+class WantClaim(msgspec.Struct, frozen=True, eq=False):
+    """A call waits for its claim; the answer is a ``ClaimAnswer``."""
+
+    row: ClaimRow
+    answer: Deferred
+
+
+class ReleaseClaim(msgspec.Struct, frozen=True, eq=False):
+    """The claimed call was proved not to have run."""
+
+    row: ClaimRow
+
+
+class ClaimTask(TaskBase):
+    """Owns the claim register; claims that come while one write runs share the next."""
+
+    log_prefix = "claims"
+
+    def __init__(self, context, register: ClaimRegister, on_fenced):
+        super().__init__(context.reactor, 1.0, on_fenced)
+        self.register = register
+
+    async def handle(self, messages):
+        """See ``TaskBase.handle``."""
+        for message in messages:
+            if isinstance(message, WantClaim):
+                self.register.claim(message.row).addCallback(self._answer, message.answer)
+            elif isinstance(message, ReleaseClaim):
+                self.register.release(message.row)
+        await self.register.flush()
+        released = any(isinstance(message, ReleaseClaim | Tick) for message in messages)
+        if released and self.register.abandoned_count:
+            await self.register.release_abandoned()
+
+    def _answer(self, result: ClaimAnswer, waiter: Deferred) -> None:
+        if not waiter.called:
+            waiter.callback(result)
--- /dev/null
+++ b/turnward/router/endpoint_task.py
@@ -0,0 +1,50 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Asks endpoints for their load when answers have not told it."""
+
+from twisted.internet import defer
+
+from turnward.endpoints import EndpointError
+from turnward.router.task import TaskBase
+
+__all__ = ["EndpointTask"]
+
+#: Age in seconds at which a load report is renewed.
+STALE_S = 1.0
+
+
+class EndpointTask(TaskBase):
+    """Owns the questions to endpoints; one question at a time to each."""
+
+    log_prefix = "endpoints"
+
+    def __init__(self, context):
+        super().__init__(context.reactor, 0.5)
+        self._context = context
+        self._asking: set[str] = set()
+
+    async def handle(self, messages):
+        """See ``TaskBase.handle``."""
+        now_s = self._context.now_s()
+        for view in self._context.views.all():
+            self._context.views.warm(view, now_s)
+            stale = view.report is None or now_s - view.reported_s >= STALE_S
+            if stale and view.name not in self._asking:
+                self._asking.add(view.name)
+                defer.ensureDeferred(self._ask(view))
+        self._context.refresh_queues()
+
+    async def _ask(self, view) -> None:
+        before = view.machine.state
+        try:
+            report = await self._context.engines.load(view.endpoint.url)
+        except EndpointError:
+            self._context.views.unheard(view)
+        else:
+            self._context.views.heard(view, report, self._context.now_s())
+        finally:
+            self._asking.discard(view.name)
+        if view.machine.state != before:
+            self._context.events.emit(
+                "endpoint.state", endpoint=view.name, state=view.machine.state
+            )
+            self._context.refresh_queue(view.endpoint.pool)
--- /dev/null
+++ b/turnward/router/grant_task.py
@@ -0,0 +1,136 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Keeps the router's grants in step with demand."""
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from turnward.budgets import GrantLedger, GrantStore
+from turnward.platform import PlatformError
+from turnward.router.task import TaskBase, Tick
+
+__all__ = ["GrantTask", "ReturnAll", "WantTokens"]
+
+
+class WantTokens(msgspec.Struct, frozen=True, eq=False):
+    """A request waits for tokens; the answer is True when it is worth trying again."""
+
+    budget: str
+    answer: Deferred
+
+
+class ReturnAll(msgspec.Struct, frozen=True, eq=False):
+    """Give every free token back; the answer is how many are still held."""
+
+    answer: Deferred
+
+
+class GrantTask(TaskBase):
+    """Owns the ledger's grants and the grant rows.
+
+    Parameters
+    ----------
+    context : RouterContext
+        The router's shared parts.
+    ledger : GrantLedger
+        Reservations are made on it by the flights; this task adds and withdraws.
+    store : GrantStore
+        The grant rows.
+    """
+
+    log_prefix = "grants"
+
+    def __init__(self, context, ledger: GrantLedger, store: GrantStore, on_fenced):
+        super().__init__(context.reactor, context.settings.grant_period_s, on_fenced)
+        self._context = context
+        self.ledger = ledger
+        self.store = store
+        self._returning: dict[str, int] = {}
+
+    async def handle(self, messages):
+        """See ``TaskBase.handle``."""
+        waiters = [message for message in messages if isinstance(message, WantTokens)]
+        try:
+            await self._resolve()
+            await self._take()
+        finally:
+            for waiter in waiters:
+                if not waiter.answer.called:
+                    waiter.answer.callback(True)
+        if Tick() in messages:
+            await self._give_back(self.ledger.plan_returns(self._context.now_s()))
+            await self._fold()
+        for message in messages:
+            if isinstance(message, ReturnAll):
+                await self._return_all(message)
+
+    async def _take(self) -> None:
+        asks = self.ledger.plan_takes(self._context.now_s())
+        if not asks:
+            return
+        views = await self.store.read_views(list(asks))
+        for budget, view in views.items():
+            self.ledger.observe(budget, view)
+        taken = await self.store.apply(self.store.plan_take(asks, views))
+        for budget in asks:
+            self.ledger.clear_want(budget)
+        for budget, tokens in taken.items():
+            if tokens:
+                self.ledger.add(budget, tokens)
+                self._context.metrics.count("grants.taken_tokens", tokens)
+                self._context.events.emit("grant.taken", budget=budget, tokens=tokens)
+
+    async def _resolve(self) -> None:
+        if not self.store.unresolved:
+            return
+        for budget, delta_tokens in (await self.store.resolve()).items():
+            promised = self._returning.pop(budget, 0)
+            if delta_tokens > 0:
+                self.ledger.add(budget, delta_tokens)
+            elif delta_tokens == 0 and promised:
+                self.ledger.add(budget, promised)
+
+    async def _give_back(self, spare: dict[str, int]) -> None:
+        changes = []
+        for budget, tokens in spare.items():
+            change = self.store.plan_return(budget, tokens)
+            if change is None:
+                continue
+            self._returning[budget] = self.ledger.withdraw(budget, tokens)
+            changes.append(change)
+        if not changes:
+            return
+        try:
+            done = await self.store.apply(changes)
+        except PlatformError:
+            self._keep([change.budget for change in changes])
+            raise
+        unresolved = {change.budget for change in self.store.unresolved}
+        for change in changes:
+            if change.budget in done:
+                tokens = self._returning.pop(change.budget)
+                self._context.events.emit("grant.returned", budget=change.budget, tokens=tokens)
+            elif change.budget not in unresolved:
+                self._keep([change.budget])
+
+    def _keep(self, budgets: list[str]) -> None:
+        unresolved = {change.budget for change in self.store.unresolved}
+        for budget in budgets:
+            if budget not in unresolved:
+                self.ledger.add(budget, self._returning.pop(budget, 0))
+
+    async def _fold(self) -> None:
+        changes = [
+            self.store.plan_return(budget, 0)
+            for budget in self.ledger.budgets()
+            if self.store.unfolded_tokens(budget) and not self.ledger.free_tokens(budget)
+        ]
+        await self.store.apply([change for change in changes if change is not None])
+
+    async def _return_all(self, message: ReturnAll) -> None:
+        spare = {}
+        for budget in self.ledger.budgets():
+            if self.ledger.free_tokens(budget) > 0 or self.store.unfolded_tokens(budget):
+                spare[budget] = self.ledger.free_tokens(budget)
+        await self._give_back(spare)
+        held = sum(self.ledger.held_tokens(budget) for budget in self.ledger.budgets())
+        message.answer.callback(held)
--- /dev/null
+++ b/turnward/router/membership_task.py
@@ -0,0 +1,168 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Follows the fleet: router rows, buddies, heartbeats, and who has gone silent."""
+
+import msgspec
+
+from turnward.fleet import RouterRegistry, RouterRow, RouterState, choose_buddies, rendezvous_weight
+from turnward.peers.errors import PeerError
+from turnward.peers.messages import Heartbeat, HeartbeatAck, StatusAsk, StatusReply
+from turnward.platform import PlatformError
+from turnward.router.config_task import PeerHasRevision
+from turnward.router.recovery_task import FenceRouter
+from turnward.router.task import TaskBase
+
+__all__ = ["MembershipTask"]
+
+
+class MembershipTask(TaskBase):
+    """Owns the view of the fleet.
+
+    Parameters
+    ----------
+    context : RouterContext
+        The router's shared parts.
+    config, recovery : TaskBase
+        Told of peers' revisions and of routers to fence.
+    core : callable
+        Returns the ``RouterCore`` of now.
+    """
+
+    log_prefix = "fleet"
+
+    def __init__(self, context, config, recovery, core, on_fenced):
+        super().__init__(context.reactor, context.settings.heartbeat_s, on_fenced)
+        self._context = context
+        self._config = config
+        self._recovery = recovery
+        self._core = core
+        self._registry = RouterRegistry(context.table)
+        self._read_s = float("-inf")
+        self._first_seen_s: dict[str, float] = {}
+
+    async def handle(self, messages):
+        """See ``TaskBase.handle``."""
+        await self._beat()
+        now_s = self._context.now_s()
+        if now_s - self._read_s >= self._context.settings.membership_poll_s:
+            self._read_s = now_s
+            await self._read_fleet()
+
+    async def _read_fleet(self) -> None:
+        self._context.rows = await self._registry.rows()
+        self._context.refresh_queues()
+        await self._watch_own_row()
+        await self._renew_buddies()
+        await self._find_silent()
+
+    async def _watch_own_row(self) -> None:
+        core = self._core()
+        own = self._context.rows.get(core.incarnation)
+        if own is not None and own.state is RouterState.FENCED:
+            self._on_fenced()
+
+    async def _beat(self) -> None:
+        for buddy in self._core().records.buddies:
+            row = self._context.rows.get(buddy)
+            if row is not None:
+                await self._beat_one(row)
+
+    async def _beat_one(self, row: RouterRow) -> None:
+        try:
+            answer = await self._context.peers.ask(
+                row.peers_address, row.incarnation, Heartbeat(self._context.config.revision)
+            )
+        except PeerError:
+            return
+        if isinstance(answer, HeartbeatAck):
+            self._context.heard_s[row.incarnation] = self._context.now_s()
+            if answer.revision > self._context.config.revision:
+                self._config.tell(PeerHasRevision(row.incarnation, answer.revision))
+
+    async def _renew_buddies(self) -> None:
+        core = self._core()
+        own = self._context.rows.get(core.incarnation)
+        if own is None or not own.writable:
+            return
+        current = core.records.buddies
+        chosen = choose_buddies(own, list(self._context.rows.values()), keep=current)
+        if set(chosen) == set(current) == set(own.buddies):
+            return
+        await self._change_buddies(core, own, chosen)
+
+    async def _change_buddies(self, core, own: RouterRow, chosen: tuple[str, ...]) -> None:
+        """Name old and new buddies, copy the open records, then name the new only."""
+        named = tuple(dict.fromkeys((*own.buddies, *core.records.buddies, *chosen)))
+        if set(own.buddies) != set(named):
+            await self._registry.set_field(core.incarnation, "buddies", named)
+        core.records.set_buddies(chosen)
+        core.records.tell(None)
+        held = [buddy for buddy in chosen if not core.records.outbox.unsent_count(buddy)]
+        if set(held) == set(chosen):
+            await self._registry.set_field(core.incarnation, "buddies", chosen)
+            self._context.events.emit("fleet.buddies", buddies=",".join(chosen))
+
+    async def _find_silent(self) -> None:
+        listed = await self._listed()
+        for row in list(self._context.rows.values()):
+            if row.writable and self._guards(row) and await self._is_gone(row, listed):
+                self._recovery.tell(FenceRouter(row.incarnation))
+
+    async def _listed(self) -> set[str] | None:
+        try:
+            entries = await self._context.instance_list.instances()
+        except PlatformError:
+            return None
+        return {entry.instance for entry in entries}
+
+    def _guards(self, row: RouterRow) -> bool:
+        own = self._core().incarnation
+        if row.incarnation == own:
+            return False
+        if own in row.buddies:
+            return True
+        live = {other.incarnation: other for other in self._context.live_rows()}
+        if any(buddy in live for buddy in row.buddies):
+            return False
+        others = [name for name in live if name != row.incarnation]
+        first = max(others, key=lambda name: rendezvous_weight(row.instance, name), default="")
+        return first == own
+
+    async def _is_gone(self, row: RouterRow, listed: set[str] | None) -> bool:
+        now_s = self._context.now_s()
+        settings = self._context.settings
+        first_s = self._first_seen_s.setdefault(row.incarnation, now_s)
+        silent_s = now_s - self._context.heard_s.get(row.incarnation, first_s)
+        off_list = listed is not None and row.instance not in listed
+        limit_s = settings.gone_after_s if off_list else settings.fence_listed_after_s
+        if silent_s < limit_s:
+            return False
+        if await self._answers(row):
+            return False
+        return not await self._heard_by_others(row, limit_s)
+
+    async def _answers(self, row: RouterRow) -> bool:
+        try:
+            await self._context.peers.ask(
+                row.peers_address, row.incarnation, Heartbeat(self._context.config.revision)
+            )
+        except PeerError:
+            return False
+        self._context.heard_s[row.incarnation] = self._context.now_s()
+        return True
+
+    async def _heard_by_others(self, row: RouterRow, limit_s: float) -> bool:
+        for buddy in row.buddies:
+            other = self._context.rows.get(buddy)
+            if other is None or not other.writable or buddy == self._core().incarnation:
+                continue
+            try:
+                answer = await self._context.peers.ask(
+                    other.peers_address, buddy, StatusAsk(f"silent/{row.incarnation}")
+                )
+            except PeerError:
+                continue
+            if isinstance(answer, StatusReply):
+                silent_s = msgspec.json.decode(answer.body, type=float | None)
+                if silent_s is not None and silent_s < limit_s / 2:
+                    return True
+        return False
--- /dev/null
+++ b/turnward/router/process.py
@@ -0,0 +1,294 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""One router process: builds the parts, registers, serves, and stops in order."""
+
+import msgspec
+from twisted.internet import defer, task
+from twisted.web import server
+
+from turnward.callers.face import CallersFace, LimitedSite
+from turnward.callers.flights import FlightDesk
+from turnward.endpoints import HttpEngineClient, HttpServiceClient
+from turnward.events import EventLog, HybridClock, Metrics, SystemClock, get_log, matches
+from turnward.fleet import RouterRegistry, RouterRow, RouterState
+from turnward.http import HttpClient
+from turnward.operators.face import OperatorsFace
+from turnward.operators.states import RouterStatus, StateReader
+from turnward.peers.link import PeerLinks
+from turnward.peers.messages import (
+    ConfigAsk,
+    HandOver,
+    HandOverAck,
+    Heartbeat,
+    HeartbeatAck,
+    Message,
+    PutRecords,
+    RecordsAck,
+    StatusAsk,
+    StatusReply,
+)
+from turnward.platform import HttpInstanceList, HttpObjectStore, HttpTable, PlatformError
+from turnward.router.bill_task import FlushAll
+from turnward.router.config_task import ConfigTask, PeerHasRevision
+from turnward.router.context import RouterContext
+from turnward.router.core import RouterCore, new_incarnation
+from turnward.router.endpoint_task import EndpointTask
+from turnward.router.event_task import EventTask
+from turnward.router.grant_task import ReturnAll
+from turnward.router.membership_task import MembershipTask
+from turnward.router.recovery_task import RecoveryTask
+from turnward.settings import RouterSettings, parse_address
+
+__all__ = ["RouterProcess"]
+
+_START_RETRY_S = 0.5
+_STOP_POLL_S = 0.1
+
+
+class RouterProcess:
+    """A router from start to exit.
+
+    Parameters
+    ----------
+    context : RouterContext
+        The router's shared parts.
+    """
+
+    def __init__(self, context: RouterContext):
+        self.context = context
+        settings = context.settings
+        self._log = get_log("router")
+        self._registry = RouterRegistry(context.table)
+        self.links = PeerLinks(
+            context.reactor, context.events.clock, self.answer_peer, settings.peer_timeout_s
+        )
+        context.peers = self.links
+        self.core = RouterCore(context, new_incarnation(settings.instance), self._fenced)
+        self.desk = FlightDesk(context, self._current_core)
+        self.config = ConfigTask(context)
+        self.recovery = RecoveryTask(context, self._current_core, self._fenced_now)
+        self.membership = MembershipTask(
+            context, self.config, self.recovery, self._current_core, self._fenced_now
+        )
+        self._tasks = (
+            self.config,
+            self.recovery,
+            self.membership,
+            EndpointTask(context),
+            EventTask(context),
+        )
+        self._ports: list = []
+        self.stopped: defer.Deferred = defer.Deferred()
+
+    @classmethod
+    def from_config(cls, settings: RouterSettings, reactor) -> "RouterProcess":
+        """Build a router over real sockets."""
+        clock = SystemClock()
+        http = HttpClient(reactor)
+        runs = HttpClient(reactor, persistent=False)
+        url, timeout_s = settings.platform_url, settings.platform_timeout_s
+        return cls(
+            RouterContext(
+                settings,
+                reactor,
+                clock,
+                HttpTable(http, url, timeout_s),
+                HttpObjectStore(http, url, timeout_s),
+                HttpInstanceList(http, url, timeout_s),
+                HttpEngineClient(runs, http, settings.answer_timeout_s),
+                HttpServiceClient(runs, settings.answer_timeout_s),
+                EventLog(HybridClock(clock), settings.instance, settings.zone),
+                Metrics.from_config(settings.statsd_address),
+            )
+        )
+
+    async def start(self) -> None:
+        """Listen to peers and operators, register, load the configuration, then serve."""
+        settings = self.context.settings
+        self.links.listen(settings.peers_address)
+        states = StateReader(self.context, self.status)
+        operators = OperatorsFace(self.context, states, self.leave)
+        self._listen(settings.operators_address, server.Site(operators))
+        await self._begin(self.core)
+        for part in self._tasks:
+            part.start()
+        callers = CallersFace(self.context, self.desk)
+        self._listen(settings.callers_address, LimitedSite(callers, settings))
+        self._log.info("The router serves.", incarnation=self.core.incarnation)
+
+    def _listen(self, address: str, site) -> None:
+        host, port = parse_address(address)
+        self._ports.append(self.context.reactor.listenTCP(port, site, interface=host))
+
+    async def _begin(self, core: RouterCore) -> None:
+        """Register an incarnation and put it to work; tries until the platform answers."""
+        while self.context.machine.state not in ("leaving", "left"):
+            try:
+                if not self.config.loaded:
+                    await self.config.load()
+                await self._registry.register(self._row(core.incarnation))
+                break
+            except PlatformError as failure:
+                self._log.info("The platform is not reached yet.", cause=str(failure))
+                await task.deferLater(self.context.reactor, _START_RETRY_S)
+        self.links.incarnation = core.incarnation
+        self.context.events.incarnation = core.incarnation
+        core.start()
+        if self.context.machine.fire("registered"):
+            self.context.events.emit("router.registered")
+
+    def _row(self, incarnation: str) -> RouterRow:
+        settings = self.context.settings
+        return RouterRow(
+            incarnation,
+            settings.instance,
+            settings.zone,
+            settings.region,
+            settings.peers_address,
+            settings.operators_address,
+            RouterState.LIVE,
+        )
+
+    def _current_core(self) -> RouterCore:
+        return self.core
+
+    def _fenced_now(self) -> None:
+        self._fenced(self.core)
+
+    def _fenced(self, core: RouterCore) -> None:
+        """Stop the fenced incarnation's writing and go on as a new one."""
+        if core is not self.core or core.successor is not None:
+            return
+        core.fenced = True
+        self.context.machine.fire("lost")
+        self.context.events.emit("router.fenced", of=core.incarnation)
+        self._log.warning("This router was fenced.", incarnation=core.incarnation)
+        successor = RouterCore(
+            self.context, new_incarnation(self.context.settings.instance), self._fenced
+        )
+        self.core = successor
+        core.hand_over(successor)
+        defer.ensureDeferred(self._begin(successor))
+
+    async def answer_peer(self, incarnation: str, message: Message) -> Message:
+        """Answer another router's message."""
+        context = self.context
+        if isinstance(message, Heartbeat):
+            context.heard_s[incarnation] = context.now_s()
+            if message.revision > context.config.revision:
+                self.config.tell(PeerHasRevision(incarnation, message.revision))
+            return HeartbeatAck(context.config.revision)
+        if isinstance(message, PutRecords):
+            return RecordsAck(context.book.put(incarnation, message.records))
+        if isinstance(message, HandOver):
+            return HandOverAck(context.book.close(message.fenced))
+        if isinstance(message, ConfigAsk):
+            return self.config.entries_after(message.after)
+        if isinstance(message, StatusAsk):
+            return StatusReply(msgspec.json.encode(self._status_body(message.kind)))
+        return RecordsAck(False)
+
+    def _status_body(self, kind: str):
+        name, _, rest = kind.partition("/")
+        if name == "silent":
+            heard_s = self.context.heard_s.get(rest)
+            return None if heard_s is None else self.context.now_s() - heard_s
+        if name == "events":
+            wanted = msgspec.json.decode(rest.encode())
+            return [event for event in self.context.events.recent() if matches(event, **wanted)]
+        return self.status()
+
+    def status(self) -> RouterStatus:
+        """Return this router's account of itself."""
+        context = self.context
+        core = self.core
+        outbox = core.records.outbox
+        endpoints = {
+            view.name: {"state": view.machine.state, "in_flight": view.in_flight}
+            for view in context.views.all()
+        }
+        return RouterStatus(
+            context.settings.instance,
+            core.incarnation,
+            context.settings.zone,
+            context.machine.state,
+            context.config.revision,
+            self.desk.open_count,
+            len(core.bills.writer.pending),
+            context.book.count(),
+            {buddy: outbox.unsent_count(buddy) for buddy in core.records.buddies},
+            endpoints,
+            {budget: core.ledger.free_tokens(budget) for budget in core.ledger.budgets()},
+            {name: str(state) for name, state in self.recovery.states.items()},
+            dict(context.metrics.counters),
+            self._advice(),
+        )
+
+    def _advice(self) -> list[str]:
+        advice = []
+        if not self.core.records.buddies:
+            advice.append("no buddy: records go to the table; see docs/operators/no-buddy.md")
+        if self.context.metrics.counters["bills.orphaned"]:
+            advice.append("orphaned bills; see docs/operators/orphaned-bills.md")
+        return advice
+
+    def leave(self) -> None:
+        """Begin the planned stop."""
+        if self.context.machine.fire("leave"):
+            self.context.events.emit("router.leaving")
+            defer.ensureDeferred(self._leave())
+
+    async def _leave(self) -> None:
+        context = self.context
+        deadline_s = context.now_s() + context.settings.stop_limit_s
+        await self._try(self._registry.set_field(self.core.incarnation, "state", "leaving"))
+        await self._pause(context.settings.drain_grace_s)
+        for port in self._ports[1:]:
+            port.stopListening()
+        while self.desk.open_count and context.now_s() < deadline_s:
+            await self._pause(_STOP_POLL_S)
+        while context.now_s() < deadline_s and not await self._emptied():
+            await self._pause(_STOP_POLL_S)
+        await self._try(self._registry.leave(self.core.incarnation))
+        context.events.emit("router.left")
+        await self._ship_last_events()
+        context.machine.fire("emptied")
+        self._close()
+
+    async def _emptied(self) -> bool:
+        """Flush bills, return grants, and tell whether nobody depends on this router."""
+        bills_left: defer.Deferred = defer.Deferred()
+        self.core.bills.tell(FlushAll(bills_left))
+        if await bills_left:
+            return False
+        held: defer.Deferred = defer.Deferred()
+        self.core.grants.tell(ReturnAll(held))
+        if await held:
+            return False
+        own = self.core.incarnation
+        named = any(own in row.buddies for row in self.context.live_rows())
+        duties = any(
+            row.state is RouterState.FENCED and row.recoverer == own
+            for row in self.context.rows.values()
+        )
+        return not named and not duties
+
+    async def _ship_last_events(self) -> None:
+        event_task = self._tasks[-1]
+        await self._try(event_task.handle([]))
+
+    async def _try(self, coroutine) -> None:
+        try:
+            await coroutine
+        except PlatformError as failure:
+            self._log.info("The platform did not answer.", cause=str(failure))
+
+    async def _pause(self, seconds: float) -> None:
+        await task.deferLater(self.context.reactor, seconds)
+
+    def _close(self) -> None:
+        for part in (*self._tasks, self.core):
+            part.stop()
+        self._ports[0].stopListening()
+        self.links.close()
+        self._log.info("The router has left.")
+        self.stopped.callback(None)
--- /dev/null
+++ b/turnward/router/record_task.py
@@ -0,0 +1,118 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Copies this router's run records to its buddies."""
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet.defer import Deferred
+
+from turnward.peers.book import RecordOutbox
+from turnward.peers.errors import PeerError
+from turnward.peers.messages import PutRecords, RecordsAck, RecordState, RunRecord
+from turnward.router.task import TaskBase
+
+__all__ = ["HoldRecord", "RecordTask"]
+
+#: Records in one message.
+BATCH_RECORDS = 200
+
+
+class HoldRecord(msgspec.Struct, frozen=True, eq=False):
+    """A request waits until a buddy holds its record; the answer is True or False."""
+
+    record: RunRecord
+    answer: Deferred
+
+
+class _Sent(msgspec.Struct, frozen=True, eq=False):
+    """A buddy's answer to a batch."""
+
+    buddy: str
+    records: tuple[RunRecord, ...]
+    held: bool
+
+
+class RecordTask(TaskBase):
+    """Owns the outbox; sends to each buddy one batch at a time.
+
+    Parameters
+    ----------
+    context : RouterContext
+        The router's shared parts.
+    incarnation : str
+        Whose records these are.
+    """
+
+    log_prefix = "records"
+
+    def __init__(self, context, incarnation: str, on_fenced):
+        super().__init__(context.reactor, 0.2, on_fenced)
+        self._context = context
+        self._incarnation = incarnation
+        self._refused = on_fenced
+        self.outbox = RecordOutbox()
+        self.buddies: tuple[str, ...] = ()
+        self._waiting: dict[str, HoldRecord] = {}
+        self._sending: set[str] = set()
+
+    def put(self, record: RunRecord) -> None:
+        """Queue a change of a record; nobody waits for it."""
+        self.outbox.put(record)
+
+    def set_buddies(self, buddies: tuple[str, ...]) -> None:
+        """Change whom records are sent to."""
+        self.buddies = buddies
+        self.outbox.set_buddies(buddies)
+
+    async def handle(self, messages):
+        """See ``TaskBase.handle``."""
+        for message in messages:
+            if isinstance(message, HoldRecord):
+                self._hold(message)
+            elif isinstance(message, _Sent):
+                self._take_answer(message)
+        for buddy in self.buddies:
+            if buddy not in self._sending and self.outbox.unsent_count(buddy):
+                self._sending.add(buddy)
+                defer.ensureDeferred(self._send(buddy))
+
+    def _hold(self, message: HoldRecord) -> None:
+        self.outbox.put(message.record)
+        if self.buddies:
+            self._waiting[message.record.run_id] = message
+        else:
+            message.answer.callback(False)
+
+    async def _send(self, buddy: str) -> None:
+        records = self.outbox.take_unsent(buddy, BATCH_RECORDS)
+        held = False
+        row = self._context.rows.get(buddy)
+        try:
+            if row is not None:
+                answer = await self._context.peers.ask(
+                    row.peers_address, buddy, PutRecords(records)
+                )
+                held = isinstance(answer, RecordsAck) and answer.accepted
+                if not held:
+                    self._refused()
+        except PeerError:
+            self._context.metrics.count("records.unacknowledged")
+        self._sending.discard(buddy)
+        self.tell(_Sent(buddy, records, held))
+
+    def _take_answer(self, sent: _Sent) -> None:
+        if sent.held:
+            self.outbox.mark_held(sent.buddy, sent.records)
+        for record in sent.records:
+            self._answer_waiter(record, sent)
+
+    def _answer_waiter(self, record: RunRecord, sent: _Sent) -> None:
+        waiter = self._waiting.get(record.run_id)
+        if waiter is None or record.state is not RecordState.OPEN:
+            return
+        if sent.held or not self._others_may_hold(record, sent.buddy):
+            del self._waiting[record.run_id]
+            if not waiter.answer.called:
+                waiter.answer.callback(sent.held)
+
+    def _others_may_hold(self, record: RunRecord, buddy: str) -> bool:
+        return any(other != buddy and other in self._sending for other in self.buddies)
--- /dev/null
+++ b/turnward/router/recovery_task.py
@@ -0,0 +1,106 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Holds the duty of recovering dead routers."""
+
+import msgspec
+
+from turnward.fleet import RouterRegistry, RouterRow, RouterState, rendezvous_weight
+from turnward.peers.recovery import Recoverer, RecoveryState
+from turnward.platform import PlatformError
+from turnward.router.task import TaskBase, Tick
+
+__all__ = ["FenceRouter", "RecoveryTask"]
+
+
+class FenceRouter(msgspec.Struct, frozen=True):
+    """A router is gone; fence it and recover it."""
+
+    incarnation: str
+
+
+class RecoveryTask(TaskBase):
+    """Owns the recoveries of this router.
+
+    Parameters
+    ----------
+    context : RouterContext
+        The router's shared parts.
+    core : callable
+        Returns the ``RouterCore`` of now.
+    """
+
+    log_prefix = "recovery"
+
+    def __init__(self, context, core, on_fenced):
+        super().__init__(context.reactor, 1.0, on_fenced)
+        self._context = context
+        self._core = core
+        self._registry = RouterRegistry(context.table)
+        self._recoverer = Recoverer(
+            context.table,
+            context.peers,
+            context.book,
+            context.engines,
+            self._endpoint_url,
+            self._is_engine,
+            context.events,
+        )
+        self.states: dict[str, RecoveryState] = {}
+
+    async def handle(self, messages):
+        """See ``TaskBase.handle``."""
+        for message in messages:
+            if isinstance(message, FenceRouter):
+                await self._fence(message.incarnation)
+        if Tick() in messages:
+            await self._go_on()
+
+    async def _fence(self, incarnation: str) -> None:
+        own = self._core().incarnation
+        if await self._registry.fence(incarnation, own):
+            self.log.warning("A router is fenced.", incarnation=incarnation)
+            self._context.events.emit("recovery.fenced", of=incarnation)
+            self._context.rows = await self._registry.rows()
+            await self._go_on()
+
+    async def _go_on(self) -> None:
+        for row in list(self._context.rows.values()):
+            if row.state is RouterState.FENCED:
+                await self._recover(row)
+
+    async def _recover(self, row: RouterRow) -> None:
+        own = self._core().incarnation
+        if row.recoverer != own and not await self._take_over(row, own):
+            return
+        fresh = await self._registry.rows()
+        if row.incarnation not in fresh:
+            return
+        try:
+            state = await self._recoverer.step(fresh[row.incarnation], own, fresh)
+        except PlatformError as failure:
+            self.log.info("A recovery waits for the platform.", cause=str(failure))
+            return
+        if self.states.get(row.incarnation) != state:
+            self.log.info("A recovery has moved.", incarnation=row.incarnation, state=str(state))
+            self._context.events.emit("recovery.state", of=row.incarnation, state=str(state))
+        self.states[row.incarnation] = state
+        if state in (RecoveryState.CLOSED, RecoveryState.CLOSED_IN_DOUBT):
+            self._context.rows = await self._registry.rows()
+
+    async def _take_over(self, row: RouterRow, own: str) -> bool:
+        holder = self._context.rows.get(row.recoverer)
+        if holder is not None and holder.writable:
+            return False
+        live = [other.incarnation for other in self._context.live_rows()]
+        heirs = [name for name in row.buddies if name in live] or live
+        heir = max(heirs, key=lambda name: rendezvous_weight(row.incarnation, name), default="")
+        return heir == own and await self._registry.take_over(row.incarnation, own)
+
+    def _endpoint_url(self, name: str) -> str | None:
+        endpoint = self._context.config.resources.get("endpoints", name)
+        return endpoint.url if endpoint else None
+
+    def _is_engine(self, name: str) -> bool:
+        resources = self._context.config.resources
+        endpoint = resources.get("endpoints", name)
+        pool = resources.get("pools", endpoint.pool) if endpoint else None
+        return pool is not None and pool.kind == "engine"
--- /dev/null
+++ b/turnward/routing/admission.py
@@ -0,0 +1,136 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Admits requests by priority class, in a bounded queue, with a floor per class."""
+
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+from expression import Error, Ok, Result
+
+from turnward.resources import PriorityClass
+
+__all__ = ["AdmissionQueue", "Overload", "Ticket"]
+
+
+class Overload(msgspec.Struct, frozen=True):
+    """A refusal: the request would wait too long; come back after ``retry_after_s``."""
+
+    retry_after_s: float
+
+
+class Ticket(msgspec.Struct, eq=False):
+    """A request's place in the queue.
+
+    Attributes
+    ----------
+    admitted : callable
+        Called once with True when the request may go, or False when it is
+        given up.
+    """
+
+    priority_class: str
+    enqueued_s: float
+    admitted: Callable[[bool], None]
+    running: bool = False
+
+
+class AdmissionQueue:
+    """Decides who goes next to one pool.
+
+    Parameters
+    ----------
+    classes : dict
+        Priority classes by name.
+    """
+
+    def __init__(self, classes: dict[str, PriorityClass]):
+        self._classes = classes
+        self._queues: dict[str, deque[Ticket]] = {}
+        self._running: dict[str, int] = {}
+        self._slots = 0
+        self._mean_service_s = 0.1
+
+    @property
+    def running_count(self) -> int:
+        """Requests admitted and not ended."""
+        return sum(self._running.values())
+
+    def waiting_count(self) -> int:
+        """Return how many requests wait."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def set_classes(self, classes: dict[str, PriorityClass]) -> None:
+        """Take in changed priority classes."""
+        self._classes = classes
+
+    def set_slots(self, slots: int) -> None:
+        """Take in how many requests this router may have on the pool at once."""
+        self._slots = slots
+
+    def offer(
+        self, priority_class: str, now_s: float, admitted: Callable[[bool], None]
+    ) -> Result[Ticket, Overload]:
+        """Queue a request, or refuse it at once when it would wait too long."""
+        rule = self._classes[priority_class]
+        queue = self._queues.setdefault(priority_class, deque())
+        wait_s = self._expected_wait_s(rule)
+        if len(queue) >= rule.queue_limit or wait_s > rule.max_wait_s:
+            return Error(Overload(max(1.0, wait_s)))
+        ticket = Ticket(priority_class, now_s, admitted)
+        queue.append(ticket)
+        self.pump(now_s)
+        return Ok(ticket)
+
+    def end(self, ticket: Ticket, service_s: float, now_s: float) -> None:
+        """Note that an admitted request has ended."""
+        if ticket.running:
+            ticket.running = False
+            self._running[ticket.priority_class] -= 1
+            self._mean_service_s += 0.1 * (service_s - self._mean_service_s)
+        self.pump(now_s)
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Take a waiting request out."""
+        queue = self._queues.get(ticket.priority_class, deque())
+        if ticket in queue:
+            queue.remove(ticket)
+
+    def pump(self, now_s: float) -> None:
+        """Give up requests that waited too long and admit those that fit."""
+        self._give_up(now_s)
+        while self.running_count < self._slots:
+            ticket = self._next_ticket()
+            if ticket is None:
+                return
+            ticket.running = True
+            running = self._running.get(ticket.priority_class, 0)
+            self._running[ticket.priority_class] = running + 1
+            ticket.admitted(True)
+
+    def _give_up(self, now_s: float) -> None:
+        for name, queue in self._queues.items():
+            limit_s = self._classes[name].max_wait_s
+            while queue and now_s - queue[0].enqueued_s > limit_s:
+                queue.popleft().admitted(False)
+
+    def _next_ticket(self) -> Ticket | None:
+        waiting = [name for name, queue in self._queues.items() if queue]
+        if not waiting:
+            return None
+        starved = [name for name in waiting if self._below_floor(name)]
+        best = min(starved or waiting, key=lambda name: self._classes[name].rank)
+        return self._queues[best].popleft()
+
+    def _below_floor(self, name: str) -> bool:
+        floor = self._classes[name].floor_share * self._slots
+        return self._running.get(name, 0) < floor
+
+    def _expected_wait_s(self, rule: PriorityClass) -> float:
+        if self.running_count < self._slots:
+            return 0.0
+        ahead = sum(
+            len(queue)
+            for name, queue in self._queues.items()
+            if self._classes[name].rank <= rule.rank
+        )
+        return (ahead + 1) * self._mean_service_s / max(1, self._slots)
--- /dev/null
+++ b/turnward/settings/__init__.py
@@ -0,0 +1,12 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Settings of the processes."""
+
+from turnward.settings.core import (
+    RouterSettings,
+    SettingsError,
+    convert_checked,
+    load_settings,
+    parse_address,
+)
+
+__all__ = ["RouterSettings", "SettingsError", "convert_checked", "load_settings", "parse_address"]
