Return remainders that serve nobody, so that a nearly spent budget converges

Cause: near a budget's end each router kept a remainder too small for any request and answered budget_unreachable though the sum would have served one. Change: a refused need larger than what is free and what the table can add sends the remainder back at once. Failing buddies rest until the next tick (no hot loop), a new buddy counts once it holds the first copy of all open records (was: an empty queue, never seen under load), rows of left and recovered routers are removed.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -160,7 +160,7 @@
     body = {
         "model": "summary",
         "messages": [{"role": "user", "content": "who scored?"}],
-        "max_tokens": 200,
+        "max_tokens": 60,
     }
     encoded = msgspec.json.encode(body)
     path = "/v1/chat/completions"
@@ -196,8 +196,7 @@
     service = fleet.start_service("service-1")
     for number, zone in enumerate(("ost-a", "ost-b", "ost-c"), start=1):
         fleet.start_router(f"entry-{number}", zone)
-    for router in fleet.routers:
-        fleet.wait_serving(router)
+    fleet.wait_ready()
     ports = {"9101": engines[0], "9102": engines[1], "9103": service}
     for path in ("examples/treuepunkt.toml", "examples/fellesstilling.toml"):
         fleet.apply_file(fleet.routers[0], path, ports)
--- a/tools/local_fleet.py
+++ b/tools/local_fleet.py
@@ -84,6 +84,7 @@
         self._command = command or [sys.executable, "-m", "turnward"]
         self._processes: list[subprocess.Popen] = []
         self.routers: list[RouterHandle] = []
+        self._unready: list[str] = []
         self.platform_port = free_port()
         self.key_file = self.folder / "operator.key"
         self.key_file.write_text(OPERATOR_KEY)
@@ -99,18 +100,18 @@
         self.wait_for(f"{self.platform_url}/counts")
 
     def start_engine(self, name: str, slots: int = 8, step_s: float = 0.01) -> int:
-        """Start a model engine stand-in; return its port."""
+        """Start a model engine stand-in; return its port; see `wait_ready`."""
         port = free_port()
         address = f"127.0.0.1:{port}"
         self.start(name, "standin", "engine", address, f"--slots={slots}", f"--step_s={step_s}")
-        self.wait_for(f"http://{address}/load")
+        self._unready.append(f"http://{address}/load")
         return port
 
     def start_service(self, name: str) -> int:
-        """Start a plain service stand-in; return its port."""
+        """Start a plain service stand-in; return its port; see `wait_ready`."""
         port = free_port()
         self.start(name, "standin", "service", f"127.0.0.1:{port}")
-        self.wait_for(f"http://127.0.0.1:{port}/load")
+        self._unready.append(f"http://127.0.0.1:{port}/load")
         return port
 
     def start_router(self, instance: str, zone: str, region: str = "ost", **settings):
@@ -121,11 +122,14 @@
         self.list_instance(instance)
         router.process = self.start(instance, "router", str(path))
         self.routers.append(router)
+        self._unready.append(f"{router.callers_url}/health")
         return router
 
-    def wait_serving(self, router: RouterHandle) -> None:
-        """Wait until a router takes requests."""
-        self.wait_for(f"{router.callers_url}/health")
+    def wait_ready(self) -> None:
+        """Wait until every started process answers."""
+        while self._unready:
+            self.wait_for(self._unready[0])
+            self._unready.pop(0)
 
     def _settings(self, router: RouterHandle) -> dict:
         return {
--- a/turnward/budgets/ledger.py
+++ b/turnward/budgets/ledger.py
@@ -78,6 +78,7 @@
         "demand",
         "granted_tokens",
         "idle_since_s",
+        "refused_tokens",
         "reserved_tokens",
         "settled_tokens",
         "view",
@@ -89,6 +90,7 @@
         self.settled_tokens = 0
         self.reserved_tokens = 0
         self.wanted_tokens = 0
+        self.refused_tokens = 0
         self.idle_since_s = 0.0
         self.demand = DemandMeter()
         self.view: BudgetView | None = None
@@ -136,11 +138,13 @@
         account = self._account(budget)
         if first_try:
             account.demand.add(tokens, now_s)
-        account.idle_since_s = now_s
         if tokens <= account.free_tokens:
+            account.idle_since_s = now_s
+            account.refused_tokens = 0
             account.reserved_tokens += tokens
             return Ok(Reservation(budget, tokens))
         account.wanted_tokens = max(account.wanted_tokens, tokens)
+        account.refused_tokens = max(account.refused_tokens, tokens)
         return Error(self._refusal(account, tokens))
 
     def settle(self, reservation: Reservation, used_tokens: int) -> int:
@@ -194,11 +198,13 @@
         """Return the spare tokens of budgets, to be given back."""
         spare = {}
         for budget, account in self._accounts.items():
-            target = self._target_tokens(account, now_s)
-            keep = 0 if self._recalled(account) else target * 2
+            at_once = self._recalled(account) or self._too_little(account)
+            keep = 0 if at_once else int(self._target_tokens(account, now_s) * 2)
             idle = now_s - account.idle_since_s >= self._rule.keep_s
-            if account.free_tokens > keep and (idle or self._recalled(account)):
-                spare[budget] = account.free_tokens - int(keep)
+            if account.free_tokens > keep and (idle or at_once):
+                spare[budget] = account.free_tokens - keep
+            if at_once:
+                account.refused_tokens = 0
         return spare
 
     def _target_tokens(self, account: _Account, now_s: float) -> float:
@@ -210,6 +216,17 @@
     def _recalled(self, account: _Account) -> bool:
         return account.view is not None and account.view.ungranted_tokens < 0
 
+    def _too_little(self, account: _Account) -> bool:
+        """Tell whether the free tokens serve nobody here and the table can't add enough.
+
+        Such remainders are returned, so that those of many routers make up
+        one that is large enough.
+        """
+        if account.view is None or account.refused_tokens <= account.free_tokens:
+            return False
+        shortfall = account.refused_tokens - account.free_tokens
+        return account.view.ungranted_tokens < shortfall
+
     def _refusal(self, account: _Account, tokens: int) -> RefusalReason:
         view = account.view
         if view is None:
--- a/turnward/fleet/registry.py
+++ b/turnward/fleet/registry.py
@@ -15,6 +15,7 @@
     Absent,
     Committed,
     Delete,
+    FieldIs,
     OutcomeUnknownError,
     Put,
     SetField,
@@ -63,13 +64,9 @@
             raise FencedError(f"incarnation {incarnation} is fenced")
 
     async def leave(self, incarnation: str) -> None:
-        """Mark an incarnation as left, after it has billed and returned everything."""
-        key = router_key(incarnation)
-        writes = (
-            SetField(key, "state", RouterState.LEFT.value),
-            SetField(key, "writable", False),
-        )
-        await self._table.transact(Transaction((live_check(incarnation),), writes))
+        """Remove the row of an incarnation that has billed and returned everything."""
+        write = Delete(router_key(incarnation))
+        await self._table.transact(Transaction((live_check(incarnation),), (write,)))
 
     async def fence(self, incarnation: str, recoverer: str) -> bool:
         """Take the incarnation's right to write; True when ``recoverer`` now has the duty."""
@@ -103,15 +100,14 @@
             return await self._is_recoverer(key, recoverer)
         return isinstance(result, Committed)
 
-    async def close_recovery(self, incarnation: str) -> None:
-        """Mark a fenced incarnation as recovered."""
+    async def close_recovery(self, incarnation: str, in_doubt: bool) -> None:
+        """Remove a fenced row, or keep it as recovered while tokens are in doubt."""
         key = router_key(incarnation)
-        write = SetField(key, "state", RouterState.RECOVERED.value)
-        await self._table.transact(Transaction((), (write,)))
-
-    async def remove(self, incarnation: str) -> None:
-        """Remove the row of an incarnation that has left or is recovered."""
-        await self._table.transact(Transaction((), (Delete(router_key(incarnation)),)))
+        write = Delete(key)
+        if in_doubt:
+            write = SetField(key, "state", RouterState.RECOVERED.value)
+        check = FieldIs(key, "state", RouterState.FENCED.value)
+        await self._table.transact(Transaction((check,), (write,)))
 
     async def _is_recoverer(self, key: str, recoverer: str) -> bool:
         row = (await self._table.read([key])).get(key)
--- a/turnward/fleet/rows.py
+++ b/turnward/fleet/rows.py
@@ -19,11 +19,10 @@
 
 
 class RouterState(StrEnum):
-    """States of a router incarnation; see ``lifecycle/charts/router.toml``."""
+    """States of a router incarnation's row; the row is removed in the end."""
 
     LIVE = "live"
     LEAVING = "leaving"
-    LEFT = "left"
     FENCED = "fenced"
     RECOVERED = "recovered"
 
@@ -34,7 +33,7 @@
     Attributes
     ----------
     writable : bool
-        False once fenced or left; every write of the incarnation checks it.
+        False once fenced; every write of the incarnation checks it.
     buddies : tuple of str
         Incarnations that may hold its run records.
     """
--- a/turnward/peers/book.py
+++ b/turnward/peers/book.py
@@ -65,12 +65,21 @@
     def __init__(self):
         self.open_records: OrderedDict[str, RunRecord] = OrderedDict()
         self._unsent: dict[str, OrderedDict[str, RunRecord]] = {}
+        self._first_copy: dict[str, set[str]] = {}
 
     def set_buddies(self, buddies: tuple[str, ...]) -> None:
         """Change whom records go to; a new buddy is sent every open record."""
-        self._unsent = {
-            buddy: self._unsent.get(buddy, OrderedDict(self.open_records)) for buddy in buddies
-        }
+        for buddy in buddies:
+            if buddy not in self._unsent:
+                self._unsent[buddy] = OrderedDict(self.open_records)
+                self._first_copy[buddy] = set(self.open_records)
+        for buddy in set(self._unsent) - set(buddies):
+            del self._unsent[buddy]
+            del self._first_copy[buddy]
+
+    def has_first_copy(self, buddy: str) -> bool:
+        """Tell whether a buddy holds every record that was open when it was named."""
+        return not self._first_copy.get(buddy, {""})
 
     def put(self, record: RunRecord) -> None:
         """Queue a new or changed record for every buddy."""
@@ -89,7 +98,9 @@
     def mark_held(self, buddy: str, records: tuple[RunRecord, ...]) -> None:
         """Take in that a buddy holds these records."""
         queue = self._unsent.get(buddy, {})
+        first_copy = self._first_copy.get(buddy, set())
         for record in records:
+            first_copy.discard(record.run_id)
             if queue.get(record.run_id) == record:
                 del queue[record.run_id]
 
--- a/turnward/peers/recovery.py
+++ b/turnward/peers/recovery.py
@@ -222,7 +222,7 @@
         in_doubt = 0
         for grant in await self._table.scan_all(grants_prefix(row.incarnation)):
             in_doubt += await self._close_grant(grant, row, own, holder_lost)
-        await self._registry.close_recovery(row.incarnation)
+        await self._registry.close_recovery(row.incarnation, in_doubt > 0)
         self._book.forget(row.incarnation)
         self._settled.pop(row.incarnation, None)
         self._events.emit("recovery.closed", of=row.incarnation, in_doubt_tokens=in_doubt)
--- a/turnward/router/membership_task.py
+++ b/turnward/router/membership_task.py
@@ -3,7 +3,7 @@
 
 import msgspec
 
-from turnward.fleet import RouterRegistry, RouterRow, RouterState, choose_buddies, rendezvous_weight
+from turnward.fleet import RouterRegistry, RouterRow, choose_buddies, rendezvous_weight
 from turnward.peers.errors import PeerError
 from turnward.peers.messages import Heartbeat, HeartbeatAck, StatusAsk, StatusReply
 from turnward.platform import PlatformError
@@ -38,6 +38,7 @@
         self._registry = RouterRegistry(context.table)
         self._read_s = float("-inf")
         self._first_seen_s: dict[str, float] = {}
+        self._seen_incarnation = ""
 
     async def handle(self, messages):
         """See ``TaskBase.handle``."""
@@ -57,7 +58,10 @@
     async def _watch_own_row(self) -> None:
         core = self._core()
         own = self._context.rows.get(core.incarnation)
-        if own is not None and own.state is RouterState.FENCED:
+        if own is not None:
+            self._seen_incarnation = core.incarnation
+        removed = own is None and self._seen_incarnation == core.incarnation
+        if removed or (own is not None and not own.writable):
             self._on_fenced()
 
     async def _beat(self) -> None:
@@ -96,8 +100,7 @@
             await self._registry.set_field(core.incarnation, "buddies", named)
         core.records.set_buddies(chosen)
         core.records.tell(None)
-        held = [buddy for buddy in chosen if not core.records.outbox.unsent_count(buddy)]
-        if set(held) == set(chosen):
+        if all(core.records.outbox.has_first_copy(buddy) for buddy in chosen):
             await self._registry.set_field(core.incarnation, "buddies", chosen)
             self._context.events.emit("fleet.buddies", buddies=",".join(chosen))
 
--- a/turnward/router/record_task.py
+++ b/turnward/router/record_task.py
@@ -8,7 +8,7 @@
 from turnward.peers.book import RecordOutbox
 from turnward.peers.errors import PeerError
 from turnward.peers.messages import PutRecords, RecordsAck, RecordState, RunRecord
-from turnward.router.task import TaskBase
+from turnward.router.task import TaskBase, Tick
 
 __all__ = ["HoldRecord", "RecordTask"]
 
@@ -53,6 +53,7 @@
         self.buddies: tuple[str, ...] = ()
         self._waiting: dict[str, HoldRecord] = {}
         self._sending: set[str] = set()
+        self._failed: set[str] = set()
 
     def put(self, record: RunRecord) -> None:
         """Queue a change of a record; nobody waits for it."""
@@ -70,8 +71,11 @@
                 self._hold(message)
             elif isinstance(message, _Sent):
                 self._take_answer(message)
+        if Tick() in messages:
+            self._failed.clear()
         for buddy in self.buddies:
-            if buddy not in self._sending and self.outbox.unsent_count(buddy):
+            resting = buddy in self._sending or buddy in self._failed
+            if not resting and self.outbox.unsent_count(buddy):
                 self._sending.add(buddy)
                 defer.ensureDeferred(self._send(buddy))
 
@@ -100,7 +104,9 @@
         self.tell(_Sent(buddy, records, held))
 
     def _take_answer(self, sent: _Sent) -> None:
-        if sent.held:
+        if not sent.held:
+            self._failed.add(sent.buddy)
+        else:
             self.outbox.mark_held(sent.buddy, sent.records)
         for record in sent.records:
             self._answer_waiter(record, sent)
