Prove promises over the real decision code with fakes at the interfaces

Found and mended, each with its schedule: - a chat whose first attempt may have run was told not_run when no second endpoint took it (now unknown, billed by the engine's account); - a router whose buddies were frozen, not dead, was recovered without their records (now the process is asked under any later incarnation, and waited for while the platform lists it); - a router and both buddies dead at once were never fenced (now others act in turn).

--- /dev/null
+++ b/tests/test_fleet_faults.py
@@ -0,0 +1,207 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The promises under faults, over the real decision code with fakes at the interfaces."""
+
+import pytest
+
+from tests.fake_fleet import FakeFleet
+
+
+@pytest.fixture
+def fleet():
+    fleet = FakeFleet()
+    yield fleet
+    fleet.close()
+
+
+def chat(fleet, router, request_id):
+    return fleet.submit(fleet.routers[router], request_id, repeatable=True)
+
+
+def book(fleet, router, request_id):
+    return fleet.submit(fleet.routers[router], request_id, repeatable=False)
+
+
+def settle(fleet):
+    fleet.heal()
+    assert fleet.settled_faults() == []
+
+
+def test_a_request_is_served_and_billed(fleet):
+    sent = chat(fleet, 0, "c1")
+    booked = book(fleet, 1, "b1")
+    fleet.advance(0.5)
+    fleet.finish_runs()
+    fleet.advance(0.5)
+    assert (sent.outcome, booked.outcome) == ("ran", "ran")
+    settle(fleet)
+    assert sorted(bill["tokens"] for bill in fleet.bills()) == [1, 25]
+
+
+def test_killed_router_with_runs_open_is_recovered_and_billed_once(fleet):
+    for number in range(5):
+        chat(fleet, 0, f"c{number}")
+    book(fleet, 0, "b0")
+    fleet.advance(0.5)
+    fleet.kill(fleet.routers[0])
+    fleet.advance(5.0)
+    fleet.finish_runs()
+    settle(fleet)
+    assert len(fleet.bills()) == 6
+
+
+def test_killed_router_with_unflushed_bills_loses_none(fleet):
+    for number in range(5):
+        chat(fleet, 0, f"c{number}")
+    fleet.advance(0.5)
+    fleet.routers[0].table.down = True
+    fleet.finish_runs()
+    fleet.advance(1.0)
+    assert fleet.bills() == []
+    fleet.kill(fleet.routers[0])
+    settle(fleet)
+    assert sum(bill["tokens"] for bill in fleet.bills()) == 125
+
+
+def test_frozen_router_that_wakes_is_fenced_and_goes_on_anew(fleet):
+    for number in range(3):
+        chat(fleet, 0, f"c{number}")
+    fleet.advance(0.5)
+    before = fleet.routers[0].process.core.incarnation
+    fleet.routers[0].freeze()
+    fleet.finish_runs()
+    fleet.advance(15.0)
+    assert len(fleet.bills()) == 3
+    fleet.routers[0].thaw()
+    fleet.advance(3.0)
+    assert fleet.routers[0].process.core.incarnation != before
+    again = chat(fleet, 0, "c9")
+    fleet.advance(0.5)
+    fleet.finish_runs()
+    fleet.advance(1.0)
+    assert again.outcome == "ran"
+    settle(fleet)
+
+
+def test_same_booking_at_every_router_runs_once(fleet):
+    sent = [book(fleet, number, "b1") for number in range(3)]
+    fleet.advance(0.5)
+    fleet.finish_runs()
+    fleet.advance(1.0)
+    assert fleet.world.count("service")["b1"] == 1
+    assert [submission.outcome for submission in sent].count("ran") == 1
+    again = book(fleet, 2, "b1")
+    fleet.advance(1.0)
+    assert again.outcome == "ran"
+    assert again.answer.headers["Idempotency-Replayed"] == "true"
+    settle(fleet)
+
+
+def test_booking_whose_answer_is_lost_is_unknown_and_never_run_again(fleet):
+    first = book(fleet, 0, "b1")
+    fleet.advance(0.5)
+    fleet.finish_runs(answered=False)
+    fleet.advance(1.0)
+    again = book(fleet, 1, "b1")
+    fleet.advance(1.0)
+    assert (first.outcome, again.outcome) == ("unknown", "unknown")
+    settle(fleet)
+
+
+def test_booking_of_a_killed_router_is_unknown_at_the_others(fleet):
+    book(fleet, 0, "b1")
+    fleet.advance(0.5)
+    fleet.kill(fleet.routers[0])
+    fleet.advance(15.0)
+    again = book(fleet, 1, "b1")
+    fleet.advance(1.0)
+    assert again.outcome == "unknown"
+    settle(fleet)
+
+
+def test_outage_refuses_bookings_as_not_run_and_serves_chats_from_grants(fleet):
+    chat(fleet, 0, "c0")
+    fleet.advance(0.5)
+    fleet.finish_runs()
+    for router in fleet.routers:
+        router.table.down = True
+    served, refused = chat(fleet, 0, "c1"), book(fleet, 0, "b1")
+    fleet.advance(1.0)
+    fleet.finish_runs()
+    fleet.advance(1.0)
+    assert (served.outcome, refused.outcome) == ("ran", "not_run")
+    assert refused.answer.headers["Retry-After"]
+    settle(fleet)
+    assert fleet.world.count("service")["b1"] == 0
+
+
+@pytest.mark.parametrize("lost", [1, 2, 3, 5])
+def test_lost_answers_of_the_table_double_nothing(fleet, lost):
+    for router in fleet.routers:
+        router.table.lose_answers = lost
+    for number in range(3):
+        chat(fleet, number, f"c{number}")
+        book(fleet, number, f"b{number}")
+    fleet.advance(3.0)
+    fleet.finish_runs()
+    fleet.advance(2.0)
+    settle(fleet)
+
+
+def test_router_cut_from_all_is_fenced_and_overspends_nothing(fleet):
+    victim = fleet.routers[0]
+    chat(fleet, 0, "c0")
+    fleet.advance(0.5)
+    victim.table.down = True
+    for other in fleet.routers[1:]:
+        fleet.cut_links.add(frozenset((victim.name, other.name)))
+    fleet.advance(20.0)
+    refused = chat(fleet, 0, "c1")
+    fleet.advance(3.0)
+    assert refused.outcome == "not_run"
+    settle(fleet)
+
+
+def test_router_and_both_buddies_gone_leaves_tokens_in_doubt_not_lost(fleet):
+    chat(fleet, 0, "c0")
+    fleet.advance(0.5)
+    for router in list(fleet.routers):
+        fleet.kill(router)
+    for number in range(3, 6):
+        fleet.add_router(f"r{number}", "abc"[number % 3])
+    fleet.advance(30.0)
+    fleet.finish_runs()
+    fleet.advance(30.0)
+    assert fleet.faults() == []
+    held = [row.value for row in fleet.table._rows.values() if "in_doubt_tokens" in row.value]
+    assert sum(row["in_doubt_tokens"] for row in held) > 0
+
+
+def test_planned_stop_cuts_nothing_and_returns_the_grant(fleet):
+    sent = chat(fleet, 0, "c0")
+    fleet.advance(0.5)
+    fleet.routers[0].process.leave()
+    fleet.advance(2.0)
+    refused = chat(fleet, 0, "c1")
+    fleet.advance(1.0)
+    assert refused.outcome == "not_run"
+    fleet.finish_runs()
+    fleet.advance(10.0)
+    assert sent.outcome == "ran"
+    assert fleet.routers[0].process.stopped.called
+    grants = [row for row in fleet.table._rows if row.startswith("grant/r0")]
+    assert all(fleet.table._rows[row].value["granted_tokens"] == 0 for row in grants)
+    settle(fleet)
+
+
+def test_router_cut_from_the_store_takes_configuration_from_a_peer(fleet):
+    from tests.helpers import run
+    from turnward.resources import Change, ConfigLog
+
+    cut = fleet.routers[0]
+    cut.table.down = True
+    entry = {"name": "e1", "pool": "engines", "url": "http://127.0.0.1:1", "zone": "a"}
+    change = Change("endpoints", "e1", {**entry, "drained": True})
+    revision = run(ConfigLog(fleet.table).apply([change], 0.0))
+    fleet.advance(5.0)
+    assert cut.context.config.revision == revision
+    settle(fleet)
--- a/turnward/callers/chat.py
+++ b/turnward/callers/chat.py
@@ -4,7 +4,7 @@
 import msgspec
 from twisted.internet import defer, task
 
-from turnward.callers.answers import AnswerBase
+from turnward.callers.answers import AnswerBase, send_refusal
 from turnward.callers.flights import Flight, FlightDesk, StoredReply
 from turnward.callers.problems import Outcome, Reason, Refusal, RefusedError, problem_body
 from turnward.callers.sse import END_MARK, EventSplitter
@@ -14,6 +14,8 @@
 
 __all__ = ["ChatRequest", "ChatServer", "parse_chat"]
 
+#: Attempts at endpoints for one request.
+ATTEMPT_LIMIT = 3
 #: Times a cut stream is resumed.
 RESUME_LIMIT = 3
 #: Seconds between questions for a run's account, and how often to ask.
@@ -203,9 +205,11 @@
         sent_body = self._engine_body(flight, body, output_tokens)
         try:
             await self._attempts(flight, chat, sent_body, answer)
-        except RefusedError:
-            if flight.reservation.open:
-                self._desk.discard(flight)
+        except RefusedError as refused:
+            if self._desk.restore_uncertain(flight):
+                await self._end_cut(flight, 0, answer, refused.refusal.detail)
+                return
+            self._desk.discard(flight)
             raise
 
     def _engine_body(self, flight: Flight, body: bytes, output_tokens: int) -> bytes:
@@ -220,7 +224,8 @@
 
     async def _attempts(self, flight: Flight, chat: ChatRequest, body: bytes, answer) -> None:
         retries = self._context.retries(flight.workspace.name, flight.workspace.retry_share)
-        while True:
+        for attempt in range(1, ATTEMPT_LIMIT + 1):
+            last = attempt == ATTEMPT_LIMIT
             self._desk.choose(flight, chat.prefix(), chat.prompt_limit_tokens())
             await self._desk.hold(flight)
             relay = _Relay(answer, chat.stream, {"X-Request-Id": flight.request_id})
@@ -229,15 +234,17 @@
                 await self._run(flight, body, relay, answer)
             except NotRunError as failure:
                 self._desk.returned(flight, ok=False)
-                if retries.take():
+                if not last and retries.take():
                     continue
                 raise RefusedError(self._endpoint_refused(failure)) from failure
             except RunUncertainError as failure:
                 self._desk.returned(flight, ok=False)
-                if relay.relayed_events == 0 and not answer.caller_gone and retries.take():
+                self._desk.note_uncertain(flight)
+                unseen = relay.relayed_events == 0 and not answer.caller_gone
+                if unseen and not last and retries.take():
                     await self._cancel(flight)
                     continue
-                await self._end_cut(flight, relay, answer, failure)
+                await self._end_cut(flight, relay.relayed_events, answer, str(failure))
                 return
             self._desk.returned(flight, ok=True)
             retries.note_success()
@@ -314,21 +321,21 @@
         answer.write(body)
         answer.finish()
 
-    async def _end_cut(self, flight: Flight, relay: _Relay, answer: AnswerBase, failure) -> None:
+    async def _end_cut(
+        self, flight: Flight, relayed_events: int, answer: AnswerBase, cause: str
+    ) -> None:
         """End an answer that broke off: tell the caller at once, then settle by the account."""
-        refusal = Refusal(Reason.ENDPOINT_FAILED, str(failure), Outcome.UNKNOWN, 1)
-        if relay.relayed_events:
+        refusal = Refusal(Reason.ENDPOINT_FAILED, cause, Outcome.UNKNOWN, 1)
+        if relayed_events:
             answer.write(b"event: error\ndata: ")
             answer.write(problem_body(refusal, flight.request_id) + b"\n\n")
             answer.abort()
         else:
-            from turnward.callers.answers import send_refusal
-
             send_refusal(answer, refusal, flight.request_id)
-        used_tokens = await self._account(flight, relay)
+        used_tokens = await self._account(flight, relayed_events)
         self._desk.bill(flight, used_tokens)
 
-    async def _account(self, flight: Flight, relay: _Relay) -> int:
+    async def _account(self, flight: Flight, relayed_events: int) -> int:
         """Return a cut run's usage by the engine's account, else what was passed on."""
         url = flight.view.endpoint.url
         for _ in range(ACCOUNT_TRIES):
@@ -339,4 +346,4 @@
             if account is not None and account.state is not RunState.RUNNING:
                 return account.used_tokens
             await task.deferLater(self._context.reactor, ACCOUNT_PAUSE_S)
-        return relay.relayed_events
+        return relayed_events
--- a/turnward/callers/flights.py
+++ b/turnward/callers/flights.py
@@ -41,6 +41,14 @@
     body: bytes
 
 
+class UncertainRun(msgspec.Struct, frozen=True):
+    """An attempt whose answer did not come; it may have run."""
+
+    view: EndpointView
+    run_id: str
+    record: RunRecord
+
+
 class Flight:
     """One request on its way.
 
@@ -50,6 +58,8 @@
         Id of the present attempt at an endpoint.
     record : RunRecord or None
         The record that buddies hold for the present attempt.
+    uncertain_run : UncertainRun or None
+        An earlier attempt that may have run.
     stored_record_key : str
         Key of the record in the table, where no buddy could hold it.
     core : RouterCore
@@ -65,6 +75,7 @@
         "record",
         "repeatable",
         "request_id",
+        "uncertain_run",
         "reservation",
         "run_id",
         "started_s",
@@ -92,6 +103,7 @@
         self.core = None
         self.run_id = ""
         self.stored_record_key = ""
+        self.uncertain_run: UncertainRun | None = None
         self.started_s = 0.0
         self.admitted_s = 0.0
         self.view_sent_s = 0.0
@@ -256,14 +268,11 @@
         )
 
     def choose(self, flight: Flight, prefix: str, prompt_tokens: int) -> Choice:
-        """Choose an endpoint not tried before."""
-        candidates = [
-            view
-            for view in self._context.views.candidates(flight.pool)
-            if view.name not in flight.tried
-        ]
-        if not candidates:
+        """Choose an endpoint, one not tried before if there is any."""
+        ready = self._context.views.candidates(flight.pool)
+        if not ready:
             raise RefusedError(self._no_endpoint(flight))
+        candidates = [view for view in ready if view.name not in flight.tried] or ready
         zone = self._context.settings.zone
         request = RouteRequest(flight.pool, zone, prefix, prompt_tokens)
         choice = self._context.policy.choose(request, candidates, self._context.now_s())
@@ -345,6 +354,23 @@
             run_id=flight.run_id,
         )
 
+    def note_uncertain(self, flight: Flight) -> None:
+        """Remember that the present attempt may have run."""
+        flight.uncertain_run = UncertainRun(flight.view, flight.run_id, flight.record)
+
+    def restore_uncertain(self, flight: Flight) -> bool:
+        """Go back to the attempt that may have run; False when there is none."""
+        run = flight.uncertain_run
+        if run is None:
+            return False
+        if flight.record is not None and flight.record.run_id != run.run_id:
+            flight.core.records.put(
+                msgspec.structs.replace(flight.record, state=RecordState.BILLED)
+            )
+            flight.core.records.put(run.record)
+        flight.view, flight.run_id, flight.record = run.view, run.run_id, run.record
+        return True
+
     def returned(self, flight: Flight, ok: bool) -> None:
         """Note that the endpoint has answered or failed."""
         now_s = self._context.now_s()
@@ -378,9 +404,11 @@
         if flight.reservation is not None and flight.reservation.open:
             flight.core.ledger.settle(flight.reservation, 0)
         if flight.record is not None:
-            flight.core.records.put(
-                msgspec.structs.replace(flight.record, state=RecordState.BILLED)
-            )
+            self._drop_record(flight)
+
+    def _drop_record(self, flight: Flight) -> None:
+        dropped = msgspec.structs.replace(flight.record, state=RecordState.BILLED)
+        flight.core.records.put(dropped)
 
     def close(self, flight: Flight) -> None:
         """Let the flight go; its place in the pool is free."""
--- a/turnward/callers/services.py
+++ b/turnward/callers/services.py
@@ -19,6 +19,8 @@
 
 #: Methods that may be repeated where the configuration says nothing (RFC 9110, 9.2.2).
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+#: Attempts at endpoints for one call.
+ATTEMPT_LIMIT = 3
 #: Seconds a call waits for its claim.
 CLAIM_WAIT_S = 2.0
 
@@ -93,27 +95,28 @@
                 await self._run_repeatable(flight, call, pool, answer)
             else:
                 await self._run_once(flight, call, pool, answer)
-        except RefusedError:
+        except RefusedError as refused:
+            if self._desk.restore_uncertain(flight):
+                self._desk.bill(flight, 0)
+                raise RefusedError(_as_unknown(refused.refusal)) from refused
             if flight.reservation.open:
                 self._desk.discard(flight)
             raise
 
     async def _run_repeatable(self, flight: Flight, call, pool: Pool, answer) -> None:
         retries = self._context.retries(flight.workspace.name, flight.workspace.retry_share)
-        while True:
+        for attempt in range(1, ATTEMPT_LIMIT + 1):
             self._desk.choose(flight, "", 0)
             await self._desk.hold(flight)
             try:
                 response = await self._send(flight, call)
             except (NotRunError, RunUncertainError) as failure:
-                if retries.take():
-                    continue
-                outcome = Outcome.NOT_RUN
                 if isinstance(failure, RunUncertainError):
-                    outcome = Outcome.UNKNOWN
-                raise RefusedError(
-                    Refusal(Reason.ENDPOINT_FAILED, str(failure), outcome, 1)
-                ) from failure
+                    self._desk.note_uncertain(flight)
+                if attempt < ATTEMPT_LIMIT and retries.take():
+                    continue
+                refusal = Refusal(Reason.ENDPOINT_FAILED, str(failure), retry_after_s=1)
+                raise RefusedError(refusal) from failure
             retries.note_success()
             self._desk.bill(flight, pool.tokens_per_call)
             _pass_on(answer, response, flight.request_id)
@@ -179,13 +182,13 @@
 
     async def _send_claimed(self, flight: Flight, call, pool: Pool, claim, answer) -> None:
         retries = self._context.retries(flight.workspace.name, flight.workspace.retry_share)
-        while True:
+        for attempt in range(1, ATTEMPT_LIMIT + 1):
             self._desk.choose(flight, "", 0)
             await self._desk.hold(flight)
             try:
                 response = await self._send(flight, call)
             except NotRunError as failure:
-                if retries.take():
+                if attempt < ATTEMPT_LIMIT and retries.take():
                     continue
                 raise RefusedError(
                     Refusal(Reason.ENDPOINT_REFUSED, str(failure), retry_after_s=1)
@@ -221,6 +224,11 @@
         return response
 
 
+def _as_unknown(refusal: Refusal) -> Refusal:
+    """Return the refusal of a request of which an earlier attempt may have run."""
+    return msgspec.structs.replace(refusal, outcome=Outcome.UNKNOWN)
+
+
 def _claims_unreachable() -> Refusal:
     return Refusal(
         Reason.CLAIMS_UNREACHABLE,
--- a/turnward/fleet/__init__.py
+++ b/turnward/fleet/__init__.py
@@ -4,7 +4,14 @@
 from turnward.fleet.buddies import BUDDY_COUNT, choose_buddies, rendezvous_weight
 from turnward.fleet.errors import FencedError, FleetError
 from turnward.fleet.registry import RouterRegistry
-from turnward.fleet.rows import ROUTERS_PREFIX, RouterRow, RouterState, live_check, router_key
+from turnward.fleet.rows import (
+    ROUTERS_PREFIX,
+    RouterRow,
+    RouterState,
+    instance_of,
+    live_check,
+    router_key,
+)
 
 __all__ = [
     "BUDDY_COUNT",
@@ -15,6 +22,7 @@
     "RouterRow",
     "RouterState",
     "choose_buddies",
+    "instance_of",
     "live_check",
     "rendezvous_weight",
     "router_key",
--- a/turnward/fleet/rows.py
+++ b/turnward/fleet/rows.py
@@ -11,6 +11,7 @@
     "ROUTERS_PREFIX",
     "RouterRow",
     "RouterState",
+    "instance_of",
     "live_check",
     "router_key",
 ]
@@ -55,6 +56,17 @@
     return f"{ROUTERS_PREFIX}{incarnation}"
 
 
+def instance_of(incarnation: str) -> str:
+    """Return the instance that an incarnation's id names.
+
+    Examples
+    --------
+    >>> instance_of("entry-1.0123456789ab")
+    'entry-1'
+    """
+    return incarnation.rpartition(".")[0]
+
+
 def live_check(incarnation: str) -> FieldIs:
     """Return the check that the incarnation may still write."""
     return FieldIs(router_key(incarnation), "writable", True)
--- a/turnward/peers/codec.py
+++ b/turnward/peers/codec.py
@@ -39,11 +39,8 @@
     "statusAsk": StatusAsk,
     "statusReply": StatusReply,
 }
-#: Messages that are one list of run records.
-_RECORD_LISTS = {"putRecords": PutRecords, "handOverAck": HandOverAck}
 
 _GROUP_NAMES = {message_type: name for name, message_type in _GROUPS.items()}
-_LIST_NAMES = {message_type: name for name, message_type in _RECORD_LISTS.items()}
 
 
 class WireError(TurnwardError):
@@ -73,10 +70,12 @@
         group = wire.init(_GROUP_NAMES[message_type])
         for field in message_type.__struct_fields__:
             setattr(group, field, getattr(message, field))
-    elif message_type in _LIST_NAMES:
-        target = wire.init(_LIST_NAMES[message_type], len(message.records))
-        for position, record in enumerate(message.records):
-            _fill_record(target[position], record)
+    elif message_type is PutRecords:
+        _fill_records(wire.init("putRecords", len(message.records)), message.records)
+    elif message_type is HandOverAck:
+        group = wire.init("handOverAck")
+        group.wasHolder = message.was_holder
+        _fill_records(group.init("records", len(message.records)), message.records)
     else:
         target = wire.init("configDelta", len(message.entries))
         for position, entry in enumerate(message.entries):
@@ -108,13 +107,21 @@
     if name in _GROUPS:
         message_type = _GROUPS[str(name)]
         return message_type(*(getattr(body, field) for field in message_type.__struct_fields__))
-    if name in _RECORD_LISTS:
-        return _RECORD_LISTS[str(name)](tuple(_read_record(record) for record in body))
+    if name == "putRecords":
+        return PutRecords(tuple(_read_record(record) for record in body))
+    if name == "handOverAck":
+        records = tuple(_read_record(record) for record in body.records)
+        return HandOverAck(records, body.wasHolder)
     if name == "configDelta":
         return ConfigDelta(tuple(ConfigEntry(entry.revision, bytes(entry.body)) for entry in body))
     raise WireError(f"unknown message {name}")
 
 
+def _fill_records(target, records: tuple[RunRecord, ...]) -> None:
+    for position, record in enumerate(records):
+        _fill_record(target[position], record)
+
+
 def _fill_record(target, record: RunRecord) -> None:
     target.requestId = record.request_id
     target.runId = record.run_id
--- a/turnward/peers/link.py
+++ b/turnward/peers/link.py
@@ -28,7 +28,26 @@
 
 
 class PeersBase(ABC):
-    """Asks other routers."""
+    """Asks other routers and answers them.
+
+    Attributes
+    ----------
+    handler : Handler or None
+        Answers questions of peers; set by the router before it listens.
+    incarnation : str
+        Who asks; set at each registration.
+    """
+
+    handler: Handler | None = None
+    incarnation: str = ""
+
+    @abstractmethod
+    def listen(self, address: str):
+        """Begin to answer peers."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Stop listening and drop all connections."""
 
     @abstractmethod
     async def ask(self, address: str, incarnation: str, message: Message) -> Message:
@@ -110,17 +129,13 @@
         Twisted's reactor.
     clock : HybridClock
         Stamps travel with each message.
-    handler : Handler
-        Answers questions of peers.
     timeout_s : float
         Limit for an answer, in seconds.
     """
 
-    def __init__(self, reactor, clock: HybridClock, handler: Handler, timeout_s: float):
+    def __init__(self, reactor, clock: HybridClock, timeout_s: float):
         self.reactor = reactor
-        self.handler = handler
         self.timeout_s = timeout_s
-        self.incarnation = ""
         self._clock = clock
         self._links: dict[str, defer.Deferred | _AskingFrames] = {}
         self._answering: set[_Frames] = set()
@@ -128,8 +143,8 @@
         self.sent_bytes = 0
         self.received_bytes = 0
 
-    def listen(self, address: str):
-        """Listen for peers; return the port."""
+    def listen(self, address):
+        """See ``PeersBase.listen``; returns the port."""
         host, port = parse_address(address)
         self._port = self.reactor.listenTCP(port, self, interface=host)
         return self._port
@@ -194,8 +209,8 @@
         self._clock.observe(envelope.stamp)
         return envelope
 
-    def close(self) -> None:
-        """Stop listening and drop all connections."""
+    def close(self):
+        """See ``PeersBase.close``."""
         if self._port is not None:
             self._port.stopListening()
         for link in [*self._links.values(), *self._answering]:
--- a/turnward/peers/messages.py
+++ b/turnward/peers/messages.py
@@ -98,15 +98,28 @@
 
 
 class HandOver(msgspec.Struct, frozen=True):
-    """Stop accepting records of ``fenced`` and send those held."""
+    """Stop accepting records of ``fenced`` and send those held by ``holder``.
+
+    The process asked may have been fenced itself since it held them, so the
+    incarnation that held them is named.
+    """
 
     fenced: str
+    holder: str
 
 
 class HandOverAck(msgspec.Struct, frozen=True):
-    """The records held of a fenced incarnation."""
+    """The records held of a fenced incarnation.
+
+    Attributes
+    ----------
+    was_holder : bool
+        False when this process never was the holder that was asked for, so
+        that what the holder held is lost.
+    """
 
     records: tuple[RunRecord, ...]
+    was_holder: bool
 
 
 class ConfigAsk(msgspec.Struct, frozen=True):
--- a/turnward/peers/recovery.py
+++ b/turnward/peers/recovery.py
@@ -17,7 +17,7 @@
 from turnward.claims import ClaimState, claim_key
 from turnward.endpoints import EndpointError, EngineClientBase, RunState
 from turnward.events import EventLog
-from turnward.fleet import RouterRegistry, RouterRow, RouterState, router_key
+from turnward.fleet import RouterRegistry, RouterRow, RouterState, instance_of, router_key
 from turnward.peers.book import RecordBook
 from turnward.peers.errors import PeerError
 from turnward.peers.link import PeersBase
@@ -100,7 +100,9 @@
         self._registry = RouterRegistry(table)
         self._settled: dict[str, set[str]] = {}
 
-    async def step(self, row: RouterRow, own: str, rows: dict[str, RouterRow]) -> RecoveryState:
+    async def step(
+        self, row: RouterRow, own: str, rows: dict[str, RouterRow], listed: set[str] | None
+    ) -> RecoveryState:
         """Take a fenced router's recovery as far as it goes now.
 
         Parameters
@@ -111,8 +113,10 @@
             This router's incarnation, which holds the duty.
         rows : dict
             All router rows.
+        listed : set of str or None
+            The platform's live instances; None when the list is not to be had.
         """
-        gathered = await self._gather(row, own, rows)
+        gathered = await self._gather(row, own, rows, listed)
         if gathered.unreachable:
             return RecoveryState.WAITING_FOR_HOLDERS
         writer = BillWriter(self._table, own)
@@ -131,39 +135,43 @@
             return RecoveryState.WAITING_FOR_ENDPOINTS
         return await self._close(row, own, bool(gathered.lost))
 
-    async def _gather(self, row: RouterRow, own: str, rows) -> _Gathered:
+    async def _gather(self, row: RouterRow, own: str, rows, listed) -> _Gathered:
         gathered = _Gathered({}, [], [])
         for holder in row.buddies:
-            holder_row = rows.get(holder)
             if holder == own:
                 records = self._book.close(row.incarnation)
-            elif holder_row is None or not holder_row.writable:
+                answer = HandOverAck(records, True)
+            else:
+                answer = await self._ask_holder(holder, row.incarnation, rows)
+            if answer is not None and answer.was_holder:
+                _merge(gathered.records, answer.records)
+            elif answer is not None or _is_off_list(holder, listed):
                 gathered.lost.append(holder)
-                continue
             else:
-                records = await self._ask_holder(holder_row, row.incarnation)
-            if records is None:
                 gathered.unreachable.append(holder)
-            else:
-                _merge(gathered.records, records)
-        if own not in row.buddies:
-            _merge(gathered.records, self._book.close(row.incarnation))
+        _merge(gathered.records, self._book.close(row.incarnation))
         _merge(gathered.records, await self._stored_records(row.incarnation))
         return gathered
 
+    async def _ask_holder(self, holder: str, fenced: str, rows) -> HandOverAck | None:
+        """Ask the process that was ``holder``; it may be another incarnation by now."""
+        instance = instance_of(holder)
+        for row in rows.values():
+            if row.instance != instance or not row.writable:
+                continue
+            try:
+                answer = await self._peers.ask(
+                    row.peers_address, row.incarnation, HandOver(fenced, holder)
+                )
+            except PeerError:
+                return None
+            return answer if isinstance(answer, HandOverAck) else None
+        return None
+
     async def _stored_records(self, incarnation: str) -> list[RunRecord]:
         rows = await self._table.scan_all(stored_records_prefix(incarnation))
         return [msgspec.convert(row.value, RunRecord) for row in rows]
 
-    async def _ask_holder(self, holder: RouterRow, fenced: str):
-        try:
-            answer = await self._peers.ask(
-                holder.peers_address, holder.incarnation, HandOver(fenced)
-            )
-        except PeerError:
-            return None
-        return answer.records if isinstance(answer, HandOverAck) else None
-
     async def _used_tokens(self, record: RunRecord) -> int | None:
         """Return the tokens that can be proved, or None when the engine must be asked again.
 
@@ -256,6 +264,10 @@
         return in_doubt
 
 
+def _is_off_list(holder: str, listed: set[str] | None) -> bool:
+    return listed is not None and instance_of(holder) not in listed
+
+
 def _merge(records: dict[str, RunRecord], more) -> None:
     for record in more:
         known = records.get(record.run_id)
--- a/turnward/peers/wire.capnp
+++ b/turnward/peers/wire.capnp
@@ -39,8 +39,12 @@
     }
     handOver :group {
       fenced @8 :Text;
+      holder @14 :Text;
+    }
+    handOverAck :group {
+      records @9 :List(RunRecord);
+      wasHolder @15 :Bool;
     }
-    handOverAck @9 :List(RunRecord);
     configAsk :group {
       after @10 :UInt64;
     }
--- a/turnward/router/context.py
+++ b/turnward/router/context.py
@@ -24,6 +24,8 @@
         The configuration in force.
     rows : dict of str to RouterRow
         Router rows as last read, by incarnation.
+    listed : set of str or None
+        Instances on the platform's list as last read; None when it can't be read.
     heard_s : dict of str to float
         When a heartbeat of an incarnation last came, in monotonic seconds.
     """
@@ -59,6 +61,7 @@
         self.book = RecordBook()
         self.rows: dict[str, RouterRow] = {}
         self.heard_s: dict[str, float] = {}
+        self.listed: set[str] | None = None
         self._queues: dict[str, AdmissionQueue] = {}
         self._retries: dict[str, RetryBudget] = {}
 
--- a/turnward/router/core.py
+++ b/turnward/router/core.py
@@ -47,16 +47,16 @@
         self.grants = GrantTask(context, self.ledger, store, self._lose)
         self.bills = BillTask(context, writer, self.ledger, store, self.records, self._lose)
         self.claims = ClaimTask(context, register, self._lose)
-        self._tasks = (self.records, self.grants, self.bills, self.claims)
+        self.tasks = (self.records, self.grants, self.bills, self.claims)
 
     def start(self) -> None:
         """Start the tasks."""
-        for task in self._tasks:
+        for task in self.tasks:
             task.start()
 
     def stop(self) -> None:
         """Stop the tasks."""
-        for task in self._tasks:
+        for task in self.tasks:
             task.stop()
 
     def hand_over(self, successor: "RouterCore") -> None:
--- a/turnward/router/membership_task.py
+++ b/turnward/router/membership_task.py
@@ -105,9 +105,13 @@
             self._context.events.emit("fleet.buddies", buddies=",".join(chosen))
 
     async def _find_silent(self) -> None:
-        listed = await self._listed()
+        listed = self._context.listed = await self._listed()
         for row in list(self._context.rows.values()):
-            if row.writable and self._guards(row) and await self._is_gone(row, listed):
+            if not row.writable or row.incarnation == self._core().incarnation:
+                continue
+            off_list = listed is not None and row.instance not in listed
+            limit_s = self._silence_limit_s(row, off_list)
+            if limit_s is not None and await self._is_gone(row, limit_s):
                 self._recovery.tell(FenceRouter(row.incarnation))
 
     async def _listed(self) -> set[str] | None:
@@ -117,29 +121,33 @@
             return None
         return {entry.instance for entry in entries}
 
-    def _guards(self, row: RouterRow) -> bool:
+    def _silence_limit_s(self, row: RouterRow, off_list: bool) -> float | None:
+        """Return the silence after which this router fences another; None for never.
+
+        Named buddies act first. When they may be gone as well, the others act
+        one after the other, so that two seldom race and none is waited for.
+        """
+        settings = self._context.settings
+        if self._core().incarnation in row.buddies:
+            return settings.gone_after_s if off_list else settings.fence_listed_after_s
+        rows = self._context.rows
+        has_buddy = any(name in rows and rows[name].writable for name in row.buddies)
+        if has_buddy and not off_list:
+            return None
+        rank = self._rank_for(row)
+        return settings.fence_listed_after_s + rank * settings.gone_after_s
+
+    def _rank_for(self, row: RouterRow) -> int:
+        names = [other.incarnation for other in self._context.live_rows()]
+        names.sort(key=lambda name: rendezvous_weight(row.instance, name), reverse=True)
         own = self._core().incarnation
-        if row.incarnation == own:
-            return False
-        if own in row.buddies:
-            return True
-        live = {other.incarnation: other for other in self._context.live_rows()}
-        if any(buddy in live for buddy in row.buddies):
-            return False
-        others = [name for name in live if name != row.incarnation]
-        first = max(others, key=lambda name: rendezvous_weight(row.instance, name), default="")
-        return first == own
+        return names.index(own) if own in names else len(names)
 
-    async def _is_gone(self, row: RouterRow, listed: set[str] | None) -> bool:
+    async def _is_gone(self, row: RouterRow, limit_s: float) -> bool:
         now_s = self._context.now_s()
-        settings = self._context.settings
         first_s = self._first_seen_s.setdefault(row.incarnation, now_s)
         silent_s = now_s - self._context.heard_s.get(row.incarnation, first_s)
-        off_list = listed is not None and row.instance not in listed
-        limit_s = settings.gone_after_s if off_list else settings.fence_listed_after_s
-        if silent_s < limit_s:
-            return False
-        if await self._answers(row):
+        if silent_s < limit_s or await self._answers(row):
             return False
         return not await self._heard_by_others(row, limit_s)
 
--- a/turnward/router/process.py
+++ b/turnward/router/process.py
@@ -58,10 +58,11 @@
         settings = context.settings
         self._log = get_log("router")
         self._registry = RouterRegistry(context.table)
-        self.links = PeerLinks(
-            context.reactor, context.events.clock, self.answer_peer, settings.peer_timeout_s
-        )
-        context.peers = self.links
+        if context.peers is None:
+            context.peers = PeerLinks(
+                context.reactor, context.events.clock, settings.peer_timeout_s
+            )
+        context.peers.handler = self.answer_peer
         self.core = RouterCore(context, new_incarnation(settings.instance), self._fenced)
         self.desk = FlightDesk(context, self._current_core)
         self.config = ConfigTask(context)
@@ -77,6 +78,7 @@
             EventTask(context),
         )
         self._ports: list = []
+        self._incarnations: set[str] = set()
         self.stopped: defer.Deferred = defer.Deferred()
 
     @classmethod
@@ -104,17 +106,25 @@
     async def start(self) -> None:
         """Listen to peers and operators, register, load the configuration, then serve."""
         settings = self.context.settings
-        self.links.listen(settings.peers_address)
+        self.context.peers.listen(settings.peers_address)
         states = StateReader(self.context, self.status)
         operators = OperatorsFace(self.context, states, self.leave)
         self._listen(settings.operators_address, server.Site(operators))
-        await self._begin(self.core)
-        for part in self._tasks:
-            part.start()
+        await self.start_parts()
         callers = CallersFace(self.context, self.desk)
         self._listen(settings.callers_address, LimitedSite(callers, settings))
         self._log.info("The router serves.", incarnation=self.core.incarnation)
 
+    async def start_parts(self) -> None:
+        """Register and start the tasks; everything but the listening ports."""
+        await self._begin(self.core)
+        for part in self._tasks:
+            part.start()
+
+    def unexpected_failures(self) -> int:
+        """Return how many batches of messages failed for a cause no code foresaw."""
+        return sum(part.unexpected_failures for part in (*self._tasks, *self.core.tasks))
+
     def _listen(self, address: str, site) -> None:
         host, port = parse_address(address)
         self._ports.append(self.context.reactor.listenTCP(port, site, interface=host))
@@ -130,7 +140,8 @@
             except PlatformError as failure:
                 self._log.info("The platform is not reached yet.", cause=str(failure))
                 await task.deferLater(self.context.reactor, _START_RETRY_S)
-        self.links.incarnation = core.incarnation
+        self._incarnations.add(core.incarnation)
+        self.context.peers.incarnation = core.incarnation
         self.context.events.incarnation = core.incarnation
         core.start()
         if self.context.machine.fire("registered"):
@@ -180,7 +191,8 @@
         if isinstance(message, PutRecords):
             return RecordsAck(context.book.put(incarnation, message.records))
         if isinstance(message, HandOver):
-            return HandOverAck(context.book.close(message.fenced))
+            records = context.book.close(message.fenced)
+            return HandOverAck(records, message.holder in self._incarnations)
         if isinstance(message, ConfigAsk):
             return self.config.entries_after(message.after)
         if isinstance(message, StatusAsk):
@@ -288,7 +300,8 @@
     def _close(self) -> None:
         for part in (*self._tasks, self.core):
             part.stop()
-        self._ports[0].stopListening()
-        self.links.close()
+        for port in self._ports[:1]:
+            port.stopListening()
+        self.context.peers.close()
         self._log.info("The router has left.")
         self.stopped.callback(None)
--- a/turnward/router/recovery_task.py
+++ b/turnward/router/recovery_task.py
@@ -75,7 +75,9 @@
         if row.incarnation not in fresh:
             return
         try:
-            state = await self._recoverer.step(fresh[row.incarnation], own, fresh)
+            state = await self._recoverer.step(
+                fresh[row.incarnation], own, fresh, self._context.listed
+            )
         except PlatformError as failure:
             self.log.info("A recovery waits for the platform.", cause=str(failure))
             return
--- a/turnward/router/task.py
+++ b/turnward/router/task.py
@@ -32,6 +32,11 @@
         Seconds between ticks.
     on_fenced : callable
         Called without arguments when a write shows that the router is fenced.
+
+    Attributes
+    ----------
+    unexpected_failures : int
+        Batches that failed for a cause no code foresaw; each is a fault of ours.
     """
 
     #: Prefix of the task's log lines.
@@ -47,6 +52,8 @@
         self._loop.clock = reactor
         self._period_s = period_s
         self._idle: list[defer.Deferred] = []
+        self.unexpected_failures = 0
+        self._failing = False
 
     @abstractmethod
     async def handle(self, messages: list[Any]) -> None:
@@ -96,10 +103,23 @@
     async def _handle_safely(self, messages: list[Any]) -> None:
         try:
             await self.handle(messages)
+            self._note_success()
         except FencedError:
             self.log.warning("The router is fenced.")
             self._on_fenced()
         except (PlatformError, PeerError, EndpointError) as failure:
-            self.log.info("A call failed.", cause=str(failure))
+            self._note_failure(failure)
         except Exception:
+            self.unexpected_failures += 1
             self.log.exception("A batch of messages failed.")
+
+    def _note_failure(self, failure: Exception) -> None:
+        """Log the first failure of a row; an outage would fill the log otherwise."""
+        if not self._failing:
+            self.log.warning("Calls fail.", cause=str(failure))
+        self._failing = True
+
+    def _note_success(self) -> None:
+        if self._failing:
+            self.log.info("Calls succeed again.")
+        self._failing = False
