Keep a run that was never seen from beginning after its recovery

Ruled out: a clock check alone (the pause may come after it). Change: recovery cancels runs never seen, so that an engine that honours cancel refuses them later; a record that took longer than gone_after_s is held again; runs proved to have used nothing leave no bill; a bill whose grant is closed is drawn on the new incarnation's grant. Left: an engine that forgets cancels of unknown runs keeps the window between the acknowledgement and the send.

--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -4,6 +4,9 @@
 import pytest
 
 from tests.fake_fleet import FakeFleet
+from tests.helpers import run
+from turnward.endpoints import NotRunError
+from turnward.resources import Change, ConfigLog
 
 
 @pytest.fixture
@@ -194,8 +197,6 @@
 
 
 def test_router_cut_from_the_store_takes_configuration_from_a_peer(fleet):
-    from tests.helpers import run
-    from turnward.resources import Change, ConfigLog
 
     cut = fleet.routers[0]
     cut.table.down = True
@@ -205,3 +206,18 @@
     fleet.advance(5.0)
     assert cut.context.config.revision == revision
     settle(fleet)
+
+
+def test_run_not_seen_at_recovery_cannot_begin_later(fleet):
+    """A router frozen between record and send woke, ran and was billed 0 (found by a freeze)."""
+    victim = fleet.routers[0]
+    engine = victim.context.engines
+    fleet.submit(victim, "c0", repeatable=True)
+    fleet.advance(0.5)
+    run_id = next(iter(fleet.world.open))
+    del fleet.world.runs[run_id]
+    fleet.kill(victim)
+    fleet.advance(5.0)
+    assert fleet.bills() == []
+    with pytest.raises(NotRunError):
+        run(engine.chat("http://127.0.0.1:1", run_id, b"", None, None))
--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -45,6 +45,15 @@
     def book(self, number, name):
         self.fleet.submit(self.router(number), f"b{name}", repeatable=False)
 
+    @rule(name=IDS)
+    def serve_everywhere(self, name):
+        for number in range(4):
+            self.chat(number, 20 + 4 * name + number)
+            self.book(number, 20 + name)
+        self.fleet.advance(0.3)
+        self.fleet.finish_runs()
+        self.fleet.advance(0.2)
+
     @rule(answered=st.booleans())
     def finish(self, answered):
         self.fleet.finish_runs(answered)
--- a/turnward/callers/answers.py
+++ b/turnward/callers/answers.py
@@ -4,6 +4,7 @@
 from abc import ABC, abstractmethod
 
 from turnward.callers.problems import Refusal, problem_body
+from turnward.http import abort_request
 
 __all__ = ["AnswerBase", "HttpAnswer", "send_refusal"]
 
@@ -66,7 +67,7 @@
         """See ``AnswerBase.abort``."""
         if not self._gone and not self._ended:
             self._ended = True
-            self._request.channel.abortConnection()
+            abort_request(self._request)
 
     @property
     def caller_gone(self):
--- a/turnward/callers/chat.py
+++ b/turnward/callers/chat.py
@@ -304,7 +304,7 @@
 
     def _end_whole(self, flight: Flight, relay: _Relay, answer: AnswerBase) -> None:
         body = relay.body() if not relay._stream or relay.status != _OK else b""
-        self._desk.bill(flight, relay.used_tokens or 0)
+        self._settle(flight, relay.used_tokens or 0)
         if relay._stream and relay.status == _OK:
             answer.finish()
             return
@@ -332,8 +332,14 @@
             answer.abort()
         else:
             send_refusal(answer, refusal, flight.request_id)
-        used_tokens = await self._account(flight, relayed_events)
-        self._desk.bill(flight, used_tokens)
+        self._settle(flight, await self._account(flight, relayed_events))
+
+    def _settle(self, flight: Flight, used_tokens: int) -> None:
+        """Bill what was used; a run that used nothing leaves the id free for a retry."""
+        if used_tokens:
+            self._desk.bill(flight, used_tokens)
+        else:
+            self._desk.discard(flight)
 
     async def _account(self, flight: Flight, relayed_events: int) -> int:
         """Return a cut run's usage by the engine's account, else what was passed on."""
--- a/turnward/callers/flights.py
+++ b/turnward/callers/flights.py
@@ -30,6 +30,7 @@
 #: Seconds after which a caller refused for want of reachable tokens may come back.
 UNREACHABLE_RETRY_S = 2
 _SHORT_RETRY_S = 1
+HOLD_TRIES = 2
 
 
 class StoredReply(msgspec.Struct, frozen=True):
@@ -301,7 +302,7 @@
             flight.reservation.tokens,
             repeatable=flight.repeatable,
         )
-        held = await self._hold_at_buddy(flight, record)
+        held = await self._hold_freshly(flight, record)
         if not held:
             flight.core.records.put(msgspec.structs.replace(record, state=RecordState.BILLED))
             raise RefusedError(
@@ -315,6 +316,19 @@
         if before is not None:
             flight.core.records.put(msgspec.structs.replace(before, state=RecordState.BILLED))
 
+    async def _hold_freshly(self, flight: Flight, record: RunRecord) -> bool:
+        """Hold the record; once more if it took so long that it may be settled already.
+
+        A router that was frozen meanwhile may have been fenced and recovered.
+        """
+        for _ in range(HOLD_TRIES):
+            started_s = self._context.now_s()
+            if not await self._hold_at_buddy(flight, record):
+                return False
+            if self._context.now_s() - started_s < self._context.settings.gone_after_s:
+                return True
+        return False
+
     async def _hold_at_buddy(self, flight: Flight, record: RunRecord) -> bool:
         if flight.core.fenced:
             return False
--- a/turnward/endpoints/clients.py
+++ b/turnward/endpoints/clients.py
@@ -19,6 +19,7 @@
 #: Header that carries the run id; one attempt, one id.
 RUN_ID_HEADER = "X-Request-Id"
 
+_CONFLICT = 409
 _SERVICE_UNAVAILABLE = 503
 _OK = 200
 
@@ -60,6 +61,8 @@
             raise RunUncertainError(str(failure)) from failure
         if head.status == _SERVICE_UNAVAILABLE:
             raise NotRunError("the engine takes no new work")
+        if head.status == _CONFLICT:
+            raise NotRunError("the run was cancelled before it began")
         return head
 
     async def resume(self, url, run_id, start, on_data):
--- a/turnward/http.py
+++ b/turnward/http.py
@@ -18,7 +18,13 @@
 
 from turnward.errors import TurnwardError
 
-__all__ = ["HttpClient", "HttpResponse", "NotSentError", "SentUnansweredError"]
+__all__ = [
+    "HttpClient",
+    "HttpResponse",
+    "NotSentError",
+    "SentUnansweredError",
+    "abort_request",
+]
 
 #: Failures that prove that no byte of the request has left this process.
 _NOT_SENT = (
@@ -45,6 +51,11 @@
     body: bytes = b""
 
 
+def abort_request(request) -> None:
+    """Cut the connection of a ``twisted.web`` server request, answered or not."""
+    request.channel.transport.abortConnection()
+
+
 class _Collector(Protocol):
     """Passes body bytes on and reports how the body ended."""
 
--- a/turnward/peers/recovery.py
+++ b/turnward/peers/recovery.py
@@ -129,6 +129,10 @@
             if used_tokens is None:
                 waiting = True
                 continue
+            if used_tokens == 0 and record.repeatable and self._is_engine(record.endpoint):
+                # Proved not to have run; a bill would stand in the way of a retry's.
+                settled.add(record.run_id)
+                continue
             writer.add(self._bill(record, row.incarnation, used_tokens))
         await self._write(writer, row)
         if waiting:
@@ -185,7 +189,9 @@
             return 0
         try:
             account = await self._engines.account(url, record.run_id)
-            if account.state is RunState.RUNNING and account.reader_gone:
+            gone = account.state is RunState.RUNNING and account.reader_gone
+            if gone or account.state is RunState.NEVER_SEEN:
+                # A frozen router may still send a run never seen; cancelled, it is refused.
                 account = await self._engines.cancel(url, record.run_id)
         except EndpointError:
             return None
--- a/turnward/router/bill_task.py
+++ b/turnward/router/bill_task.py
@@ -79,8 +79,7 @@
         for bill, standing in done.doubled:
             self._note_doubled(bill, standing)
         for bill in done.orphaned:
-            self._context.metrics.count("bills.orphaned")
-            self._emit("bill.orphaned", bill)
+            self._draw_anew(bill)
 
     def _note_written(self, bill: Bill) -> None:
         if bill.row.incarnation == self.writer.incarnation:
@@ -106,6 +105,18 @@
         self._context.metrics.count("bills.doubled")
         self._emit("bill.doubled", bill)
 
+    def _draw_anew(self, bill: Bill) -> None:
+        """Draw a bill whose grant is closed on this incarnation's own grant."""
+        now_s = self._context.now_s()
+        reserved = self._ledger.reserve(bill.row.budget, bill.row.tokens, now_s)
+        if reserved.is_error():
+            self._context.metrics.count("bills.orphaned")
+            self._emit("bill.orphaned", bill)
+            return
+        self._ledger.settle(reserved.ok, bill.row.tokens)
+        row = msgspec.structs.replace(bill.row, incarnation=self.writer.incarnation)
+        self.writer.add(Bill(row, bill.extra_writes))
+
     def _release(self, bill: Bill) -> None:
         for record in self._billed_records.pop(bill.key, []):
             self._records.put(msgspec.structs.replace(record, state=RecordState.BILLED))
--- a/turnward/standins/engine.py
+++ b/turnward/standins/engine.py
@@ -5,6 +5,7 @@
 from twisted.web import resource, server
 
 from turnward.endpoints import LoadReport, RunAccount, RunState
+from turnward.http import abort_request
 from turnward.standins.batch import BatchSettings, EngineBatch, EngineRun
 
 __all__ = ["EngineFaults", "EngineStandIn"]
@@ -89,6 +90,7 @@
         self.runs: dict[str, _Run] = {}
         self._reports: list[tuple[float, LoadReport]] = []
         self._last_new_work_s = 0.0
+        self._refused = 0
         self._schedule(_IDLE_STEP_S)
 
     def render_POST(self, request):  # noqa: N802 - twisted's name
@@ -124,6 +126,7 @@
 
     def _chat(self, request, body: bytes):
         if self.faults.leaving:
+            self._refused += 1
             request.setResponseCode(503)
             return b"{}"
         try:
@@ -169,8 +172,10 @@
 
     def _cancel(self, run_id: str) -> bytes:
         run = self.runs.get(run_id)
-        if run is not None:
-            self.batch.cancel(run.engine_run)
+        if run is None:
+            # Keeps a request that is still under way from running later.
+            run = self.runs[run_id] = _Run(EngineRun(run_id, 0, 1), "", False)
+        self.batch.cancel(run.engine_run)
         return msgspec.json.encode(self._account(run_id))
 
     def _account(self, run_id: str) -> RunAccount:
@@ -212,7 +217,7 @@
             reader.request.write(b"data: " + msgspec.json.encode(chunk) + b"\n\n")
             reader.sent += 1
             if 0 < self.faults.cut_after_tokens == reader.sent and not resumed:
-                reader.request.channel.abortConnection()
+                abort_request(reader.request)
                 return
 
     def _finish(self, run: _Run, reader: _Reader) -> None:
@@ -268,5 +273,6 @@
             "runs": {run_id: run.engine_run.used_tokens for run_id, run in self.runs.items()},
             "cache_hits": self.batch.cache_hits,
             "cache_misses": self.batch.cache_misses,
+            "refused": self._refused,
             "last_new_work_s": self._last_new_work_s,
         }
--- a/turnward/standins/platform.py
+++ b/turnward/standins/platform.py
@@ -8,6 +8,7 @@
 from twisted.internet import task
 from twisted.web import resource, server
 
+from turnward.http import abort_request
 from turnward.platform import Instance, MemoryObjectStore, MemoryTable, Transaction
 from turnward.platform.memory import MemoryInstanceList
 
@@ -81,7 +82,7 @@
             return server.NOT_DONE_YET
         answer = self._answer(request, path, body)
         if answer is None:
-            request.channel.abortConnection()
+            abort_request(request)
             return server.NOT_DONE_YET
         return answer
 
@@ -90,7 +91,7 @@
         if request._disconnected:
             return
         if answer is None:
-            request.channel.abortConnection()
+            abort_request(request)
             return
         request.write(answer)
         request.finish()
--- a/turnward/standins/service.py
+++ b/turnward/standins/service.py
@@ -5,6 +5,8 @@
 from twisted.internet import task
 from twisted.web import resource, server
 
+from turnward.http import abort_request
+
 __all__ = ["ServiceFaults", "ServiceStandIn"]
 
 
@@ -62,7 +64,7 @@
             return
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
-            request.channel.abortConnection()
+            abort_request(request)
             return
         request.setHeader("Content-Type", "application/json")
         request.write(msgspec.json.encode({"booking": number}))
