--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
+SOURCES := $(shell find turnward -name '*.py' -o -name '*.toml' -o -name '*.capnp') pyproject.toml
 
-.PHONY: demo test check format clean
+.PHONY: demo test check dist format clean
 
 $(VENV)/ready: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -15,8 +16,17 @@
 demo: $(VENV)/ready
 	$(BIN)/python -m tools.demo $(if $(KILL),--kill)
 
-test: $(VENV)/ready
-	$(BIN)/python -m pytest
+test: $(VENV)/ready dist/turnward
+	mkdir -p build
+	$(BIN)/python -m pytest --junitxml=build/tests.xml
+	$(BIN)/python -m tools.check_promises build/tests.xml
+
+dist: dist/turnward
+
+dist/turnward: $(VENV)/ready $(SOURCES)
+	mkdir -p dist
+	$(BIN)/shiv --quiet --reproducible --root /tmp/turnward --console-script turnward \
+		--python '/usr/bin/env python3.11' --output-file $@ --requirement requirements.txt .
 
 check: $(VENV)/ready
 	$(BIN)/ruff format --check .
--- a/tests/fake_fleet.py
+++ b/tests/fake_fleet.py
@@ -115,7 +115,8 @@
 class Submission:
     """One request as a caller sent it to one router."""
 
-    def __init__(self, router: "FakeRouter", request_id: str, repeatable: bool):
+    def __init__(self, router: "FakeRouter", request_id: str, repeatable: bool, body: bytes):
+        self.body = body
         self.router = router
         self.request_id = request_id
         self.repeatable = repeatable
@@ -330,7 +331,7 @@
                 )
                 await self._chat.serve(workspace, request_id, body, answer)
             else:
-                call = ServiceRequest("points", "POST", "/bookings", "text/plain", b"x")
+                call = ServiceRequest("points", "POST", "/bookings", "text/plain", submission.body)
                 await self._services.serve(workspace, request_id, call, answer)
         except RefusedError as refused:
             send_refusal(answer, refused.refusal, request_id)
@@ -424,9 +425,11 @@
                 self.reverted.append(router.name)
             self.seen_revisions[router.name] = revision
 
-    def submit(self, router: FakeRouter, request_id: str, repeatable: bool) -> Submission:
+    def submit(
+        self, router: FakeRouter, request_id: str, repeatable: bool, body: bytes = b"x"
+    ) -> Submission:
         """Send a request to a router."""
-        submission = Submission(router, request_id, repeatable)
+        submission = Submission(router, request_id, repeatable, body)
         submission.first_run = len(self.world.runs)
         self.submissions.append(submission)
         router.deliver(lambda: router.submit(submission))
