--- a/tools/local_fleet.py
+++ b/tools/local_fleet.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+import re
 import signal
 import socket
 import subprocess
@@ -196,9 +197,13 @@
         status, _, answer = http_call(method, router.operators_url + path, body, headers)
         return status, msgspec.json.decode(answer)
 
-    def apply_file(self, router: RouterHandle, path: str, ports: dict[str, int]) -> None:
-        """Apply a resource file whose endpoint ports are replaced by real ones."""
+    def apply_file(
+        self, router: RouterHandle, path: str, ports: dict[str, int], slots: int = 0
+    ) -> None:
+        """Apply a resource file with real ports, and ``slots`` for each endpoint if above 0."""
         text = Path(path).read_text()
+        if slots:
+            text = re.sub(r"slots = \d+", f"slots = {slots}", text)
         for example, real in ports.items():
             text = text.replace(f"127.0.0.1:{example}", f"127.0.0.1:{real}")
         copy = self.folder / Path(path).name
--- a/turnward/peers/link.py
+++ b/turnward/peers/link.py
@@ -36,10 +36,14 @@
         Answers questions of peers; set by the router before it listens.
     incarnation : str
         Who asks; set at each registration.
+    sent_bytes, received_bytes : int
+        Frames so far, without their TCP and IP headers.
     """
 
     handler: Handler | None = None
     incarnation: str = ""
+    sent_bytes: int = 0
+    received_bytes: int = 0
 
     @abstractmethod
     def listen(self, address: str):
@@ -140,8 +144,6 @@
         self._links: dict[str, defer.Deferred | _AskingFrames] = {}
         self._answering: set[_Frames] = set()
         self._port = None
-        self.sent_bytes = 0
-        self.received_bytes = 0
 
     def listen(self, address):
         """See ``PeersBase.listen``; returns the port."""
--- a/turnward/router/process.py
+++ b/turnward/router/process.py
@@ -227,6 +227,8 @@
             self.desk.open_count,
             len(core.bills.writer.pending),
             context.book.count(),
+            context.peers.sent_bytes,
+            context.peers.received_bytes,
             {buddy: outbox.unsent_count(buddy) for buddy in core.records.buddies},
             endpoints,
             {budget: core.ledger.free_tokens(budget) for budget in core.ledger.budgets()},
