--- a/turnward/peers/recovery.py
+++ b/turnward/peers/recovery.py
@@ -68,6 +68,8 @@
     ----------
     table : TableBase
         The platform's table.
+    registry : RouterRegistry
+        The router rows.
     peers : PeersBase
         Asks the other holders.
     book : RecordBook
@@ -83,6 +85,7 @@
     def __init__(
         self,
         table: TableBase,
+        registry: RouterRegistry,
         peers: PeersBase,
         book: RecordBook,
         engines: EngineClientBase,
@@ -97,7 +100,7 @@
         self._endpoint_url = endpoint_url
         self._is_engine = is_engine
         self._events = events
-        self._registry = RouterRegistry(table)
+        self._registry = registry
         self._settled: dict[str, set[str]] = {}
 
     async def step(
--- a/turnward/router/context.py
+++ b/turnward/router/context.py
@@ -3,7 +3,7 @@
 
 from turnward.endpoints import EngineClientBase, ServiceClientBase
 from turnward.events import ClockBase, EventLog, Metrics
-from turnward.fleet import RouterRow
+from turnward.fleet import RouterRegistry, RouterRow
 from turnward.lifecycle import StateMachine
 from turnward.peers.book import RecordBook
 from turnward.peers.link import PeersBase
@@ -20,6 +20,8 @@
 
     Attributes
     ----------
+    registry : RouterRegistry
+        The router rows; one view for the process.
     config : ConfigState
         The configuration in force.
     rows : dict of str to RouterRow
@@ -48,6 +50,7 @@
         self.clock = clock
         self.table = table
         self.objects = objects
+        self.registry = RouterRegistry(table)
         self.instance_list = instance_list
         self.engines = engines
         self.services = services
--- a/turnward/router/membership_task.py
+++ b/turnward/router/membership_task.py
@@ -3,7 +3,7 @@
 
 import msgspec
 
-from turnward.fleet import RouterRegistry, RouterRow, choose_buddies, rendezvous_weight
+from turnward.fleet import RouterRow, choose_buddies, rendezvous_weight
 from turnward.peers.errors import PeerError
 from turnward.peers.messages import Heartbeat, HeartbeatAck, StatusAsk, StatusReply
 from turnward.platform import PlatformError
@@ -35,7 +35,7 @@
         self._config = config
         self._recovery = recovery
         self._core = core
-        self._registry = RouterRegistry(context.table)
+        self._registry = context.registry
         self._read_s = float("-inf")
         self._first_seen_s: dict[str, float] = {}
         self._seen_incarnation = ""
--- a/turnward/router/process.py
+++ b/turnward/router/process.py
@@ -9,7 +9,7 @@
 from turnward.callers.flights import FlightDesk
 from turnward.endpoints import HttpEngineClient, HttpServiceClient
 from turnward.events import EventLog, HybridClock, Metrics, SystemClock, get_log, matches
-from turnward.fleet import RouterRegistry, RouterRow, RouterState
+from turnward.fleet import RouterRow, RouterState
 from turnward.http import HttpClient
 from turnward.operators.face import OperatorsFace
 from turnward.operators.states import RouterStatus, StateReader
@@ -57,7 +57,7 @@
         self.context = context
         settings = context.settings
         self._log = get_log("router")
-        self._registry = RouterRegistry(context.table)
+        self._registry = context.registry
         if context.peers is None:
             context.peers = PeerLinks(
                 context.reactor, context.events.clock, settings.peer_timeout_s
--- a/turnward/router/recovery_task.py
+++ b/turnward/router/recovery_task.py
@@ -3,7 +3,7 @@
 
 import msgspec
 
-from turnward.fleet import RouterRegistry, RouterRow, RouterState, rendezvous_weight
+from turnward.fleet import RouterRow, RouterState, rendezvous_weight
 from turnward.peers.recovery import Recoverer, RecoveryState
 from turnward.platform import PlatformError
 from turnward.router.task import TaskBase, Tick
@@ -34,9 +34,10 @@
         super().__init__(context.reactor, 1.0, on_fenced)
         self._context = context
         self._core = core
-        self._registry = RouterRegistry(context.table)
+        self._registry = context.registry
         self._recoverer = Recoverer(
             context.table,
+            context.registry,
             context.peers,
             context.book,
             context.engines,
