Send run records packed, and their ends lazily

Cause: 175 bytes for each of three messages to two buddies a request. Change: ids and digests as bytes; a billed record is dropped by its run id alone; the end of a repeatable run is not sent at once, so that most are overtaken by their bill. A recovery asks the engine for runs that look open, as it did before.

--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -26,7 +26,7 @@
 from turnward.events import Stamp
 from turnward.peers.book import RecordBook
 from turnward.peers.codec import Envelope, encode
-from turnward.peers.messages import Heartbeat, PutRecords, RecordState, RunRecord
+from turnward.peers.messages import Heartbeat, PutRecords, RunRecord
 from turnward.resources import Endpoint, Workspace
 from turnward.routing import EndpointView
 
@@ -307,7 +307,7 @@
     stamp = Stamp(1_700_000_000_000, 1)
     batch = 50
     records = tuple(_record(number) for number in range(batch))
-    dropped = tuple(msgspec.structs.replace(record, state=RecordState.BILLED) for record in records)
+    dropped = tuple(record.run_id for record in records)
 
     def size(message) -> int:
         return len(encode(Envelope(1, "entry-1.0123456789ab", stamp, message)))
@@ -319,7 +319,7 @@
         "memory_per_endpoint_bytes": _memory_per(_endpoints),
         "wire_heartbeat_bytes": size(Heartbeat(1_000)),
         "wire_open_record_bytes": size(PutRecords(records)) / batch,
-        "wire_billed_record_bytes": size(PutRecords(dropped)) / batch,
+        "wire_billed_record_bytes": size(PutRecords((), dropped)) / batch,
     }
 
 
--- a/tools/local_fleet.py
+++ b/tools/local_fleet.py
@@ -21,7 +21,7 @@
 __all__ = ["LocalFleet", "RouterHandle", "free_port", "http_call"]
 
 OPERATOR_KEY = "operator-key"
-_START_LIMIT_S = 20.0
+_START_LIMIT_S = 60.0
 _POLL_S = 0.02
 _STOP_LIMIT_S = 10.0
 
--- a/turnward/peers/book.py
+++ b/turnward/peers/book.py
@@ -2,10 +2,23 @@
 """The records a router holds for others, and those it has handed to others."""
 
 from collections import OrderedDict
+from itertools import islice
 
 from turnward.peers.messages import RecordState, RunRecord
 
-__all__ = ["RecordBook", "RecordOutbox"]
+__all__ = ["RecordBook", "RecordOutbox", "is_urgent"]
+
+
+def is_urgent(record: RunRecord) -> bool:
+    """Tell whether a record must be sent at once.
+
+    An open record must be held before its request goes out, and of a call that
+    may not be repeated only the record tells that it has ended. The end of other
+    runs can be asked of the endpoint, so it may be sent later.
+    """
+    return record.state is RecordState.OPEN or (
+        record.state is RecordState.CLOSED and not record.repeatable
+    )
 
 
 class RecordBook:
@@ -19,16 +32,15 @@
         self._records: dict[str, dict[str, RunRecord]] = {}
         self._closed: set[str] = set()
 
-    def put(self, incarnation: str, records: tuple[RunRecord, ...]) -> bool:
-        """Hold records; False when the incarnation is fenced as far as known here."""
+    def put(self, incarnation: str, records: tuple[RunRecord, ...], dropped=()) -> bool:
+        """Hold records and drop billed ones; False when the incarnation is fenced here."""
         if incarnation in self._closed:
             return False
         held = self._records.setdefault(incarnation, {})
         for record in records:
-            if record.state is RecordState.BILLED:
-                held.pop(record.run_id, None)
-            else:
-                held[record.run_id] = record
+            held[record.run_id] = record
+        for run_id in dropped:
+            held.pop(run_id, None)
         return True
 
     def close(self, incarnation: str) -> tuple[RunRecord, ...]:
@@ -90,10 +102,19 @@
         for queue in self._unsent.values():
             queue[record.run_id] = record
 
-    def take_unsent(self, buddy: str, limit: int) -> tuple[RunRecord, ...]:
-        """Return up to ``limit`` records to send to a buddy."""
-        queue = self._unsent.get(buddy, {})
-        return tuple(list(queue.values())[:limit])
+    def take_unsent(self, buddy: str, limit: int, urgent_only: bool) -> tuple[RunRecord, ...]:
+        """Return up to ``limit`` records to send to a buddy.
+
+        What need not be sent at once may be overtaken: a run that ends and is
+        billed within a moment is sent as billed only.
+        """
+        queue = self._unsent.get(buddy, {}).values()
+        wanted = (record for record in queue if not urgent_only or is_urgent(record))
+        return tuple(islice(wanted, limit))
+
+    def has_urgent(self, buddy: str) -> bool:
+        """Tell whether a record waits that must be sent at once."""
+        return any(is_urgent(record) for record in self._unsent.get(buddy, {}).values())
 
     def mark_held(self, buddy: str, records: tuple[RunRecord, ...]) -> None:
         """Take in that a buddy holds these records."""
--- a/turnward/peers/codec.py
+++ b/turnward/peers/codec.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Turns messages between routers into bytes and back, by Cap'n Proto."""
 
+import uuid
 from pathlib import Path
 
 import capnp
@@ -25,7 +26,7 @@
     StatusReply,
 )
 
-__all__ = ["Envelope", "WireError", "decode", "encode"]
+__all__ = ["Envelope", "WireError", "decode", "encode", "pack_id", "unpack_id"]
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("wire.capnp")))
 
@@ -43,6 +44,11 @@
 _GROUP_NAMES = {message_type: name for name, message_type in _GROUPS.items()}
 
 
+#: First byte of a packed id: what the rest is.
+_AS_UUID, _AS_HEX, _AS_TEXT = b"\x00", b"\x01", b"\x02"
+_UUID_LENGTH = 36
+
+
 class WireError(TurnwardError):
     """A frame that is not a message of this protocol."""
 
@@ -56,6 +62,36 @@
     message: Message
 
 
+def pack_id(text: str) -> bytes:
+    """Return an id or digest in fewer bytes; UUIDs and hexadecimal shrink by half.
+
+    Examples
+    --------
+    >>> len(pack_id("0190163d-8694-739b-aea5-966c26f8ad91"))
+    17
+    >>> unpack_id(pack_id("order 17"))
+    'order 17'
+    """
+    try:
+        if len(text) == _UUID_LENGTH and str(uuid.UUID(text)) == text:
+            return _AS_UUID + uuid.UUID(text).bytes
+        if bytes.fromhex(text).hex() == text:
+            return _AS_HEX + bytes.fromhex(text)
+    except ValueError:
+        pass
+    return _AS_TEXT + text.encode()
+
+
+def unpack_id(packed: bytes) -> str:
+    """Return the id or digest that was packed."""
+    kind, rest = packed[:1], bytes(packed[1:])
+    if kind == _AS_UUID:
+        return str(uuid.UUID(bytes=rest))
+    if kind == _AS_HEX:
+        return rest.hex()
+    return rest.decode()
+
+
 def encode(envelope: Envelope) -> bytes:
     """Return the packed bytes of an envelope."""
     wire = _SCHEMA.Envelope.new_message(
@@ -71,7 +107,11 @@
         for field in message_type.__struct_fields__:
             setattr(group, field, getattr(message, field))
     elif message_type is PutRecords:
-        _fill_records(wire.init("putRecords", len(message.records)), message.records)
+        group = wire.init("putRecords")
+        _fill_records(group.init("records", len(message.records)), message.records)
+        dropped = group.init("dropped", len(message.dropped))
+        for position, run_id in enumerate(message.dropped):
+            dropped[position] = pack_id(run_id)
     elif message_type is HandOverAck:
         group = wire.init("handOverAck")
         group.wasHolder = message.was_holder
@@ -108,7 +148,8 @@
         message_type = _GROUPS[str(name)]
         return message_type(*(getattr(body, field) for field in message_type.__struct_fields__))
     if name == "putRecords":
-        return PutRecords(tuple(_read_record(record) for record in body))
+        records = tuple(_read_record(record) for record in body.records)
+        return PutRecords(records, tuple(unpack_id(packed) for packed in body.dropped))
     if name == "handOverAck":
         records = tuple(_read_record(record) for record in body.records)
         return HandOverAck(records, body.wasHolder)
@@ -123,12 +164,12 @@
 
 
 def _fill_record(target, record: RunRecord) -> None:
-    target.requestId = record.request_id
-    target.runId = record.run_id
+    target.requestId = pack_id(record.request_id)
+    target.runId = pack_id(record.run_id)
     target.workspace = record.workspace
     target.budget = record.budget
     target.endpoint = record.endpoint
-    target.fingerprint = record.fingerprint
+    target.fingerprint = pack_id(record.fingerprint)
     target.reservedTokens = record.reserved_tokens
     target.usedTokens = record.used_tokens
     target.state = int(record.state)
@@ -137,12 +178,12 @@
 
 def _read_record(record) -> RunRecord:
     return RunRecord(
-        record.requestId,
-        record.runId,
+        unpack_id(record.requestId),
+        unpack_id(record.runId),
         record.workspace,
         record.budget,
         record.endpoint,
-        record.fingerprint,
+        unpack_id(record.fingerprint),
         record.reservedTokens,
         record.usedTokens,
         RecordState(record.state),
--- a/turnward/peers/messages.py
+++ b/turnward/peers/messages.py
@@ -86,9 +86,10 @@
 
 
 class PutRecords(msgspec.Struct, frozen=True):
-    """New or changed run records of the sender."""
+    """New or changed run records of the sender, and run ids of records to drop."""
 
     records: tuple[RunRecord, ...]
+    dropped: tuple[str, ...] = ()
 
 
 class RecordsAck(msgspec.Struct, frozen=True):
--- a/turnward/peers/wire.capnp
+++ b/turnward/peers/wire.capnp
@@ -3,13 +3,14 @@
 # connection; an answer carries the number of the message it answers.
 @0xd4c3a1b20f9e8d77;
 
+# Ids and digests are packed: see codec.py.
 struct RunRecord {
-  requestId @0 :Text;
-  runId @1 :Text;
+  requestId @0 :Data;
+  runId @1 :Data;
   workspace @2 :Text;
   budget @3 :Text;
   endpoint @4 :Text;
-  fingerprint @5 :Text;
+  fingerprint @5 :Data;
   reservedTokens @6 :UInt64;
   usedTokens @7 :UInt64;
   state @8 :UInt8;
@@ -33,7 +34,10 @@
     heartbeatAck :group {
       revision @5 :UInt64;
     }
-    putRecords @6 :List(RunRecord);
+    putRecords :group {
+      records @6 :List(RunRecord);
+      dropped @16 :List(Data);
+    }
     recordsAck :group {
       accepted @7 :Bool;
     }
--- a/turnward/router/process.py
+++ b/turnward/router/process.py
@@ -189,7 +189,7 @@
                 self.config.tell(PeerHasRevision(incarnation, message.revision))
             return HeartbeatAck(context.config.revision)
         if isinstance(message, PutRecords):
-            return RecordsAck(context.book.put(incarnation, message.records))
+            return RecordsAck(context.book.put(incarnation, message.records, message.dropped))
         if isinstance(message, HandOver):
             records = context.book.close(message.fenced)
             return HandOverAck(records, message.holder in self._incarnations)
--- a/turnward/router/record_task.py
+++ b/turnward/router/record_task.py
@@ -5,13 +5,15 @@
 from twisted.internet import defer
 from twisted.internet.defer import Deferred
 
-from turnward.peers.book import RecordOutbox
+from turnward.peers.book import RecordOutbox, is_urgent
 from turnward.peers.errors import PeerError
 from turnward.peers.messages import PutRecords, RecordsAck, RecordState, RunRecord
 from turnward.router.task import TaskBase, Tick
 
 __all__ = ["HoldRecord", "RecordTask"]
 
+#: Seconds after which records that need not be sent at once are sent.
+LAZY_S = 0.5
 #: Records in one message.
 BATCH_RECORDS = 200
 
@@ -45,7 +47,7 @@
     log_prefix = "records"
 
     def __init__(self, context, incarnation: str, on_fenced):
-        super().__init__(context.reactor, 0.2, on_fenced)
+        super().__init__(context.reactor, LAZY_S, on_fenced)
         self._context = context
         self._incarnation = incarnation
         self._refused = on_fenced
@@ -58,6 +60,8 @@
     def put(self, record: RunRecord) -> None:
         """Queue a change of a record; nobody waits for it."""
         self.outbox.put(record)
+        if is_urgent(record):
+            self.tell(None)
 
     def set_buddies(self, buddies: tuple[str, ...]) -> None:
         """Change whom records are sent to."""
@@ -71,13 +75,15 @@
                 self._hold(message)
             elif isinstance(message, _Sent):
                 self._take_answer(message)
-        if Tick() in messages:
+        ticked = Tick() in messages
+        if ticked:
             self._failed.clear()
         for buddy in self.buddies:
-            resting = buddy in self._sending or buddy in self._failed
-            if not resting and self.outbox.unsent_count(buddy):
+            if buddy in self._sending or buddy in self._failed:
+                continue
+            if self.outbox.has_urgent(buddy) or (ticked and self.outbox.unsent_count(buddy)):
                 self._sending.add(buddy)
-                defer.ensureDeferred(self._send(buddy))
+                defer.ensureDeferred(self._send(buddy, urgent_only=not ticked))
 
     def _hold(self, message: HoldRecord) -> None:
         self.outbox.put(message.record)
@@ -86,15 +92,13 @@
         else:
             message.answer.callback(False)
 
-    async def _send(self, buddy: str) -> None:
-        records = self.outbox.take_unsent(buddy, BATCH_RECORDS)
+    async def _send(self, buddy: str, urgent_only: bool) -> None:
+        records = self.outbox.take_unsent(buddy, BATCH_RECORDS, urgent_only)
         held = False
         row = self._context.rows.get(buddy)
         try:
             if row is not None:
-                answer = await self._context.peers.ask(
-                    row.peers_address, buddy, PutRecords(records)
-                )
+                answer = await self._context.peers.ask(row.peers_address, buddy, _message(records))
                 held = isinstance(answer, RecordsAck) and answer.accepted
                 if not held:
                     self._refused()
@@ -122,3 +126,9 @@
 
     def _others_may_hold(self, record: RunRecord, buddy: str) -> bool:
         return any(other != buddy and other in self._sending for other in self.buddies)
+
+
+def _message(records: tuple[RunRecord, ...]) -> PutRecords:
+    held = tuple(record for record in records if record.state is not RecordState.BILLED)
+    dropped = tuple(record.run_id for record in records if record.state is RecordState.BILLED)
+    return PutRecords(held, dropped)
