Replay traces and budget demand through the router's own decisions

Cause found: reports are half a second old and all routers follow the same ones (herding), a run in an engine with free slots was charged a wait, and each router held back work that engines had room for. Also: plain services are not asked for load any more (they were ejected for not answering), a router works with at most 32 endpoints a pool.

--- a/tools/local_fleet.py
+++ b/tools/local_fleet.py
@@ -112,7 +112,7 @@
         """Start a plain service stand-in; return its port; see `wait_ready`."""
         port = free_port()
         self.start(name, "standin", "service", f"127.0.0.1:{port}")
-        self._unready.append(f"http://127.0.0.1:{port}/load")
+        self._unready.append(f"http://127.0.0.1:{port}/calls")
         return port
 
     def start_router(self, instance: str, zone: str, region: str = "ost", **settings):
--- /dev/null
+++ b/turnward/replay/__init__.py
@@ -0,0 +1,27 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Replay of recorded traces through the router's own decisions."""
+
+from turnward.replay.budgets import (
+    BUDGET_SCHEMES,
+    BudgetReport,
+    BudgetScenario,
+    replay_budget,
+)
+from turnward.replay.simulation import ClassReport, ReplayOptions, ReplayReport, replay
+from turnward.replay.trace import GENERATORS, Trace, TraceError, TraceHead, TraceRequest
+
+__all__ = [
+    "BUDGET_SCHEMES",
+    "GENERATORS",
+    "BudgetReport",
+    "BudgetScenario",
+    "ClassReport",
+    "ReplayOptions",
+    "ReplayReport",
+    "Trace",
+    "TraceError",
+    "TraceHead",
+    "TraceRequest",
+    "replay",
+    "replay_budget",
+]
--- a/turnward/router/context.py
+++ b/turnward/router/context.py
@@ -1,18 +1,45 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """What the parts of one router process share."""
 
+import math
+from collections import Counter
+
 from turnward.endpoints import EngineClientBase, ServiceClientBase
 from turnward.events import ClockBase, EventLog, Metrics
-from turnward.fleet import RouterRegistry, RouterRow
+from turnward.fleet import RouterRegistry, RouterRow, rendezvous_weight
 from turnward.lifecycle import StateMachine
 from turnward.peers.book import RecordBook
 from turnward.peers.link import PeersBase
 from turnward.platform import InstanceListBase, ObjectStoreBase, TableBase
-from turnward.resources import ConfigState
+from turnward.resources import ConfigState, Endpoint
 from turnward.routing import AdmissionQueue, EndpointViews, PolicyBase, RetryBudget, ScorePolicy
 from turnward.settings import RouterSettings
 
-__all__ = ["RouterContext"]
+__all__ = ["SUBSET_ENDPOINTS", "RouterContext", "choose_subset"]
+
+
+#: Endpoints of one pool that a router looks after.
+SUBSET_ENDPOINTS = 32
+
+
+def choose_subset(instance: str, zone: str, endpoints: list[Endpoint]) -> list[Endpoint]:
+    """Return the endpoints a router works with, at most ``SUBSET_ENDPOINTS`` a pool.
+
+    Those of its own zone come first, then by rendezvous weight, so that load
+    spreads evenly over routers and a new endpoint moves few others.
+    """
+    pools: dict[str, list[Endpoint]] = {}
+    for endpoint in endpoints:
+        pools.setdefault(endpoint.pool, []).append(endpoint)
+
+    def preference(endpoint: Endpoint):
+        return (endpoint.zone != zone, -rendezvous_weight(instance, endpoint.name))
+
+    return [
+        endpoint
+        for pool in pools.values()
+        for endpoint in sorted(pool, key=preference)[:SUBSET_ENDPOINTS]
+    ]
 
 
 class RouterContext:
@@ -65,6 +92,7 @@
         self.rows: dict[str, RouterRow] = {}
         self.heard_s: dict[str, float] = {}
         self.listed: set[str] | None = None
+        self._pool_sizes: Counter[str] = Counter()
         self._queues: dict[str, AdmissionQueue] = {}
         self._retries: dict[str, RetryBudget] = {}
 
@@ -92,8 +120,10 @@
             return
         queue.set_classes(self.config.resources.by_kind["priority_classes"])
         slots = sum(view.endpoint.slots for view in self.views.candidates(pool))
+        own = max(1, len(self.views.pool(pool)))
+        whole_pool = slots * max(own, self._pool_sizes[pool]) / own
         routers = max(1, len(self.live_rows()))
-        queue.set_slots(max(1, -(-slots // routers)) if slots else 0)
+        queue.set_slots(max(1, math.ceil(whole_pool / routers)) if slots else 0)
         queue.pump(self.now_s())
 
     def refresh_queues(self) -> None:
@@ -109,6 +139,8 @@
 
     def apply_config(self) -> None:
         """Bring the views in line with the configuration in force."""
-        endpoints = list(self.config.resources.by_kind["endpoints"].values())
-        self.views.set_endpoints(endpoints, self.now_s())
+        endpoints = self.config.resources.by_kind["endpoints"].values()
+        chosen = choose_subset(self.settings.instance, self.settings.zone, list(endpoints))
+        self.views.set_endpoints(chosen, self.now_s())
+        self._pool_sizes = Counter(endpoint.pool for endpoint in endpoints)
         self.refresh_queues()
--- a/turnward/router/endpoint_task.py
+++ b/turnward/router/endpoint_task.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Asks endpoints for their load when answers have not told it."""
+"""Asks model engines for their load; plain services report none and are not asked."""
 
 from twisted.internet import defer
 
@@ -27,18 +27,25 @@
         now_s = self._context.now_s()
         for view in self._context.views.all():
             self._context.views.warm(view, now_s)
+            if not self._is_engine(view):
+                self._context.views.forgive(view, now_s)
+                continue
             stale = view.report is None or now_s - view.reported_s >= STALE_S
             if stale and view.name not in self._asking:
                 self._asking.add(view.name)
                 defer.ensureDeferred(self._ask(view))
         self._context.refresh_queues()
 
+    def _is_engine(self, view) -> bool:
+        pool = self._context.config.resources.get("pools", view.endpoint.pool)
+        return pool is not None and pool.kind == "engine"
+
     async def _ask(self, view) -> None:
         before = view.machine.state
         try:
             report = await self._context.engines.load(view.endpoint.url)
         except EndpointError:
-            self._context.views.unheard(view)
+            self._context.views.unheard(view, self._context.now_s())
         else:
             self._context.views.heard(view, report, self._context.now_s())
         finally:
--- a/turnward/routing/views.py
+++ b/turnward/routing/views.py
@@ -11,6 +11,8 @@
 SLOW_START_S = 5.0
 #: Failures in a row after which an endpoint is suspect.
 FAILURES_TO_EJECT = 3
+#: Seconds after which a suspect endpoint that reports no load is tried again.
+FORGIVE_S = 5.0
 #: Largest share of a pool's endpoints that may be suspect.
 EJECT_SHARE = 0.5
 
@@ -27,6 +29,7 @@
     """
 
     __slots__ = (
+        "ejected_s",
         "endpoint",
         "failures",
         "in_flight",
@@ -44,6 +47,7 @@
         self.in_flight = 0
         self.failures = 0
         self.joined_s = now_s
+        self.ejected_s = now_s
         self.report: LoadReport | None = None
         self.reported_s = now_s
         self.mean_service_s = 0.0
@@ -121,7 +125,17 @@
             return
         view.failures += 1
         if view.failures >= FAILURES_TO_EJECT and self._may_eject(view):
-            view.machine.fire("failed")
+            self._eject(view, now_s)
+
+    def _eject(self, view: EndpointView, now_s: float) -> None:
+        if view.machine.fire("failed"):
+            view.ejected_s = now_s
+
+    def forgive(self, view: EndpointView, now_s: float) -> None:
+        """Let a suspect endpoint that reports no load try again after a while."""
+        if now_s - view.ejected_s >= FORGIVE_S and view.machine.fire("answered"):
+            view.joined_s = now_s
+            view.failures = 0
 
     def warm(self, view: EndpointView, now_s: float) -> None:
         """End the slow start once its time is over."""
@@ -138,11 +152,11 @@
             view.joined_s = now_s
             view.failures = 0
 
-    def unheard(self, view: EndpointView) -> None:
+    def unheard(self, view: EndpointView, now_s: float) -> None:
         """Note that an endpoint did not answer a load question."""
         view.failures += 1
         if view.failures >= FAILURES_TO_EJECT and self._may_eject(view):
-            view.machine.fire("failed")
+            self._eject(view, now_s)
 
     def _may_eject(self, view: EndpointView) -> bool:
         pool = self.pool(view.endpoint.pool)
--- a/turnward/standins/service.py
+++ b/turnward/standins/service.py
@@ -44,8 +44,6 @@
         if path == "/faults":
             self.faults = msgspec.json.decode(request.content.read(), type=ServiceFaults)
             return b"{}"
-        if path == "/load":
-            return msgspec.json.encode({"running": 0, "waiting": 0})
         self.calls.append(
             {
                 "method": request.method.decode(),
