Route by own load and agreed homes of prefixes; keep slots for the most urgent class

Cause: late reports, followed by all routers at once, sent bursts to one endpoint; each router held back work the engines had room for. Change: load is own requests times routers; a prefix's homes are half of the endpoints by rendezvous weight (three at least); admission lets out twice a router's share and keeps a fifth of the slots from all but the most urgent class.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := $(VENV)/bin
 SOURCES := $(shell find turnward -name '*.py' -o -name '*.toml' -o -name '*.capnp') pyproject.toml
 
-.PHONY: demo test check dist capacity format clean
+.PHONY: demo test check dist bench capacity format clean
 
 $(VENV)/ready: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -28,6 +28,9 @@
 	$(BIN)/shiv --quiet --reproducible --root /tmp/turnward --console-script turnward \
 		--python '/usr/bin/env python3.11' --output-file $@ --requirement requirements.txt .
 
+bench: $(VENV)/ready
+	$(BIN)/python -m tools.bench
+
 capacity: $(VENV)/ready
 	$(BIN)/python -m tools.capacity
 	$(BIN)/python -m tools.capacity_page
--- a/turnward/callers/chat.py
+++ b/turnward/callers/chat.py
@@ -229,7 +229,7 @@
             self._desk.choose(flight, chat.prefix(), chat.prompt_limit_tokens())
             await self._desk.hold(flight)
             relay = _Relay(answer, chat.stream, {"X-Request-Id": flight.request_id})
-            self._desk.sent(flight, chat.prefix())
+            self._desk.sent(flight)
             try:
                 await self._run(flight, body, relay, answer)
             except NotRunError as failure:
--- a/turnward/callers/flights.py
+++ b/turnward/callers/flights.py
@@ -356,10 +356,10 @@
         flight.stored_record_key = key
         return True
 
-    def sent(self, flight: Flight, prefix: str = "") -> None:
+    def sent(self, flight: Flight) -> None:
         """Note that the request goes out now."""
         flight.view_sent_s = self._context.now_s()
-        self._context.views.sent(flight.view, prefix, flight.view_sent_s)
+        self._context.views.sent(flight.view)
         self._context.events.emit(
             "request.sent",
             request_id=flight.request_id,
--- a/turnward/replay/simulation.py
+++ b/turnward/replay/simulation.py
@@ -12,7 +12,15 @@
 from turnward.endpoints import LoadReport
 from turnward.replay.trace import Trace, TraceEngine, TraceRequest
 from turnward.resources import Endpoint, PriorityClass
-from turnward.routing import AdmissionQueue, EndpointViews, PolicyBase, RetryBudget, RouteRequest
+from turnward.routing import (
+    AdmissionQueue,
+    EndpointViews,
+    PolicyBase,
+    RetryBudget,
+    RouteRequest,
+    admission_slots,
+    low_class_slots,
+)
 from turnward.standins import EngineBatch, EngineRun
 
 __all__ = ["ClassReport", "ReplayOptions", "ReplayReport", "replay"]
@@ -21,6 +29,7 @@
 REPORT_PERIOD_S = 0.5
 _MICROSECONDS = 1_000_000
 _HIGHEST_US = 600 * _MICROSECONDS
+_NO_LIMIT = 10**9
 _PERCENTILES = (50, 95, 99)
 
 
@@ -114,8 +123,13 @@
             view.machine.fire("warmed")
         self.queue = AdmissionQueue({rule.name: rule for rule in trace.head.classes})
         slots = sum(endpoint.slots for endpoint in endpoints)
-        share = -(-slots // len(trace.head.routers))
-        self.queue.set_slots(share if options.admission else 10**9)
+        fleet_size = len(trace.head.routers)
+        self.policy.fleet_size = fleet_size
+        share = admission_slots(slots, fleet_size)
+        if options.admission:
+            self.queue.set_slots(share, low_class_slots(slots, fleet_size))
+        else:
+            self.queue.set_slots(_NO_LIMIT)
         self.retries: dict[str, RetryBudget] = {}
 
     def may_retry(self, workspace: str, share: float) -> bool:
@@ -211,7 +225,7 @@
             return
         wanted = RouteRequest(POOL, router.zone, request.prefix, request.prompt_tokens)
         flight.view = router.policy.choose(wanted, candidates, self.now_s).view
-        router.views.sent(flight.view, request.prefix, self.now_s)
+        router.views.sent(flight.view)
         flight.sent_s = self.now_s
         self.counts["attempts"] += 1
         engine = self._engines[flight.view.name]
--- a/turnward/router/context.py
+++ b/turnward/router/context.py
@@ -1,7 +1,6 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """What the parts of one router process share."""
 
-import math
 from collections import Counter
 
 from turnward.endpoints import EngineClientBase, ServiceClientBase
@@ -12,7 +11,14 @@
 from turnward.peers.link import PeersBase
 from turnward.platform import InstanceListBase, ObjectStoreBase, TableBase
 from turnward.resources import ConfigState, Endpoint
-from turnward.routing import AdmissionQueue, EndpointViews, PolicyBase, RetryBudget, ScorePolicy
+from turnward.routing import (
+    AdmissionQueue,
+    EndpointViews,
+    PolicyBase,
+    RetryBudget,
+    ScorePolicy,
+    admission_slots,
+)
 from turnward.settings import RouterSettings
 
 __all__ = ["SUBSET_ENDPOINTS", "RouterContext", "choose_subset"]
@@ -123,7 +129,8 @@
         own = max(1, len(self.views.pool(pool)))
         whole_pool = slots * max(own, self._pool_sizes[pool]) / own
         routers = max(1, len(self.live_rows()))
-        queue.set_slots(max(1, math.ceil(whole_pool / routers)) if slots else 0)
+        self.policy.fleet_size = routers
+        queue.set_slots(admission_slots(whole_pool, routers))
         queue.pump(self.now_s())
 
     def refresh_queues(self) -> None:
--- a/turnward/routing/__init__.py
+++ b/turnward/routing/__init__.py
@@ -1,12 +1,20 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The choice of endpoints, admission and retries."""
 
-from turnward.routing.admission import AdmissionQueue, Overload, Ticket
+from turnward.routing.admission import (
+    ADMISSION_HEADROOM,
+    AdmissionQueue,
+    Overload,
+    Ticket,
+    admission_slots,
+    low_class_slots,
+)
 from turnward.routing.policies import POLICIES, Choice, PolicyBase, RouteRequest, ScorePolicy
 from turnward.routing.retries import RetryBudget
 from turnward.routing.views import EndpointView, EndpointViews
 
 __all__ = [
+    "ADMISSION_HEADROOM",
     "POLICIES",
     "AdmissionQueue",
     "Choice",
@@ -18,4 +26,6 @@
     "RouteRequest",
     "ScorePolicy",
     "Ticket",
+    "admission_slots",
+    "low_class_slots",
 ]
--- a/turnward/routing/admission.py
+++ b/turnward/routing/admission.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Admits requests by priority class, in a bounded queue, with a floor per class."""
 
+import math
 from collections import deque
 from collections.abc import Callable
 
@@ -9,7 +10,51 @@
 
 from turnward.resources import PriorityClass
 
-__all__ = ["AdmissionQueue", "Overload", "Ticket"]
+__all__ = [
+    "ADMISSION_HEADROOM",
+    "AdmissionQueue",
+    "Overload",
+    "Ticket",
+    "admission_slots",
+    "low_class_slots",
+]
+
+
+#: Requests a router lets out per slot of its share. Demand comes unevenly to routers,
+#: and engines that honour priorities queue better than routers that each see a part.
+ADMISSION_HEADROOM = 2.0
+
+
+def admission_slots(pool_slots: float, routers: int) -> int:
+    """Return how many requests one router may have on a pool at once.
+
+    Examples
+    --------
+    >>> admission_slots(24, 3)
+    16
+    >>> admission_slots(0, 3)
+    0
+    """
+    if pool_slots <= 0:
+        return 0
+    return max(1, math.ceil(pool_slots * ADMISSION_HEADROOM / max(1, routers)))
+
+
+#: Share of a pool's slots that all classes but the most urgent may fill together.
+LOW_CLASS_SHARE = 0.8
+
+
+def low_class_slots(pool_slots: float, routers: int) -> int:
+    """Return how many less urgent requests one router may have on a pool at once.
+
+    Examples
+    --------
+    >>> low_class_slots(24, 3)
+    6
+    """
+    if pool_slots <= 0:
+        return 0
+    return max(1, round(pool_slots * LOW_CLASS_SHARE / max(1, routers)))
 
 
 class Overload(msgspec.Struct, frozen=True):
@@ -48,6 +93,7 @@
         self._queues: dict[str, deque[Ticket]] = {}
         self._running: dict[str, int] = {}
         self._slots = 0
+        self._low_slots = 0
         self._mean_service_s = 0.1
 
     @property
@@ -63,9 +109,14 @@
         """Take in changed priority classes."""
         self._classes = classes
 
-    def set_slots(self, slots: int) -> None:
-        """Take in how many requests this router may have on the pool at once."""
+    def set_slots(self, slots: int, low_slots: int | None = None) -> None:
+        """Take in how many requests this router may have on the pool at once.
+
+        ``low_slots`` bounds all classes but the most urgent one together, so
+        that an urgent request seldom finds every engine full of slow work.
+        """
         self._slots = slots
+        self._low_slots = slots if low_slots is None else low_slots
 
     def offer(
         self, priority_class: str, now_s: float, admitted: Callable[[bool], None]
@@ -114,19 +165,28 @@
                 queue.popleft().admitted(False)
 
     def _next_ticket(self) -> Ticket | None:
-        waiting = [name for name, queue in self._queues.items() if queue]
+        waiting = [name for name, queue in self._queues.items() if queue and self._may_run(name)]
         if not waiting:
             return None
         starved = [name for name in waiting if self._below_floor(name)]
         best = min(starved or waiting, key=lambda name: self._classes[name].rank)
         return self._queues[best].popleft()
 
+    def _may_run(self, name: str) -> bool:
+        if self._is_urgent(name):
+            return True
+        running = sum(count for other, count in self._running.items() if not self._is_urgent(other))
+        return running < self._low_slots
+
+    def _is_urgent(self, name: str) -> bool:
+        return self._classes[name].rank == min(rule.rank for rule in self._classes.values())
+
     def _below_floor(self, name: str) -> bool:
         floor = self._classes[name].floor_share * self._slots
         return self._running.get(name, 0) < floor
 
     def _expected_wait_s(self, rule: PriorityClass) -> float:
-        if self.running_count < self._slots:
+        if self.running_count < self._slots and self._may_run(rule.name):
             return 0.0
         ahead = sum(
             len(queue)
--- a/turnward/routing/policies.py
+++ b/turnward/routing/policies.py
@@ -45,7 +45,15 @@
 
 
 class PolicyBase(ABC):
-    """Chooses among endpoints that take work."""
+    """Chooses among endpoints that take work.
+
+    Attributes
+    ----------
+    fleet_size : int
+        Routers that send to the same endpoints.
+    """
+
+    fleet_size: int = 1
 
     @abstractmethod
     def choose(self, request: RouteRequest, candidates: list[EndpointView], now_s: float) -> Choice:
@@ -96,7 +104,12 @@
 class ScorePolicy(PolicyBase):
     """Expected wait, less the gain of a cached prefix, plus the cost of distance.
 
-    All terms are in seconds.
+    All terms are in seconds. The load of an endpoint is taken to be this
+    router's own requests on it times the number of routers: load reports are
+    late, and routers that follow the same late report all choose the same
+    endpoint. A prefix has as its homes the half of the endpoints with the
+    highest rendezvous weights, so that all routers agree where it is cached
+    without telling each other.
 
     Parameters
     ----------
@@ -104,48 +117,52 @@
         Time an uncached prompt token costs.
     zone_cost_s : float
         Cost of another zone.
-    report_life_s : float
-        Age at which a load report counts for nothing.
-    prefix_life_s : float
-        Time for which a prefix sent is taken to be cached.
+    batch_cost : float
+        Share of the service time that a full batch adds to a request.
     """
 
+    #: Homes of a prefix in a small pool; fewer would crowd one endpoint.
+    _LEAST_HOMES = 3
+    #: Service time assumed before any is measured, in seconds.
+    _LEAST_SERVICE_S = 0.05
+
     def __init__(
         self,
-        prefill_s_per_token: float = 0.0005,
+        prefill_s_per_token: float = 0.0004,
         zone_cost_s: float = 0.002,
-        report_life_s: float = 5.0,
-        prefix_life_s: float = 120.0,
+        batch_cost: float = 0.2,
     ):
         self._prefill_s_per_token = prefill_s_per_token
         self._zone_cost_s = zone_cost_s
-        self._report_life_s = report_life_s
-        self._prefix_life_s = prefix_life_s
+        self._batch_cost = batch_cost
 
     def choose(self, request, candidates, now_s):
         """See ``PolicyBase.choose``."""
-        scores = {view.name: self._score(request, view, now_s) for view in candidates}
+        homes = self._homes(request.prefix, candidates)
+        scores = {}
+        for view in candidates:
+            gain_s = 0.0
+            if view.name in homes:
+                gain_s = request.prompt_tokens * self._prefill_s_per_token
+            scores[view.name] = self._cost_s(request, view, now_s) - gain_s
         best = min(candidates, key=lambda view: (scores[view.name], view.name))
         return Choice(best, scores)
 
-    def _score(self, request: RouteRequest, view: EndpointView, now_s: float) -> float:
-        wait_s = self._wait_s(view, now_s) / max(view.share(now_s), 0.05)
+    def _cost_s(self, request: RouteRequest, view: EndpointView, now_s: float) -> float:
+        slots = view.endpoint.slots
+        service_s = max(view.mean_service_s, self._LEAST_SERVICE_S)
+        load = view.in_flight * self.fleet_size
+        queue_s = max(0, load + 1 - slots) / slots * service_s
+        batch_s = self._batch_cost * service_s * load / slots
         distance_s = 0.0 if view.endpoint.zone == request.zone else self._zone_cost_s
-        return wait_s + distance_s - self._prefix_gain_s(request, view, now_s)
-
-    def _wait_s(self, view: EndpointView, now_s: float) -> float:
-        load = float(view.in_flight)
-        if view.report is not None:
-            age = min(1.0, (now_s - view.reported_s) / self._report_life_s)
-            reported = view.report.running + view.report.waiting
-            load += max(0.0, reported - view.in_flight) * (1.0 - age)
-        return (load / view.endpoint.slots) * max(view.mean_service_s, 0.05)
-
-    def _prefix_gain_s(self, request: RouteRequest, view: EndpointView, now_s: float) -> float:
-        seen_s = view.prefixes.get(request.prefix)
-        if not request.prefix or seen_s is None or now_s - seen_s > self._prefix_life_s:
-            return 0.0
-        return request.prompt_tokens * self._prefill_s_per_token
+        return (queue_s + batch_s) / view.share(now_s) + distance_s
+
+    def _homes(self, prefix: str, candidates: list[EndpointView]) -> set[str]:
+        if not prefix:
+            return set()
+        names = [view.name for view in candidates]
+        names.sort(key=lambda name: rendezvous_weight(prefix, name), reverse=True)
+        return set(names[: max(self._LEAST_HOMES, len(names) // 2)])
 
 
 #: Policies by the name used on the command line.
--- a/turnward/routing/views.py
+++ b/turnward/routing/views.py
@@ -24,8 +24,8 @@
     ----------
     in_flight : int
         This router's own requests on it.
-    prefixes : dict
-        Prompt prefixes sent to it, with the time of the last use in seconds.
+    mean_service_s : float
+        Moving mean of the time its answers took.
     """
 
     __slots__ = (
@@ -36,7 +36,6 @@
         "joined_s",
         "machine",
         "mean_service_s",
-        "prefixes",
         "report",
         "reported_s",
     )
@@ -51,7 +50,6 @@
         self.report: LoadReport | None = None
         self.reported_s = now_s
         self.mean_service_s = 0.0
-        self.prefixes: dict[str, float] = {}
 
     @property
     def name(self) -> str:
@@ -109,11 +107,9 @@
         """Return the views of a pool that take new work."""
         return [view for view in self.pool(pool) if view.takes_work]
 
-    def sent(self, view: EndpointView, prefix: str, now_s: float) -> None:
+    def sent(self, view: EndpointView) -> None:
         """Note a request sent."""
         view.in_flight += 1
-        if prefix:
-            view.prefixes[prefix] = now_s
 
     def ended(self, view: EndpointView, ok: bool, service_s: float, now_s: float) -> None:
         """Note a request's end; failures in a row make the endpoint suspect."""
