Shrink grants near a budget's end; write bills in fewer, larger batches; write the docs

Cause: with a horizon of 120 s a router held tokens others ran out of: limit 0.9 of demand, demand that moves: 458 false refusals of 4,000; each router wrote a transaction every 0.1 s however few bills there were (10 a second; 3,900 for 390 nodes). Change: a router keeps at most a quarter of what is within its reach and looks at budgets near their end each second; bills wait up to 1 s unless one carries a claim's outcome or a batch of 40 is full; one write a grant in a batch; retry burst 10 to 5 (a 5 s outage made 1.25 attempts a request on 20 s of trace, goal 1.2).

--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -131,7 +131,7 @@
 
 def measure_load() -> dict[str, float]:
     """Measure what one request costs: processor time, table calls and peer bytes."""
-    fleet, audit = start_fleet(3)
+    fleet, _ = start_fleet(3)
     with fleet:
         pids = [router.process.pid for router in fleet.routers]
         idle_table, idle_cpu = counts(fleet), [cpu_s(pid) for pid in pids]
@@ -142,8 +142,7 @@
         used = sum(cpu_s(pid) for pid in pids)
         started = time.monotonic()
         _send_load(fleet)
-        fleet.wait_until(lambda: len(audit.bills()) >= LOAD_REQUESTS, 30.0)
-        time.sleep(2.0)
+        fleet.wait_until(lambda: _all_billed(fleet), 30.0)
         elapsed = time.monotonic() - started
         part = elapsed / IDLE_S
         table_after, sent_after = counts(fleet), peer_bytes(fleet)
@@ -167,6 +166,14 @@
         }
 
 
+def _all_billed(fleet: LocalFleet) -> bool:
+    """Tell by the routers' own word, since a look at the table would count as reads."""
+    answer = fleet.operator(fleet.routers[0], "GET", "/fleet")[1]
+    statuses = [router["status"] for router in answer["routers"] if router["status"]]
+    written = sum(status["counters"].get("bills.written", 0) for status in statuses)
+    return written >= LOAD_REQUESTS and not any(status["held_records"] for status in statuses)
+
+
 def _send_load(fleet: LocalFleet) -> None:
     body = {
         "model": "draft",
--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -84,8 +84,14 @@
 
 
 def at_full(idle: list[dict], key: str, size: FullSize) -> float:
-    """Return an idle figure at full size, from the line through the measured sizes."""
+    """Return an idle figure at full size, from the line through the measured sizes.
+
+    A line that falls is noise around a flat figure; then the largest measured
+    value is taken.
+    """
     intercept, slope = fit([(entry["routers"], entry[key]) for entry in idle])
+    if slope <= 0:
+        return max(entry[key] for entry in idle)
     return intercept + slope * size.nodes
 
 
@@ -254,8 +260,9 @@
 workspaces, {changes:,} changes of configuration a day. Made by `make capacity` from
 `docs/capacity/slopes.json` (commit {commit}, {date}, {machine}); no figure is typed by
 hand. "Today" is 8 nodes with {today:g} requests a second each, a working assumption.
-Full-size figures come from the line through the measured sizes, so they are as good as
-that line: nothing above {largest} routers was run.
+Full-size figures come from the line through the measured sizes (or the largest measured
+value where that line falls), so they are as good as that line: nothing above {largest}
+routers was run.
 
 ## What binds first
 
--- a/turnward/budgets/billing.py
+++ b/turnward/budgets/billing.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Writes bills, each request once, in batches."""
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 
 import msgspec
 
@@ -22,8 +22,8 @@
 
 __all__ = ["Bill", "BillBatchResult", "BillWriter"]
 
-#: Bills in one transaction; each takes up to four items of the table's limit of 100.
-BATCH_BILLS = 20
+#: Bills in one transaction; each takes one or two items of the table's limit of 100.
+BATCH_BILLS = 40
 
 
 class Bill(msgspec.Struct, frozen=True):
@@ -92,6 +92,12 @@
         """Bills not known to stand in the table."""
         return list(self._pending.values())
 
+    def has_urgent(self) -> bool:
+        """Tell whether a bill waits that others look for, or a whole batch."""
+        return len(self._pending) >= BATCH_BILLS or any(
+            bill.extra_writes for bill in self._pending.values()
+        )
+
     def add(self, bill: Bill) -> bool:
         """Queue a bill; False when a bill for the same request waits already."""
         if bill.key in self._pending:
@@ -154,11 +160,14 @@
     def _transaction(self, bills: list[Bill]) -> Transaction:
         checks = [live_check(self.incarnation)]
         writes: list[Write] = []
+        drawn: Counter[tuple[str, str]] = Counter()
         for bill in bills:
             checks.append(Absent(bill.key))
             writes.append(Put(bill.key, msgspec.to_builtins(bill.row)))
             writes.extend(bill.extra_writes)
-            if bill.row.tokens:
-                checks.append(FieldIs(bill.grant, "incarnation", bill.row.incarnation))
-                writes.append(Add(bill.grant, "settled_tokens", bill.row.tokens))
+            drawn[bill.grant, bill.row.incarnation] += bill.row.tokens
+        for (grant, incarnation), tokens in drawn.items():
+            if tokens:
+                checks.append(FieldIs(grant, "incarnation", incarnation))
+                writes.append(Add(grant, "settled_tokens", tokens))
         return Transaction(tuple(checks), tuple(writes))
--- a/turnward/budgets/ledger.py
+++ b/turnward/budgets/ledger.py
@@ -11,6 +11,10 @@
 __all__ = ["BudgetView", "GrantAsk", "GrantLedger", "RefusalReason", "Reservation", "SizingRule"]
 
 
+#: A budget is near its end when less than so many times what is free here is ungranted.
+NEAR_END_FACTOR = 8
+
+
 class RefusalReason(StrEnum):
     """Why a reservation was refused."""
 
@@ -59,16 +63,21 @@
     minimum_tokens : int
         Smallest grant worth a write.
     share : float
-        Largest part of the ungranted tokens that one take may claim beyond
-        what waiting requests need.
+        Largest part of the tokens within reach (ungranted, or free here) that
+        one router claims beyond what waiting requests need.
     keep_s : float
         Idle time after which spare tokens are returned.
+    near_view_s, far_view_s : float
+        Age at which a held budget's row is read again, near its end and
+        elsewhere.
     """
 
     horizon_s: float = 20.0
     minimum_tokens: int = 2_000
     share: float = 0.25
     keep_s: float = 5.0
+    near_view_s: float = 1.0
+    far_view_s: float = 30.0
 
 
 class _Account:
@@ -82,6 +91,7 @@
         "reserved_tokens",
         "settled_tokens",
         "view",
+        "viewed_s",
         "wanted_tokens",
     )
 
@@ -94,6 +104,7 @@
         self.idle_since_s = 0.0
         self.demand = DemandMeter()
         self.view: BudgetView | None = None
+        self.viewed_s = 0.0
 
     @property
     def free_tokens(self) -> int:
@@ -173,9 +184,27 @@
         account.granted_tokens -= taken
         return taken
 
-    def observe(self, budget: str, view: BudgetView) -> None:
+    def observe(self, budget: str, view: BudgetView, now_s: float) -> None:
         """Take in the budget's row as read."""
-        self._account(budget).view = view
+        account = self._account(budget)
+        account.view = view
+        account.viewed_s = now_s
+
+    def plan_views(self, now_s: float) -> list[str]:
+        """Return the held budgets whose row is to be read again.
+
+        A budget near its end is looked at often, so that tokens held here go
+        back when others run dry; all others seldom.
+        """
+        stale = []
+        for budget, account in self._accounts.items():
+            if account.free_tokens <= 0 or account.view is None:
+                continue
+            near = account.view.ungranted_tokens < NEAR_END_FACTOR * account.free_tokens
+            limit_s = self._rule.near_view_s if near else self._rule.far_view_s
+            if now_s - account.viewed_s >= limit_s:
+                stale.append(budget)
+        return stale
 
     def clear_want(self, budget: str) -> None:
         """Forget what waiting requests wanted; they ask again if they still wait."""
@@ -198,12 +227,13 @@
         """Return the spare tokens of budgets, to be given back."""
         spare = {}
         for budget, account in self._accounts.items():
-            at_once = self._recalled(account) or self._too_little(account)
-            keep = 0 if at_once else int(self._target_tokens(account, now_s) * 2)
+            useless = self._recalled(account) or self._too_little(account)
+            keep = 0 if useless else int(self._target_tokens(account, now_s) * 2)
             idle = now_s - account.idle_since_s >= self._rule.keep_s
+            at_once = useless or self._is_scarce(account)
             if account.free_tokens > keep and (idle or at_once):
                 spare[budget] = account.free_tokens - keep
-            if at_once:
+            if useless:
                 account.refused_tokens = 0
         return spare
 
@@ -211,7 +241,15 @@
         rate = account.demand.rate_tokens_per_s(now_s)
         if rate < 1.0:
             return 0.0
-        return max(self._rule.minimum_tokens, rate * self._rule.horizon_s)
+        target = max(self._rule.minimum_tokens, rate * self._rule.horizon_s)
+        if account.view is None:
+            return target
+        reach = account.view.ungranted_tokens + account.free_tokens
+        return max(0.0, min(target, self._rule.share * reach))
+
+    def _is_scarce(self, account: _Account) -> bool:
+        """Tell whether this router holds more than is left for all others to take."""
+        return account.view is not None and account.view.ungranted_tokens < account.free_tokens
 
     def _recalled(self, account: _Account) -> bool:
         return account.view is not None and account.view.ungranted_tokens < 0
--- /dev/null
+++ b/turnward/peers/tests/test_codec.py
@@ -0,0 +1,80 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The wire between routers."""
+
+import contextlib
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from turnward.events import Stamp
+from turnward.peers.codec import Envelope, WireError, decode, encode
+from turnward.peers.messages import (
+    ConfigAsk,
+    ConfigDelta,
+    ConfigEntry,
+    HandOver,
+    HandOverAck,
+    Heartbeat,
+    HeartbeatAck,
+    PutRecords,
+    RecordsAck,
+    RecordState,
+    RunRecord,
+    StatusAsk,
+    StatusReply,
+)
+
+FUZZ = settings(max_examples=100, derandomize=True, database=None, deadline=None)
+TEXT = st.text(st.characters(codec="utf-8", exclude_characters="\x00"), max_size=40)
+RECORDS = st.builds(
+    RunRecord,
+    TEXT,
+    st.uuids().map(str),
+    TEXT,
+    TEXT,
+    TEXT,
+    st.binary(min_size=16, max_size=16).map(bytes.hex),
+    st.integers(0, 2**40),
+    st.integers(0, 2**40),
+    st.sampled_from(RecordState),
+    st.booleans(),
+)
+
+
+def there_and_back(message):
+    envelope = Envelope(7, "entry-1.0123456789ab", Stamp(1, 2), message)
+    return decode(encode(envelope)) == envelope
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        Heartbeat(5),
+        HeartbeatAck(6),
+        RecordsAck(True),
+        HandOver("a", "b"),
+        ConfigAsk(3),
+        ConfigDelta((ConfigEntry(1, b"x"),)),
+        StatusAsk("status"),
+        StatusReply(b"{}"),
+        PutRecords((), ("run",)),
+        HandOverAck((), False),
+    ],
+)
+def test_every_message_comes_back(message):
+    assert there_and_back(message)
+
+
+@FUZZ
+@given(records=st.lists(RECORDS, max_size=4))
+def test_any_records_come_back(records):
+    assert there_and_back(PutRecords(tuple(records), tuple(r.run_id for r in records)))
+    assert there_and_back(HandOverAck(tuple(records), True))
+
+
+@FUZZ
+@given(frame=st.binary(max_size=200))
+def test_any_bytes_give_a_message_or_a_wire_error(frame):
+    with contextlib.suppress(WireError):
+        decode(frame)
--- a/turnward/replay/budgets.py
+++ b/turnward/replay/budgets.py
@@ -47,7 +47,7 @@
     fill: float = 2.0
     skew: float = 0.25
     shift: bool = False
-    horizon_s: float = 60.0
+    horizon_s: float = 120.0
     seed: int = 1
 
 
@@ -124,11 +124,17 @@
             return
         views = _now(self.store.read_views(list(asks)))
         for budget, view in views.items():
-            self.ledger.observe(budget, view)
+            self.ledger.observe(budget, view, now_s)
         for budget, tokens in _now(self.store.apply(self.store.plan_take(asks, views))).items():
             self.ledger.add(budget, tokens)
         self.ledger.clear_want(_BUDGET)
 
+    def look_again(self, now_s: float) -> None:
+        budgets = self.ledger.plan_views(now_s)
+        if budgets:
+            for budget, view in _now(self.store.read_views(budgets)).items():
+                self.ledger.observe(budget, view, now_s)
+
     def give_back(self, now_s: float) -> None:
         for budget, tokens in self.ledger.plan_returns(now_s).items():
             change = self.store.plan_return(budget, tokens)
@@ -162,6 +168,7 @@
         for router in self._routers:
             try:
                 router.take(now_s)
+                router.look_again(now_s)
                 router.give_back(now_s)
             except PlatformUnavailableError:
                 return
--- a/turnward/resources/types.py
+++ b/turnward/resources/types.py
@@ -25,17 +25,14 @@
     ----------
     key_sha256 : str
         SHA-256 in hexadecimal of the bearer key.
-    weighs : str
-        What this customer minds more: ``overspend`` or ``refusals``; it sets
-        how far ahead grants are taken.
+    retry_share : float
+        Retries allowed per success.
     """
 
     name: str
     key_sha256: str
     budget: str
     priority_class: str
-    home_region: str = ""
-    weighs: Literal["overspend", "refusals"] = "overspend"
     retry_share: float = 0.2
 
 
--- a/turnward/router/bill_task.py
+++ b/turnward/router/bill_task.py
@@ -10,6 +10,9 @@
 
 __all__ = ["AddBill", "BillTask", "FlushAll"]
 
+#: Seconds between looks at the waiting bills.
+TICK_S = 0.1
+
 
 class AddBill(msgspec.Struct, frozen=True, eq=False):
     """A run has ended; ``record`` is dropped once the bill stands."""
@@ -38,7 +41,8 @@
         records,
         on_fenced,
     ):
-        super().__init__(context.reactor, context.settings.bill_flush_s, on_fenced)
+        super().__init__(context.reactor, TICK_S, on_fenced)
+        self._flushed_s = context.now_s()
         self._context = context
         self.writer = writer
         self._ledger = ledger
@@ -53,12 +57,18 @@
                 self._add(message)
         flushes = [message for message in messages if isinstance(message, FlushAll)]
         try:
-            if (Tick() in messages or flushes) and self.writer.pending:
+            if flushes or (Tick() in messages and self._is_due()):
+                self._flushed_s = self._context.now_s()
                 await self._flush()
         finally:
             for message in flushes:
                 message.answer.callback(len(self.writer.pending))
 
+    def _is_due(self) -> bool:
+        """Tell whether to write now: a whole batch, a claim's outcome, or after a while."""
+        waited_s = self._context.now_s() - self._flushed_s
+        return self.writer.has_urgent() or waited_s >= self._context.settings.bill_flush_s
+
     def take_unwritten(self) -> list[AddBill]:
         """Return the bills not known to stand, for the next incarnation."""
         unwritten = []
--- a/turnward/router/grant_task.py
+++ b/turnward/router/grant_task.py
@@ -57,6 +57,7 @@
                 if not waiter.answer.called:
                     waiter.answer.callback(True)
         if Tick() in messages:
+            await self._look_again()
             await self._give_back(self.ledger.plan_returns(self._context.now_s()))
             await self._fold()
         for message in messages:
@@ -64,12 +65,13 @@
                 await self._return_all(message)
 
     async def _take(self) -> None:
-        asks = self.ledger.plan_takes(self._context.now_s())
+        now_s = self._context.now_s()
+        asks = self.ledger.plan_takes(now_s)
         if not asks:
             return
         views = await self.store.read_views(list(asks))
         for budget, view in views.items():
-            self.ledger.observe(budget, view)
+            self.ledger.observe(budget, view, now_s)
         taken = await self.store.apply(self.store.plan_take(asks, views))
         for budget in asks:
             self.ledger.clear_want(budget)
@@ -79,6 +81,13 @@
                 self._context.metrics.count("grants.taken_tokens", tokens)
                 self._context.events.emit("grant.taken", budget=budget, tokens=tokens)
 
+    async def _look_again(self) -> None:
+        now_s = self._context.now_s()
+        budgets = self.ledger.plan_views(now_s)
+        if budgets:
+            for budget, view in (await self.store.read_views(budgets)).items():
+                self.ledger.observe(budget, view, now_s)
+
     async def _resolve(self) -> None:
         if not self.store.unresolved:
             return
--- a/turnward/routing/retries.py
+++ b/turnward/routing/retries.py
@@ -17,7 +17,7 @@
 
     __slots__ = ("_burst", "_level", "_share")
 
-    def __init__(self, share: float, burst: float = 10.0):
+    def __init__(self, share: float, burst: float = 5.0):
         self._share = share
         self._burst = burst
         self._level = burst
--- a/turnward/settings/core.py
+++ b/turnward/settings/core.py
@@ -58,9 +58,8 @@
     peer_timeout_s: float = 1.0
     gone_after_s: float = 2.0
     fence_listed_after_s: float = 10.0
-    bill_flush_s: float = 0.1
-    claim_flush_s: float = 0.02
-    grant_horizon_s: float = 20.0
+    bill_flush_s: float = 1.0
+    grant_horizon_s: float = 120.0
     grant_period_s: float = 0.2
     grant_wait_s: float = 1.0
     grant_minimum_tokens: int = 2_000
