--- a/turnward/standins/batch.py
+++ b/turnward/standins/batch.py
@@ -10,7 +10,10 @@
 
 import msgspec
 
-__all__ = ["BatchSettings", "EngineBatch", "EngineRun"]
+__all__ = ["BatchSettings", "CacheEvent", "EngineBatch", "EngineRun"]
+
+#: Cache events kept for readers.
+KEPT_CACHE_EVENTS = 1_000
 
 
 class BatchSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -38,6 +41,21 @@
     slowness: float = 1.0
 
 
+class CacheEvent(msgspec.Struct, frozen=True):
+    """A prompt prefix was stored in the cache or evicted from it.
+
+    Attributes
+    ----------
+    number : int
+        Rises by one with each event, so that a reader sees gaps.
+    """
+
+    number: int
+    kind: str
+    prefix: str
+    at_s: float
+
+
 class EngineRun:
     """One request in an engine."""
 
@@ -85,6 +103,8 @@
         self.cache: OrderedDict[str, None] = OrderedDict()
         self.cache_hits = 0
         self.cache_misses = 0
+        self.cache_events: list[CacheEvent] = []
+        self._event_number = 0
 
     def add(self, run: EngineRun) -> None:
         """Queue a run; lower priority numbers go first."""
@@ -99,7 +119,7 @@
 
     def step(self, now_s: float) -> list[EngineRun]:
         """Make one step that ends at ``now_s``; return runs that got a token or ended."""
-        self._admit()
+        self._admit(now_s)
         duration_s = self.step_time_s()
         touched = []
         for run in self.running:
@@ -120,13 +140,13 @@
         if run in self.waiting:
             self.waiting.remove(run)
 
-    def _admit(self) -> None:
+    def _admit(self, now_s: float) -> None:
         while self.waiting and len(self.running) < self.settings.slots:
             run = self.waiting.pop(0)
-            run.prefill_left_s = self._prefill_s(run)
+            run.prefill_left_s = self._prefill_s(run, now_s)
             self.running.append(run)
 
-    def _prefill_s(self, run: EngineRun) -> float:
+    def _prefill_s(self, run: EngineRun, now_s: float) -> float:
         if run.prefix and run.prefix in self.cache:
             self.cache.move_to_end(run.prefix)
             self.cache_hits += 1
@@ -134,7 +154,14 @@
         self.cache_misses += 1
         if run.prefix:
             self.cache[run.prefix] = None
+            self._note_cache("stored", run.prefix, now_s)
             while len(self.cache) > self.settings.cache_prefixes:
-                self.cache.popitem(last=False)
+                evicted, _ = self.cache.popitem(last=False)
+                self._note_cache("evicted", evicted, now_s)
         settings = self.settings
         return run.prompt_tokens * settings.prefill_s_per_token * settings.slowness
+
+    def _note_cache(self, kind: str, prefix: str, now_s: float) -> None:
+        self._event_number += 1
+        self.cache_events.append(CacheEvent(self._event_number, kind, prefix, now_s))
+        del self.cache_events[:-KEPT_CACHE_EVENTS]
--- a/turnward/standins/engine.py
+++ b/turnward/standins/engine.py
@@ -6,7 +6,7 @@
 
 from turnward.endpoints import LoadReport, RunAccount, RunState
 from turnward.http import abort_request
-from turnward.standins.batch import BatchSettings, EngineBatch, EngineRun
+from turnward.standins.batch import BatchSettings, CacheEvent, EngineBatch, EngineRun
 
 __all__ = ["EngineFaults", "EngineStandIn"]
 
@@ -22,6 +22,10 @@
         Close each stream after so many tokens; 0 for never.
     load_lag_s : float
         Age of the load that is reported.
+    cache_lag_s : float
+        Age at which cache events are published.
+    cache_gap : int
+        Every so-many-th cache event is lost; 0 for none.
     leaving : bool
         Take no new work.
     slowness : float
@@ -30,6 +34,8 @@
 
     cut_after_tokens: int = 0
     load_lag_s: float = 0.0
+    cache_lag_s: float = 0.0
+    cache_gap: int = 0
     leaving: bool = False
     slowness: float = 1.0
 
@@ -115,6 +121,9 @@
         parts = request.path.decode().strip("/").split("/")
         if parts == ["load"]:
             return msgspec.json.encode(self._lagged_load())
+        if parts == ["cache-events"]:
+            after = int(request.args.get(b"after", [b"0"])[0])
+            return msgspec.json.encode(self._cache_events(after))
         if parts == ["counts"]:
             return msgspec.json.encode(self._counts())
         if parts[:2] == ["v1", "runs"] and parts[-1] == "stream":
@@ -268,6 +277,18 @@
         report = past[-1] if past else LoadReport(0, 0)
         return msgspec.structs.replace(report, leaving=self.faults.leaving)
 
+    def _cache_events(self, after: int) -> list[CacheEvent]:
+        """Return published events past a number, late and with gaps."""
+        newest_s = self._reactor.seconds() - self.faults.cache_lag_s
+        gap = self.faults.cache_gap
+        return [
+            event
+            for event in self.batch.cache_events
+            if event.number > after
+            and event.at_s <= newest_s
+            and not (gap and event.number % gap == 0)
+        ]
+
     def _counts(self) -> dict:
         return {
             "runs": {run_id: run.engine_run.used_tokens for run_id, run in self.runs.items()},
