Hold claims at pairs of routers, so that an outage of the store need not stop bookings

Cause: without the store every call that may not be repeated was refused. Change: ids fall into 16 shards; the table names an epoch and two holders for each; a call goes out after both holders recorded its claim at that epoch and, where reached, the table did in the same epoch. A change of holders keeps one, which stops, writes the next epoch, hands its claims over and goes on. Both are replaced only on the platform's word, from the table's claims, and ids minted before are unknown in the next outage.

--- a/tests/test_naive_versions.py
+++ b/tests/test_naive_versions.py
@@ -14,7 +14,14 @@
 from tests.helpers import run
 from turnward.budgets import BillWriter, GrantLedger, Reservation
 from turnward.callers.flights import FlightDesk
-from turnward.claims import ClaimAnswer, ClaimOutcome, ClaimRegister
+from turnward.claims import (
+    ClaimAnswer,
+    ClaimHolder,
+    ClaimOutcome,
+    ClaimRegister,
+    HoldAnswer,
+    HoldOutcome,
+)
 from turnward.platform import Absent, Transaction
 from turnward.resources import Change, ConfigLog, ConfigState
 from turnward.router.process import RouterProcess
@@ -103,7 +110,11 @@
         waiting, self._waiting = self._waiting, deque()
         self._answer(waiting, ClaimAnswer(ClaimOutcome.TAKEN))
 
+    def hold_all(self, shard, epoch, claim):
+        return HoldAnswer(HoldOutcome.HELD)
+
     monkeypatch.setattr(ClaimRegister, "flush", take_all)
+    monkeypatch.setattr(ClaimHolder, "hold", hold_all)
     assert "ran twice: b1" in run_same_booking_at_every_router(fleet)
 
 
--- a/turnward/callers/services.py
+++ b/turnward/callers/services.py
@@ -8,12 +8,22 @@
 from turnward.callers.answers import AnswerBase
 from turnward.callers.flights import Flight, FlightDesk
 from turnward.callers.problems import Outcome, Reason, Refusal, RefusedError
-from turnward.claims import ClaimOutcome, ClaimRow, ClaimState, StoredAnswer, claim_key
+from turnward.claims import (
+    ClaimAnswer,
+    ClaimOutcome,
+    ClaimRow,
+    ClaimState,
+    HoldAnswer,
+    HoldOutcome,
+    StoredAnswer,
+    claim_key,
+)
 from turnward.endpoints import NotRunError, RunUncertainError
 from turnward.ids import fingerprint, minted_s, new_id
-from turnward.platform import SetField
+from turnward.platform import PlatformError, Put
 from turnward.resources import Pool, Workspace
-from turnward.router.claim_task import ReleaseClaim, WantClaim
+from turnward.router.claim_task import KeepClaim, ReleaseClaim, WantClaim
+from turnward.router.pair_task import ReleaseHeld, WantHeld
 
 __all__ = ["ServiceRequest", "ServiceServer"]
 
@@ -35,6 +45,14 @@
     body: bytes
 
 
+class _StandingError(Exception):
+    """Another sender's call has ended; carries its stored answer."""
+
+    def __init__(self, answer: StoredAnswer):
+        super().__init__("the call was run before")
+        self.answer = answer
+
+
 class ServiceServer:
     """Runs service calls.
 
@@ -130,7 +148,10 @@
             new_id(),
             flight.fingerprint,
         )
-        stored = await self._claim(flight, claim)
+        try:
+            stored = await self._claim(flight, claim)
+        except _StandingError as standing:
+            stored = standing.answer
         if stored is not None:
             _replay(answer, stored, flight.request_id)
             self._desk.discard(flight)
@@ -139,24 +160,88 @@
             await self._send_claimed(flight, call, pool, claim, answer)
         except RefusedError as refused:
             if refused.refusal.outcome is Outcome.NOT_RUN:
-                flight.core.claims.tell(ReleaseClaim(claim))
+                self._release(flight, claim)
             raise
 
     async def _claim(self, flight: Flight, claim: ClaimRow) -> StoredAnswer | None:
-        """Take the claim, or return the stored answer of the run that took it before."""
-        answer: Deferred = Deferred()
-        flight.core.claims.tell(WantClaim(claim, answer))
-        try:
-            result = await answer.addTimeout(CLAIM_WAIT_S, self._context.reactor)
-        except defer.TimeoutError:
-            flight.core.claims.tell(ReleaseClaim(claim))
-            raise RefusedError(_claims_unreachable()) from None
+        """Take the claim, or return the stored answer of the run that took it before.
+
+        Both holders of the claim's shard must record it, and the table too
+        where it is reached. A shard without holders rests on the table alone.
+        """
+        key = claim_key(claim.workspace, claim.request_id)
+        epoch = 0
+        if self._context.pairs.row_of(key) is not None:
+            epoch = await self._claim_at_holders(flight, claim)
+        result = await self._claim_in_table(flight, claim, epoch)
         if result.outcome is ClaimOutcome.TAKEN:
             return None
         if result.outcome is ClaimOutcome.STANDING:
+            self._release(flight, claim)
             return self._judge_standing(result.standing, claim)
+        if result.outcome is ClaimOutcome.STORE_UNREACHABLE and epoch:
+            self._require_known(claim)
+            flight.core.claims.tell(KeepClaim(claim))
+            return None
+        self._release(flight, claim)
+        if result.outcome is ClaimOutcome.STALE:
+            self._context.pairs.note_stale()
+        raise RefusedError(_claims_unreachable())
+
+    async def _claim_at_holders(self, flight: Flight, claim: ClaimRow) -> int:
+        """Have both holders record the claim; return their epoch."""
+        answer: Deferred = Deferred()
+        key = claim_key(claim.workspace, claim.request_id)
+        self._context.pairs.tell(WantHeld(claim, answer))
+        try:
+            held = await answer.addTimeout(CLAIM_WAIT_S, self._context.reactor)
+        except defer.TimeoutError:
+            held = HoldAnswer(HoldOutcome.STALE)
+        if held.outcome is HoldOutcome.HELD:
+            return self._context.pairs.row_of(key).epoch
+        if held.outcome is HoldOutcome.STANDING:
+            stored = await self._standing_at_holders(claim, held)
+            raise _StandingError(stored)
+        self._context.pairs.tell(ReleaseHeld(claim))
         raise RefusedError(_claims_unreachable())
 
+    async def _standing_at_holders(self, claim: ClaimRow, held: HoldAnswer) -> StoredAnswer:
+        """Return the stored answer of a claim that another sender took, or refuse."""
+        if held.standing.fingerprint != claim.fingerprint:
+            raise RefusedError(Refusal(Reason.ID_REUSED, "this id was used for another request"))
+        key = claim_key(claim.workspace, claim.request_id)
+        try:
+            stored = (await self._context.table.read([key])).get(key)
+        except PlatformError:
+            stored = None
+        if stored is None:
+            raise RefusedError(
+                Refusal(Reason.IN_PROGRESS, "the call was claimed before", Outcome.UNKNOWN, 2)
+            )
+        return self._judge_standing(msgspec.convert(stored.value, ClaimRow), claim)
+
+    async def _claim_in_table(self, flight: Flight, claim: ClaimRow, epoch: int) -> ClaimAnswer:
+        answer: Deferred = Deferred()
+        flight.core.claims.tell(WantClaim(claim, epoch, answer))
+        try:
+            return await answer.addTimeout(CLAIM_WAIT_S, self._context.reactor)
+        except defer.TimeoutError:
+            return ClaimAnswer(ClaimOutcome.STORE_UNREACHABLE)
+
+    def _require_known(self, claim: ClaimRow) -> None:
+        """Refuse an id whose claim may have been lost with both holders of its shard."""
+        row = self._context.pairs.row_of(claim_key(claim.workspace, claim.request_id))
+        minted = minted_s(claim.request_id)
+        if row.unknown_before_s and (minted is None or minted < row.unknown_before_s):
+            raise RefusedError(
+                Refusal(Reason.OUTCOME_UNKNOWN, "claims of this time are lost", Outcome.UNKNOWN)
+            )
+
+    def _release(self, flight: Flight, claim: ClaimRow) -> None:
+        """Give a claim up whose call was not sent."""
+        flight.core.claims.tell(ReleaseClaim(claim))
+        self._context.pairs.tell(ReleaseHeld(claim))
+
     def _judge_standing(self, standing: ClaimRow, claim: ClaimRow) -> StoredAnswer:
         if standing.fingerprint != claim.fingerprint:
             raise RefusedError(Refusal(Reason.ID_REUSED, "this id was used for another request"))
@@ -245,11 +330,10 @@
 
 
 def _claim_writes(claim: ClaimRow, state: ClaimState, stored: StoredAnswer | None):
+    """Return the write of the whole row; in an outage no row was written before the call."""
+    row = msgspec.structs.replace(claim, state=state, answer=stored)
     key = claim_key(claim.workspace, claim.request_id)
-    writes = [SetField(key, "state", state.value)]
-    if stored is not None:
-        writes.append(SetField(key, "answer", msgspec.to_builtins(stored)))
-    return tuple(writes)
+    return (Put(key, msgspec.to_builtins(row)),)
 
 
 def _pass_on(answer: AnswerBase, response, request_id: str) -> None:
--- a/turnward/claims/register.py
+++ b/turnward/claims/register.py
@@ -7,10 +7,12 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
+from turnward.claims.pairs import shard_key, shard_of
 from turnward.claims.rows import ClaimRow, claim_key
 from turnward.fleet import FencedError, live_check, router_key
 from turnward.platform import (
     Absent,
+    Check,
     Committed,
     Delete,
     FieldIs,
@@ -34,6 +36,7 @@
     STANDING = "standing"
     STORE_UNREACHABLE = "store_unreachable"
     FENCED = "fenced"
+    STALE = "stale"
 
 
 class ClaimAnswer(msgspec.Struct, frozen=True):
@@ -60,16 +63,23 @@
         self._table = table
         self._incarnation = incarnation
         self._waiting: deque[tuple[ClaimRow, Deferred]] = deque()
+        self._epochs: dict[str, int] = {}
         self._abandoned: dict[str, str] = {}
+        self._kept: set[str] = set()
 
     @property
     def waiting_count(self) -> int:
         """How many claims wait for the next flush."""
         return len(self._waiting)
 
-    def claim(self, row: ClaimRow) -> Deferred:
-        """Ask for a claim; the deferred gives a ``ClaimAnswer`` after a flush."""
+    def claim(self, row: ClaimRow, epoch: int = 0) -> Deferred:
+        """Ask for a claim; the deferred gives a ``ClaimAnswer`` after a flush.
+
+        ``epoch`` is that of the holders who recorded the claim, 0 when the
+        shard has none; the claim fails when the table has another by then.
+        """
         answer: Deferred = Deferred()
+        self._epochs[claim_key(row.workspace, row.request_id)] = epoch
         self._waiting.append((row, answer))
         return answer
 
@@ -78,7 +88,11 @@
         while self._waiting:
             count = min(BATCH_CLAIMS, len(self._waiting))
             batch = [self._waiting.popleft() for _ in range(count)]
+            keys = [claim_key(row.workspace, row.request_id) for row, _ in batch]
             await self._flush_batch(batch)
+            for key in keys:
+                if all(claim_key(row.workspace, row.request_id) != key for row, _ in self._waiting):
+                    self._epochs.pop(key, None)
 
     async def _flush_batch(self, batch) -> None:
         batch = self._refuse_doubles(batch)
@@ -116,7 +130,9 @@
         standing = await self._table.read([key for key in keys if key in failed_keys])
         left = []
         for key, (row, answer) in zip(keys, batch, strict=True):
-            if key not in failed_keys:
+            if shard_key(shard_of(key)) in failed_keys:
+                answer.callback(ClaimAnswer(ClaimOutcome.STALE))
+            elif key not in failed_keys:
                 left.append((row, answer))
             elif key in standing:
                 found = msgspec.convert(standing[key].value, ClaimRow)
@@ -147,15 +163,25 @@
     def _abandon(self, batch) -> None:
         """Give claims up; a write of theirs that still arrives is undone later."""
         for row, _ in batch:
-            self._abandoned[claim_key(row.workspace, row.request_id)] = row.token
+            if row.token not in self._kept:
+                self.release(row)
         self._answer(batch, ClaimAnswer(ClaimOutcome.STORE_UNREACHABLE))
 
     def _answer(self, batch, answer: ClaimAnswer) -> None:
         for _, waiter in batch:
             waiter.callback(answer)
 
+    def keep(self, row: ClaimRow) -> None:
+        """Never remove a claim: its call goes out on the word of its holders.
+
+        Its row is written with the bill, or by a claim's write that comes late.
+        """
+        self._kept.add(row.token)
+        self._abandoned.pop(claim_key(row.workspace, row.request_id), None)
+
     def release(self, row: ClaimRow) -> None:
         """Give up a claim whose call was proved not to have run."""
+        self._kept.discard(row.token)
         self._abandoned[claim_key(row.workspace, row.request_id)] = row.token
 
     @property
@@ -179,10 +205,13 @@
         return released
 
     def _transaction(self, rows: list[ClaimRow]) -> Transaction:
-        checks = [live_check(self._incarnation)]
+        checks: dict[str, Check] = {"": live_check(self._incarnation)}
         writes = []
         for row in rows:
             key = claim_key(row.workspace, row.request_id)
-            checks.append(Absent(key))
+            checks[key] = Absent(key)
+            shard = shard_key(shard_of(key))
+            epoch = self._epochs.get(key, 0)
+            checks[shard] = FieldIs(shard, "epoch", epoch) if epoch else Absent(shard)
             writes.append(Put(key, msgspec.to_builtins(row)))
-        return Transaction(tuple(checks), tuple(writes))
+        return Transaction(tuple(checks.values()), tuple(writes))
--- a/turnward/fleet/registry.py
+++ b/turnward/fleet/registry.py
@@ -6,6 +6,8 @@
 changed. Reading all rows at each poll would cost reads in the square of the fleet.
 """
 
+import random
+
 import msgspec
 
 from turnward.fleet.errors import FencedError
@@ -20,10 +22,10 @@
     Absent,
     Check,
     Committed,
-    Conflict,
     Delete,
     FieldIs,
     OutcomeUnknownError,
+    PlatformUnavailableError,
     Put,
     Row,
     SetField,
@@ -40,14 +42,27 @@
 ENTRIES_PREFIX = "fleet/entry/"
 #: Log entries kept; a router further behind reads all rows.
 KEPT_ENTRIES = 500
-_RETRIES = 20
+_RETRIES = 30
+#: Bounds of the random pause between tries, in seconds.
+FIRST_PAUSE_S = 0.01
+LONGEST_PAUSE_S = 1.0
 
 
 class RouterRegistry:
-    """The router rows of the table, with a view that follows their log."""
-
-    def __init__(self, table: TableBase):
+    """The router rows of the table, with a view that follows their log.
+
+    Parameters
+    ----------
+    table : TableBase
+        The platform's table.
+    pause : callable, optional
+        Gives a deferred that fires after so many seconds; writers that contend
+        for the log's head wait a random while between tries.
+    """
+
+    def __init__(self, table: TableBase, pause=None):
         self._table = table
+        self._pause = pause
         self._rows: dict[str, RouterRow] = {}
         self._revision: int | None = None
 
@@ -67,6 +82,7 @@
         try:
             await self._change(row.incarnation, (Absent(key),), (write,))
         except OutcomeUnknownError:
+            # The row, or a late write of it, is found by the next try's check.
             if not await self._table.read([key]):
                 raise
 
@@ -130,8 +146,7 @@
         self, incarnation: str, checks: tuple[Check, ...], writes: tuple[Write, ...]
     ) -> TransactionResult:
         """Write under the next revision; tried again while only the revision is in the way."""
-        result: TransactionResult = Conflict(())
-        for _ in range(_RETRIES):
+        for attempt in range(_RETRIES):
             head = await self._head()
             entry = Put(_entry_key(head + 1), {"incarnation": incarnation})
             log_writes = (
@@ -145,7 +160,10 @@
             )
             if isinstance(result, Committed) or set(result.keys) != {HEAD_KEY}:
                 return result
-        return result
+            if self._pause is not None:
+                longest_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**attempt)
+                await self._pause(random.uniform(0.0, longest_s))
+        raise PlatformUnavailableError("the fleet's log is contended for", "it is tried again")
 
     async def _head(self) -> int:
         row = (await self._table.read([HEAD_KEY])).get(HEAD_KEY)
--- a/turnward/peers/book.py
+++ b/turnward/peers/book.py
@@ -125,6 +125,10 @@
             if queue.get(record.run_id) == record:
                 del queue[record.run_id]
 
+    def awaits(self, buddy: str, run_id: str) -> bool:
+        """Tell whether a record is still to be acknowledged by a buddy."""
+        return run_id in self._unsent.get(buddy, {})
+
     def unsent_count(self, buddy: str) -> int:
         """Return how many records a buddy has not acknowledged."""
         return len(self._unsent.get(buddy, {}))
--- a/turnward/peers/codec.py
+++ b/turnward/peers/codec.py
@@ -7,6 +7,7 @@
 import capnp
 import msgspec
 
+from turnward.claims.pairs import HeldClaim, HoldAnswer, HoldOutcome, ShardRow
 from turnward.errors import TurnwardError
 from turnward.events import Stamp
 from turnward.peers.messages import (
@@ -17,10 +18,14 @@
     HandOverAck,
     Heartbeat,
     HeartbeatAck,
+    HoldClaim,
+    HoldClaimAck,
     Message,
+    MoveShard,
     PutRecords,
     RecordsAck,
     RecordState,
+    ReleaseHeldClaim,
     RunRecord,
     StatusAsk,
     StatusReply,
@@ -116,14 +121,74 @@
         group = wire.init("handOverAck")
         group.wasHolder = message.was_holder
         _fill_records(group.init("records", len(message.records)), message.records)
-    else:
+    elif message_type is ConfigDelta:
         target = wire.init("configDelta", len(message.entries))
         for position, entry in enumerate(message.entries):
             target[position].revision = entry.revision
             target[position].body = entry.body
+    else:
+        _fill_claim_message(wire, message)
     return wire.to_bytes_packed()
 
 
+def _fill_claim_message(wire, message: Message) -> None:
+    match message:
+        case HoldClaim():
+            group = wire.init("holdClaim")
+            group.shard, group.epoch = message.shard, message.epoch
+            _fill_claim(group.init("claim"), message.claim)
+        case HoldClaimAck(answer=answer):
+            group = wire.init("holdClaimAck")
+            group.outcome = answer.outcome.value
+            if answer.row is not None:
+                group.row = msgspec.json.encode(answer.row)
+            if answer.standing is not None:
+                _fill_claim(group.init("standing"), answer.standing)
+        case ReleaseHeldClaim():
+            group = wire.init("releaseClaim")
+            group.releasedShard, group.releasedKey = message.shard, message.key
+            group.releasedToken = pack_id(message.token)
+        case MoveShard():
+            group = wire.init("moveShard")
+            group.movedRow = msgspec.json.encode(message.row)
+            claims = group.init("movedClaims", len(message.claims))
+            for position, claim in enumerate(message.claims):
+                _fill_claim(claims[position], claim)
+
+
+def _fill_claim(target, claim: HeldClaim) -> None:
+    target.key = claim.key
+    target.token = pack_id(claim.token)
+    target.fingerprint = pack_id(claim.fingerprint)
+
+
+def _read_claim(claim) -> HeldClaim:
+    return HeldClaim(claim.key, unpack_id(claim.token), unpack_id(claim.fingerprint))
+
+
+def _read_row(packed: bytes) -> ShardRow | None:
+    return msgspec.json.decode(packed, type=ShardRow) if packed else None
+
+
+def _claim_message(name: str, body) -> Message:
+    match name:
+        case "holdClaim":
+            return HoldClaim(body.shard, body.epoch, _read_claim(body.claim))
+        case "holdClaimAck":
+            outcome = HoldOutcome(body.outcome)
+            standing = None
+            if outcome is HoldOutcome.STANDING:
+                standing = _read_claim(body.standing)
+            return HoldClaimAck(HoldAnswer(outcome, standing, _read_row(body.row)))
+        case "releaseClaim":
+            token = unpack_id(body.releasedToken)
+            return ReleaseHeldClaim(body.releasedShard, body.releasedKey, token)
+        case "moveShard":
+            claims = tuple(_read_claim(claim) for claim in body.movedClaims)
+            return MoveShard(msgspec.json.decode(body.movedRow, type=ShardRow), claims)
+    raise WireError(f"unknown message {name}")
+
+
 def decode(frame: bytes) -> Envelope:
     """Return the envelope in a frame.
 
@@ -137,7 +202,7 @@
         return Envelope(
             wire.number, wire.incarnation, Stamp(wire.wallMs, wire.counter), _message(wire)
         )
-    except (capnp.KjException, ValueError, UnicodeDecodeError) as failure:
+    except (capnp.KjException, msgspec.MsgspecError, ValueError) as failure:
         raise WireError(f"damaged frame: {failure}") from failure
 
 
@@ -155,7 +220,7 @@
         return HandOverAck(records, body.wasHolder)
     if name == "configDelta":
         return ConfigDelta(tuple(ConfigEntry(entry.revision, bytes(entry.body)) for entry in body))
-    raise WireError(f"unknown message {name}")
+    return _claim_message(str(name), body)
 
 
 def _fill_records(target, records: tuple[RunRecord, ...]) -> None:
--- a/turnward/peers/messages.py
+++ b/turnward/peers/messages.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from turnward.claims.pairs import HeldClaim, HoldAnswer, ShardRow
+
 __all__ = [
     "ConfigAsk",
     "ConfigDelta",
@@ -13,10 +15,14 @@
     "HandOverAck",
     "Heartbeat",
     "HeartbeatAck",
+    "HoldClaim",
+    "HoldClaimAck",
     "Message",
+    "MoveShard",
     "PutRecords",
     "RecordState",
     "RecordsAck",
+    "ReleaseHeldClaim",
     "RunRecord",
     "StatusAsk",
     "StatusReply",
@@ -147,6 +153,35 @@
     body: bytes
 
 
+class HoldClaim(msgspec.Struct, frozen=True):
+    """Record a claim of a shard at an epoch."""
+
+    shard: int
+    epoch: int
+    claim: HeldClaim
+
+
+class HoldClaimAck(msgspec.Struct, frozen=True):
+    """A holder's answer to a claim."""
+
+    answer: HoldAnswer
+
+
+class ReleaseHeldClaim(msgspec.Struct, frozen=True):
+    """Forget a claim whose call was proved not to have run."""
+
+    shard: int
+    key: str
+    token: str
+
+
+class MoveShard(msgspec.Struct, frozen=True):
+    """Begin to hold a shard as its row says, with these claims."""
+
+    row: ShardRow
+    claims: tuple[HeldClaim, ...]
+
+
 Message = (
     Heartbeat
     | HeartbeatAck
@@ -158,4 +193,8 @@
     | ConfigDelta
     | StatusAsk
     | StatusReply
+    | HoldClaim
+    | HoldClaimAck
+    | ReleaseHeldClaim
+    | MoveShard
 )
--- a/turnward/peers/recovery.py
+++ b/turnward/peers/recovery.py
@@ -14,7 +14,7 @@
     grants_prefix,
 )
 from turnward.budgets.rows import budget_key
-from turnward.claims import ClaimState, claim_key
+from turnward.claims import ClaimRow, ClaimState, claim_key
 from turnward.endpoints import EndpointError, EngineClientBase, RunState
 from turnward.events import EventLog
 from turnward.fleet import RouterRegistry, RouterRow, RouterState, instance_of, router_key
@@ -35,7 +35,6 @@
     FieldIs,
     OutcomeUnknownError,
     Put,
-    SetField,
     TableBase,
     Transaction,
     VersionIs,
@@ -215,8 +214,16 @@
         )
         if record.repeatable:
             return Bill(row)
-        claim = claim_key(record.workspace, record.request_id)
-        return Bill(row, (SetField(claim, "state", ClaimState.UNKNOWN.value),))
+        claim = ClaimRow(
+            record.request_id,
+            record.workspace,
+            incarnation,
+            record.run_id,
+            record.fingerprint,
+            ClaimState.UNKNOWN,
+        )
+        key = claim_key(record.workspace, record.request_id)
+        return Bill(row, (Put(key, msgspec.to_builtins(claim)),))
 
     async def _write(self, writer: BillWriter, row: RouterRow) -> None:
         done = await writer.flush()
--- a/turnward/peers/tests/test_codec.py
+++ b/turnward/peers/tests/test_codec.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from turnward.claims.pairs import HeldClaim, HoldAnswer, HoldOutcome, ShardRow
 from turnward.events import Stamp
 from turnward.peers.codec import Envelope, WireError, decode, encode
 from turnward.peers.messages import (
@@ -17,14 +18,20 @@
     HandOverAck,
     Heartbeat,
     HeartbeatAck,
+    HoldClaim,
+    HoldClaimAck,
+    MoveShard,
     PutRecords,
     RecordsAck,
     RecordState,
+    ReleaseHeldClaim,
     RunRecord,
     StatusAsk,
     StatusReply,
 )
 
+CLAIM = HeldClaim("claim/w/id", "0190163d-8694-739b-aea5-966c26f8ad91", "f" * 32)
+ROW = ShardRow(3, 8, ("r1", "r2"), unknown_before_s=1.5)
 FUZZ = settings(max_examples=100, derandomize=True, database=None, deadline=None)
 TEXT = st.text(st.characters(codec="utf-8", exclude_characters="\x00"), max_size=40)
 RECORDS = st.builds(
@@ -60,6 +67,12 @@
         StatusReply(b"{}"),
         PutRecords((), ("run",)),
         HandOverAck((), False),
+        HoldClaim(3, 7, CLAIM),
+        HoldClaimAck(HoldAnswer(HoldOutcome.HELD)),
+        HoldClaimAck(HoldAnswer(HoldOutcome.STANDING, CLAIM)),
+        ReleaseHeldClaim(3, "claim/w/id", "token"),
+        HoldClaimAck(HoldAnswer(HoldOutcome.STALE, row=ROW)),
+        MoveShard(ROW, (CLAIM, CLAIM)),
     ],
 )
 def test_every_message_comes_back(message):
--- a/turnward/peers/wire.capnp
+++ b/turnward/peers/wire.capnp
@@ -17,6 +17,12 @@
   repeatable @9 :Bool;
 }
 
+struct HeldClaim {
+  key @0 :Text;
+  token @1 :Data;
+  fingerprint @2 :Data;
+}
+
 struct ConfigEntry {
   revision @0 :UInt64;
   body @1 :Data;
@@ -59,5 +65,24 @@
     statusReply :group {
       body @13 :Data;
     }
+    holdClaim :group {
+      shard @17 :UInt16;
+      epoch @18 :UInt64;
+      claim @19 :HeldClaim;
+    }
+    holdClaimAck :group {
+      outcome @20 :Text;
+      standing @21 :HeldClaim;
+      row @27 :Data;
+    }
+    releaseClaim :group {
+      releasedShard @22 :UInt16;
+      releasedKey @23 :Text;
+      releasedToken @24 :Data;
+    }
+    moveShard :group {
+      movedRow @25 :Data;
+      movedClaims @26 :List(HeldClaim);
+    }
   }
 }
--- a/turnward/router/claim_task.py
+++ b/turnward/router/claim_task.py
@@ -7,13 +7,14 @@
 from turnward.claims import ClaimAnswer, ClaimRegister, ClaimRow
 from turnward.router.task import TaskBase, Tick
 
-__all__ = ["ClaimTask", "ReleaseClaim", "WantClaim"]
+__all__ = ["ClaimTask", "KeepClaim", "ReleaseClaim", "WantClaim"]
 
 
 class WantClaim(msgspec.Struct, frozen=True, eq=False):
     """A call waits for its claim; the answer is a ``ClaimAnswer``."""
 
     row: ClaimRow
+    epoch: int
     answer: Deferred
 
 
@@ -23,6 +24,12 @@
     row: ClaimRow
 
 
+class KeepClaim(msgspec.Struct, frozen=True, eq=False):
+    """The call goes out although the table did not answer."""
+
+    row: ClaimRow
+
+
 class ClaimTask(TaskBase):
     """Owns the claim register; claims that come while one write runs share the next."""
 
@@ -36,9 +43,13 @@
         """See ``TaskBase.handle``."""
         for message in messages:
             if isinstance(message, WantClaim):
-                self.register.claim(message.row).addCallback(self._answer, message.answer)
+                self.register.claim(message.row, message.epoch).addCallback(
+                    self._answer, message.answer
+                )
             elif isinstance(message, ReleaseClaim):
                 self.register.release(message.row)
+            elif isinstance(message, KeepClaim):
+                self.register.keep(message.row)
         await self.register.flush()
         released = any(isinstance(message, ReleaseClaim | Tick) for message in messages)
         if released and self.register.abandoned_count:
--- a/turnward/router/context.py
+++ b/turnward/router/context.py
@@ -3,6 +3,8 @@
 
 from collections import Counter
 
+from twisted.internet import defer, task
+
 from turnward.endpoints import EngineClientBase, ServiceClientBase
 from turnward.events import ClockBase, EventLog, Metrics
 from turnward.fleet import RouterRegistry, RouterRow, rendezvous_weight
@@ -55,6 +57,8 @@
     ----------
     registry : RouterRegistry
         The router rows; one view for the process.
+    pairs : PairTask or None
+        Takes claims at the pairs of holders; set by the router process.
     config : ConfigState
         The configuration in force.
     rows : dict of str to RouterRow
@@ -83,13 +87,14 @@
         self.clock = clock
         self.table = table
         self.objects = objects
-        self.registry = RouterRegistry(table)
+        self.registry = RouterRegistry(table, self.pause)
         self.instance_list = instance_list
         self.engines = engines
         self.services = services
         self.events = events
         self.metrics = metrics
         self.peers: PeersBase | None = None
+        self.pairs = None
         self.machine = StateMachine("router")
         self.config = ConfigState()
         self.views = EndpointViews()
@@ -102,6 +107,10 @@
         self._queues: dict[str, AdmissionQueue] = {}
         self._retries: dict[str, RetryBudget] = {}
 
+    def pause(self, seconds: float) -> defer.Deferred:
+        """Return a deferred that fires after so many seconds."""
+        return task.deferLater(self.reactor, seconds)
+
     def now_s(self) -> float:
         """Return monotonic time in seconds."""
         return self.clock.now_s()
--- /dev/null
+++ b/turnward/router/pair_task.py
@@ -0,0 +1,330 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Keeps the pairs of claim holders, and takes claims at them."""
+
+import msgspec
+from twisted.internet import defer
+
+from turnward.claims import (
+    CLAIM_SHARDS,
+    ClaimHolder,
+    ClaimRow,
+    HeldClaim,
+    HoldAnswer,
+    HoldOutcome,
+    ShardRow,
+    claim_key,
+    shard_key,
+    shard_of,
+)
+from turnward.fleet import RouterState, instance_of, live_check, rendezvous_weight
+from turnward.peers.errors import PeerError
+from turnward.peers.messages import (
+    HoldClaim,
+    HoldClaimAck,
+    MoveShard,
+    RecordsAck,
+    ReleaseHeldClaim,
+)
+from turnward.platform import (
+    Absent,
+    Committed,
+    FieldIs,
+    Put,
+    Transaction,
+)
+from turnward.router.task import TaskBase
+
+__all__ = ["PairTask", "ReleaseHeld", "WantHeld"]
+
+#: Seconds between looks at the shards when nothing in the fleet has changed.
+LOOK_S = 30.0
+
+
+class WantHeld(msgspec.Struct, frozen=True, eq=False):
+    """A call waits until both holders have its claim.
+
+    The answer is a ``HoldAnswer`` with the epoch it was given at.
+    """
+
+    row: ClaimRow
+    answer: defer.Deferred
+
+
+class ReleaseHeld(msgspec.Struct, frozen=True):
+    """The claimed call was proved not to have run."""
+
+    row: ClaimRow
+
+
+class PairTask(TaskBase):
+    """Owns the shards this process holds and its view of all shards' rows.
+
+    Parameters
+    ----------
+    context : RouterContext
+        The router's shared parts.
+    core : callable
+        Returns the ``RouterCore`` of now.
+    """
+
+    log_prefix = "pairs"
+
+    def __init__(self, context, core, on_fenced):
+        super().__init__(context.reactor, 1.0, on_fenced)
+        self._context = context
+        self._core = core
+        self.holder = ClaimHolder()
+        self._rows: dict[int, ShardRow] = {}
+        self._looked_s = float("-inf")
+        self._seen_rows: dict | None = None
+        self._stale = True
+        self._unreleased: dict[str, ClaimRow] = {}
+
+    async def handle(self, messages):
+        """See ``TaskBase.handle``."""
+        for message in messages:
+            if isinstance(message, WantHeld):
+                defer.ensureDeferred(self._hold_and_answer(message))
+            elif isinstance(message, ReleaseHeld):
+                key = claim_key(message.row.workspace, message.row.request_id)
+                self._unreleased[key] = message.row
+        if self._context.machine.state in ("serving", "leaving") and self._is_due():
+            await self._look()
+            for shard in range(CLAIM_SHARDS):
+                await self._tend(shard)
+        await self._release()
+
+    def row_of(self, key: str) -> ShardRow | None:
+        """Return the row of a claim's shard as last read."""
+        return self._rows.get(shard_of(key))
+
+    def note_stale(self) -> None:
+        """Have the shards' rows read again at the next tick."""
+        self._stale = True
+
+    def _is_due(self) -> bool:
+        waited_s = self._context.now_s() - self._looked_s
+        changed = self._context.rows != self._seen_rows
+        return self._stale or changed or waited_s >= LOOK_S
+
+    async def _look(self) -> None:
+        self._seen_rows = self._context.rows
+        keys = {shard_key(shard): shard for shard in range(CLAIM_SHARDS)}
+        stored = await self._context.table.read(list(keys))
+        for key, row in stored.items():
+            self._rows[keys[key]] = msgspec.convert(row.value, ShardRow)
+        self._looked_s = self._context.now_s()
+        self._stale = False
+
+    async def _hold_and_answer(self, message: WantHeld) -> None:
+        key = claim_key(message.row.workspace, message.row.request_id)
+        claim = HeldClaim(key, message.row.token, message.row.fingerprint)
+        row = self.row_of(key)
+        answer = await self._hold(row, claim) if row else HoldAnswer(HoldOutcome.STALE)
+        if answer.row is not None and self._learn(answer.row):
+            answer = await self._hold(answer.row, claim)
+        if answer.outcome is HoldOutcome.STALE:
+            self.note_stale()
+        if not message.answer.called:
+            message.answer.callback(answer)
+
+    def _learn(self, row: ShardRow) -> bool:
+        """Take in a row that a holder knows; True when it is newer than the one here."""
+        known = self._rows.get(row.shard)
+        if known is not None and known.epoch >= row.epoch:
+            return False
+        self._rows[row.shard] = row
+        return True
+
+    async def _hold(self, row: ShardRow, claim: HeldClaim) -> HoldAnswer:
+        """Record the claim at the first holder, then at the second.
+
+        The order decides between two senders of the same id.
+        """
+        answer = HoldAnswer(HoldOutcome.STALE)
+        for holder in row.holders:
+            answer = await self._hold_at(holder, row, claim)
+            if answer.outcome is not HoldOutcome.HELD:
+                return answer
+        return answer
+
+    async def _hold_at(self, holder: str, row: ShardRow, claim: HeldClaim) -> HoldAnswer:
+        if holder == self._core().incarnation:
+            return self.holder.hold(row.shard, row.epoch, claim)
+        ack = await self._ask(holder, HoldClaim(row.shard, row.epoch, claim))
+        return ack.answer if isinstance(ack, HoldClaimAck) else HoldAnswer(HoldOutcome.STALE)
+
+    async def _ask(self, incarnation: str, message):
+        row = self._context.rows.get(incarnation)
+        if row is None:
+            return None
+        try:
+            return await self._context.peers.ask(row.peers_address, incarnation, message)
+        except PeerError:
+            return None
+
+    async def _release(self) -> None:
+        """Tell holders of claims given up; tried again until they have heard."""
+        for key, row in list(self._unreleased.items()):
+            shard = self.row_of(key)
+            heard = True
+            for holder in shard.holders if shard else ():
+                if holder == self._core().incarnation:
+                    self.holder.release(shard.shard, key, row.token)
+                    continue
+                message = ReleaseHeldClaim(shard.shard, key, row.token)
+                live = holder in self._context.rows
+                heard = heard and (not live or await self._ask(holder, message) is not None)
+            if heard:
+                self._unreleased.pop(key, None)
+
+    async def _tend(self, shard: int) -> None:
+        """Do what this router's part in a shard calls for."""
+        own = self._core().incarnation
+        row = self._rows.get(shard)
+        if row is None:
+            if self._first_for(shard) == own:
+                await self._write(shard, None, from_table=True)
+            return
+        first, second = row.holders
+        if self._is_live(first) and self._is_live(second):
+            if first == own and not self.holder.serves(shard, row.epoch):
+                await self._open(row)
+            else:
+                await self._rebalance(row)
+            return
+        if self._can_continue(row):
+            self.holder.freeze(shard)
+            await self._write(shard, row, from_table=False)
+        elif self._may_reset(row):
+            await self._write(shard, row, from_table=True)
+
+    async def _rebalance(self, row: ShardRow) -> None:
+        """Bring a shard one step nearer to the holders that hashing wants.
+
+        Without this the routers that started first would hold every shard.
+        One holder is kept at each step, as in every change.
+        """
+        own = self._core().incarnation
+        if own not in row.holders or not self.holder.serves(row.shard, row.epoch):
+            return
+        wanted = self._wanted_holders(row.shard)
+        unwanted = [holder for holder in row.holders if holder not in wanted]
+        if not unwanted or len(wanted) < len(row.holders):
+            return
+        keeper = next((holder for holder in row.holders if holder in wanted), row.holders[0])
+        if keeper == own:
+            second = next(holder for holder in wanted if holder != own)
+            self.holder.freeze(row.shard)
+            await self._write(row.shard, row, from_table=False, second=second)
+
+    def _wanted_holders(self, shard: int) -> list[str]:
+        """Return the two live routers with the highest weights, in two zones if possible."""
+        rows = sorted(
+            self._live(),
+            key=lambda row: rendezvous_weight(str(shard), row.incarnation),
+            reverse=True,
+        )
+        if not rows:
+            return []
+        others = [row for row in rows[1:] if row.zone != rows[0].zone] or rows[1:]
+        return [row.incarnation for row in (rows[0], *others[:1])]
+
+    def _can_continue(self, row: ShardRow) -> bool:
+        """Tell whether this process has the claims of the row's epoch."""
+        return self.holder.has_state(row.shard, row.epoch)
+
+    def _may_reset(self, row: ShardRow) -> bool:
+        """Tell whether no holder of the epoch can have its claims any more.
+
+        The second holder has them only once the first handed them over, so a
+        second holder without them starts anew when the first is gone.
+        """
+        listed = self._context.listed
+        own = self._core().incarnation
+        gone = [
+            holder
+            for holder in row.holders
+            if listed is not None
+            and not self._is_live(holder)
+            and instance_of(holder) not in listed
+        ]
+        if row.holders[0] not in gone:
+            return False
+        if row.holders[1] == own:
+            return True
+        return row.holders[1] in gone and self._first_for(row.shard) == own
+
+    async def _write(
+        self, shard: int, before: ShardRow | None, from_table: bool, second: str | None = None
+    ) -> None:
+        """Write the next epoch with this router first and another as second."""
+        own = self._core().incarnation
+        second = second or self._choose_second(shard, before)
+        if second is None:
+            return
+        lost = before is not None and from_table
+        row = ShardRow(
+            shard,
+            before.epoch + 1 if before else 1,
+            (own, second),
+            from_table,
+            self._context.clock.wall_s() if lost else (before.unknown_before_s if before else 0.0),
+        )
+        key = shard_key(shard)
+        check = FieldIs(key, "epoch", before.epoch) if before else Absent(key)
+        result = await self._context.table.transact(
+            Transaction((check, live_check(own)), (Put(key, msgspec.to_builtins(row)),))
+        )
+        self._stale = True
+        if isinstance(result, Committed):
+            self._rows[shard] = row
+            await self._open(row)
+
+    async def _open(self, row: ShardRow) -> None:
+        """Hand the claims to the second holder, then serve."""
+        claims: tuple[HeldClaim, ...] = ()
+        if row.from_table:
+            claims = await self._stored_claims(row.shard)
+        elif self.holder.has_state(row.shard, row.epoch - 1):
+            claims = self.holder.freeze(row.shard)
+        else:
+            return
+        ack = await self._ask(row.holders[1], MoveShard(row, claims))
+        if isinstance(ack, RecordsAck) and ack.accepted:
+            self.holder.install(row, claims)
+            self._context.events.emit("claims.pair", shard=row.shard, epoch=row.epoch)
+        else:
+            self._stale = True
+
+    async def _stored_claims(self, shard: int) -> tuple[HeldClaim, ...]:
+        rows = await self._context.table.scan_all("claim/")
+        return tuple(
+            HeldClaim(row.key, row.value["token"], row.value["fingerprint"])
+            for row in rows
+            if shard_of(row.key) == shard
+        )
+
+    def _is_live(self, incarnation: str) -> bool:
+        row = self._context.rows.get(incarnation)
+        return row is not None and row.state is RouterState.LIVE
+
+    def _live(self) -> list:
+        return [row for row in self._context.rows.values() if row.state is RouterState.LIVE]
+
+    def _first_for(self, shard: int) -> str:
+        names = [row.incarnation for row in self._live()]
+        return max(names, key=lambda name: rendezvous_weight(str(shard), name), default="")
+
+    def _choose_second(self, shard: int, before: ShardRow | None) -> str | None:
+        own = self._core().incarnation
+        zone = self._context.settings.zone
+        kept = before.holders if before else ()
+        others = [row for row in self._live() if row.incarnation != own]
+
+        def preference(row):
+            weight = rendezvous_weight(str(shard), row.incarnation)
+            return (row.zone == zone, row.incarnation not in kept, -weight)
+
+        others.sort(key=preference)
+        return others[0].incarnation if others else None
--- a/turnward/router/process.py
+++ b/turnward/router/process.py
@@ -20,9 +20,13 @@
     HandOverAck,
     Heartbeat,
     HeartbeatAck,
+    HoldClaim,
+    HoldClaimAck,
     Message,
+    MoveShard,
     PutRecords,
     RecordsAck,
+    ReleaseHeldClaim,
     StatusAsk,
     StatusReply,
 )
@@ -35,6 +39,7 @@
 from turnward.router.event_task import EventTask
 from turnward.router.grant_task import ReturnAll
 from turnward.router.membership_task import MembershipTask
+from turnward.router.pair_task import PairTask
 from turnward.router.recovery_task import RecoveryTask
 from turnward.settings import RouterSettings, parse_address
 
@@ -67,6 +72,8 @@
         self.desk = FlightDesk(context, self._current_core)
         self.config = ConfigTask(context)
         self.recovery = RecoveryTask(context, self._current_core, self._fenced_now)
+        self.pairs = PairTask(context, self._current_core, self._fenced_now)
+        context.pairs = self.pairs
         self.membership = MembershipTask(
             context, self.config, self.recovery, self._current_core, self._fenced_now
         )
@@ -74,6 +81,7 @@
             self.config,
             self.recovery,
             self.membership,
+            self.pairs,
             EndpointTask(context),
             EventTask(context),
         )
@@ -195,10 +203,22 @@
             return HandOverAck(records, message.holder in self._incarnations)
         if isinstance(message, ConfigAsk):
             return self.config.entries_after(message.after)
+        if isinstance(message, HoldClaim | ReleaseHeldClaim | MoveShard):
+            return self._answer_claim(message)
         if isinstance(message, StatusAsk):
             return StatusReply(msgspec.json.encode(self._status_body(message.kind)))
         return RecordsAck(False)
 
+    def _answer_claim(self, message) -> Message:
+        holder = self.pairs.holder
+        match message:
+            case HoldClaim(shard=shard, epoch=epoch, claim=claim):
+                return HoldClaimAck(holder.hold(shard, epoch, claim))
+            case MoveShard(row=row, claims=claims):
+                return RecordsAck(holder.install(row, claims))
+        holder.release(message.shard, message.key, message.token)
+        return RecordsAck(True)
+
     def _status_body(self, kind: str):
         name, _, rest = kind.partition("/")
         if name == "silent":
--- a/turnward/router/record_task.py
+++ b/turnward/router/record_task.py
@@ -125,7 +125,13 @@
                 waiter.answer.callback(sent.held)
 
     def _others_may_hold(self, record: RunRecord, buddy: str) -> bool:
-        return any(other != buddy and other in self._sending for other in self.buddies)
+        """Tell whether another buddy still has to answer for the record."""
+        return any(
+            other != buddy
+            and other not in self._failed
+            and self.outbox.awaits(other, record.run_id)
+            for other in self.buddies
+        )
 
 
 def _message(records: tuple[RunRecord, ...]) -> PutRecords:
