Read as a newcomer: split the flights, name what the packages give, drop dead fields

Change: callers/flight, replies, desk; turnward/coroutines.run_now; settings.read_toml; re-exports and docstrings.

--- a/tests/fake_fleet.py
+++ b/tests/fake_fleet.py
@@ -88,6 +88,7 @@
     """Collects what a caller would read."""
 
     def __init__(self):
+        super().__init__()
         self.status = 0
         self.headers: dict[str, str] = {}
         self.body = b""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,21 +4,13 @@
 import msgspec
 
 from turnward.budgets import BudgetRow, budget_key
+from turnward.coroutines import run_now as run
 from turnward.fleet import RouterRow, RouterState, router_key
 from turnward.platform import MemoryTable, Put, Transaction
 
 __all__ = ["add_budget", "add_router", "run"]
 
 
-def run(coroutine):
-    """Run a coroutine that never waits and return its result."""
-    try:
-        coroutine.send(None)
-    except StopIteration as stop:
-        return stop.value
-    raise AssertionError("the coroutine waits")
-
-
 def add_budget(table: MemoryTable, name: str, limit_tokens: int) -> None:
     """Write a budget's row."""
     row = msgspec.to_builtins(BudgetRow(limit_tokens, limit_tokens))
--- a/tests/test_naive_versions.py
+++ b/tests/test_naive_versions.py
@@ -13,7 +13,7 @@
 from tests.fake_fleet import LIMIT_TOKENS, FakeFleet
 from tests.helpers import run
 from turnward.budgets import BillWriter, GrantLedger, Reservation
-from turnward.callers.flights import FlightDesk
+from turnward.callers.desk import FlightDesk
 from turnward.claims import (
     ClaimAnswer,
     ClaimHolder,
--- a/turnward/callers/answers.py
+++ b/turnward/callers/answers.py
@@ -10,7 +10,16 @@
 
 
 class AnswerBase(ABC):
-    """The one answer of one request."""
+    """The one answer of one request.
+
+    Attributes
+    ----------
+    on_gone : callable
+        Called without arguments when the caller goes away before the end.
+    """
+
+    def __init__(self):
+        self.on_gone = lambda: None
 
     @abstractmethod
     def head(self, status: int, headers: dict[str, str]) -> None:
@@ -38,10 +47,10 @@
     """An answer over a ``twisted.web`` request."""
 
     def __init__(self, request):
+        super().__init__()
         self._request = request
         self._gone = False
         self._ended = False
-        self.on_gone = lambda: None
         request.notifyFinish().addErrback(self._lost)
 
     def head(self, status, headers):
--- a/turnward/callers/chat.py
+++ b/turnward/callers/chat.py
@@ -5,8 +5,10 @@
 from twisted.internet import defer, task
 
 from turnward.callers.answers import AnswerBase, send_refusal
-from turnward.callers.flights import Flight, FlightDesk, StoredReply
+from turnward.callers.desk import FlightDesk
+from turnward.callers.flight import Flight
 from turnward.callers.problems import Outcome, Reason, Refusal, RefusedError, problem_body
+from turnward.callers.replies import StoredReply
 from turnward.callers.sse import END_MARK, EventSplitter
 from turnward.endpoints import EndpointError, NotRunError, RunState, RunUncertainError
 from turnward.ids import fingerprint
@@ -91,7 +93,7 @@
 
     def __init__(self, answer: AnswerBase, stream: bool, headers: dict[str, str]):
         self._answer = answer
-        self._stream = stream
+        self.stream = stream
         self._headers = headers
         self._body: list[bytes] = []
         self._splitter = EventSplitter()
@@ -102,11 +104,11 @@
 
     def head(self, response) -> None:
         self.status = response.status
-        if self._stream and response.status == _OK:
+        if self.stream and response.status == _OK:
             self._answer.head(_OK, {**self._headers, "Content-Type": "text/event-stream"})
 
     def data(self, data: bytes) -> None:
-        if not self._stream or self.status != _OK:
+        if not self.stream or self.status != _OK:
             self._body.append(data)
             return
         for event in self._splitter.feed(data):
@@ -269,7 +271,7 @@
             await self._resume(flight, relay, answer)
         except defer.CancelledError as failure:
             raise RunUncertainError("the caller has gone") from failure
-        if relay.status == _OK and flight.record and relay._stream and not relay.whole:
+        if relay.status == _OK and flight.record and relay.stream and not relay.whole:
             await self._resume(flight, relay, answer)
 
     async def _resume(self, flight: Flight, relay: _Relay, answer) -> None:
@@ -303,9 +305,9 @@
             self._context.metrics.count("runs.uncancelled")
 
     def _end_whole(self, flight: Flight, relay: _Relay, answer: AnswerBase) -> None:
-        body = relay.body() if not relay._stream or relay.status != _OK else b""
+        body = relay.body() if not relay.stream or relay.status != _OK else b""
         self._settle(flight, relay.used_tokens or 0)
-        if relay._stream and relay.status == _OK:
+        if relay.stream and relay.status == _OK:
             answer.finish()
             return
         outcome = Outcome.RAN if relay.status < _BAD_REQUEST_FROM else Outcome.NOT_RUN
--- a/turnward/callers/flights.py
+++ b/turnward/callers/desk.py
@@ -2,115 +2,33 @@
 """A request's way through admission, budget, record and bill; the same for all kinds."""
 
 import math
-from collections import OrderedDict
 
 import msgspec
 from expression import Result
 from twisted.internet import defer
 from twisted.internet.defer import Deferred
 
-from turnward.budgets import Bill, BillRow, RefusalReason, Reservation
+from turnward.budgets import Bill, BillRow, RefusalReason
+from turnward.callers.flight import Flight, UncertainRun
 from turnward.callers.problems import Outcome, Reason, Refusal, RefusedError
+from turnward.callers.replies import ReplyStore, StoredReply
 from turnward.fleet import live_check
 from turnward.ids import new_id
 from turnward.peers.messages import RecordState, RunRecord, stored_record_key
 from turnward.platform import Committed, Delete, PlatformError, Put, Transaction, Write
-from turnward.resources import Workspace
 from turnward.router.bill_task import AddBill
 from turnward.router.grant_task import WantTokens
 from turnward.router.record_task import HoldRecord
-from turnward.routing import Choice, EndpointView, RouteRequest, Ticket
+from turnward.routing import Choice, RouteRequest
 
-__all__ = ["Flight", "FlightDesk", "StoredReply"]
+__all__ = ["FlightDesk"]
 
-#: Whole answers kept for callers who ask again with the same id.
-KEPT_REPLIES = 1_000
-#: Largest answer kept, in bytes.
-KEPT_REPLY_BYTES = 65_536
 #: Seconds after which a caller refused for want of reachable tokens may come back.
 UNREACHABLE_RETRY_S = 2
 _SHORT_RETRY_S = 1
 HOLD_TRIES = 2
 
 
-class StoredReply(msgspec.Struct, frozen=True):
-    """A whole answer, kept for a repeat of the request."""
-
-    fingerprint: str
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
-class UncertainRun(msgspec.Struct, frozen=True):
-    """An attempt whose answer did not come; it may have run."""
-
-    view: EndpointView
-    run_id: str
-    record: RunRecord
-
-
-class Flight:
-    """One request on its way.
-
-    Attributes
-    ----------
-    run_id : str
-        Id of the present attempt at an endpoint.
-    record : RunRecord or None
-        The record that buddies hold for the present attempt.
-    uncertain_run : UncertainRun or None
-        An earlier attempt that may have run.
-    stored_record_key : str
-        Key of the record in the table, where no buddy could hold it.
-    core : RouterCore
-        The incarnation that reserved the tokens and bills them.
-    """
-
-    __slots__ = (
-        "admitted_s",
-        "core",
-        "fingerprint",
-        "pool",
-        "priority_class",
-        "record",
-        "repeatable",
-        "request_id",
-        "uncertain_run",
-        "reservation",
-        "run_id",
-        "started_s",
-        "stored_record_key",
-        "ticket",
-        "tried",
-        "view",
-        "view_sent_s",
-        "workspace",
-    )
-
-    def __init__(
-        self, workspace: Workspace, request_id, fingerprint, pool, priority_class, repeatable
-    ):
-        self.workspace = workspace
-        self.request_id = request_id
-        self.fingerprint = fingerprint
-        self.pool = pool
-        self.priority_class = priority_class
-        self.repeatable = repeatable
-        self.reservation: Reservation | None = None
-        self.record: RunRecord | None = None
-        self.ticket: Ticket | None = None
-        self.view: EndpointView | None = None
-        self.core = None
-        self.run_id = ""
-        self.stored_record_key = ""
-        self.uncertain_run: UncertainRun | None = None
-        self.started_s = 0.0
-        self.admitted_s = 0.0
-        self.view_sent_s = 0.0
-        self.tried: set[str] = set()
-
-
 class FlightDesk:
     """Opens, holds and closes flights.
 
@@ -126,18 +44,13 @@
         self._context = context
         self._core = core
         self._open: dict[tuple[str, str], Flight] = {}
-        self._replies: OrderedDict[tuple[str, str], StoredReply] = OrderedDict()
+        self._replies = ReplyStore()
 
     @property
     def open_count(self) -> int:
         """How many flights are not closed."""
         return len(self._open)
 
-    def in_flight_on(self, endpoint: str) -> int:
-        """Return this router's requests on an endpoint."""
-        view = self._context.views.get(endpoint)
-        return view.in_flight if view else 0
-
     def require_serving(self) -> None:
         """Refuse when this router may not take requests."""
         state = self._context.machine.state
@@ -169,18 +82,14 @@
 
     def stored_reply(self, flight: Flight) -> StoredReply | None:
         """Return the kept answer of the same request, if there is one."""
-        reply = self._replies.get((flight.workspace.name, flight.request_id))
+        reply = self._replies.get(flight.workspace.name, flight.request_id)
         if reply is not None:
             self._refuse_known(reply.fingerprint, flight)
         return reply
 
     def keep_reply(self, flight: Flight, reply: StoredReply) -> None:
         """Keep a whole answer for a repeat of the request."""
-        if len(reply.body) > KEPT_REPLY_BYTES:
-            return
-        self._replies[(flight.workspace.name, flight.request_id)] = reply
-        while len(self._replies) > KEPT_REPLIES:
-            self._replies.popitem(last=False)
+        self._replies.keep(flight.workspace.name, flight.request_id, reply)
 
     def _refuse_known(self, fingerprint: str, flight: Flight) -> None:
         if fingerprint != flight.fingerprint:
--- a/turnward/callers/face.py
+++ b/turnward/callers/face.py
@@ -7,8 +7,8 @@
 
 from turnward.callers.answers import HttpAnswer, send_refusal
 from turnward.callers.chat import ChatServer
-from turnward.callers.flights import FlightDesk
-from turnward.callers.problems import Outcome, Reason, Refusal, RefusedError
+from turnward.callers.desk import FlightDesk
+from turnward.callers.problems import Outcome, Reason, Refusal, RefusedError, problem_body
 from turnward.callers.services import ServiceRequest, ServiceServer
 from turnward.events import get_log
 from turnward.ids import key_hash, new_id
@@ -147,7 +147,7 @@
 
     def _refuse_large(self) -> None:
         refusal = Refusal(Reason.TOO_LARGE, f"the body is over {self.limit_bytes} bytes")
-        body = problem_of(refusal)
+        body = problem_body(refusal, "")
         head = (
             f"HTTP/1.1 {refusal.status} Too Large\r\n"
             "Content-Type: application/problem+json\r\n"
@@ -157,13 +157,6 @@
         self.channel.transport.loseConnection()
 
 
-def problem_of(refusal: Refusal) -> bytes:
-    """Return the problem details of a refusal without a request id."""
-    from turnward.callers.problems import problem_body
-
-    return problem_body(refusal, "")
-
-
 class LimitedSite(server.Site):
     """A site with limits on connections, bodies and silence.
 
--- /dev/null
+++ b/turnward/callers/flight.py
@@ -0,0 +1,80 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""One request on its way through the router."""
+
+import msgspec
+
+from turnward.budgets import Reservation
+from turnward.peers.messages import RunRecord
+from turnward.resources import Workspace
+from turnward.routing import EndpointView, Ticket
+
+__all__ = ["Flight", "UncertainRun"]
+
+
+class UncertainRun(msgspec.Struct, frozen=True):
+    """An attempt whose answer did not come; it may have run."""
+
+    view: EndpointView
+    run_id: str
+    record: RunRecord
+
+
+class Flight:
+    """One request on its way.
+
+    Attributes
+    ----------
+    run_id : str
+        Id of the present attempt at an endpoint.
+    record : RunRecord or None
+        The record that buddies hold for the present attempt.
+    uncertain_run : UncertainRun or None
+        An earlier attempt that may have run.
+    stored_record_key : str
+        Key of the record in the table, where no buddy could hold it.
+    core : RouterCore
+        The incarnation that reserved the tokens and bills them.
+    """
+
+    __slots__ = (
+        "admitted_s",
+        "core",
+        "fingerprint",
+        "pool",
+        "priority_class",
+        "record",
+        "repeatable",
+        "request_id",
+        "uncertain_run",
+        "reservation",
+        "run_id",
+        "started_s",
+        "stored_record_key",
+        "ticket",
+        "tried",
+        "view",
+        "view_sent_s",
+        "workspace",
+    )
+
+    def __init__(
+        self, workspace: Workspace, request_id, fingerprint, pool, priority_class, repeatable
+    ):
+        self.workspace = workspace
+        self.request_id = request_id
+        self.fingerprint = fingerprint
+        self.pool = pool
+        self.priority_class = priority_class
+        self.repeatable = repeatable
+        self.reservation: Reservation | None = None
+        self.record: RunRecord | None = None
+        self.ticket: Ticket | None = None
+        self.view: EndpointView | None = None
+        self.core = None
+        self.run_id = ""
+        self.stored_record_key = ""
+        self.uncertain_run: UncertainRun | None = None
+        self.started_s = 0.0
+        self.admitted_s = 0.0
+        self.view_sent_s = 0.0
+        self.tried: set[str] = set()
--- a/turnward/callers/services.py
+++ b/turnward/callers/services.py
@@ -6,7 +6,8 @@
 from twisted.internet.defer import Deferred
 
 from turnward.callers.answers import AnswerBase
-from turnward.callers.flights import Flight, FlightDesk
+from turnward.callers.desk import FlightDesk
+from turnward.callers.flight import Flight
 from turnward.callers.problems import Outcome, Reason, Refusal, RefusedError
 from turnward.claims import (
     ClaimAnswer,
--- a/turnward/cli/commands.py
+++ b/turnward/cli/commands.py
@@ -11,7 +11,7 @@
 from turnward.errors import TurnwardError
 from turnward.events import Event, configure_logs, matches, merge_events, render_event
 from turnward.resources import KINDS, load_resources
-from turnward.settings import load_settings
+from turnward.settings import load_settings, read_toml
 
 __all__ = ["Commands", "main"]
 
@@ -59,8 +59,7 @@
         if not files:
             raise CommandError("expected one or more files")
         for name in files:
-            raw = msgspec.toml.decode(Path(name).read_bytes())
-            if set(raw) & set(KINDS):
+            if set(read_toml(name)) & set(KINDS):
                 load_resources(name)
             else:
                 load_settings(name)
--- a/turnward/endpoints/core.py
+++ b/turnward/endpoints/core.py
@@ -65,7 +65,6 @@
     running: int
     waiting: int
     leaving: bool = False
-    cached_prefixes: tuple[str, ...] = ()
 
 
 class EngineClientBase(ABC):
--- a/turnward/http.py
+++ b/turnward/http.py
@@ -123,7 +123,7 @@
         Cancelling the awaiting deferred closes the connection.
         """
         wire_headers = Headers({key: [value] for key, value in (headers or {}).items()})
-        producer = FileBodyProducer(BytesIO(body), cooperator=_cooperator()) if body else None
+        producer = FileBodyProducer(BytesIO(body)) if body else None
         sent = self._agent.request(method.encode(), url.encode(), wire_headers, producer)
         try:
             response = await sent.addTimeout(timeout_s, self._reactor)
@@ -153,9 +153,3 @@
     def close(self):
         """Close kept connections; returns a deferred."""
         return self._pool.closeCachedConnections()
-
-
-def _cooperator():
-    from twisted.internet.task import Cooperator
-
-    return Cooperator()
--- a/turnward/peers/book.py
+++ b/turnward/peers/book.py
@@ -52,14 +52,6 @@
         """Drop the records of an incarnation whose recovery is closed."""
         self._records.pop(incarnation, None)
 
-    def is_closed(self, incarnation: str) -> bool:
-        """Tell whether records of the incarnation are refused."""
-        return incarnation in self._closed
-
-    def owners(self) -> list[str]:
-        """Return the incarnations for which records are held."""
-        return [incarnation for incarnation, held in self._records.items() if held]
-
     def count(self) -> int:
         """Return how many records are held."""
         return sum(len(held) for held in self._records.values())
--- a/turnward/replay/budgets.py
+++ b/turnward/replay/budgets.py
@@ -8,6 +8,7 @@
 from expression import Result
 
 from turnward.budgets import BudgetRow, GrantLedger, GrantStore, SizingRule, budget_key
+from turnward.coroutines import run_now
 from turnward.fleet import RouterRow, RouterState, router_key
 from turnward.platform import FaultyTable, MemoryTable, PlatformUnavailableError, Put, Transaction
 
@@ -122,23 +123,23 @@
         asks = self.ledger.plan_takes(now_s)
         if not asks:
             return
-        views = _now(self.store.read_views(list(asks)))
+        views = run_now(self.store.read_views(list(asks)))
         for budget, view in views.items():
             self.ledger.observe(budget, view, now_s)
-        for budget, tokens in _now(self.store.apply(self.store.plan_take(asks, views))).items():
+        for budget, tokens in run_now(self.store.apply(self.store.plan_take(asks, views))).items():
             self.ledger.add(budget, tokens)
         self.ledger.clear_want(_BUDGET)
 
     def look_again(self, now_s: float) -> None:
         budgets = self.ledger.plan_views(now_s)
         if budgets:
-            for budget, view in _now(self.store.read_views(budgets)).items():
+            for budget, view in run_now(self.store.read_views(budgets)).items():
                 self.ledger.observe(budget, view, now_s)
 
     def give_back(self, now_s: float) -> None:
         for budget, tokens in self.ledger.plan_returns(now_s).items():
             change = self.store.plan_return(budget, tokens)
-            if change is not None and _now(self.store.apply([change])):
+            if change is not None and run_now(self.store.apply([change])):
                 self.ledger.withdraw(budget, tokens)
 
 
@@ -232,12 +233,3 @@
         return last if shifted else 0
     others = [number for number in range(scenario.routers) if number != (last if shifted else 0)]
     return rng.choice(others)
-
-
-def _now(coroutine):
-    """Run a coroutine that never waits and return its result."""
-    try:
-        coroutine.send(None)
-    except StopIteration as stop:
-        return stop.value
-    raise RuntimeError("the coroutine waits")
--- a/turnward/resources/checks.py
+++ b/turnward/resources/checks.py
@@ -2,12 +2,9 @@
 """Checks of resources, each by itself and all together."""
 
 import re
-from pathlib import Path
-
-import msgspec
 
 from turnward.resources.types import KINDS, Resource
-from turnward.settings import SettingsError, convert_checked
+from turnward.settings import SettingsError, convert_checked, read_toml
 
 __all__ = ["ResourceSet", "load_resources", "parse_resources"]
 
@@ -125,11 +122,7 @@
     SettingsError
         Names the file and every fault.
     """
-    try:
-        raw = msgspec.toml.decode(Path(path).read_bytes())
-    except (OSError, msgspec.DecodeError, UnicodeDecodeError) as failure:
-        raise SettingsError([f"{path}: {failure}"]) from failure
-    resources, faults = parse_resources(raw, path)
+    resources, faults = parse_resources(read_toml(path), path)
     if faults:
         raise SettingsError(faults)
     return resources
--- a/turnward/resources/types.py
+++ b/turnward/resources/types.py
@@ -67,8 +67,6 @@
 
     Attributes
     ----------
-    checks_orders : bool
-        The endpoint refuses orders of an old epoch by itself.
     drained : bool
         Operators want no new work on it.
     """
@@ -78,7 +76,6 @@
     url: str
     zone: str
     slots: int = 8
-    checks_orders: bool = False
     drained: bool = False
 
 
@@ -88,7 +85,6 @@
     name: str
     default_output_tokens: int = 256
     output_limit_tokens: int = 4_096
-    context_limit_tokens: int = 32_768
 
 
 class PriorityClass(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/turnward/router/process.py
+++ b/turnward/router/process.py
@@ -5,8 +5,8 @@
 from twisted.internet import defer, task
 from twisted.web import server
 
+from turnward.callers.desk import FlightDesk
 from turnward.callers.face import CallersFace, LimitedSite
-from turnward.callers.flights import FlightDesk
 from turnward.endpoints import HttpEngineClient, HttpServiceClient
 from turnward.events import EventLog, HybridClock, Metrics, SystemClock, get_log, matches
 from turnward.fleet import RouterRow, RouterState
--- a/turnward/router/task.py
+++ b/turnward/router/task.py
@@ -51,7 +51,6 @@
         self._loop = LoopingCall(self._tick)
         self._loop.clock = reactor
         self._period_s = period_s
-        self._idle: list[defer.Deferred] = []
         self.unexpected_failures = 0
         self._failing = False
 
@@ -75,15 +74,6 @@
             self._busy = True
             self.reactor.callLater(0, self._run)
 
-    def when_idle(self) -> defer.Deferred:
-        """Return a deferred that fires once the mailbox is empty."""
-        idle: defer.Deferred = defer.Deferred()
-        if self._busy:
-            self._idle.append(idle)
-        else:
-            idle.callback(None)
-        return idle
-
     def _tick(self) -> None:
         if Tick() not in self._mailbox:
             self.tell(Tick())
@@ -96,9 +86,6 @@
             messages, self._mailbox = self._mailbox, []
             await self._handle_safely(messages)
         self._busy = False
-        idle, self._idle = self._idle, []
-        for waiter in idle:
-            waiter.callback(None)
 
     async def _handle_safely(self, messages: list[Any]) -> None:
         try:
--- a/turnward/settings/__init__.py
+++ b/turnward/settings/__init__.py
@@ -7,6 +7,14 @@
     convert_checked,
     load_settings,
     parse_address,
+    read_toml,
 )
 
-__all__ = ["RouterSettings", "SettingsError", "convert_checked", "load_settings", "parse_address"]
+__all__ = [
+    "RouterSettings",
+    "SettingsError",
+    "convert_checked",
+    "load_settings",
+    "parse_address",
+    "read_toml",
+]
--- a/turnward/settings/core.py
+++ b/turnward/settings/core.py
@@ -9,7 +9,14 @@
 
 from turnward.errors import TurnwardError
 
-__all__ = ["RouterSettings", "SettingsError", "convert_checked", "load_settings", "parse_address"]
+__all__ = [
+    "RouterSettings",
+    "SettingsError",
+    "convert_checked",
+    "load_settings",
+    "parse_address",
+    "read_toml",
+]
 
 _FAULT_PATTERN = re.compile(r"^(?P<what>.*?)(?: - at `\$\.?(?P<key>.*)`)?$")
 
@@ -111,19 +118,29 @@
     return host, int(port)
 
 
-def load_settings(path: str, settings_type=RouterSettings):
-    """Read and check a settings file.
+def read_toml(path: str) -> dict:
+    """Return the plain data of a TOML file.
 
     Raises
     ------
     SettingsError
-        Names the file and every fault.
+        The file can't be read, or is not TOML.
     """
     try:
-        raw = msgspec.toml.decode(Path(path).read_bytes())
+        return msgspec.toml.decode(Path(path).read_bytes())
     except (OSError, msgspec.DecodeError, UnicodeDecodeError) as failure:
         raise SettingsError([f"{path}: {failure}"]) from failure
-    settings, faults = convert_checked(raw, settings_type)
+
+
+def load_settings(path: str, settings_type=RouterSettings):
+    """Read and check a settings file.
+
+    Raises
+    ------
+    SettingsError
+        Names the file and every fault.
+    """
+    settings, faults = convert_checked(read_toml(path), settings_type)
     if faults:
         raise SettingsError([f"{path}: {fault}" for fault in faults])
     return settings
--- a/turnward/standins/platform.py
+++ b/turnward/standins/platform.py
@@ -8,6 +8,7 @@
 from twisted.internet import task
 from twisted.web import resource, server
 
+from turnward.coroutines import run_now
 from turnward.http import abort_request
 from turnward.platform import Instance, MemoryObjectStore, MemoryTable, Transaction
 from turnward.platform.memory import MemoryInstanceList
@@ -116,10 +117,10 @@
             return msgspec.json.encode(result)
         if path == "/table/read":
             query = msgspec.json.decode(body, type=_ReadQuery)
-            rows = _now(self.table.read(query.keys))
+            rows = run_now(self.table.read(query.keys))
             return msgspec.json.encode(list(rows.values()))
         query = msgspec.json.decode(body, type=_ScanQuery)
-        return msgspec.json.encode(_now(self.table.scan(query.prefix, query.after, query.limit)))
+        return msgspec.json.encode(run_now(self.table.scan(query.prefix, query.after, query.limit)))
 
     def _instances(self, request, body: bytes) -> bytes:
         if request.method == b"PUT":
@@ -128,7 +129,7 @@
         elif request.method == b"DELETE":
             entry = msgspec.json.decode(body, type=Instance)
             self._later(self.instances.entries.pop, entry.instance, None)
-        return msgspec.json.encode(_now(self.instances.instances()))
+        return msgspec.json.encode(run_now(self.instances.instances()))
 
     def _later(self, change, *arguments):
         self._reactor.callLater(self.faults.list_lag_s, change, *arguments)
@@ -136,12 +137,12 @@
     def _objects(self, request, path: str, body: bytes) -> bytes:
         if path == "/object-names":
             query = msgspec.json.decode(body, type=_NamesQuery)
-            return msgspec.json.encode(_now(self.objects.names(query.prefix)))
+            return msgspec.json.encode(run_now(self.objects.names(query.prefix)))
         name = path.removeprefix("/objects/")
         if request.method == b"PUT":
-            _now(self.objects.put(name, body))
+            run_now(self.objects.put(name, body))
             return b"stored"
-        stored = _now(self.objects.get(name))
+        stored = run_now(self.objects.get(name))
         if stored is None:
             request.setResponseCode(404)
         return stored or b""
@@ -155,12 +156,3 @@
                 request.setResponseCode(400)
                 return str(failure).encode()
         return msgspec.json.encode(self.faults)
-
-
-def _now(coroutine):
-    """Run a coroutine that never waits and return its result."""
-    try:
-        coroutine.send(None)
-    except StopIteration as stop:
-        return stop.value
-    raise RuntimeError("the coroutine waits")
