--- a/tools/local_fleet.py
+++ b/tools/local_fleet.py
@@ -5,6 +5,8 @@
 """
 
 import hashlib
+import itertools
+import os
 import re
 import signal
 import socket
@@ -21,16 +23,28 @@
 __all__ = ["LocalFleet", "RouterHandle", "free_port", "http_call"]
 
 OPERATOR_KEY = "operator-key"
+_PORTS = range(12_000, 32_000)
+_FIRST = os.getpid() * 7 % len(_PORTS)
+_ports = itertools.cycle([*_PORTS[_FIRST:], *_PORTS[:_FIRST]])
 _START_LIMIT_S = 60.0
 _POLL_S = 0.02
 _STOP_LIMIT_S = 10.0
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port that is free now and was not given out before.
+
+    Ports lie below the range that outgoing connections take theirs from, so
+    that none of those can take one between this look and its use.
+    """
+    while True:
+        port = next(_ports)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def http_call(method: str, url: str, body=None, headers=None, timeout_s=10.0):
@@ -156,7 +170,10 @@
 
     def wait_for(self, url: str) -> None:
         """Wait until an address answers with status 200."""
-        deadline = time.monotonic() + _START_LIMIT_S
+        deadline = time.monotonic() + _PORTS = range(12_000, 32_000)
+_FIRST = os.getpid() * 7 % len(_PORTS)
+_ports = itertools.cycle([*_PORTS[_FIRST:], *_PORTS[:_FIRST]])
+_START_LIMIT_S
         while time.monotonic() < deadline:
             try:
                 if http_call("GET", url, timeout_s=1.0)[0] == 200:
