--- a/tools/local_fleet.py
+++ b/tools/local_fleet.py
@@ -170,10 +170,7 @@
 
     def wait_for(self, url: str) -> None:
         """Wait until an address answers with status 200."""
-        deadline = time.monotonic() + _PORTS = range(12_000, 32_000)
-_FIRST = os.getpid() * 7 % len(_PORTS)
-_ports = itertools.cycle([*_PORTS[_FIRST:], *_PORTS[:_FIRST]])
-_START_LIMIT_S
+        deadline = time.monotonic() + _START_LIMIT_S
         while time.monotonic() < deadline:
             try:
                 if http_call("GET", url, timeout_s=1.0)[0] == 200:
