--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -153,6 +153,26 @@
     rig.assert_exact([*ids, booking])
 
 
+def test_holder_of_claims_killed_in_an_outage_doubles_no_booking(rig, pool):
+    for router in rig.routers:
+        for _ in range(3):
+            assert rig.send(router, CHAT, rig.chat_body())[0] == 200
+    rig.fleet.set_faults(down=True)
+    rig.fleet.kill(rig.routers[0])
+    ids = [str(uuid6.uuid7()) for _ in range(16)]
+    living = rig.routers[1:]
+    sent = [pool.submit(rig.send, each, BOOKINGS, b"{}", name) for name in ids for each in living]
+    statuses = {future.result()[0] for future in sent}
+    assert statuses <= {200, 409, 503}
+    rig.fleet.set_faults()
+    rig.fleet.unlist_instance(rig.routers[0].instance)
+    futures = [pool.submit(rig.caller.send, "bakeries", BOOKINGS, b"{}", name) for name in ids]
+    assert {future.result()[0] for future in futures} <= {"ran", "unknown"}
+    assert set(rig.audit.service_calls()) == set(ids)
+    rig.wait_billed(ids)
+    rig.assert_exact(ids)
+
+
 def test_slow_table_whose_writes_go_unanswered_doubles_nothing(rig, pool):
     rig.fleet.set_faults(delay_s=2.5)
     futures = {}
--- a/turnward/operators/states.py
+++ b/turnward/operators/states.py
@@ -36,6 +36,8 @@
     open_requests: int
     unwritten_bills: int
     held_records: int
+    held_claims: int
+    blocked_shards: list[int]
     peer_sent_bytes: int
     peer_received_bytes: int
     unsent_records: dict[str, int]
--- a/turnward/router/pair_task.py
+++ b/turnward/router/pair_task.py
@@ -98,6 +98,14 @@
         """Return the row of a claim's shard as last read."""
         return self._rows.get(shard_of(key))
 
+    def blocked_shards(self) -> list[int]:
+        """Return shards with a holder that is not live, as far as known here."""
+        return [
+            shard
+            for shard, row in self._rows.items()
+            if not all(self._is_live(holder) for holder in row.holders)
+        ]
+
     def note_stale(self) -> None:
         """Have the shards' rows read again at the next tick."""
         self._stale = True
--- a/turnward/router/process.py
+++ b/turnward/router/process.py
@@ -247,6 +247,8 @@
             self.desk.open_count,
             len(core.bills.writer.pending),
             context.book.count(),
+            self.pairs.holder.count(),
+            self.pairs.blocked_shards(),
             context.peers.sent_bytes,
             context.peers.received_bytes,
             {buddy: outbox.unsent_count(buddy) for buddy in core.records.buddies},
@@ -261,6 +263,8 @@
         advice = []
         if not self.core.records.buddies:
             advice.append("no buddy: records go to the table; see docs/operators/no-buddy.md")
+        if self.pairs.blocked_shards():
+            advice.append("claim shards blocked; see docs/operators/blocked-claims.md")
         if self.context.metrics.counters["bills.orphaned"]:
             advice.append("orphaned bills; see docs/operators/orphaned-bills.md")
         return advice
