--- a/tests/fake_fleet.py
+++ b/tests/fake_fleet.py
@@ -189,7 +189,8 @@
         used = self._world.runs[run_id]["used_tokens"]
         head = HttpResponse(200, {})
         on_head(head)
-        on_data(msgspec.json.encode({"id": run_id, "usage": {"total_tokens": used}}))
+        usage = {} if self._router.tells_no_usage else {"usage": {"total_tokens": used}}
+        on_data(msgspec.json.encode({"id": run_id, **usage}))
         return head
 
     async def resume(self, url, run_id, start, on_data):
@@ -258,6 +259,7 @@
         self.dead = False
         self.frozen = False
         self.cut_from_endpoints = False
+        self.tells_no_usage = False
         self.refusing_urls: set[str] = set()
         self._held: list = []
         self.clock = Clock()
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -41,6 +41,17 @@
     assert sorted(bill["tokens"] for bill in fleet.bills()) == [1, 25]
 
 
+def test_answer_without_usage_is_billed_by_the_engines_account(fleet):
+    """Such a run was taken for one that used nothing (read in review)."""
+    fleet.routers[0].tells_no_usage = True
+    sent = chat(fleet, 0, "c1")
+    fleet.advance(0.5)
+    fleet.finish_runs()
+    fleet.advance(2.0)
+    assert sent.outcome == "ran"
+    assert [bill["tokens"] for bill in fleet.bills()] == [25]
+
+
 def test_killed_router_with_runs_open_is_recovered_and_billed_once(fleet):
     for number in range(5):
         chat(fleet, 0, f"c{number}")
--- a/turnward/callers/chat.py
+++ b/turnward/callers/chat.py
@@ -250,7 +250,7 @@
                 return
             self._desk.returned(flight, ok=True)
             retries.note_success()
-            self._end_whole(flight, relay, answer)
+            await self._end_whole(flight, relay, answer)
             return
 
     def _endpoint_refused(self, failure) -> Refusal:
@@ -304,9 +304,16 @@
         except EndpointError:
             self._context.metrics.count("runs.uncancelled")
 
-    def _end_whole(self, flight: Flight, relay: _Relay, answer: AnswerBase) -> None:
+    async def _end_whole(self, flight: Flight, relay: _Relay, answer: AnswerBase) -> None:
+        """End a whole answer, then settle by its usage or else by the engine's account."""
+        self._send_end(flight, relay, answer)
+        used_tokens = relay.used_tokens
+        if used_tokens is None and relay.status == _OK:
+            used_tokens = await self._account(flight, relay.relayed_events)
+        self._settle(flight, used_tokens or 0)
+
+    def _send_end(self, flight: Flight, relay: _Relay, answer: AnswerBase) -> None:
         body = relay.body() if not relay.stream or relay.status != _OK else b""
-        self._settle(flight, relay.used_tokens or 0)
         if relay.stream and relay.status == _OK:
             answer.finish()
             return
@@ -344,11 +351,16 @@
             self._desk.discard(flight)
 
     async def _account(self, flight: Flight, relayed_events: int) -> int:
-        """Return a cut run's usage by the engine's account, else what was passed on."""
+        """Return a run's usage by the engine's account, else what was passed on.
+
+        A run that goes on with nobody to read it is cancelled.
+        """
         url = flight.view.endpoint.url
         for _ in range(ACCOUNT_TRIES):
             try:
-                account = await self._context.engines.cancel(url, flight.run_id)
+                account = await self._context.engines.account(url, flight.run_id)
+                if account.state in (RunState.RUNNING, RunState.NEVER_SEEN):
+                    account = await self._context.engines.cancel(url, flight.run_id)
             except EndpointError:
                 account = None
             if account is not None and account.state is not RunState.RUNNING:
