--- a/turnward/routing/admission.py
+++ b/turnward/routing/admission.py
@@ -54,7 +54,7 @@
     """
     if pool_slots <= 0:
         return 0
-    return max(1, round(pool_slots * LOW_CLASS_SHARE / max(1, routers)))
+    return max(1, int(pool_slots * LOW_CLASS_SHARE / max(1, routers)))
 
 
 class Overload(msgspec.Struct, frozen=True):
