--- a/Makefile
+++ b/Makefile
@@ -6,11 +6,11 @@
 BIN := $(VENV)/bin
 SOURCES := $(shell find turnward -name '*.py' -o -name '*.toml' -o -name '*.capnp') pyproject.toml
 
-.PHONY: demo test check dist bench capacity format clean
+.PHONY: demo test check dist bench capacity docs format clean
 
 $(VENV)/ready: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --disable-pip-version-check --requirement requirements-dev.txt
+	$(BIN)/pip install --quiet --quiet --disable-pip-version-check --requirement requirements-dev.txt
 	touch $@
 
 demo: $(VENV)/ready
@@ -35,6 +35,11 @@
 	$(BIN)/python -m tools.capacity
 	$(BIN)/python -m tools.capacity_page
 
+docs: $(VENV)/ready
+	$(BIN)/python -m tools.settings_reference
+	$(BIN)/python -m tools.package_pages
+	$(BIN)/python -m tools.capacity_page
+
 check: $(VENV)/ready
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -8,6 +8,9 @@
 
 from tools.capacity import DATA
 from tools.capacity_page import BEFORE, PAGE, FullSize, render
+from tools.package_pages import PAGES as PACKAGE_PAGES
+from tools.package_pages import packages
+from tools.package_pages import render as render_package
 from tools.settings_reference import MEANINGS
 from tools.settings_reference import PAGE as SETTINGS_PAGE
 from tools.settings_reference import render as render_settings
@@ -43,3 +46,9 @@
             if not (page.parent / target).exists():
                 broken.append(f"{page}: {target}")
     assert broken == []
+
+
+def test_every_package_has_a_page_in_step_with_its_code():
+    for package in packages():
+        page = (PACKAGE_PAGES / f"{package.name}.md").read_text()
+        assert render_package(package, page) == page
--- a/turnward/peers/recovery.py
+++ b/turnward/peers/recovery.py
@@ -134,7 +134,9 @@
             if used_tokens == 0 and record.repeatable and self._is_engine(record.endpoint):
                 # Proved not to have run; a bill would stand in the way of a retry's.
                 settled.add(record.run_id)
+                self._emit("recovery.not_run", record, row.incarnation)
                 continue
+            self._emit("recovery.record", record, row.incarnation)
             writer.add(self._bill(record, row.incarnation, used_tokens))
         await self._write(writer, row)
         if waiting:
@@ -201,6 +203,18 @@
             return None
         return min(account.used_tokens, record.reserved_tokens)
 
+    def _emit(self, kind: str, record: RunRecord, of: str) -> None:
+        """Tell on the time line what the buddies held of a run."""
+        self._events.emit(
+            kind,
+            request_id=record.request_id,
+            workspace=record.workspace,
+            endpoint=record.endpoint,
+            run_id=record.run_id,
+            held_as=record.state.name.lower(),
+            of=of,
+        )
+
     def _bill(self, record: RunRecord, incarnation: str, used_tokens: int) -> Bill:
         row = BillRow(
             record.request_id,
