--- a/turnward/ids.py
+++ b/turnward/ids.py
@@ -29,7 +29,7 @@
     >>> minted_s("not an id") is None
     True
     >>> minted_s("0190163d-8694-739b-aea5-966c26f8ad91")
-    1718353724.052
+    1718360049.3
     """
     try:
         parsed = uuid.UUID(request_id)
