Have the random schedules catch the naive versions

Change: the switches stand in tests/naive.py and serve both; the machine may have both engines refuse at once, without which forgetting an attempt was not caught in 60 schedules.

--- a/tests/test_naive_versions.py
+++ b/tests/test_naive_versions.py
@@ -5,27 +5,14 @@
 passes with the mechanism in tests/test_fleet_faults.py.
 """
 
-from collections import deque
-
 import pytest
-from expression import Ok
 
 from tests.fake_fleet import LIMIT_TOKENS, FakeFleet
 from tests.helpers import run
-from turnward.budgets import BillWriter, GrantLedger, Reservation
+from tests.naive import SWITCHES, without_order_of_configuration
 from turnward.callers.desk import FlightDesk
-from turnward.claims import (
-    ClaimAnswer,
-    ClaimHolder,
-    ClaimOutcome,
-    ClaimRegister,
-    HoldAnswer,
-    HoldOutcome,
-)
-from turnward.platform import Absent, Transaction
-from turnward.resources import Change, ConfigLog, ConfigState
+from turnward.resources import Change, ConfigLog
 from turnward.router.process import RouterProcess
-from turnward.router.record_task import RecordTask
 from turnward.routing import EndpointView
 
 CHAT_TOKENS = 25
@@ -54,12 +41,7 @@
 
 
 def test_without_grants_the_limit_is_passed(fleet, monkeypatch):
-    def reserve(self, budget, tokens, now_s, first_try=True):
-        self._account(budget).reserved_tokens += tokens
-        return Ok(Reservation(budget, tokens))
-
-    monkeypatch.setattr(GrantLedger, "reserve", reserve)
-    monkeypatch.setattr(BillWriter, "_transaction", _bills_without_grants)
+    SWITCHES["grants"](monkeypatch)
     assert any("overspent" in fault for fault in spend_past_the_limit(fleet))
 
 
@@ -67,16 +49,6 @@
     assert spend_past_the_limit(fleet) == []
 
 
-def _bills_without_grants(self, bills):
-    whole = _real_bill_transaction(self, bills)
-    writes = tuple(write for write in whole.writes if not write.key.startswith("grant/"))
-    checks = tuple(check for check in whole.checks if not check.key.startswith("grant/"))
-    return Transaction(checks, writes)
-
-
-_real_bill_transaction = BillWriter._transaction
-
-
 def run_same_chat_at_two_routers(fleet):
     for router in fleet.routers[:2]:
         fleet.submit(router, "c1", repeatable=True)
@@ -85,12 +57,7 @@
 
 
 def test_without_the_bill_key_a_request_is_charged_twice(fleet, monkeypatch):
-    def transaction(self, bills):
-        whole = _real_bill_transaction(self, bills)
-        checks = tuple(check for check in whole.checks if not isinstance(check, Absent))
-        return Transaction(checks, whole.writes)
-
-    monkeypatch.setattr(BillWriter, "_transaction", transaction)
+    SWITCHES["bill key"](monkeypatch)
     assert run_same_chat_at_two_routers(fleet) == ["settled 50, billed 25"]
 
 
@@ -106,15 +73,7 @@
 
 
 def test_without_claims_a_booking_runs_twice(fleet, monkeypatch):
-    async def take_all(self):
-        waiting, self._waiting = self._waiting, deque()
-        self._answer(waiting, ClaimAnswer(ClaimOutcome.TAKEN))
-
-    def hold_all(self, shard, epoch, claim):
-        return HoldAnswer(HoldOutcome.HELD)
-
-    monkeypatch.setattr(ClaimRegister, "flush", take_all)
-    monkeypatch.setattr(ClaimHolder, "hold", hold_all)
+    SWITCHES["claims"](monkeypatch)
     assert "ran twice: b1" in run_same_booking_at_every_router(fleet)
 
 
@@ -131,7 +90,7 @@
 
 
 def test_without_records_at_buddies_a_killed_routers_run_is_not_billed(fleet, monkeypatch):
-    monkeypatch.setattr(RecordTask, "_hold", lambda self, message: message.answer.callback(True))
+    SWITCHES["records at buddies"](monkeypatch)
     assert kill_with_runs_open(fleet) == ["ran, not billed: c1"]
 
 
@@ -150,7 +109,7 @@
 
 
 def test_without_memory_of_attempts_a_run_is_told_not_run(fleet, monkeypatch):
-    monkeypatch.setattr(FlightDesk, "restore_uncertain", lambda self, flight: False)
+    SWITCHES["memory of attempts"](monkeypatch)
     assert lose_the_answer_then_every_endpoint(fleet) == ["told not run, but it ran: c1"]
 
 
@@ -233,11 +192,7 @@
 
 
 def test_without_the_order_check_configuration_goes_back(fleet, monkeypatch):
-    def take(self, entry):
-        self.revision = entry.revision
-        return True
-
-    monkeypatch.setattr(ConfigState, "take", take)
+    without_order_of_configuration(monkeypatch)
     assert any("went back" in fault for fault in offer_an_old_revision(fleet))
 
 
--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -8,12 +8,14 @@
 import os
 from collections import Counter
 
+import pytest
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from tests.fake_fleet import LIMIT_TOKENS, FakeFleet
 from tests.helpers import run
+from tests.naive import SWITCHES
 from turnward.resources import Change, ConfigLog
 
 SCHEDULES = int(os.environ.get("TURNWARD_SCHEDULES", "20"))
@@ -22,6 +24,9 @@
 ROUTERS = st.integers(0, 3)
 IDS = st.integers(0, 14)
 
+ENGINES = ("http://127.0.0.1:1", "http://127.0.0.1:2")
+SERVICES = ("http://127.0.0.1:3",)
+
 counted: Counter = Counter()
 
 
@@ -89,9 +94,9 @@
         link = frozenset((self.router(one).name, self.router(other).name))
         self.fleet.cut_links ^= {link} if len(link) > 1 else set()
 
-    @rule(number=ROUTERS, url=st.sampled_from(["http://127.0.0.1:1", "http://127.0.0.1:3"]))
-    def endpoint_refuses(self, number, url):
-        self.router(number).refusing_urls ^= {url}
+    @rule(number=ROUTERS, urls=st.sampled_from([ENGINES, ENGINES[:1], SERVICES]))
+    def endpoints_refuse(self, number, urls):
+        self.router(number).refusing_urls ^= set(urls)
 
     @rule(limit=st.integers(1, 3))
     def change_limit(self, limit):
@@ -119,18 +124,31 @@
             self.fleet.close()
 
 
-def test_promises_hold_under_random_faults():
+def run_schedules(schedules):
     counted.clear()
     run_state_machine_as_test(
         FaultMachine,
         settings=settings(
-            max_examples=SCHEDULES,
+            max_examples=schedules,
             stateful_step_count=STEPS,
             deadline=None,
-            derandomize=SCHEDULES <= 20,
+            derandomize=schedules <= 60,
             phases=(Phase.generate, Phase.shrink) if SHRINK else (Phase.generate,),
             database=None,
             suppress_health_check=list(HealthCheck),
         ),
     )
-    print("random faults:", dict(counted))
+
+
+def test_promises_hold_under_random_faults(capsys):
+    run_schedules(SCHEDULES)
+    with capsys.disabled():
+        print("random faults:", dict(counted))
+
+
+@pytest.mark.parametrize("mechanism", sorted(SWITCHES))
+def test_random_faults_catch_the_naive_version(mechanism, monkeypatch):
+    """Each mechanism switched off must break a promise in some schedule."""
+    SWITCHES[mechanism](monkeypatch)
+    with pytest.raises(AssertionError):
+        run_schedules(60)
