--- a/turnward/operators/states.py
+++ b/turnward/operators/states.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import msgspec
+from twisted.internet import defer
 
 from turnward.budgets import BudgetRow, GrantRow, budget_key, grant_key
 from turnward.fleet import RouterRow, RouterState
@@ -57,9 +58,8 @@
 
     async def fleet(self) -> dict[str, Any]:
         """Return every router's row, with its own account where it answers."""
-        routers = []
-        for row in list(self._context.rows.values()):
-            routers.append(await self._router(row))
+        asked = [defer.ensureDeferred(self._router(row)) for row in self._context.rows.values()]
+        routers = await defer.gatherResults(asked, consumeErrors=True)
         live = [router for router in routers if router["status"] is not None]
         revision = self._context.config.revision
         return {
