Take claims without an exception as a messenger; start mixed loads in one place

Cause: on re-reading, an exception carried a stored answer between two methods of one class, and two process tests built the same load. Change: take() judges the holders' answer itself; Rig.start_mixed serves both tests, whose assertions are as they were.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -68,6 +68,15 @@
         futures = [pool.submit(self.send, router, CHAT, encoded, name) for name in ids]
         return ids, futures
 
+    def start_mixed(self, pool, count):
+        """Start chats and bookings in turn, as a caller that asks again; futures by id."""
+        futures = {}
+        for number in range(count):
+            request_id = str(uuid6.uuid7())
+            path, body = (CHAT, self.chat_body()) if number % 2 else (BOOKINGS, b"{}")
+            futures[request_id] = pool.submit(self.caller.send, "bakeries", path, body, request_id)
+        return futures
+
     def wait_billed(self, ids, limit_s=20.0):
         def billed():
             found = {bill["request_id"] for bill in self.audit.bills()}
@@ -175,11 +184,7 @@
 
 def test_slow_table_whose_writes_go_unanswered_doubles_nothing(rig, pool):
     rig.fleet.set_faults(delay_s=2.5)
-    futures = {}
-    for number in range(24):
-        request_id = str(uuid6.uuid7())
-        path, body = (CHAT, rig.chat_body()) if number % 2 else (BOOKINGS, b"{}")
-        futures[request_id] = pool.submit(rig.caller.send, "bakeries", path, body, request_id)
+    futures = rig.start_mixed(pool, 24)
     time.sleep(6.0)
     rig.fleet.set_faults()
     outcomes = {name: future.result()[0] for name, future in futures.items()}
@@ -191,11 +196,7 @@
 
 def test_answers_lost_after_the_write_double_and_lose_nothing(rig, pool):
     rig.fleet.set_faults(lose_answers=12)
-    futures = {}
-    for number in range(30):
-        request_id = str(uuid6.uuid7())
-        path, body = (CHAT, rig.chat_body()) if number % 2 else (BOOKINGS, b"{}")
-        futures[request_id] = pool.submit(rig.caller.send, "bakeries", path, body, request_id)
+    futures = rig.start_mixed(pool, 30)
     outcomes = {name: future.result()[0] for name, future in futures.items()}
     ran = [name for name, outcome in outcomes.items() if outcome == "ran"]
     assert len(ran) >= 25
--- a/turnward/callers/claim_desk.py
+++ b/turnward/callers/claim_desk.py
@@ -30,14 +30,6 @@
 CLAIM_WAIT_S = 2.0
 
 
-class _StandingError(Exception):
-    """Another sender's call has ended; carries its stored answer."""
-
-    def __init__(self, answer: StoredAnswer):
-        super().__init__("the call was run before")
-        self.answer = answer
-
-
 class ClaimDesk:
     """Takes claims at the pair of holders and in the table.
 
@@ -59,10 +51,13 @@
         key = claim_key(claim.workspace, claim.request_id)
         epoch = 0
         if self._context.pairs.row_of(key) is not None:
-            try:
-                epoch = await self._claim_at_holders(flight, claim)
-            except _StandingError as standing:
-                return standing.answer
+            held = await self._hold(claim)
+            if held.outcome is HoldOutcome.STANDING:
+                return await self._standing_at_holders(claim, held)
+            if held.outcome is not HoldOutcome.HELD:
+                self._context.pairs.tell(ReleaseHeld(claim))
+                raise RefusedError(_claims_unreachable())
+            epoch = self._context.pairs.row_of(key).epoch
         result = await self._claim_in_table(flight, claim, epoch)
         if result.outcome is ClaimOutcome.TAKEN:
             return None
@@ -78,22 +73,14 @@
             self._context.pairs.note_stale()
         raise RefusedError(_claims_unreachable())
 
-    async def _claim_at_holders(self, flight: Flight, claim: ClaimRow) -> int:
-        """Have both holders record the claim; return their epoch."""
+    async def _hold(self, claim: ClaimRow) -> HoldAnswer:
+        """Have both holders of the claim's shard record it."""
         answer: Deferred = Deferred()
-        key = claim_key(claim.workspace, claim.request_id)
         self._context.pairs.tell(WantHeld(claim, answer))
         try:
-            held = await answer.addTimeout(CLAIM_WAIT_S, self._context.reactor)
+            return await answer.addTimeout(CLAIM_WAIT_S, self._context.reactor)
         except defer.TimeoutError:
-            held = HoldAnswer(HoldOutcome.STALE)
-        if held.outcome is HoldOutcome.HELD:
-            return self._context.pairs.row_of(key).epoch
-        if held.outcome is HoldOutcome.STANDING:
-            stored = await self._standing_at_holders(claim, held)
-            raise _StandingError(stored)
-        self._context.pairs.tell(ReleaseHeld(claim))
-        raise RefusedError(_claims_unreachable())
+            return HoldAnswer(HoldOutcome.STALE)
 
     async def _standing_at_holders(self, claim: ClaimRow, held: HoldAnswer) -> StoredAnswer:
         """Return the stored answer of a claim that another sender took, or refuse."""
