--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -438,6 +438,8 @@
             return False
         if ran and not self._route.may_repeat:
             return False
+        if self._request.head_sent and not self.resumes:
+            return False
         if self._deadline_s - self._now_s() < _LEAST_SEND_S:
             return False
         if not repeat:
@@ -625,7 +627,7 @@
         forwarder.open.discard(self)
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
-        self._settle(used_tokens)
+        tokens = self._settle(used_tokens)
         self._body = []
         took_s = self._now_s() - self._started_s
         route = self._route.name if self._route is not None else ""
@@ -644,6 +646,7 @@
             first_event_ms=round((first - self._started_s) * 1_000, 1) if first else None,
             attempts=self._attempts,
             events=self._events,
+            tokens=tokens,
             configuration=forwarder.state.configuration_version,
             endpoints=forwarder.state.endpoints_version,
             unconfirmed_s=round(min(1e6, forwarder.state.unconfirmed_for_s()), 2),
@@ -658,13 +661,14 @@
             first_s = self._first_event_s - self._started_s
             metrics.first_event_seconds.labels(self._pool).observe(first_s)
 
-    def _settle(self, used_tokens: int | None) -> None:
+    def _settle(self, used_tokens: int | None) -> int:
         """Close the reservation; what may have been used but isn't known counts whole."""
         reservation, self._reservation = self._reservation, None
         if reservation is None:
-            return
+            return 0
         used = reservation.tokens if used_tokens is None else used_tokens
         self._forwarder.accounts.settle(reservation, used)
+        return min(used, reservation.tokens)
 
     def _now_s(self) -> float:
         return self._forwarder.reactor.seconds()
@@ -811,13 +815,12 @@
             return
         if owner.head_sent:
             return
-        length = header_value(headers, b"content-length")
-        plain = self._splitter is None or status != 200
-        if plain and length is not None and int(length) <= _GATHER_LIMIT_BYTES:
+        if self._splitter is None or status != 200:
+            # A plain answer is passed on whole, so that a cut one can be had elsewhere.
             self._gathered = []
             self._retrying = status >= 500 and owner.may_retry_error()
             return
-        owner.answer_head(status, headers, int(length) if length is not None else None)
+        owner.answer_head(status, headers, self._declared_length())
 
     def _is_genuine(self, status: int, headers: HeaderList, sealed: bool) -> bool:
         if not sealed:
@@ -840,7 +843,7 @@
             return
         owner = self._owner
         if self._gathered is not None:
-            self._gathered.append(data)
+            self._gather(data)
             return
         if self._splitter is None or self._status != 200:
             owner.answer_body(data)
@@ -857,6 +860,20 @@
         owner.note_events(events.count, events.last_id)
         owner.answer_body(events.data)
 
+    def _declared_length(self) -> int | None:
+        length = header_value(self._headers, b"content-length")
+        return int(length) if length is not None else None
+
+    def _gather(self, data: bytes) -> None:
+        """Hold a plain answer's body, up to a limit."""
+        self._gathered.append(data)
+        self._gathered_bytes += len(data)
+        if self._gathered_bytes > _GATHER_LIMIT_BYTES:
+            gathered, self._gathered = self._gathered, None
+            self._retrying = False
+            self._owner.answer_head(self._status, self._headers, self._declared_length())
+            self._owner.answer_body(b"".join(gathered))
+
     def answer_ended(self):
         if self.over:
             return
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -10,6 +10,7 @@
 """
 
 import contextlib
+from collections.abc import Callable
 from enum import StrEnum
 
 import msgspec
@@ -47,6 +48,8 @@
 _PERIOD_S = 0.25
 #: Seconds of pause after the store was not reached.
 _PAUSE_S = 0.5
+#: Part of the tokens within reach that all routers together hold without demand.
+_FLOOR = 0.4
 #: Conflicts in a row after which a change is left for the next look.
 _CONFLICT_LIMIT = 6
 
@@ -179,10 +182,19 @@
         How far ahead grants are taken.
     log : GatewayLog
         Told of each change of a grant.
+    live_routers : callable
+        How many routers may live; what one of them may hold follows from it.
     """
 
     def __init__(
-        self, reactor, store: VersionedStoreBase, node: str, incarnation: str, rule: SizingRule, log
+        self,
+        reactor,
+        store: VersionedStoreBase,
+        node: str,
+        incarnation: str,
+        rule: SizingRule,
+        log,
+        live_routers: Callable[[], int],
     ):
         self._reactor = reactor
         self._store = store
@@ -190,8 +202,9 @@
         self._incarnation = incarnation
         self._log = log
         self._accounts: dict[str, _Account] = {}
+        self._live_routers = live_routers
         self._paused_until_s = 0.0
-        self._store_works = True
+        self._stopping = False
         self.ledger = GrantLedger(rule)
 
     # Used by requests.
@@ -218,6 +231,9 @@
         if account.row is not None and self._is_exhausted(account, workspace, tokens):
             self.work_on(workspace)
             return BudgetAnswer.EXHAUSTED
+        if self._reactor.seconds() < self._paused_until_s:
+            # The store was just not reached: waiting would only make the refusal late.
+            return BudgetAnswer.UNREACHABLE
         waiter = _Waiter(tokens, self._reactor.seconds() + _WAIT_S)
         account.waiters.append(waiter)
         self._reactor.callLater(_WAIT_S, self._give_up, workspace, waiter)
@@ -240,14 +256,24 @@
     def _tick(self) -> None:
         self._reactor.callLater(_PERIOD_S, self._tick)
         now_s = self._reactor.seconds()
+        self._size_grants()
         for workspace in {*self.ledger.plan_views(now_s), *self.ledger.budgets()}:
             account = self._accounts.get(workspace)
             if account is not None and self._needs_work(workspace, account, now_s):
                 self.work_on(workspace)
 
+    def _size_grants(self) -> None:
+        """Let one router hold no more than leaves some for every other."""
+        routers = max(1, self._live_routers())
+        self.ledger.rule = msgspec.structs.replace(
+            self.ledger.rule, share=1.0 / (routers + 1), floor_share=_FLOOR / routers
+        )
+
     def _needs_work(self, workspace: str, account: _Account, now_s: float) -> bool:
         if account.unresolved is not None or account.waiters:
             return True
+        if self._stopping:
+            return self.ledger.free_tokens(workspace) > 0
         if workspace in self.ledger.plan_views(now_s):
             return True
         if workspace in self.ledger.plan_returns(now_s):
@@ -286,7 +312,7 @@
         now_s = self._reactor.seconds()
         if workspace in self.ledger.plan_views(now_s):
             await self._read(workspace, account)
-        spare = self.ledger.plan_returns(self._reactor.seconds()).get(workspace, 0)
+        spare = self._spare(workspace)
         if spare and not account.waiters:
             await self._give_back(workspace, account, spare)
             return
@@ -314,8 +340,15 @@
                 )
                 return
 
+    def _spare(self, workspace: str) -> int:
+        if self._stopping:
+            return self.ledger.free_tokens(workspace)
+        return self.ledger.plan_returns(self._reactor.seconds()).get(workspace, 0)
+
     def _ask(self, workspace: str, account: _Account) -> GrantAsk | None:
         ask = self.ledger.plan_take(workspace, self._reactor.seconds())
+        if self._stopping:
+            ask = None
         waiting = sum(waiter.tokens for waiter in account.waiters)
         short = waiting - max(0, self.ledger.free_tokens(workspace))
         if short <= 0:
@@ -454,12 +487,19 @@
         free = self.ledger.free_tokens(workspace)
         return max(0, ungranted_tokens(account.row)) + max(0, free) < tokens
 
-    async def give_back_all(self) -> None:
-        """Return what is not spent, before a planned stop."""
-        for workspace, account in self._accounts.items():
-            spare = self.ledger.free_tokens(workspace)
-            if spare > 0 and account.row is not None and account.unresolved is None:
-                await self._give_back(workspace, account, spare)
+    def stop(self) -> None:
+        """Give back from now on what is not reserved, before a planned stop."""
+        self._stopping = True
+        for workspace in self._accounts:
+            self.work_on(workspace)
+
+    @property
+    def settled(self) -> bool:
+        """Whether nothing is left to give back."""
+        return not any(
+            account.busy or self.ledger.free_tokens(workspace) > 0
+            for workspace, account in self._accounts.items()
+        )
 
     def _account(self, workspace: str) -> _Account:
         account = self._accounts.get(workspace)
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -6,7 +6,7 @@
 from abc import ABC, abstractmethod
 
 import msgspec
-from twisted.internet import defer, error, task
+from twisted.internet import defer, task
 
 from turnward.gateway.choice import EndpointBook
 from turnward.gateway.dialect import Dialect
@@ -45,14 +45,14 @@
 _LINGER_S = 2.6
 #: Seconds before the stop's limit at which what still runs is ended.
 _STOP_MARGIN_S = 0.8
+#: Seconds in which the last answers leave.
+_LAST_WORDS_S = 0.1
 #: Connect timeout towards endpoints, in seconds.
 _CONNECT_TIMEOUT_S = 0.5
 #: How far ahead prepaid tokens are taken; see ``docs/decisions``.
 _SIZING = SizingRule(
     horizon_s=10.0,
-    minimum_tokens=20_000,
-    share=0.25,
-    floor_share=0.04,
+    minimum_tokens=2_000,
     keep_s=4.0,
     near_view_s=1.0,
     far_view_s=10.0,
@@ -149,7 +149,13 @@
             reactor, self._identity(), self.state, self.book, self.endpoints.loads, log
         )
         self.accounts = PrepaidAccounts(
-            reactor, store, settings.node, self.incarnation, _SIZING, log
+            reactor,
+            store,
+            settings.node,
+            self.incarnation,
+            _SIZING,
+            log,
+            lambda: self.book.most_live,
         )
         self.forwarder = self._make_forwarder()
         self.callers = InboundFactory(
@@ -347,6 +353,7 @@
         self._stopping = True
         self.peers.stopping = True
         self.callers.draining = True
+        self.accounts.stop()
         self._log.event("process.stopping", open_requests=len(self.forwarder.open))
         began_s = self._reactor.seconds()
         waiting = task.LoopingCall(self._look_for_end, began_s)
@@ -357,22 +364,17 @@
         elapsed_s = self._reactor.seconds() - began_s
         limit_s = self._settings.stop_limit_s - _STOP_MARGIN_S
         busy = any(not connection.idle for connection in self.callers.connections)
-        if elapsed_s < limit_s and (busy or self.forwarder.open or elapsed_s < _LINGER_S):
+        pending = busy or self.forwarder.open or not self.accounts.settled
+        if elapsed_s < limit_s and (pending or elapsed_s < _LINGER_S):
             return
         self._waiting_for_end.stop()
         self.callers.close_idle()
         for forwarding in list(self.forwarder.open):
             forwarding.stop_now()
-        defer.ensureDeferred(self._finish())
-
-    async def _finish(self) -> None:
         for feed in self._feeds:
             feed.stop()
-        giving_back = defer.ensureDeferred(self.accounts.give_back_all())
-        try:
-            await giving_back.addTimeout(0.5, self._reactor)
-        except (RowStoreError, defer.TimeoutError, error.ConnectError):
+        if not self.accounts.settled:
             self._log.failure("prepaid.not_returned")
         self._log.event("process.stopped")
         self._log.flush()
-        self.stopped.callback(None)
+        self._reactor.callLater(_LAST_WORDS_S, self.stopped.callback, None)
--- a/turnward/ledger/ledger.py
+++ b/turnward/ledger/ledger.py
@@ -139,6 +139,10 @@
         """How far ahead grants are taken."""
         return self._rule
 
+    @rule.setter
+    def rule(self, rule: SizingRule) -> None:
+        self._rule = rule
+
     def budgets(self) -> list[str]:
         """Return the budgets this router has dealt with."""
         return list(self._accounts)
