--- a/turnward/gateway/feeds.py
+++ b/turnward/gateway/feeds.py
@@ -55,7 +55,7 @@
     on_health : callable
         Called with True or False when the store is regained or lost.
     on_answer : callable, optional
-        Called with the moment of asking after each answer.
+        Called after each answer with the moment that it is known to be of.
     """
 
     def __init__(
@@ -103,7 +103,7 @@
                 self._note_health()
 
     async def _step(self) -> None:
-        asked_s = self._reactor.seconds()
+        newest_s = self._reactor.seconds()
         if self._reread or self._listener.version == 0:
             table = await self._store.read_table(self._table)
             self._reread = False
@@ -111,11 +111,10 @@
         else:
             changes = await self._store.changes(self._table, self._listener.version, self._wait_s)
             self._listener.rows_changed(changes)
-            if not changes.rows:
-                # An empty answer says that nothing had changed when it was given.
-                asked_s = self._reactor.seconds()
+            # The store held the question; its answer is of just now.
+            newest_s = self._reactor.seconds()
         if self._on_answer is not None:
-            self._on_answer(asked_s)
+            self._on_answer(newest_s)
 
     def _note_health(self) -> None:
         if self._failures:
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -19,6 +19,7 @@
 from turnward.gateway.state import FleetState
 from turnward.gateway.streams import EventSplitter
 from turnward.http1 import (
+    AnswerMatch,
     ExchangeBase,
     ExchangeFailure,
     FailureCause,
@@ -797,6 +798,17 @@
 
     # The answer.
 
+    def match(self, status, headers):
+        found = super().match(status, headers)
+        if found is AnswerMatch.INVALID and self._says_not_run(status, headers):
+            # Endpoints that refuse need not tell which request they refuse.
+            return AnswerMatch.OWN
+        return found
+
+    def _says_not_run(self, status: int, headers: HeaderList) -> bool:
+        not_run = self._owner.forwarder.dialect.not_run
+        return status == 421 or header_value(headers, not_run) is not None
+
     def head_received(self, status, headers):
         if self.over:
             return
@@ -804,7 +816,7 @@
         self._headers = headers
         owner = self._owner
         dialect = owner.forwarder.dialect
-        if status == 421 or header_value(headers, dialect.not_run) is not None:
+        if self._says_not_run(status, headers):
             self._not_run(status)
             return
         sealed = header_value(headers, dialect.answer_seal) is not None
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -45,6 +45,8 @@
 _LINGER_S = 2.6
 #: Seconds before the stop's limit at which what still runs is ended.
 _STOP_MARGIN_S = 0.8
+#: Seconds between two looks whether a stopping process may end.
+_LOOK_FOR_END_S = 0.1
 #: Seconds in which the last answers leave.
 _LAST_WORDS_S = 0.1
 #: Connect timeout towards endpoints, in seconds.
@@ -136,6 +138,8 @@
         self._ports: list = []
         self._feed_health: dict[str, bool] = {}
         self._stopping = False
+        self._stop_began_s = 0.0
+        self._waiting_for_end: task.LoopingCall | None = None
         self.stopped: defer.Deferred = defer.Deferred()
         self.incarnation = incarnation
         self.state = FleetState(reactor.seconds)
@@ -259,7 +263,13 @@
         self.peers.start()
         self.accounts.start()
         defer.ensureDeferred(self._announce())
-        task.LoopingCall(self._keep_house).start(_HOUSEKEEPING_S, now=False)
+        self._repeat(self._keep_house, _HOUSEKEEPING_S)
+
+    def _repeat(self, function, period_s: float) -> task.LoopingCall:
+        repeating = task.LoopingCall(function)
+        repeating.clock = self._reactor
+        repeating.start(period_s, now=False)
+        return repeating
 
     def _listen(self, address: str, factory) -> None:
         host, _, port = address.rpartition(":")
@@ -355,13 +365,11 @@
         self.callers.draining = True
         self.accounts.stop()
         self._log.event("process.stopping", open_requests=len(self.forwarder.open))
-        began_s = self._reactor.seconds()
-        waiting = task.LoopingCall(self._look_for_end, began_s)
-        self._waiting_for_end = waiting
-        waiting.start(0.1, now=False)
+        self._stop_began_s = self._reactor.seconds()
+        self._waiting_for_end = self._repeat(self._look_for_end, _LOOK_FOR_END_S)
 
-    def _look_for_end(self, began_s: float) -> None:
-        elapsed_s = self._reactor.seconds() - began_s
+    def _look_for_end(self) -> None:
+        elapsed_s = self._reactor.seconds() - self._stop_began_s
         limit_s = self._settings.stop_limit_s - _STOP_MARGIN_S
         busy = any(not connection.idle for connection in self.callers.connections)
         pending = busy or self.forwarder.open or not self.accounts.settled
--- /dev/null
+++ b/turnward/gateway/tests/rig.py
@@ -0,0 +1,420 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Gateways, endpoints, callers and the store on a network in memory."""
+
+import msgspec
+from twisted.internet.protocol import ClientFactory, Protocol
+
+from turnward.gateway import (
+    Configuration,
+    Dialect,
+    EndpointEntry,
+    EndpointPool,
+    EndpointsSnapshot,
+    EngineTraits,
+    FeedListenerBase,
+    GatewayMetrics,
+    GatewayProcess,
+    GatewaySettings,
+    Repeat,
+    Route,
+    SourcesBase,
+    WeightedPool,
+    Workspace,
+    new_incarnation,
+)
+from turnward.http1 import InboundFactory, InboundLimits, header_value
+from turnward.standins import MemoryNetwork, MemoryRows, RowsClient
+
+HOST = b"shop.example"
+KEY = b"key-one"
+DIALECT = Dialect()
+CALLERS_PORT = 80
+READY_PORT = 81
+PEERS_PORT = 82
+ENDPOINT_PORT = 8000
+
+
+class ListLog:
+    """Keeps lines in a list."""
+
+    def __init__(self):
+        self.lines: list[dict] = []
+
+    def event(self, event, **fields):
+        self.lines.append({"event": event, **fields})
+
+    failure = event
+
+    def flush(self):
+        """Nothing waits."""
+
+    def of(self, event):
+        return [line for line in self.lines if line["event"] == event]
+
+
+class _ConfigurationListener(FeedListenerBase):
+    def __init__(self, state):
+        self._state = state
+        self._version = 0
+
+    @property
+    def version(self):
+        return self._version
+
+    def table_read(self, table):
+        self.rows_changed(table)
+
+    def rows_changed(self, changes):
+        self._version = max(self._version, changes.version)
+        for row in changes.rows:
+            configuration = msgspec.msgpack.decode(row.value, type=Configuration)
+            self._state.adopt_configuration(configuration, "store")
+
+
+class _EndpointsListener(FeedListenerBase):
+    def __init__(self, state):
+        self._state = state
+
+    @property
+    def version(self):
+        return self._state.endpoints_version
+
+    def table_read(self, table):
+        entries = tuple(_entry(row) for row in table.rows)
+        self._state.adopt_endpoints(EndpointsSnapshot(table.version, entries), "store")
+
+    def rows_changed(self, changes):
+        entries = dict(self._state.endpoints)
+        for row in changes.rows:
+            entries.pop(row.key.key, None)
+            if not row.gone:
+                entries[row.key.key] = _entry(row)
+        snapshot = EndpointsSnapshot(changes.version, tuple(entries.values()))
+        self._state.adopt_endpoints(snapshot, "store")
+
+
+def _entry(row):
+    return msgspec.msgpack.decode(row.value, type=EndpointEntry)
+
+
+class Sources(SourcesBase):
+    def feeds(self, state):
+        return [
+            ("configuration", 2.0, _ConfigurationListener(state)),
+            ("endpoints", 4.0, _EndpointsListener(state)),
+        ]
+
+
+class Endpoint:
+    """A scripted endpoint; ``behave(endpoint, request)`` answers each request."""
+
+    def __init__(self, rig, host, endpoint_id, pool, behave):
+        self.machine = rig.network.machine(host)
+        self.endpoint_id = endpoint_id
+        self.pool = pool
+        self.address = f"{host}:{ENDPOINT_PORT}"
+        self.behave = behave
+        self.requests = []
+        self.bodies = []
+        self.gone = []
+        self.early = False
+        self.factory = InboundFactory(self.machine, self._handle, InboundLimits())
+        self.machine.listenTCP(ENDPOINT_PORT, self.factory)
+
+    def _handle(self, request):
+        self.requests.append(request)
+        request.on_gone = lambda: self.gone.append(request)
+        expected = header_value(request.headers, DIALECT.expected_endpoint)
+        if expected is not None and expected != self.endpoint_id.encode():
+            request.answer(421, [])
+            return
+        if self.early:
+            self.behave(self, request)
+            return
+        parts = []
+        request.attach(parts.append, lambda: self._body_ended(request, parts))
+
+    def _body_ended(self, request, parts):
+        self.bodies.append(b"".join(parts))
+        self.behave(self, request)
+
+    def entry(self, **changes):
+        entry = EndpointEntry(
+            endpoint_id=self.endpoint_id, pool=self.pool, address=self.address, slots=4
+        )
+        return msgspec.structs.replace(entry, **changes)
+
+    def ids(self):
+        return [header_value(request.headers, DIALECT.request_id) for request in self.requests]
+
+
+def answer_head(request, seal=b"seal"):
+    request_id = header_value(request.headers, DIALECT.request_id)
+    return [(DIALECT.request_id, request_id), (DIALECT.answer_seal, seal)]
+
+
+def well(endpoint, request, body=b"fine"):
+    """Answer in full."""
+    request.answer(200, answer_head(request), body)
+
+
+def full(endpoint, request):
+    """Say that the request was not run."""
+    request.answer(503, [(DIALECT.not_run, b"1")])
+
+
+def silent(endpoint, request):
+    """Say nothing."""
+
+
+def reset(endpoint, request):
+    """Cut the connection instead of an answer."""
+    request.abort()
+
+
+def raw(data):
+    """Return a behaviour that writes bytes as they are, with the id filled in."""
+
+    def behave(endpoint, request):
+        request_id = header_value(request.headers, DIALECT.request_id)
+        request._connection.transport.write(data.replace(b"<id>", request_id))
+
+    return behave
+
+
+def events(first, last, size=5):
+    """Return the bytes of events with rising ids."""
+    return b"".join(
+        b"id: %d\ndata: %b\n\n" % (number, b"x" * size) for number in range(first, last + 1)
+    )
+
+
+def stream(count, upto=None, then=None):
+    """Return a behaviour that streams events, all or up to one, and then does ``then``."""
+
+    def behave(endpoint, request):
+        after = header_value(request.headers, DIALECT.last_event_id)
+        first = int(after) + 1 if after else 1
+        request.start(200, [*answer_head(request), (b"content-type", b"text/event-stream")], None)
+        request.write(events(first, count if upto is None else upto))
+        if then is None:
+            request.finish()
+        else:
+            then(endpoint, request)
+
+    return behave
+
+
+class Caller(Protocol):
+    """A caller's connection: all that came back, and whether it was closed."""
+
+    def __init__(self):
+        self.received = b""
+        self.closed = None
+
+    def dataReceived(self, data):
+        self.received += data
+
+    def connectionLost(self, reason):
+        self.closed = reason
+
+    @property
+    def status(self):
+        return int(self.received.split(b" ", 2)[1]) if self.received else None
+
+    @property
+    def body(self):
+        return self.received.partition(b"\r\n\r\n")[2]
+
+    def header(self, name):
+        head = self.received.partition(b"\r\n\r\n")[0].lower()
+        for line in head.split(b"\r\n")[1:]:
+            key, _, value = line.partition(b":")
+            if key == name.lower():
+                return value.strip()
+        return None
+
+
+class _CallerFactory(ClientFactory):
+    def __init__(self, caller):
+        self._caller = caller
+
+    def buildProtocol(self, addr):
+        return self._caller
+
+
+class Rig:
+    """A small deployment."""
+
+    def __init__(self, routes=None, pools=None, workspaces=None, **route_fields):
+        self.network = MemoryNetwork()
+        self.rows = MemoryRows(self.network.clock)
+        self.gateways: list[GatewayProcess] = []
+        self.machines = []
+        self.clients = []
+        self.logs: list[ListLog] = []
+        self.endpoints: list[Endpoint] = []
+        self._callers = 0
+        self._ids = 0
+        self._version = 0
+        self.configuration = Configuration(
+            version=1,
+            routes=tuple(routes or (self.route(**route_fields),)),
+            pools=tuple(pools or (EndpointPool(name="pool"),)),
+            workspaces=tuple(workspaces or (Workspace(name="acme", keys=(KEY.decode(),)),)),
+            needs_keys=True,
+        )
+
+    @staticmethod
+    def route(**fields):
+        values = {
+            "name": "r",
+            "host": HOST.decode(),
+            "path_prefix": "/a/",
+            "pools": (WeightedPool("pool"),),
+            "repeat": Repeat.ANY,
+            "attempts": 2,
+            "time_limit_s": 5.0,
+        }
+        return Route(**{**values, **fields})
+
+    def configure(self, **changes):
+        """Write a new version of the configuration."""
+        self.configuration = msgspec.structs.replace(
+            self.configuration, version=self.configuration.version + 3, **changes
+        )
+        self.rows.put("configuration", "all", msgspec.msgpack.encode(self.configuration))
+
+    def endpoint(self, behave, pool="pool", announce=True):
+        number = len(self.endpoints) + 1
+        endpoint = Endpoint(self, f"10.9.0.{number}", f"e-{number}", pool, behave)
+        self.endpoints.append(endpoint)
+        if announce:
+            self.announce(endpoint)
+        return endpoint
+
+    def announce(self, endpoint, **changes):
+        value = msgspec.msgpack.encode(endpoint.entry(**changes))
+        self.rows.put("endpoints", endpoint.endpoint_id, value)
+
+    def gateway(self, start=True):
+        """Start another gateway."""
+        number = len(self.gateways) + 1
+        machine = self.network.machine(f"10.1.0.{number}")
+        return self.run_gateway(machine, f"node-{number}", start)
+
+    def run_gateway(self, machine, node, start=True):
+        """Start a gateway on a machine."""
+        host = machine.host
+        settings = GatewaySettings(
+            node=node,
+            zone="z",
+            callers_address=f"{host}:{CALLERS_PORT}",
+            ready_address=f"{host}:{READY_PORT}",
+            store_address="10.0.0.1:1",
+            peers_port=PEERS_PORT,
+            seeds=["10.1.0.1:9", "10.1.0.2:9"],
+        )
+        log = ListLog()
+        client = RowsClient(self.rows, machine)
+        process = GatewayProcess(
+            machine,
+            settings,
+            new_incarnation(node),
+            DIALECT,
+            client,
+            Sources(),
+            log,
+            GatewayMetrics(),
+        )
+        self.machines.append(machine)
+        self.clients.append(client)
+        self.logs.append(log)
+        self.gateways.append(process)
+        if start:
+            process.start()
+        return process
+
+    def ready(self, gateways=1):
+        """Write the configuration, start gateways and wait until they serve."""
+        self.rows.put("configuration", "all", msgspec.msgpack.encode(self.configuration))
+        for _ in range(gateways):
+            self.gateway()
+        assert self.network.advance_until(lambda: all(g.ready for g in self.gateways))
+        return self
+
+    def connect(self, gateway=0, port=CALLERS_PORT):
+        """Return a caller's connection to a gateway."""
+        self._callers += 1
+        machine = self.network.machine(f"10.7.0.{self._callers}")
+        caller = Caller()
+        caller.machine = machine
+        machine.connectTCP(self.machines[gateway].host, port, _CallerFactory(caller))
+        self.network.advance(0.01)
+        return caller
+
+    def request_bytes(
+        self, method=b"GET", path=b"/a/x", body=None, key=KEY, request_id=None, headers=()
+    ):
+        """Return a request's bytes."""
+        self._ids += 1
+        request_id = request_id or b"id-%d" % self._ids
+        lines = [method + b" " + path + b" HTTP/1.1", b"Host: " + HOST]
+        lines.append(b"Request-Id: " + request_id)
+        if key is not None:
+            lines.append(b"Authorization: Bearer " + key)
+        lines.extend(name + b": " + value for name, value in headers)
+        if body is not None:
+            lines.append(b"Content-Length: %d" % len(body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + (body or b"")
+
+    def send(self, gateway=0, **fields):
+        """Send a request on a new connection and return the connection."""
+        caller = self.connect(gateway)
+        caller.transport.write(self.request_bytes(**fields))
+        return caller
+
+    def ask(self, gateway=0, limit_s=10.0, **fields):
+        """Send a request and wait for the whole answer."""
+        caller = self.send(gateway, **fields)
+        self.network.advance_until(lambda: answered(caller), limit_s)
+        return caller
+
+    def prompt(self, tokens, output, parts=b""):
+        """Return the headers of a model request."""
+        return (
+            (b"Token-Count", b"%d,%d" % (tokens, output)),
+            (b"Prompt-Parts", parts or b"aa:%d" % tokens),
+        )
+
+
+def answered(caller):
+    """Tell whether a whole answer, or the end of the connection, is there."""
+    if caller.closed is not None:
+        return True
+    head, mark, body = caller.received.partition(b"\r\n\r\n")
+    if not mark:
+        return False
+    if b"transfer-encoding: chunked" in head.lower():
+        return body.endswith(b"0\r\n\r\n")
+    length = caller.header(b"content-length")
+    return length is not None and len(body) >= int(length)
+
+
+def dechunk(body):
+    """Return the content of a chunked body, and whether its end mark is there."""
+    content = b""
+    while True:
+        size, mark, rest = body.partition(b"\r\n")
+        if not mark:
+            return content, False
+        length = int(size, 16)
+        if length == 0:
+            return content, True
+        if len(rest) < length + 2:
+            return content + rest[:length], False
+        content += rest[:length]
+        body = rest[length + 2 :]
+
+
+ENGINE_POOL = EndpointPool(name="pool", engine=EngineTraits(slots=8, event_tokens=5))
--- /dev/null
+++ b/turnward/gateway/tests/test_forwarding.py
@@ -0,0 +1,603 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""What callers and endpoints see of a request that passes through a gateway."""
+
+import msgspec
+import pytest
+
+from turnward.gateway import Repeat
+from turnward.gateway.tests.rig import (
+    DIALECT,
+    ENGINE_POOL,
+    Rig,
+    answered,
+    answer_head,
+    dechunk,
+    events,
+    full,
+    raw,
+    reset,
+    silent,
+    stream,
+    well,
+)
+from turnward.http1 import header_value
+
+
+def reason(caller):
+    return msgspec.json.decode(caller.body)["error"]
+
+
+def test_request_and_answer_pass_unchanged():
+    rig = Rig()
+    endpoint = rig.endpoint(well)
+    rig.ready()
+    caller = rig.ask(
+        method=b"POST",
+        path=b"/a/b%20c?x=1&y=%2f",
+        body=b"\x00\xffdata",
+        headers=((b"X-Own", b"kept"), (b"Workspace", b"forged"), (b"Request-Priority", b"0")),
+    )
+    request = endpoint.requests[0]
+    assert (caller.status, caller.body) == (200, b"fine")
+    assert caller.header(b"answer-seal") == b"seal"
+    assert (request.method, request.target) == (b"POST", b"/a/b%20c?x=1&y=%2f")
+    assert endpoint.bodies == [b"\x00\xffdata"]
+    assert header_value(request.headers, b"x-own") == b"kept"
+    assert header_value(request.headers, b"authorization") is None
+    assert [v for n, v in request.headers if n == b"workspace"] == [b"acme"]
+    assert [v for n, v in request.headers if n == b"request-priority"] == [b"5"]
+    assert header_value(request.headers, DIALECT.expected_endpoint) == b"e-1"
+
+
+def test_deadline_is_what_is_left_of_the_shorter_limit():
+    rig = Rig(time_limit_s=2.0)
+    endpoint = rig.endpoint(well)
+    rig.ready()
+    rig.ask(headers=((b"Deadline-Ms", b"9000"),))
+    rig.ask(headers=((b"Deadline-Ms", b"500"),))
+    left = [
+        int(header_value(request.headers, DIALECT.deadline_ms)) for request in endpoint.requests
+    ]
+    assert 1_900 < left[0] <= 2_000
+    assert 400 < left[1] <= 500
+
+
+def test_unknown_route_and_key_are_refused_while_the_configuration_is_confirmed():
+    rig = Rig()
+    rig.endpoint(well)
+    rig.ready()
+    assert rig.ask(path=b"/other/").status == 404
+    assert rig.ask(key=b"nobody").status == 401
+    assert rig.ask(key=None).status == 401
+
+
+def test_unknown_route_and_key_are_not_the_callers_fault_while_cut_off():
+    rig = Rig()
+    rig.endpoint(well)
+    rig.ready()
+    rig.clients[0].faults.away = True
+    rig.network.advance(8.0)
+    for fields in ({"path": b"/other/"}, {"key": b"nobody"}):
+        caller = rig.ask(**fields)
+        assert (caller.status, reason(caller)) == (503, "configuration_not_confirmed")
+        assert float(caller.header(b"retry-after")) > 0
+    assert rig.ask().status == 200
+
+
+def test_process_without_configuration_is_not_ready_and_promises_not_run():
+    rig = Rig()
+    rig.gateway()
+    rig.network.advance(1.0)
+    caller = rig.ask()
+    assert caller.status == 503
+    assert not rig.gateways[0].ready
+
+
+@pytest.mark.parametrize("repeat", [Repeat.ANY, Repeat.ONCE, Repeat.STREAM])
+def test_refusal_of_a_full_endpoint_is_passed_on_as_a_promise(repeat):
+    rig = Rig(repeat=repeat, attempts=1)
+    rig.endpoint(full)
+    rig.ready()
+    caller = rig.ask(method=b"POST", body=b"x")
+    assert (caller.status, reason(caller)) == (503, "endpoints_full")
+    assert float(caller.header(b"retry-after")) > 0
+    assert caller.header(b"answer-seal") is None
+
+
+def test_refused_request_goes_to_another_endpoint():
+    rig = Rig(repeat=Repeat.ONCE, attempts=2)
+    for _ in range(2):
+        rig.endpoint(full)
+    rig.endpoint(well)
+    rig.ready()
+    answers = [rig.ask(method=b"POST", body=b"x").status for _ in range(12)]
+    assert set(answers) <= {200, 503}
+    assert all(len(endpoint.ids()) == len(set(endpoint.ids())) for endpoint in rig.endpoints)
+
+
+@pytest.mark.parametrize("behave", [reset, raw(b"nonsense\r\n\r\n"), raw(b"HTTP/1.1 200 OK\r\n")])
+def test_request_that_must_not_run_twice_is_sent_once_and_its_end_is_unknown(behave):
+    rig = Rig(repeat=Repeat.ONCE, attempts=3, time_limit_s=1.0)
+    for _ in range(3):
+        rig.endpoint(behave)
+    rig.ready()
+    caller = rig.ask(method=b"POST", body=b"x")
+    assert caller.status in (502, 504)
+    assert sum(len(endpoint.requests) for endpoint in rig.endpoints) == 1
+
+
+@pytest.mark.parametrize("behave", [reset, raw(b"nonsense\r\n\r\n")])
+def test_repeatable_request_is_sent_to_another_endpoint(behave):
+    rig = Rig(repeat=Repeat.ANY, attempts=2)
+    rig.endpoint(behave)
+    rig.endpoint(well)
+    rig.ready()
+    assert [rig.ask().status for _ in range(6)] == [200] * 6
+
+
+def test_attempts_bound_the_endpoints_of_a_request():
+    rig = Rig(repeat=Repeat.ANY, attempts=2)
+    for _ in range(4):
+        rig.endpoint(reset)
+    rig.ready()
+    assert rig.ask().status == 502
+    assert sum(len(endpoint.requests) for endpoint in rig.endpoints) == 2
+
+
+def test_dead_endpoints_are_passed_over_without_a_send():
+    rig = Rig(repeat=Repeat.ONCE, attempts=1)
+    dead = [rig.endpoint(well) for _ in range(2)]
+    rig.endpoint(well)
+    rig.ready()
+    for endpoint in dead:
+        endpoint.machine.kill()
+    assert [rig.ask(method=b"POST", body=b"x").status for _ in range(5)] == [200] * 5
+
+
+def test_error_of_an_endpoint_is_tried_elsewhere_and_passed_on_in_the_end():
+    def fails(endpoint, request):
+        request.answer(500, answer_head(request, endpoint.endpoint_id.encode()), b"broken")
+
+    rig = Rig(repeat=Repeat.ANY, attempts=2)
+    rig.endpoint(fails)
+    rig.endpoint(fails)
+    rig.ready()
+    caller = rig.ask()
+    assert (caller.status, caller.body) == (500, b"broken")
+    assert sorted(len(endpoint.requests) for endpoint in rig.endpoints) == [1, 1]
+
+
+def test_answer_without_a_seal_is_not_passed_on():
+    rig = Rig(repeat=Repeat.ONCE)
+    rig.endpoint(raw(b"HTTP/1.1 200 OK\r\nRequest-Id: <id>\r\nContent-Length: 2\r\n\r\nno"))
+    rig.ready()
+    assert rig.ask(method=b"POST", body=b"").status == 502
+
+
+def test_status_that_promises_not_run_is_not_passed_on_for_a_request_that_may_have_run():
+    def busy(endpoint, request):
+        request.answer(503, answer_head(request), b"later")
+
+    rig = Rig(repeat=Repeat.ONCE)
+    rig.endpoint(busy)
+    rig.ready()
+    caller = rig.ask(method=b"POST", body=b"")
+    assert caller.status == 502
+    assert caller.header(b"answer-seal") is None
+
+
+def test_answer_with_an_encoding_nobody_asked_for_is_not_passed_on():
+    rig = Rig(repeat=Repeat.ONCE)
+    rig.endpoint(
+        raw(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: <id>\r\nAnswer-Seal: s\r\n"
+            b"Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nno"
+        )
+    )
+    rig.ready()
+    assert rig.ask(method=b"POST", body=b"").status == 502
+
+
+GOOD = b"HTTP/1.1 200 OK\r\nRequest-Id: <id>\r\nAnswer-Seal: s\r\nContent-Length: 4\r\n\r\ngood"
+OTHER = b"HTTP/1.1 200 OK\r\nRequest-Id: else\r\nAnswer-Seal: s\r\nContent-Length: 3\r\n\r\nbad"
+
+
+def test_late_answer_to_an_earlier_request_is_skipped():
+    rig = Rig(repeat=Repeat.ONCE)
+    rig.endpoint(raw(OTHER + GOOD))
+    rig.ready()
+    caller = rig.ask(method=b"POST", body=b"")
+    assert (caller.status, caller.body) == (200, b"good")
+
+
+def test_extra_answer_ends_the_connection_it_came_on():
+    rig = Rig(repeat=Repeat.ONCE)
+    endpoint = rig.endpoint(raw(GOOD + GOOD.replace(b"good", b"evil")))
+    rig.ready()
+    for _ in range(4):
+        assert rig.ask(method=b"POST", body=b"").body == b"good"
+    assert len({id(request._connection) for request in endpoint.requests}) == 4
+
+
+def test_extra_answer_that_comes_later_ends_the_connection():
+    def behave(endpoint, request):
+        raw(GOOD)(endpoint, request)
+        endpoint.machine.callLater(0.1, raw(OTHER), endpoint, request)
+
+    rig = Rig(repeat=Repeat.ONCE)
+    rig.endpoint(behave)
+    rig.ready()
+    assert rig.ask(method=b"POST", body=b"").body == b"good"
+    rig.network.advance(0.2)
+    rig.endpoints[0].behave = raw(GOOD)
+    assert rig.ask(method=b"POST", body=b"").body == b"good"
+
+
+def test_plain_answer_cut_short_is_never_continued_from_another_endpoint():
+    def cut(endpoint, request):
+        request.start(200, answer_head(request, b"first"), None)
+        request.write(b"half")
+        endpoint.machine.callLater(0.05, request.abort)
+
+    rig = Rig(repeat=Repeat.ANY, attempts=2)
+    rig.endpoint(cut)
+    rig.endpoint(lambda endpoint, request: well(endpoint, request, b"whole"))
+    rig.ready()
+    for _ in range(6):
+        caller = rig.ask()
+        assert caller.status == 200
+        assert caller.header(b"answer-seal") == b"seal"
+        body = dechunk(caller.body)[0] if caller.header(b"transfer-encoding") else caller.body
+        assert body == b"whole"
+
+
+UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: <id>\r\nAnswer-Seal: s\r\n\r\nto the end"
+
+
+@pytest.mark.parametrize("how", ["loseConnection", "abortConnection"])
+def test_answer_without_length_is_whole_only_when_its_connection_ends_well(how):
+    def behave(endpoint, request):
+        raw(UNFRAMED)(endpoint, request)
+        endpoint.machine.callLater(0.05, getattr(request._connection.transport, how))
+
+    rig = Rig(repeat=Repeat.ONCE)
+    rig.endpoint(behave)
+    rig.ready()
+    caller = rig.ask(method=b"POST", body=b"")
+    if how == "loseConnection":
+        assert (caller.status, caller.body) == (200, b"to the end")
+    else:
+        assert caller.status == 502
+
+
+def test_caller_that_leaves_frees_the_endpoint_at_once():
+    rig = Rig()
+    endpoint = rig.endpoint(silent)
+    rig.ready()
+    caller = rig.send()
+    rig.network.advance(0.1)
+    caller.transport.loseConnection()
+    rig.network.advance(0.05)
+    assert len(endpoint.gone) == 1
+    assert not rig.gateways[0].forwarder.open
+
+
+def test_time_limit_is_answered_in_time():
+    rig = Rig(time_limit_s=1.0)
+    rig.endpoint(silent)
+    rig.ready()
+    caller = rig.send()
+    rig.network.advance(0.95)
+    assert caller.status is None
+    rig.network.advance(0.15)
+    assert (caller.status, reason(caller)) == (504, "time_limit")
+
+
+def test_pipelined_requests_are_answered_in_order_with_their_own_answers():
+    def echo(endpoint, request):
+        delay_s = 0.2 if request.target.endswith(b"slow") else 0.0
+        endpoint.machine.callLater(delay_s, well, endpoint, request, request.target)
+
+    rig = Rig()
+    rig.endpoint(echo)
+    rig.ready()
+    caller = rig.connect()
+    paths = [b"/a/slow", b"/a/quick", b"/a/last"]
+    caller.transport.write(b"".join(rig.request_bytes(path=path) for path in paths))
+    rig.network.advance(1.0)
+    found = [caller.received.index(path) for path in paths]
+    assert found == sorted(found)
+    assert caller.received.count(b"200 OK") == 3
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"POST /a/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 5\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /a/smuggled HTTP/1.1\r\n\r\n",
+        b"POST /a/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 5\r\n"
+        b"Content-Length: 6\r\n\r\nhello!",
+        b"POST /a/x HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: xchunked\r\n\r\n",
+        b"POST /a/x HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"GET /a/x HTTP/1.1\r\nHost: shop.example\r\nBad Header: x\r\n\r\n",
+        b"\x00\x01\x02",
+    ],
+)
+def test_malformed_requests_are_refused_and_reach_no_endpoint(bad):
+    rig = Rig()
+    endpoint = rig.endpoint(well)
+    rig.ready()
+    caller = rig.connect()
+    caller.transport.write(bad)
+    rig.network.advance(7.0)
+    assert caller.status in (400, 408)
+    assert caller.closed is not None
+    assert endpoint.requests == []
+    assert rig.ask().status == 200
+
+
+@pytest.mark.parametrize("header", [b"Request-Id", b"Host"])
+def test_doubled_identity_headers_are_refused(header):
+    rig = Rig()
+    endpoint = rig.endpoint(well)
+    rig.ready()
+    assert rig.ask(headers=((header, b"second"),)).status == 400
+    assert endpoint.requests == []
+
+
+def test_body_in_chunks_arrives_whole():
+    rig = Rig()
+    endpoint = rig.endpoint(well)
+    rig.ready()
+    caller = rig.connect()
+    head = rig.request_bytes(method=b"POST", headers=((b"Transfer-Encoding", b"chunked"),))
+    caller.transport.write(head + b"3\r\nabc\r\n")
+    rig.network.advance(0.1)
+    caller.transport.write(b"2\r\nde\r\n0\r\n\r\n")
+    rig.network.advance(0.1)
+    assert caller.status == 200
+    assert endpoint.bodies == [b"abcde"]
+
+
+def test_large_body_streams_and_a_slow_endpoint_holds_the_caller_back():
+    def reads_nothing(endpoint, request):
+        request.pause_body()
+
+    rig = Rig(repeat=Repeat.ONCE, time_limit_s=60.0)
+    endpoint = rig.endpoint(reads_nothing)
+    endpoint.early = True
+    rig.ready()
+    caller = rig.connect()
+    size = 4_000_000
+    head = rig.request_bytes(method=b"POST", headers=((b"Content-Length", b"%d" % size),))
+    caller.transport.write(head)
+    for _ in range(size // 10_000):
+        if caller.transport._under_way < 300_000:
+            caller.transport.write(b"b" * 10_000)
+            rig.network.advance(0.005)
+    held = caller.transport._under_way
+    assert held > 100_000
+    endpoint.requests[0].attach(lambda data: None, lambda: None)
+    rig.network.advance(0.5)
+    assert caller.transport._under_way < held
+
+
+def test_slow_reader_holds_the_endpoint_back():
+    rig = Rig(repeat=Repeat.STREAM, time_limit_s=60.0)
+    endpoint = rig.endpoint(silent)
+    rig.ready()
+    caller = rig.send()
+    rig.network.advance(0.1)
+    caller.transport.pauseProducing()
+    request = endpoint.requests[0]
+    request.start(200, answer_head(request), None)
+    paused = []
+    request.on_pause = lambda: paused.append(True)
+    for turn in range(60):
+        if not paused:
+            request.write(events(100 * turn + 1, 100 * turn + 100, 100))
+            rig.network.advance(0.01)
+    assert paused
+    caller.transport.resumeProducing()
+    request.on_resume = paused.clear
+    rig.network.advance(0.2)
+    assert not paused
+
+
+# Event streams.
+
+
+def streaming(resumable, attempts=3):
+    rig = Rig(
+        pools=(ENGINE_POOL,), repeat=Repeat.STREAM, resumable=resumable, attempts=attempts
+    )
+    return rig
+
+
+def test_events_pass_as_they_come():
+    def slowly(endpoint, request):
+        request.start(200, answer_head(request), None)
+        request.write(events(1, 1))
+        endpoint.machine.callLater(1.0, request.write, events(2, 2))
+        endpoint.machine.callLater(1.1, request.finish)
+
+    rig = streaming(resumable=True)
+    rig.endpoint(slowly)
+    rig.ready()
+    caller = rig.send(method=b"POST", body=b"p")
+    rig.network.advance(0.5)
+    assert dechunk(caller.body) == (events(1, 1), False)
+    rig.network.advance(1.0)
+    assert dechunk(caller.body) == (events(1, 2), True)
+
+
+def test_broken_stream_goes_on_at_another_endpoint_where_it_may():
+    rig = streaming(resumable=True)
+    broken = rig.endpoint(stream(9, upto=4, then=lambda e, r: e.machine.callLater(0.1, r.abort)))
+    rig.endpoint(stream(9))
+    rig.ready()
+    for _ in range(4):
+        caller = rig.ask(method=b"POST", body=b"p")
+        assert dechunk(caller.body) == (events(1, 9), True)
+    assert broken.requests
+
+
+def test_half_an_event_is_never_joined_with_another_run():
+    def cut_inside(endpoint, request):
+        request.start(200, answer_head(request), None)
+        request.write(events(1, 3)[:-4])
+        endpoint.machine.callLater(0.05, request.abort)
+
+    rig = streaming(resumable=True)
+    rig.endpoint(cut_inside)
+    rig.endpoint(stream(5))
+    rig.ready()
+    for _ in range(4):
+        assert dechunk(rig.ask(method=b"POST", body=b"p").body) == (events(1, 5), True)
+
+
+def test_stream_that_may_not_be_resumed_is_cut_and_does_not_look_complete():
+    rig = streaming(resumable=False)
+    for _ in range(2):
+        rig.endpoint(stream(9, upto=4, then=lambda e, r: e.machine.callLater(0.1, r.abort)))
+    rig.ready()
+    caller = rig.ask(method=b"POST", body=b"p")
+    assert caller.closed is not None
+    assert dechunk(caller.body) == (events(1, 4), False)
+    assert sum(len(endpoint.requests) for endpoint in rig.endpoints) == 1
+
+
+def test_resumed_stream_that_starts_over_is_not_joined():
+    def restarts(endpoint, request):
+        request.start(200, answer_head(request), None)
+        request.write(events(1, 9))
+        request.finish()
+
+    rig = streaming(resumable=True, attempts=2)
+    first = rig.endpoint(stream(9, upto=4, then=lambda e, r: e.machine.callLater(0.1, r.abort)))
+    rig.ready()
+    rig.endpoint(restarts)
+    caller = rig.send(method=b"POST", body=b"p")
+    rig.network.advance_until(lambda: answered(caller))
+    assert first.requests
+    body, complete = dechunk(caller.body)
+    assert body == events(1, 4)
+    assert not complete
+
+
+def test_stream_that_ends_inside_an_event_does_not_look_complete():
+    def ends_early(endpoint, request):
+        request.start(200, answer_head(request), None)
+        request.write(events(1, 3)[:-4])
+        request.finish()
+
+    rig = streaming(resumable=False)
+    rig.endpoint(ends_early)
+    rig.ready()
+    caller = rig.ask(method=b"POST", body=b"p")
+    assert caller.closed is not None
+    assert not dechunk(caller.body)[1]
+
+
+# Endpoints that leave, and addresses that are used again.
+
+
+def test_leaving_endpoint_gets_no_new_work():
+    rig = Rig()
+    leaving = rig.endpoint(well)
+    rig.endpoint(well)
+    rig.ready()
+    rig.announce(leaving, leaving=True)
+    rig.network.advance(0.1)
+    before = len(leaving.requests)
+    assert [rig.ask().status for _ in range(6)] == [200] * 6
+    assert len(leaving.requests) == before
+
+
+def test_address_that_now_is_another_endpoints_runs_nothing():
+    rig = Rig(repeat=Repeat.ONCE, attempts=1)
+    endpoint = rig.endpoint(well)
+    rig.ready()
+    endpoint.endpoint_id = "e-new"
+    caller = rig.ask(method=b"POST", body=b"")
+    assert (caller.status, reason(caller)) == (503, "no_endpoint")
+
+
+# Configuration.
+
+
+def test_configuration_is_in_force_at_once_and_never_goes_back():
+    rig = Rig()
+    rig.endpoint(well)
+    rig.ready()
+    old = rig.configuration
+    rig.configure(routes=(rig.route(path_prefix="/b/"),))
+    rig.network.advance(0.1)
+    assert (rig.ask(path=b"/a/x").status, rig.ask(path=b"/b/x").status) == (404, 200)
+    rig.rows.put("configuration", "all", msgspec.msgpack.encode(old))
+    rig.network.advance(0.5)
+    assert rig.ask(path=b"/b/x").status == 200
+
+
+def test_key_taken_away_is_refused_at_a_gateway_that_the_store_turns_away():
+    rig = Rig()
+    rig.endpoint(well)
+    rig.ready(gateways=2)
+    rig.network.advance(1.0)
+    rig.clients[1].faults.away = True
+    rig.network.advance(1.0)
+    workspace = msgspec.structs.replace(rig.configuration.workspaces[0], keys=("other",))
+    rig.configure(workspaces=(workspace,))
+    rig.network.advance(1.5)
+    assert rig.ask(gateway=1).status == 401
+    assert rig.ask(gateway=1, key=b"other").status == 200
+
+
+def test_forgotten_history_is_read_anew():
+    rig = Rig()
+    rig.endpoint(well)
+    rig.ready()
+    rig.clients[0].faults.away = True
+    rig.network.advance(0.5)
+    rig.configure(routes=(rig.route(path_prefix="/b/"),))
+    rig.rows.forget_history()
+    rig.clients[0].faults.away = False
+    rig.network.advance(3.0)
+    assert rig.ask(path=b"/b/x").status == 200
+
+
+# Planned stop.
+
+
+def test_planned_stop_serves_what_is_open_and_cuts_nothing():
+    rig = Rig(repeat=Repeat.ONCE, time_limit_s=20.0)
+    rig.endpoint(lambda e, r: e.machine.callLater(2.0, well, e, r))
+    rig.ready()
+    idle = rig.connect()
+    running = rig.send(method=b"POST", body=b"")
+    rig.network.advance(0.2)
+    stopped = []
+    rig.gateways[0].stopped.addCallback(stopped.append)
+    rig.gateways[0].stop()
+    assert not rig.gateways[0].ready
+    rig.network.advance(0.5)
+    idle.transport.write(rig.request_bytes(method=b"POST", body=b""))
+    rig.network.advance(2.6)
+    assert (running.status, idle.status) == (200, 200)
+    assert idle.header(b"connection") == b"close"
+    rig.network.advance(1.0)
+    assert stopped
+
+
+def test_planned_stop_ends_by_its_limit():
+    rig = Rig(time_limit_s=60.0)
+    rig.endpoint(silent)
+    rig.ready()
+    caller = rig.send()
+    rig.network.advance(0.2)
+    stopped = []
+    rig.gateways[0].stopped.addCallback(stopped.append)
+    rig.gateways[0].stop()
+    rig.network.advance(7.9)
+    assert stopped
+    assert caller.status == 502
--- a/turnward/http1/__init__.py
+++ b/turnward/http1/__init__.py
@@ -13,6 +13,7 @@
 )
 from turnward.http1.inbound import InboundFactory, InboundLimits, InboundRequest, Refusal
 from turnward.http1.outbound import (
+    AnswerMatch,
     ExchangeBase,
     ExchangeFailure,
     FailureCause,
@@ -21,6 +22,7 @@
 )
 
 __all__ = [
+    "AnswerMatch",
     "ExchangeBase",
     "ExchangeFailure",
     "FailureCause",
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -25,6 +25,7 @@
 )
 
 __all__ = [
+    "AnswerMatch",
     "ExchangeBase",
     "ExchangeFailure",
     "FailureCause",
@@ -74,6 +75,14 @@
     reused: bool
 
 
+class AnswerMatch(StrEnum):
+    """Whose answer a head begins."""
+
+    OWN = "own"
+    EARLIER = "earlier"
+    INVALID = "invalid"
+
+
 class ExchangeBase(ABC):
     """One request and whoever takes its answer.
 
@@ -88,6 +97,15 @@
     answer_id: tuple[bytes, bytes] | None = None
     method: bytes = b"GET"
 
+    def match(self, status: int, headers: HeaderList) -> AnswerMatch:
+        """Tell whose answer a head begins; one with another id is an earlier request's."""
+        if self.answer_id is None:
+            return AnswerMatch.OWN
+        found = header_value(headers, self.answer_id[0])
+        if found is None:
+            return AnswerMatch.INVALID
+        return AnswerMatch.OWN if found == self.answer_id[1] else AnswerMatch.EARLIER
+
     @abstractmethod
     def exchange_began(self, connection: "OutboundConnection") -> None:
         """Send the request: the connection is ready."""
@@ -181,6 +199,8 @@
             self.drop()
         if self._complete:
             self._release()
+        elif self._exchange is None:
+            self.drop()
 
     # IPushProducer: the endpoint's side of flow control for request bodies.
 
@@ -257,7 +277,11 @@
         status = self._parser.get_status_code()
         if self._exchange is None or self._complete or 100 <= status < 200:
             return
-        self._skipping = self._is_foreign()
+        match = self._exchange.match(status, self._headers)
+        if match is AnswerMatch.INVALID:
+            self._fail(FailureCause.FOREIGN)
+            return
+        self._skipping = match is AnswerMatch.EARLIER
         self._in_body = True
         self._until_close = (
             header_value(self._headers, b"content-length") is None
@@ -300,12 +324,6 @@
 
     # Ends.
 
-    def _is_foreign(self) -> bool:
-        expected = self._exchange.answer_id
-        if expected is None:
-            return False
-        return header_value(self._headers, expected[0]) != expected[1]
-
     def _end(self) -> None:
         self._complete = True
         exchange, self._exchange = self._exchange, None
--- a/turnward/standins/__init__.py
+++ b/turnward/standins/__init__.py
@@ -3,7 +3,9 @@
 
 from turnward.standins.batch import BatchSettings, EngineBatch, EngineRun
 from turnward.standins.engine import EngineFaults, EngineStandIn
+from turnward.standins.network import MemoryMachine, MemoryNetwork
 from turnward.standins.platform import Faults, PlatformStandIn
+from turnward.standins.rows import MemoryRows, RowFaults, RowsClient
 from turnward.standins.service import ServiceFaults, ServiceStandIn
 
 __all__ = [
@@ -13,7 +15,12 @@
     "EngineRun",
     "EngineStandIn",
     "Faults",
+    "MemoryMachine",
+    "MemoryNetwork",
+    "MemoryRows",
     "PlatformStandIn",
+    "RowFaults",
+    "RowsClient",
     "ServiceFaults",
     "ServiceStandIn",
 ]
--- /dev/null
+++ b/turnward/standins/network.py
@@ -0,0 +1,393 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Machines in one process, joined by connections in memory, under one fake clock.
+
+Each machine looks like twisted's reactor to the code that runs on it. Machines
+are killed, frozen and cut off from each other by name, so that a test brings
+about a failure at a chosen moment and no socket, port or real time is used.
+"""
+
+from twisted.internet import error, task
+from twisted.internet.address import IPv4Address
+from twisted.internet.protocol import connectionDone
+from twisted.python.failure import Failure
+
+__all__ = ["MemoryMachine", "MemoryNetwork"]
+
+#: Seconds a packet is on its way.
+DELAY_S = 0.001
+#: Bytes under way on a connection above which its writer is asked to pause.
+WINDOW_BYTES = 65_536
+
+
+class MemoryNetwork:
+    """The machines and the clock they share.
+
+    Attributes
+    ----------
+    clock : twisted.internet.task.Clock
+        Advanced by the test.
+    """
+
+    def __init__(self):
+        self.clock = task.Clock()
+        self._machines: dict[str, MemoryMachine] = {}
+        self._cuts: set[frozenset[str]] = set()
+
+    def machine(self, host: str) -> "MemoryMachine":
+        """Return a new machine at an IP number."""
+        machine = MemoryMachine(self, host)
+        self._machines[host] = machine
+        return machine
+
+    def find(self, host: str) -> "MemoryMachine | None":
+        """Return the machine at an IP number."""
+        return self._machines.get(host)
+
+    def cut(self, one: str, other: str) -> None:
+        """Let nothing pass between two machines; both sides hear nothing of it."""
+        self._cuts.add(frozenset((one, other)))
+
+    def heal(self, one: str, other: str) -> None:
+        """Let everything pass again, what was held up first."""
+        self._cuts.discard(frozenset((one, other)))
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Tell whether two machines are cut off from each other."""
+        return frozenset((one, other)) in self._cuts
+
+    def advance(self, seconds: float, step_s: float = 0.005) -> None:
+        """Let time pass in small steps."""
+        end_s = self.clock.seconds() + seconds
+        while self.clock.seconds() < end_s - 1e-9:
+            self.clock.advance(min(step_s, end_s - self.clock.seconds()))
+
+    def advance_until(self, condition, limit_s: float = 10.0) -> bool:
+        """Let time pass until a condition holds; False when it does not in time."""
+        end_s = self.clock.seconds() + limit_s
+        while self.clock.seconds() < end_s:
+            if condition():
+                return True
+            self.clock.advance(0.002)
+        return condition()
+
+
+class MemoryMachine:
+    """What code on one machine takes for the reactor."""
+
+    def __init__(self, network: MemoryNetwork, host: str):
+        self._network = network
+        self._calls: list = []
+        self._frozen: list | None = None
+        self.host = host
+        self.alive = True
+        self.listeners: dict[int, object] = {}
+        self.datagram_listeners: dict[int, object] = {}
+        self.connections: list[_MemoryTransport] = []
+        self.next_port = 40_000
+
+    # IReactorTime
+
+    def seconds(self) -> float:
+        """Return the shared clock's time."""
+        return self._network.clock.seconds()
+
+    def callLater(self, delay, function, *args, **kwargs):  # noqa: N802
+        """Call a function later, if the machine lives and is awake then."""
+        holder: list = []
+
+        def call():
+            self._calls.remove(holder[0])
+            if not self.alive:
+                return
+            if self._frozen is not None:
+                self._frozen.append(lambda: function(*args, **kwargs))
+                return
+            function(*args, **kwargs)
+
+        holder.append(self._network.clock.callLater(delay, call))
+        self._calls.append(holder[0])
+        return holder[0]
+
+    def callFromThread(self, function, *args):  # noqa: N802
+        """Call a function soon."""
+        self.callLater(0, function, *args)
+
+    # IReactorTCP and IReactorUDP
+
+    def listenTCP(self, port, factory, backlog=50, interface=""):  # noqa: N802
+        """Accept connections at a port."""
+        self.listeners[port] = factory
+        factory.doStart()
+        return _MemoryPort(self.listeners, port)
+
+    def connectTCP(self, host, port, factory, timeout=30):  # noqa: N802
+        """Open a connection."""
+        connector = _MemoryConnector(self, host, port, factory)
+        connector.begin(timeout)
+        return connector
+
+    def listenUDP(self, port, protocol, interface=""):  # noqa: N802
+        """Receive datagrams at a port."""
+        self.datagram_listeners[port] = protocol
+        protocol.makeConnection(_MemoryDatagrams(self, port))
+        return _MemoryPort(self.datagram_listeners, port)
+
+    # Failures.
+
+    def kill(self) -> None:
+        """End the process: its connections are reset, its calls never come."""
+        self.alive = False
+        for call in list(self._calls):
+            call.cancel()
+        self._calls.clear()
+        self.listeners.clear()
+        self.datagram_listeners.clear()
+        for connection in list(self.connections):
+            connection.vanish()
+
+    def restart(self) -> None:
+        """Let a killed machine run code again."""
+        self.alive = True
+
+    def freeze(self) -> None:
+        """Stop the process between two calls; what is due waits."""
+        self._frozen = []
+
+    def wake(self) -> None:
+        """Let a frozen process go on, with all that became due."""
+        due, self._frozen = self._frozen or [], None
+        for call in due:
+            call()
+
+    @property
+    def network(self) -> MemoryNetwork:
+        """The network."""
+        return self._network
+
+    def reaches(self, host: str) -> bool:
+        """Tell whether packets pass to another machine."""
+        return not self._network.is_cut(self.host, host)
+
+
+class _MemoryPort:
+    """A port that is listened on."""
+
+    def __init__(self, listeners, port):
+        self._listeners = listeners
+        self._port = port
+
+    def stopListening(self):  # noqa: N802
+        """Accept no more."""
+        self._listeners.pop(self._port, None)
+
+
+class _MemoryDatagrams:
+    """Sends datagrams of one machine."""
+
+    def __init__(self, machine, port):
+        self._machine = machine
+        self._port = port
+
+    def write(self, data, address):
+        """Send; what can't pass is lost."""
+        host, port = address
+        machine = self._machine
+        if not machine.reaches(host):
+            return
+
+        def arrive():
+            other = machine.network.find(host)
+            if other is None or not other.alive:
+                return
+            protocol = other.datagram_listeners.get(port)
+            if protocol is not None:
+                other.callLater(0, protocol.datagramReceived, data, (machine.host, self._port))
+
+        machine.network.clock.callLater(DELAY_S, arrive)
+
+
+class _MemoryConnector:
+    """One try to open a connection."""
+
+    def __init__(self, machine, host, port, factory):
+        self._machine = machine
+        self._host = host
+        self._port = port
+        self._factory = factory
+        self._timeout = None
+        self._over = False
+
+    def begin(self, timeout):
+        """Send the opening packet."""
+        self._timeout = self._machine.callLater(timeout, self._fail, error.TimeoutError())
+        self._machine.callLater(2 * DELAY_S, self._arrive)
+
+    def disconnect(self):
+        """Give the try up."""
+        self._fail(error.UserError())
+
+    def _arrive(self):
+        if self._over or not self._machine.reaches(self._host):
+            return
+        other = self._machine.network.find(self._host)
+        factory = other.listeners.get(self._port) if other is not None and other.alive else None
+        if factory is None:
+            self._fail(error.ConnectionRefusedError())
+            return
+        self._over = True
+        self._timeout.cancel()
+        _join(self._machine, self._factory, other, factory, self._port)
+
+    def _fail(self, reason):
+        if self._over:
+            return
+        self._over = True
+        if self._timeout.active():
+            self._timeout.cancel()
+        self._factory.clientConnectionFailed(self, Failure(reason))
+
+
+def _join(client, client_factory, server, server_factory, port):
+    client.next_port += 1
+    near = IPv4Address("TCP", client.host, client.next_port)
+    far = IPv4Address("TCP", server.host, port)
+    client_end = _MemoryTransport(client, near, far)
+    server_end = _MemoryTransport(server, far, near)
+    client_end.peer, server_end.peer = server_end, client_end
+    server_end.protocol = server_factory.buildProtocol(near)
+    client_end.protocol = client_factory.buildProtocol(far)
+    server_end.protocol.makeConnection(server_end)
+    client_end.protocol.makeConnection(client_end)
+
+
+class _MemoryHandle:
+    """Takes socket options."""
+
+    def setsockopt(self, *_):
+        """Take an option."""
+
+
+class _MemoryTransport:
+    """One end of a connection."""
+
+    def __init__(self, machine, host, peer_address):
+        self._machine = machine
+        self._host = host
+        self._peer_address = peer_address
+        self._inbox: list = []
+        self._paused = False
+        self._producer = None
+        self._producer_paused = False
+        self._closing = False
+        self._under_way = 0
+        self.disconnected = False
+        self.peer: _MemoryTransport | None = None
+        self.protocol = None
+        machine.connections.append(self)
+
+    # ITCPTransport
+
+    def write(self, data):
+        """Send bytes."""
+        if self.disconnected or self._closing or not data:
+            return
+        self._under_way += len(data)
+        self._send(("data", bytes(data)))
+        if self._producer is not None and self._under_way > WINDOW_BYTES:
+            if not self._producer_paused:
+                self._producer_paused = True
+                self._producer.pauseProducing()
+
+    def writeSequence(self, parts):  # noqa: N802
+        """Send several byte strings."""
+        self.write(b"".join(parts))
+
+    def loseConnection(self):  # noqa: N802
+        """Close once all is sent."""
+        if not self.disconnected and not self._closing:
+            self._closing = True
+            self._send(("end", error.ConnectionDone()))
+            self._machine.callLater(DELAY_S, self._lose, connectionDone.value)
+
+    def abortConnection(self):  # noqa: N802
+        """Reset."""
+        if not self.disconnected:
+            self._send(("end", error.ConnectionLost()))
+            self._closing = True
+            self._machine.callLater(0, self._lose, error.ConnectionAborted())
+
+    def registerProducer(self, producer, streaming):  # noqa: N802
+        """Take who writes."""
+        self._producer = producer
+
+    def unregisterProducer(self):  # noqa: N802
+        """Forget who writes."""
+        self._producer = None
+
+    def pauseProducing(self):  # noqa: N802
+        """Read no more."""
+        self._paused = True
+
+    def resumeProducing(self):  # noqa: N802
+        """Read on."""
+        if self._paused:
+            self._paused = False
+            self._machine.callLater(0, self._read)
+
+    def setTcpNoDelay(self, _):  # noqa: N802
+        """Nothing to do."""
+
+    def getHandle(self):  # noqa: N802
+        """Return what takes socket options."""
+        return _MemoryHandle()
+
+    def getHost(self):  # noqa: N802
+        """Return this end's address."""
+        return self._host
+
+    def getPeer(self):  # noqa: N802
+        """Return the other end's address."""
+        return self._peer_address
+
+    # Packets.
+
+    def vanish(self):
+        """End with the process; the other end is reset."""
+        if not self.disconnected:
+            self.disconnected = True
+            self._send(("end", error.ConnectionLost()))
+
+    def _send(self, packet):
+        self._machine.network.clock.callLater(DELAY_S, self._arrive, packet)
+
+    def _arrive(self, packet):
+        if not self._machine.reaches(self.peer._machine.host):
+            self._machine.network.clock.callLater(0.05, self._arrive, packet)
+            return
+        peer = self.peer
+        peer._inbox.append(packet)
+        peer._machine.callLater(0, peer._read)
+
+    def _read(self):
+        while self._inbox and not self._paused and not self.disconnected:
+            kind, value = self._inbox.pop(0)
+            if kind == "end":
+                self._lose(value)
+                return
+            self.peer._acknowledge(len(value))
+            self.protocol.dataReceived(value)
+
+    def _acknowledge(self, count):
+        self._under_way -= count
+        if self._producer_paused and self._under_way <= WINDOW_BYTES // 2:
+            self._producer_paused = False
+            if self._producer is not None and not self.disconnected:
+                self._producer.resumeProducing()
+
+    def _lose(self, reason):
+        if self.disconnected:
+            return
+        self.disconnected = True
+        if self in self._machine.connections:
+            self._machine.connections.remove(self)
+        self.protocol.connectionLost(Failure(reason))
--- /dev/null
+++ b/turnward/standins/rows.py
@@ -0,0 +1,201 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""A store of versioned rows in memory, with faults that can be switched on."""
+
+import random
+
+import msgspec
+from twisted.internet import defer
+
+from turnward.rows import (
+    HistoryGoneError,
+    RowKey,
+    RowOutcomeUnknownError,
+    RowsUnavailableError,
+    StoredRow,
+    TableChanges,
+    VersionConflictError,
+    VersionedStoreBase,
+    VersionedTransaction,
+)
+
+__all__ = ["MemoryRows", "RowFaults", "RowsClient"]
+
+
+class RowFaults(msgspec.Struct):
+    """Faults of the store towards one caller, or all.
+
+    Attributes
+    ----------
+    away : bool
+        Every call fails and nothing is done.
+    lost_share : float
+        Part of the writes that are done and not answered.
+    late_share : float
+        Part of the writes that are not answered and done ``late_s`` later,
+        provided their condition still holds.
+    delay_s : float
+        Time until an answer.
+    """
+
+    away: bool = False
+    lost_share: float = 0.0
+    late_share: float = 0.0
+    late_s: float = 3.0
+    delay_s: float = 0.004
+
+
+class MemoryRows:
+    """The rows, and what all callers share."""
+
+    def __init__(self, clock, seed: int = 0):
+        self.clock = clock
+        self._draw = random.Random(seed)
+        self._rows: dict[RowKey, StoredRow] = {}
+        self._history: list[StoredRow] = []
+        self._history_from = 0
+        self._waiting: list[defer.Deferred] = []
+        self.version = 0
+        self.faults = RowFaults()
+        self.writes = 0
+
+    def get(self, key: RowKey) -> StoredRow:
+        """Return a row as it is; a missing one has version 0."""
+        return self._rows.get(key, StoredRow(key, b"", 0))
+
+    def put(self, table: str, key: str, value: bytes, part: str = "") -> int:
+        """Write a row without a condition."""
+        return self._store([StoredRow(RowKey(table, part, key), value, 0)])
+
+    def remove(self, table: str, key: str, part: str = "") -> int:
+        """Remove a row."""
+        return self._store([StoredRow(RowKey(table, part, key), b"", 0, gone=True)])
+
+    def forget_history(self) -> None:
+        """Drop all changes; feeds that go on from before are told so."""
+        self._history.clear()
+        self._history_from = self.version
+        self._wake()
+
+    def apply(self, transaction: VersionedTransaction) -> int:
+        """Write if the conditions hold."""
+        for change in transaction.changes:
+            row = self.get(change.key)
+            held = 0 if row.gone else row.version
+            if held != change.expected_version:
+                raise VersionConflictError(f"version {held}")
+        self.writes += 1
+        rows = [StoredRow(change.key, change.value, 0) for change in transaction.changes]
+        rows += [StoredRow(key, b"", 0, gone=True) for key in transaction.removals]
+        return self._store(rows)
+
+    def table(self, table: str, part: str) -> list[StoredRow]:
+        """Return the rows of a part."""
+        return [
+            row
+            for key, row in sorted(self._rows.items(), key=lambda item: item[0].key)
+            if key.table == table and key.part == part and not row.gone
+        ]
+
+    def since(self, table: str, version: int) -> list[StoredRow]:
+        """Return the changes of a table after a version."""
+        if version < self._history_from:
+            raise HistoryGoneError("forgotten")
+        newest = {
+            row.key: row
+            for row in self._history
+            if row.key.table == table and row.version > version
+        }
+        return sorted(newest.values(), key=lambda row: row.version)
+
+    def wait(self) -> defer.Deferred:
+        """Return a deferred that fires at the next change."""
+        waiting = defer.Deferred()
+        self._waiting.append(waiting)
+        return waiting
+
+    def draw(self) -> float:
+        """Return a seeded random number."""
+        return self._draw.random()
+
+    def _store(self, rows: list[StoredRow]) -> int:
+        self.version += 1
+        for row in rows:
+            row = msgspec.structs.replace(row, version=self.version)
+            self._rows[row.key] = row
+            self._history.append(row)
+        self._wake()
+        return self.version
+
+    def _wake(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for deferred in waiting:
+            if not deferred.called:
+                deferred.callback(None)
+
+
+class RowsClient(VersionedStoreBase):
+    """One caller's way to the rows, with faults of its own."""
+
+    def __init__(self, rows: MemoryRows, reactor, faults: RowFaults | None = None):
+        self._rows = rows
+        self._reactor = reactor
+        self.faults = faults or RowFaults()
+
+    async def read_row(self, key):
+        """See ``VersionedStoreBase.read_row``."""
+        await self._travel()
+        return self._rows.get(key)
+
+    async def read_table(self, table, part=""):
+        """See ``VersionedStoreBase.read_table``."""
+        await self._travel()
+        return TableChanges(tuple(self._rows.table(table, part)), self._rows.version)
+
+    async def transact(self, transaction):
+        """See ``VersionedStoreBase.transact``."""
+        await self._travel()
+        drawn = self._rows.draw()
+        lost_share = max(self.faults.lost_share, self._rows.faults.lost_share)
+        late_share = max(self.faults.late_share, self._rows.faults.late_share)
+        if drawn < late_share:
+            late_s = max(self.faults.late_s, self._rows.faults.late_s)
+            self._rows.clock.callLater(late_s, self._apply_late, transaction)
+            raise RowOutcomeUnknownError("no answer")
+        version = self._rows.apply(transaction)
+        if drawn < late_share + lost_share:
+            raise RowOutcomeUnknownError("no answer")
+        return version
+
+    async def changes(self, table, after_version, wait_s):
+        """See ``VersionedStoreBase.changes``."""
+        await self._travel()
+        until_s = self._reactor.seconds() + wait_s
+        while True:
+            changed = self._rows.since(table, after_version)
+            left_s = until_s - self._reactor.seconds()
+            if changed or left_s <= 0:
+                return TableChanges(tuple(changed), self._rows.version)
+            waiting = self._rows.wait()
+            timer = self._reactor.callLater(left_s, _fire, waiting)
+            await waiting
+            if timer.active():
+                timer.cancel()
+
+    async def _travel(self) -> None:
+        arrived = defer.Deferred()
+        delay_s = max(self.faults.delay_s, self._rows.faults.delay_s)
+        self._reactor.callLater(delay_s, arrived.callback, None)
+        await arrived
+        if self.faults.away or self._rows.faults.away:
+            raise RowsUnavailableError("the store is away")
+
+    def _apply_late(self, transaction) -> None:
+        try:
+            self._rows.apply(transaction)
+        except VersionConflictError:
+            return
+
+
+def _fire(waiting: defer.Deferred) -> None:
+    if not waiting.called:
+        waiting.callback(None)
