--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -144,6 +144,7 @@
         self.incarnation = incarnation
         self.state = FleetState(reactor.seconds)
         self.state.listen(self._state_changed)
+        self.state.on_unreadable = self._note_unreadable
         self.book = PeerBook(self.peers_address, reactor.seconds)
         self._add_seeds()
         self.endpoints = EndpointBook(
@@ -313,6 +314,9 @@
     def _note_refused(self, refusal) -> None:
         self._log.failure("request.malformed", status=refusal.status, reason=refusal.reason)
 
+    def _note_unreadable(self, key: RowKey, cause: Exception) -> None:
+        self._log.failure("row.unreadable", table=key.table, key=key.key, cause=str(cause))
+
     def _state_changed(self, what: str, source: str) -> None:
         if what == "configuration":
             configuration = self.state.routes.configuration
--- a/turnward/gateway/state.py
+++ b/turnward/gateway/state.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from turnward.gateway.configuration import Configuration, EndpointEntry, RouteTable
+from turnward.rows import RowKey
 
 __all__ = ["EndpointsSnapshot", "FleetState"]
 
@@ -28,6 +29,8 @@
         Entries by endpoint id.
     endpoints_version : int
         The store's version that ``endpoints`` is as of; 0 until known.
+    on_unreadable : callable or None
+        Told the key of a row that can't be read, and why.
     confirmed_s : float or None
         When the configuration was last known to be the newest.
     """
@@ -35,6 +38,7 @@
     def __init__(self, clock: Callable[[], float]):
         self._clock = clock
         self._listeners: list[Callable[[str, str], None]] = []
+        self.on_unreadable: Callable[[RowKey, Exception], None] | None = None
         self.routes: RouteTable | None = None
         self.endpoints: dict[str, EndpointEntry] = {}
         self.endpoints_version = 0
@@ -89,6 +93,11 @@
         """Return all endpoints as known."""
         return EndpointsSnapshot(self.endpoints_version, tuple(self.endpoints.values()))
 
+    def note_unreadable(self, key: RowKey, cause: Exception) -> None:
+        """Tell that a row could not be read; what is known stays."""
+        if self.on_unreadable is not None:
+            self.on_unreadable(key, cause)
+
     def _tell(self, what: str, source: str) -> None:
         for listener in self._listeners:
             listener(what, source)
--- a/turnward/gateway/tests/test_forwarding.py
+++ b/turnward/gateway/tests/test_forwarding.py
@@ -408,8 +408,7 @@
 
 
 def streaming(resumable, attempts=3):
-    rig = Rig(pools=(ENGINE_POOL,), repeat=Repeat.STREAM, resumable=resumable, attempts=attempts)
-    return rig
+    return Rig(pools=(ENGINE_POOL,), repeat=Repeat.STREAM, resumable=resumable, attempts=attempts)
 
 
 def test_events_pass_as_they_come():
--- a/turnward/standins/network.py
+++ b/turnward/standins/network.py
@@ -293,10 +293,10 @@
             return
         self._under_way += len(data)
         self._send(("data", bytes(data)))
-        if self._producer is not None and self._under_way > WINDOW_BYTES:
-            if not self._producer_paused:
-                self._producer_paused = True
-                self._producer.pauseProducing()
+        full = self._under_way > WINDOW_BYTES
+        if full and self._producer is not None and not self._producer_paused:
+            self._producer_paused = True
+            self._producer.pauseProducing()
 
     def writeSequence(self, parts):  # noqa: N802
         """Send several byte strings."""
