--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -28,6 +28,8 @@
 _COST_OF_PLACE_MS = 60.0
 #: Milliseconds that another zone adds.
 _COST_OF_ZONE_MS = 2.0
+#: Costs that differ by less are taken for equal.
+_TIE_MS = 0.5
 #: Share of a prompt part that an agreed home is taken to keep.
 _HOME_TRUST = 0.8
 #: Agreed homes of a prompt part.
@@ -153,13 +155,16 @@
         self.failures = 0
         self.trial = False
 
-    def failed(self, now_s: float, certain: bool) -> None:
-        """Note a failure; ``certain`` when the endpoint can't be reached at all."""
+    def failed(self, now_s: float, certain: bool, spread: float = 1.0) -> None:
+        """Note a failure; ``certain`` when the endpoint can't be reached at all.
+
+        ``spread`` scales the rest, so that routers do not all try again at once.
+        """
         self.failures += 1
         self.trial = False
         if certain or self.failures >= _FAILURES_TO_REST:
             rest_s = min(_REST_LIMIT_S, _REST_S * 2 ** min(self.failures - 1, 5))
-            self.rest_until_s = now_s + rest_s * random.uniform(0.8, 1.2)
+            self.rest_until_s = now_s + rest_s * spread
             self.trial = True
 
 
@@ -176,9 +181,14 @@
         Returns the connections to an ``IP:port``.
     peer_loads : callable
         Returns by endpoint id what all peers have in flight.
+    draw : random.Random
+        Breaks ties.
     """
 
-    def __init__(self, zone: str, clock: Callable[[], float], make_pool, peer_loads):
+    def __init__(
+        self, zone: str, clock: Callable[[], float], make_pool, peer_loads, draw: random.Random
+    ):
+        self._draw = draw
         self._zone = zone
         self._clock = clock
         self._make_pool = make_pool
@@ -245,7 +255,7 @@
                 (self._engine_cost_ms(record, prompt, loads, homes, now_s), record)
                 for record in candidates
             ]
-        best = min(costs, key=lambda cost: cost[0] + random.random() * 0.5)
+        best = min(costs, key=lambda cost: cost[0] + self._draw.random() * _TIE_MS)
         return best[1]
 
     def _may_take(self, record: EndpointRecord, now_s: float) -> bool:
--- a/turnward/gateway/feeds.py
+++ b/turnward/gateway/feeds.py
@@ -52,8 +52,10 @@
         Told what comes.
     wait_s : float
         Longest that the store holds a question for changes.
+    draw : random.Random
+        Spreads pauses.
     on_health : callable
-        Called with True or False when the store is regained or lost.
+        Called with True when the store answers, with False and the cause when not.
     on_answer : callable, optional
         Called after each answer with the moment that it is known to be of.
     """
@@ -65,7 +67,8 @@
         table: str,
         listener: FeedListenerBase,
         wait_s: float,
-        on_health: Callable[[bool], None],
+        draw: random.Random,
+        on_health: Callable[..., None],
         on_answer: Callable[[float], None] | None = None,
     ):
         self._reactor = clock_reactor
@@ -73,6 +76,7 @@
         self._table = table
         self._listener = listener
         self._wait_s = wait_s
+        self._draw = draw
         self._on_health = on_health
         self._on_answer = on_answer
         self._failures = 0
@@ -97,8 +101,14 @@
                 await self._step()
             except HistoryGoneError:
                 self._reread = True
-            except RowStoreError:
-                await self._pause()
+            except RowStoreError as failure:
+                await self._pause(failure)
+            except Exception as failure:
+                # A fault in a listener must not end the feed for good.
+                if self._stopped:
+                    return
+                self._reread = True
+                await self._pause(failure)
             else:
                 self._note_health()
 
@@ -121,8 +131,8 @@
             self._failures = 0
         self._on_health(True)
 
-    async def _pause(self) -> None:
+    async def _pause(self, failure: Exception) -> None:
         pause_s = _PAUSES_S[min(self._failures, len(_PAUSES_S) - 1)]
         self._failures += 1
-        self._on_health(False)
-        await task.deferLater(self._reactor, pause_s * random.uniform(0.7, 1.3))
+        self._on_health(False, f"{type(failure).__name__}: {failure}")
+        await task.deferLater(self._reactor, pause_s * self._draw.uniform(0.7, 1.3))
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -114,6 +114,11 @@
         Told of each request.
     draw : random.Random
         Draws among weighted pools.
+
+    Attributes
+    ----------
+    refusing : bool
+        Set late in a planned stop: what comes now could not end in time.
     """
 
     def __init__(
@@ -140,6 +145,7 @@
         self.metrics = metrics
         self.draw = draw
         self.never_forwarded = dialect.never_forwarded
+        self.refusing = False
         self.open: set[Forwarding] = set()
         self._allowances: dict[str, RepeatAllowance] = {}
 
@@ -198,6 +204,9 @@
         if len(ids) != 1 or not ids[0] or len(hosts) != 1 or not request.target.startswith(b"/"):
             self._refuse(400, Reason.BAD_REQUEST)
             return
+        if forwarder.refusing:
+            self._refuse(503, Reason.STOPPING)
+            return
         if not forwarder.state.complete:
             self._refuse(503, Reason.NO_CONFIGURATION)
             return
@@ -905,9 +914,8 @@
     def exchange_failed(self, failure):
         if self.over:
             return
-        now_s = self._owner.forwarder.reactor.seconds()
         self._uncount()
-        self.record.failed(now_s, certain=failure.cause is FailureCause.CONNECT)
+        self._note_failure(certain=failure.cause is FailureCause.CONNECT)
         self._owner.attempt_failed(self, failure)
 
     # Accounts of the endpoint.
@@ -919,10 +927,15 @@
     def _finish(self, failed: bool) -> None:
         self._uncount()
         if failed:
-            self.record.failed(self._owner.forwarder.reactor.seconds(), certain=False)
+            self._note_failure(certain=False)
         else:
             self.record.succeeded()
 
+    def _note_failure(self, certain: bool) -> None:
+        forwarder = self._owner.forwarder
+        spread = forwarder.draw.uniform(0.8, 1.2)
+        self.record.failed(forwarder.reactor.seconds(), certain, spread)
+
     def _uncount(self) -> None:
         if self._counted:
             self._counted = False
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -197,9 +197,21 @@
         Returns this router's own ``EndpointLoad`` list.
     log : GatewayLog
         Told of what is fetched.
+    draw : random.Random
+        Spreads digests over time and peers.
     """
 
-    def __init__(self, reactor, identity: Digest, state: FleetState, book: PeerBook, loads, log):
+    def __init__(
+        self,
+        reactor,
+        identity: Digest,
+        state: FleetState,
+        book: PeerBook,
+        loads,
+        log,
+        draw: random.Random,
+    ):
+        self._draw = draw
         self._reactor = reactor
         self._identity = identity
         self._state = state
@@ -216,10 +228,10 @@
         self._tick()
 
     def _tick(self) -> None:
-        self._reactor.callLater(_PERIOD_S * random.uniform(0.85, 1.15), self._tick)
+        self._reactor.callLater(_PERIOD_S * self._draw.uniform(0.85, 1.15), self._tick)
         addresses = self._book.addresses
         if len(addresses) > _FAN_OUT:
-            addresses = random.sample(addresses, _FAN_OUT)
+            addresses = self._draw.sample(addresses, _FAN_OUT)
         if not addresses:
             return
         data = msgspec.msgpack.encode(self.digest())
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -116,6 +116,8 @@
         Its lines.
     metrics : GatewayMetrics
         Its figures.
+    draw : random.Random, optional
+        All that is random; seeded by tests.
     """
 
     def __init__(
@@ -128,7 +130,9 @@
         sources: SourcesBase,
         log: GatewayLog,
         metrics: GatewayMetrics,
+        draw: random.Random | None = None,
     ):
+        self._draw = draw or random.Random()
         self._reactor = reactor
         self._settings = settings
         self._dialect = dialect
@@ -148,10 +152,10 @@
         self.book = PeerBook(self.peers_address, reactor.seconds)
         self._add_seeds()
         self.endpoints = EndpointBook(
-            settings.zone, reactor.seconds, self._make_pool, self.book.loads
+            settings.zone, reactor.seconds, self._make_pool, self.book.loads, self._draw
         )
         self.peers = PeerTask(
-            reactor, self._identity(), self.state, self.book, self.endpoints.loads, log
+            reactor, self._identity(), self.state, self.book, self.endpoints.loads, log, self._draw
         )
         self.accounts = PrepaidAccounts(
             reactor,
@@ -167,7 +171,16 @@
             reactor, self.forwarder.handle, InboundLimits(), self._note_refused
         )
         self._feeds = [
-            TableFeed(reactor, store, table, listener, wait_s, self._health_of(table), on_answer)
+            TableFeed(
+                reactor,
+                store,
+                table,
+                listener,
+                wait_s,
+                self._draw,
+                self._health_of(table),
+                on_answer,
+            )
             for table, wait_s, listener, on_answer in self._feed_list(sources)
         ]
 
@@ -219,7 +232,7 @@
             lambda: self.book.most_live,
             self._log,
             self._metrics,
-            random.Random(),
+            self._draw,
         )
 
     def _feed_list(self, sources: SourcesBase):
@@ -229,14 +242,14 @@
         yield MEMBERS_TABLE, _MEMBERS_WAIT_S, _Members(self.book), None
 
     def _health_of(self, table: str):
-        def note(works: bool) -> None:
+        def note(works: bool, cause: str = "") -> None:
             if self._feed_health.get(table) == works:
                 return
             self._feed_health[table] = works
             if works:
                 self._log.event("store.regained", table=table)
             else:
-                self._log.failure("store.lost", table=table)
+                self._log.failure("store.lost", table=table, cause=cause)
 
         return note
 
@@ -290,7 +303,7 @@
                     await self._store.transact(VersionedTransaction((change,)))
                 return
             except (RowStoreError, VersionConflictError):
-                await task.deferLater(self._reactor, random.uniform(0.3, 0.9))
+                await task.deferLater(self._reactor, self._draw.uniform(0.3, 0.9))
 
     # Serving.
 
@@ -376,11 +389,13 @@
         elapsed_s = self._reactor.seconds() - self._stop_began_s
         limit_s = self._settings.stop_limit_s - _STOP_MARGIN_S
         busy = any(not connection.idle for connection in self.callers.connections)
+        if elapsed_s >= _LINGER_S:
+            self.forwarder.refusing = True
+            self.callers.close_idle()
         pending = busy or self.forwarder.open or not self.accounts.settled
         if elapsed_s < limit_s and (pending or elapsed_s < _LINGER_S):
             return
         self._waiting_for_end.stop()
-        self.callers.close_idle()
         for forwarding in list(self.forwarder.open):
             forwarding.stop_now()
         for feed in self._feeds:
--- a/turnward/gateway/tests/rig.py
+++ b/turnward/gateway/tests/rig.py
@@ -1,6 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Gateways, endpoints, callers and the store on a network in memory."""
 
+import random
+
 import msgspec
 from twisted.internet.protocol import ClientFactory, Protocol
 
@@ -326,6 +328,7 @@
             Sources(),
             log,
             GatewayMetrics(),
+            random.Random(len(self.gateways)),
         )
         self.machines.append(machine)
         self.clients.append(client)
--- a/turnward/gateway/tests/test_forwarding.py
+++ b/turnward/gateway/tests/test_forwarding.py
@@ -471,12 +471,12 @@
         request.finish()
 
     rig = streaming(resumable=True, attempts=2)
-    first = rig.endpoint(stream(9, upto=4, then=lambda e, r: e.machine.callLater(0.1, r.abort)))
+    first = rig.endpoint(stream(9, upto=4, then=lambda e, r: e.machine.callLater(0.5, r.abort)))
     rig.ready()
-    rig.endpoint(restarts)
     caller = rig.send(method=b"POST", body=b"p")
+    rig.network.advance_until(lambda: first.requests)
+    rig.endpoint(restarts)
     rig.network.advance_until(lambda: answered(caller))
-    assert first.requests
     body, complete = dechunk(caller.body)
     assert body == events(1, 4)
     assert not complete
@@ -598,3 +598,35 @@
     rig.network.advance(7.9)
     assert stopped
     assert caller.status == 502
+
+
+def test_request_that_comes_late_in_a_planned_stop_is_not_begun():
+    rig = Rig(repeat=Repeat.STREAM, time_limit_s=20.0)
+    endpoint = rig.endpoint(silent)
+    rig.ready()
+    # One request holds the process up to its limit, another begins to arrive late.
+    running = rig.send(method=b"POST", body=b"")
+    late = rig.connect()
+    late.transport.write(rig.request_bytes(method=b"POST", body=b"")[:40])
+    rig.network.advance(0.2)
+    rig.gateways[0].stop()
+    rig.network.advance(4.0)
+    late.transport.write(rig.request_bytes(method=b"POST", body=b"")[40:])
+    rig.network.advance(0.2)
+    assert (late.status, reason(late)) == (503, "stopping")
+    assert len(endpoint.requests) == 1
+    assert running.status is None
+
+
+def test_idle_connections_are_closed_before_the_stop_ends():
+    rig = Rig(time_limit_s=20.0)
+    rig.endpoint(silent)
+    rig.ready()
+    idle = rig.connect()
+    rig.send()
+    rig.network.advance(0.2)
+    rig.gateways[0].stop()
+    rig.network.advance(2.0)
+    assert idle.closed is None
+    rig.network.advance(1.0)
+    assert idle.closed is not None
