--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -49,7 +49,7 @@
 #: Seconds of pause after the store was not reached.
 _PAUSE_S = 0.5
 #: Part of the tokens within reach that all routers together hold without demand.
-_FLOOR = 0.4
+_FLOOR = 0.8
 #: Conflicts in a row after which a change is left for the next look.
 _CONFLICT_LIMIT = 6
 
@@ -266,7 +266,7 @@
         """Let one router hold no more than leaves some for every other."""
         routers = max(1, self._live_routers())
         self.ledger.rule = msgspec.structs.replace(
-            self.ledger.rule, share=1.0 / (routers + 1), floor_share=_FLOOR / routers
+            self.ledger.rule, share=1.5 / (routers + 1), floor_share=_FLOOR / routers
         )
 
     def _needs_work(self, workspace: str, account: _Account, now_s: float) -> bool:
