--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -49,7 +49,7 @@
 #: Seconds of pause after the store was not reached.
 _PAUSE_S = 0.5
 #: Part of the tokens within reach that all routers together hold without demand.
-_FLOOR = 0.8
+_FLOOR = 0.2
 #: Conflicts in a row after which a change is left for the next look.
 _CONFLICT_LIMIT = 6
 
@@ -263,10 +263,10 @@
                 self.work_on(workspace)
 
     def _size_grants(self) -> None:
-        """Let one router hold no more than leaves some for every other."""
+        """Share what is held without demand evenly among the routers."""
         routers = max(1, self._live_routers())
         self.ledger.rule = msgspec.structs.replace(
-            self.ledger.rule, share=1.5 / (routers + 1), floor_share=_FLOOR / routers
+            self.ledger.rule, floor_share=_FLOOR / routers
         )
 
     def _needs_work(self, workspace: str, account: _Account, now_s: float) -> bool:
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -53,8 +53,10 @@
 _CONNECT_TIMEOUT_S = 0.5
 #: How far ahead prepaid tokens are taken; see ``docs/decisions``.
 _SIZING = SizingRule(
-    horizon_s=10.0,
+    horizon_s=12.0,
     minimum_tokens=2_000,
+    share=0.5,
+    weighs_start=True,
     keep_s=4.0,
     near_view_s=1.0,
     far_view_s=10.0,
--- a/turnward/ledger/ledger.py
+++ b/turnward/ledger/ledger.py
@@ -68,6 +68,8 @@
     floor_share : float
         Part of the tokens within reach that is held even without demand, so
         that a router cut off from the table serves on.
+    weighs_start : bool
+        See ``DemandMeter``.
     keep_s : float
         Idle time after which spare tokens are returned.
     near_view_s, far_view_s : float
@@ -81,6 +83,7 @@
     minimum_tokens: int = 2_000
     share: float = 0.25
     floor_share: float = 0.0
+    weighs_start: bool = False
     keep_s: float = 5.0
     near_view_s: float = 1.0
     far_view_s: float = 30.0
@@ -103,7 +106,7 @@
         "wanted_tokens",
     )
 
-    def __init__(self):
+    def __init__(self, weighs_start: bool):
         self.granted_tokens = 0
         self.settled_tokens = 0
         self.reserved_tokens = 0
@@ -111,7 +114,7 @@
         self.refused_tokens = 0
         self.asked_s = 0.0
         self.idle_since_s = 0.0
-        self.demand = DemandMeter()
+        self.demand = DemandMeter(weighs_start=weighs_start)
         self.view: BudgetView | None = None
         self.viewed_s = 0.0
 
@@ -314,5 +317,5 @@
     def _account(self, budget: str) -> _Account:
         account = self._accounts.get(budget)
         if account is None:
-            account = self._accounts[budget] = _Account()
+            account = self._accounts[budget] = _Account(self._rule.weighs_start)
         return account
