--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -4,7 +4,8 @@
 The row of a workspace holds what each router incarnation was ever granted, and
 what ended incarnations spent. A router spends only under a grant that the row
 already holds, so the sum of all that is spent can't pass the limit, whoever
-dies or is cut off. A grant of a router that dies stays spent.
+dies or is cut off. Of a dead router's grant, its successor on the same node gives back
+what it can't have spent; see ``spending``.
 
 ``plan`` functions are pure; ``PrepaidAccounts`` talks to the store.
 """
@@ -17,6 +18,7 @@
 from twisted.internet import defer
 
 from turnward.gateway.configuration import Workspace
+from turnward.gateway.spending import PromiseRule, SpendPromise, SpendReports, promise_for
 from turnward.ledger import BudgetView, GrantAsk, GrantLedger, Reservation, SizingRule
 from turnward.rows import (
     RowChange,
@@ -123,10 +125,13 @@
     return msgspec.structs.replace(account, granted_tokens=granted)
 
 
-def fold_ended(account: AccountRow, node: str, incarnation: str) -> AccountRow:
+def fold_ended(
+    account: AccountRow, node: str, incarnation: str, bounds: dict[str, int]
+) -> AccountRow:
     """Return the account with the grants of a node's earlier incarnations folded.
 
-    What they held counts as spent.
+    What they held counts as spent, up to the most that they can have spent
+    where that is known: ``bounds`` has it by incarnation.
     """
     prefix = f"{node}@"
     ended = {
@@ -137,8 +142,9 @@
     if not ended:
         return account
     granted = {name: tokens for name, tokens in account.granted_tokens.items() if name not in ended}
+    spent = sum(min(tokens, bounds.get(name, tokens)) for name, tokens in ended.items())
     return msgspec.structs.replace(
-        account, ended_tokens=account.ended_tokens + sum(ended.values()), granted_tokens=granted
+        account, ended_tokens=account.ended_tokens + spent, granted_tokens=granted
     )
 
 
@@ -184,6 +190,8 @@
         Told of each change of a grant.
     live_routers : callable
         How many routers may live; what one of them may hold follows from it.
+    promise_rule : PromiseRule, optional
+        How tight the promises of reports are.
     """
 
     def __init__(
@@ -195,6 +203,7 @@
         rule: SizingRule,
         log,
         live_routers: Callable[[], int],
+        promise_rule: PromiseRule | None = None,
     ):
         self._reactor = reactor
         self._store = store
@@ -203,9 +212,13 @@
         self._log = log
         self._accounts: dict[str, _Account] = {}
         self._live_routers = live_routers
+        self._promise_rule = promise_rule or PromiseRule()
         self._paused_until_s = 0.0
         self._stopping = False
         self.ledger = GrantLedger(rule)
+        self._reports = SpendReports(
+            reactor, store, node, incarnation, self._promises, self._reported, log
+        )
 
     # Used by requests.
 
@@ -222,11 +235,11 @@
 
     def reserve(self, workspace: str, tokens: int):
         """Return a reservation, a refusal, or a deferred of one of them."""
-        result = self.ledger.reserve(workspace, tokens, self._reactor.seconds())
-        if result.is_ok():
+        reservation = self._try_reserve(workspace, tokens, first_try=True)
+        if reservation is not None:
             if self.ledger.free_tokens(workspace) < tokens:
                 self.work_on(workspace)
-            return result.ok
+            return reservation
         account = self._account(workspace)
         if account.row is not None and self._is_exhausted(account, workspace, tokens):
             self.work_on(workspace)
@@ -237,9 +250,19 @@
         waiter = _Waiter(tokens, self._reactor.seconds() + _WAIT_S)
         account.waiters.append(waiter)
         self._reactor.callLater(_WAIT_S, self._give_up, workspace, waiter)
+        self._reports.report()
         self.work_on(workspace)
         return waiter.deferred
 
+    def _try_reserve(self, workspace: str, tokens: int, first_try: bool) -> Reservation | None:
+        committed = self.ledger.committed_tokens(workspace)
+        allowance = self._reports.allowance_tokens(workspace, committed)
+        if allowance is not None and tokens > allowance:
+            # The promise of the last report is used up; a new one lets it go.
+            return None
+        result = self.ledger.reserve(workspace, tokens, self._reactor.seconds(), first_try)
+        return result.ok if result.is_ok() else None
+
     def settle(self, reservation: Reservation, used_tokens: int) -> None:
         """Close a reservation with what was used."""
         self.ledger.settle(reservation, used_tokens)
@@ -255,8 +278,15 @@
 
     def _tick(self) -> None:
         self._reactor.callLater(_PERIOD_S, self._tick)
+        self.look()
+
+    def look(self) -> None:
+        """Look at the ledger's plans once, and do what they ask for."""
         now_s = self._reactor.seconds()
         self._size_grants()
+        if now_s >= self._paused_until_s:
+            waiting = any(account.waiters for account in self._accounts.values())
+            self._reports.report() if waiting else self._reports.report_if_due()
         for workspace in {*self.ledger.plan_views(now_s), *self.ledger.budgets()}:
             account = self._accounts.get(workspace)
             if account is not None and self._needs_work(workspace, account, now_s):
@@ -265,9 +295,7 @@
     def _size_grants(self) -> None:
         """Share what is held without demand evenly among the routers."""
         routers = max(1, self._live_routers())
-        self.ledger.rule = msgspec.structs.replace(
-            self.ledger.rule, floor_share=_FLOOR / routers
-        )
+        self.ledger.rule = msgspec.structs.replace(self.ledger.rule, floor_share=_FLOOR / routers)
 
     def _needs_work(self, workspace: str, account: _Account, now_s: float) -> bool:
         if account.unresolved is not None or account.waiters:
@@ -304,14 +332,30 @@
         account.busy = False
         self._serve_waiters(workspace, account)
 
+    def _promises(self) -> dict[str, SpendPromise]:
+        return {
+            workspace: self._promise(workspace)
+            for workspace in self.ledger.budgets()
+            if self.ledger.held_tokens(workspace) > 0
+        }
+
+    def _promise(self, workspace: str) -> SpendPromise:
+        account = self._accounts.get(workspace)
+        waiting = sum(waiter.tokens for waiter in account.waiters) if account else 0
+        return promise_for(
+            self.ledger.committed_tokens(workspace),
+            self.ledger.free_tokens(workspace),
+            waiting,
+            self._promise_rule,
+        )
+
+    def _reported(self) -> None:
+        for workspace, account in self._accounts.items():
+            if account.waiters:
+                self._serve_waiters(workspace, account)
+
     async def _work(self, workspace: str, account: _Account) -> None:
-        if account.unresolved is not None:
-            await self._resolve(workspace, account)
-        if account.row is None:
-            await self._read(workspace, account)
-        now_s = self._reactor.seconds()
-        if workspace in self.ledger.plan_views(now_s):
-            await self._read(workspace, account)
+        await self._look(workspace, account)
         spare = self._spare(workspace)
         if spare and not account.waiters:
             await self._give_back(workspace, account, spare)
@@ -340,6 +384,16 @@
                 )
                 return
 
+    async def _look(self, workspace: str, account: _Account) -> None:
+        """Learn from the store what is not known, or no longer fresh."""
+        if self._reports.ended is None:
+            await self._reports.read_ended()
+        if account.unresolved is not None:
+            await self._resolve(workspace, account)
+        stale = workspace in self.ledger.plan_views(self._reactor.seconds())
+        if account.row is None or stale:
+            await self._read(workspace, account)
+
     def _spare(self, workspace: str) -> int:
         if self._stopping:
             return self.ledger.free_tokens(workspace)
@@ -393,7 +447,7 @@
     def _take_in(self, workspace: str, account: _Account, row: StoredRow) -> None:
         if row.version >= account.version:
             stored = decode_account(row)
-            account.row = with_limit(stored, *account.limit)
+            account.row = self._fold(workspace, with_limit(stored, *account.limit))
             account.version = 0 if row.gone else row.version
         self._observe(workspace, account)
 
@@ -412,7 +466,7 @@
         tokens is not spent, one that gives back is not taken again, until it
         is known what became of it.
         """
-        before = fold_ended(account.row, self._node, self._incarnation)
+        before = self._fold(workspace, account.row)
         wanted = change_grant(before, self._incarnation, delta_tokens)
         key = RowKey(TABLE, workspace, ROW_NAME)
         change = RowChange(key, encode_account(wanted), account.version)
@@ -430,6 +484,14 @@
         self._observe(workspace, account)
         return True
 
+    def _fold(self, workspace: str, row: AccountRow) -> AccountRow:
+        bounds = {
+            incarnation: by_workspace[workspace]
+            for incarnation, by_workspace in self._reports.ended.items()
+            if workspace in by_workspace
+        }
+        return fold_ended(row, self._node, self._incarnation, bounds)
+
     async def _resolve(self, workspace: str, account: _Account) -> None:
         """Learn what became of a write whose answer was lost.
 
@@ -466,11 +528,9 @@
     def _serve_waiters(self, workspace: str, account: _Account) -> None:
         waiters, account.waiters = account.waiters, []
         for waiter in waiters:
-            result = self.ledger.reserve(
-                workspace, waiter.tokens, self._reactor.seconds(), first_try=False
-            )
-            if result.is_ok():
-                waiter.deferred.callback(result.ok)
+            reservation = self._try_reserve(workspace, waiter.tokens, first_try=False)
+            if reservation is not None:
+                waiter.deferred.callback(reservation)
             elif account.row is not None and self._is_exhausted(account, workspace, waiter.tokens):
                 waiter.deferred.callback(BudgetAnswer.EXHAUSTED)
             else:
--- /dev/null
+++ b/turnward/gateway/spending.py
@@ -0,0 +1,267 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Reports of what a router has spent, so that a successor knows what it had left.
+
+A router writes now and then what it has spent of each workspace, and promises
+with it how fast it will spend on without another report: a burst at once and
+then so many tokens a second. When the process has died, the next one on the
+same node reads the last report; what the dead one can have spent by then is
+bounded by the promise, and the rest of its grant goes back to all.
+
+Time is the store's steady clock. The writer stamps a report with a time that
+is not later than the store's own, and the reader takes a time that is not
+earlier than the death, so the bound errs on the safe side only.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+from twisted.internet import defer
+
+from turnward.rows import (
+    RowChange,
+    RowKey,
+    RowOutcomeUnknownError,
+    RowStoreError,
+    StoredRow,
+    VersionConflictError,
+    VersionedStoreBase,
+    VersionedTransaction,
+)
+
+__all__ = ["PromiseRule", "SpendPromise", "SpendReport", "SpendReports", "promise_for"]
+
+TABLE = "spending"
+#: Seconds between two reports while tokens are drawn on.
+_PERIOD_S = 0.8
+#: Least seconds between two reports that requests wait for.
+_LEAST_PERIOD_S = 0.05
+
+
+class PromiseRule(msgspec.Struct, frozen=True):
+    """How tight a router's promises are.
+
+    Attributes
+    ----------
+    burst_share, burst_tokens : float, int
+        What may be spent at once after a report: a part of what is held, and
+        at least so many tokens.
+    spend_in_s : float
+        Seconds in which all that is held may be spent without another report.
+    """
+
+    burst_share: float = 0.2
+    burst_tokens: int = 4_000
+    spend_in_s: float = 12.0
+
+
+class SpendPromise(msgspec.Struct, frozen=True, array_like=True):
+    """How much of one workspace a router has spent, and how it may go on.
+
+    Attributes
+    ----------
+    spent_tokens : int
+        Settled or reserved when the report was made.
+    burst_tokens : int
+        May be added at once.
+    rate_tokens_per_s : float
+        May be added besides, as time passes.
+
+    Examples
+    --------
+    >>> SpendPromise(100, 20, 5.0).bound_tokens(2.0)
+    130
+    """
+
+    spent_tokens: int
+    burst_tokens: int
+    rate_tokens_per_s: float
+
+    def bound_tokens(self, elapsed_s: float) -> int:
+        """Return the most that is spent when some time has passed."""
+        grown = int(self.rate_tokens_per_s * max(0.0, elapsed_s))
+        return self.spent_tokens + self.burst_tokens + grown
+
+
+class SpendReport(msgspec.Struct, frozen=True):
+    """What one incarnation reports of all workspaces."""
+
+    number: int
+    stamp_s: float
+    promises: dict[str, SpendPromise]
+
+
+def promise_for(
+    spent_tokens: int, free_tokens: int, waiting_tokens: int, rule: PromiseRule
+) -> SpendPromise:
+    """Return the promise of a router that has spent, holds and is asked for some tokens.
+
+    Examples
+    --------
+    >>> promise_for(100, 60_000, 0, PromiseRule())
+    SpendPromise(spent_tokens=100, burst_tokens=12000, rate_tokens_per_s=5000.0)
+    """
+    free_tokens = max(0, free_tokens)
+    share = int(rule.burst_share * free_tokens)
+    burst = min(free_tokens, max(rule.burst_tokens, share, waiting_tokens))
+    return SpendPromise(spent_tokens, burst, round(free_tokens / rule.spend_in_s, 1))
+
+
+class _SentReport(msgspec.Struct):
+    """A report that may stand in the store, and when it was sent on the own clock."""
+
+    report: SpendReport
+    sent_s: float
+
+
+class SpendReports:
+    """Writes this incarnation's reports and reads its predecessors'.
+
+    Parameters
+    ----------
+    reactor
+        Twisted's reactor.
+    store : VersionedStoreBase
+        Holds the reports.
+    node, incarnation : str
+        This router.
+    make_promises : callable
+        Returns the promises by workspace as of now.
+    on_reported : callable
+        Called after each report that is known to stand.
+    log : GatewayLog
+        Told of what predecessors left.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        store: VersionedStoreBase,
+        node: str,
+        incarnation: str,
+        make_promises: Callable[[], dict[str, SpendPromise]],
+        on_reported: Callable[[], None],
+        log,
+    ):
+        self._reactor = reactor
+        self._store = store
+        self._node = node
+        self._key = RowKey(TABLE, node, incarnation)
+        self._make_promises = make_promises
+        self._on_reported = on_reported
+        self._log = log
+        self._version = 0
+        self._number = 0
+        self._busy = False
+        self._sent: list[_SentReport] = []
+        self._last_sent_s = -1e9
+        self._reported: dict[str, SpendPromise] = {}
+        #: By ended incarnation and workspace, the most that it spent; None until read.
+        self.ended: dict[str, dict[str, int]] | None = None
+
+    def allowance_tokens(self, workspace: str, committed_tokens: int) -> int | None:
+        """Return how much more may be committed without another report; None: any."""
+        bounds = [
+            sent.report.promises[workspace].bound_tokens(self._reactor.seconds() - sent.sent_s)
+            for sent in self._sent
+            if workspace in sent.report.promises
+        ]
+        return min(bounds) - committed_tokens if bounds else None
+
+    # Predecessors.
+
+    async def read_ended(self) -> None:
+        """Learn what earlier incarnations of this node can have spent at most."""
+        table = await self._store.read_table(TABLE, self._node)
+        now_s = self._store.time_floor_s()
+        ended = {}
+        for row in table.rows:
+            if row.key.key != self._key.key and not row.gone:
+                ended[row.key.key] = _bounds(row, now_s)
+        self.ended = ended
+        if ended:
+            self._log.event(
+                "prepaid.predecessors", incarnations=list(ended), store_time_s=round(now_s, 3)
+            )
+
+    def forget_ended(self, incarnations: set[str]) -> None:
+        """Remove the reports of incarnations whose grants are accounted for."""
+        keys = tuple(RowKey(TABLE, self._node, name) for name in incarnations)
+        for name in incarnations:
+            self.ended.pop(name, None)
+        removed = defer.ensureDeferred(
+            self._store.transact(VersionedTransaction((), removals=keys))
+        )
+        removed.addErrback(lambda failure: failure.trap(RowStoreError))
+
+    # Own reports.
+
+    def report_if_due(self) -> None:
+        """Write a report when the last one is old and something has changed."""
+        age_s = self._reactor.seconds() - self._last_sent_s
+        if age_s >= _PERIOD_S and self._make_promises() != self._reported:
+            self.report()
+
+    def report(self) -> bool:
+        """Write a report now; False when one is under way or was just written."""
+        now_s = self._reactor.seconds()
+        if self._busy or now_s - self._last_sent_s < _LEAST_PERIOD_S:
+            return False
+        if self._store.time_floor_s() is None:
+            return False
+        self._busy = True
+        done = defer.ensureDeferred(self._write())
+        done.addErrback(lambda failure: failure.trap(RowStoreError))
+        done.addBoth(self._ended_write)
+        return True
+
+    def _ended_write(self, _) -> None:
+        self._busy = False
+
+    async def _write(self) -> None:
+        if len(self._sent) > 1:
+            # The last answer was lost: more of the same would only tighten the promise.
+            await self._read_back()
+        self._number += 1
+        self._last_sent_s = self._reactor.seconds()
+        report = SpendReport(self._number, self._store.time_floor_s(), self._make_promises())
+        sent = _SentReport(report, self._last_sent_s)
+        self._sent.append(sent)
+        change = RowChange(self._key, msgspec.json.encode(report), self._version)
+        try:
+            self._version = await self._store.transact(VersionedTransaction((change,)))
+        except VersionConflictError:
+            self._sent.remove(sent)
+            await self._read_back()
+            return
+        except RowOutcomeUnknownError:
+            raise
+        except RowStoreError:
+            self._sent.remove(sent)
+            raise
+        self._stands(sent)
+
+    async def _read_back(self) -> None:
+        row = await self._store.read_row(self._key)
+        if row.version == self._version:
+            return
+        self._version = row.version
+        report = msgspec.json.decode(row.value, type=SpendReport)
+        for sent in self._sent:
+            if sent.report.number == report.number:
+                self._stands(sent)
+                return
+
+    def _stands(self, sent: _SentReport) -> None:
+        """Drop the reports that a newer one has replaced for good."""
+        self._sent = [sent]
+        self._reported = sent.report.promises
+        self._on_reported()
+
+
+def _bounds(row: StoredRow, now_s: float) -> dict[str, int]:
+    """Return by workspace the most that a report's writer can have spent by now."""
+    report = msgspec.json.decode(row.value, type=SpendReport)
+    elapsed_s = now_s - report.stamp_s
+    return {
+        workspace: promise.bound_tokens(elapsed_s) for workspace, promise in report.promises.items()
+    }
--- a/turnward/ledger/ledger.py
+++ b/turnward/ledger/ledger.py
@@ -155,6 +155,11 @@
         account = self._accounts.get(budget)
         return account.free_tokens if account else 0
 
+    def committed_tokens(self, budget: str) -> int:
+        """Return what is settled or reserved."""
+        account = self._accounts.get(budget)
+        return account.settled_tokens + account.reserved_tokens if account else 0
+
     def held_tokens(self, budget: str) -> int:
         """Return granted tokens that are not settled."""
         account = self._accounts.get(budget)
--- a/turnward/rows/core.py
+++ b/turnward/rows/core.py
@@ -65,6 +65,14 @@
     effect, and ``RowOutcomeUnknownError`` when it may have or still may.
     """
 
+    @abstractmethod
+    def time_floor_s(self) -> float | None:
+        """Return a time that the store's steady clock has reached; None before any answer.
+
+        It is never later than the store's own time, and not earlier than the
+        time of the last answer.
+        """
+
     @abstractmethod
     async def read_row(self, key: RowKey) -> StoredRow:
         """Return a row; a missing one has version 0."""
--- a/turnward/standins/rows.py
+++ b/turnward/standins/rows.py
@@ -139,8 +139,13 @@
     def __init__(self, rows: MemoryRows, reactor, faults: RowFaults | None = None):
         self._rows = rows
         self._reactor = reactor
+        self._answered = False
         self.faults = faults or RowFaults()
 
+    def time_floor_s(self):
+        """See ``VersionedStoreBase.time_floor_s``."""
+        return self._reactor.seconds() if self._answered else None
+
     async def read_row(self, key):
         """See ``VersionedStoreBase.read_row``."""
         await self._travel()
@@ -188,6 +193,7 @@
         await arrived
         if self.faults.away or self._rows.faults.away:
             raise RowsUnavailableError("the store is away")
+        self._answered = True
 
     def _apply_late(self, transaction) -> None:
         try:
