--- a/turnward/gateway/spending.py
+++ b/turnward/gateway/spending.py
@@ -2,10 +2,11 @@
 """Reports of what a router has spent, so that a successor knows what it had left.
 
 A router writes now and then what it has spent of each workspace, and promises
-with it how fast it will spend on without another report: a burst at once and
-then so many tokens a second. When the process has died, the next one on the
-same node reads the last report; what the dead one can have spent by then is
-bounded by the promise, and the rest of its grant goes back to all.
+to spend only so much more without another report for the length of a lease;
+once the lease is over it may spend all that it holds, so that a router that is
+cut off from the store serves on. When the process has died, the next one on the
+same node reads the last report: while its lease lasts, what the dead one spent
+is bounded by the promise, and the rest of its grant goes back to all.
 
 Time is the store's steady clock. The writer stamps a report with a time that
 is not later than the store's own, and the reader takes a time that is not
@@ -31,7 +32,7 @@
 __all__ = ["PromiseRule", "SpendPromise", "SpendReport", "SpendReports", "promise_for"]
 
 TABLE = "spending"
-#: Seconds between two reports while tokens are drawn on.
+#: Seconds between two reports while tokens are held.
 _PERIOD_S = 0.8
 #: Least seconds between two reports that requests wait for.
 _LEAST_PERIOD_S = 0.05
@@ -43,15 +44,17 @@
     Attributes
     ----------
     burst_share, burst_tokens : float, int
-        What may be spent at once after a report: a part of what is held, and
-        at least so many tokens.
-    spend_in_s : float
-        Seconds in which all that is held may be spent without another report.
+        What may be spent after a report: a part of what is held, and at least
+        so many tokens.
+    lease_s : float
+        Seconds that a promise binds. Longer than a process takes to be started
+        again, so that its successor finds the promise in force; shorter than
+        the cuts that are to be served through.
     """
 
-    burst_share: float = 0.2
-    burst_tokens: int = 4_000
-    spend_in_s: float = 12.0
+    burst_share: float = 0.4
+    burst_tokens: int = 16_000
+    lease_s: float = 4.0
 
 
 class SpendPromise(msgspec.Struct, frozen=True, array_like=True):
@@ -62,24 +65,26 @@
     spent_tokens : int
         Settled or reserved when the report was made.
     burst_tokens : int
-        May be added at once.
-    rate_tokens_per_s : float
-        May be added besides, as time passes.
+        May be added while the lease lasts.
+    lease_s : float
+        Seconds from the report.
 
     Examples
     --------
-    >>> SpendPromise(100, 20, 5.0).bound_tokens(2.0)
-    130
+    >>> promise = SpendPromise(100, 20, 4.0)
+    >>> promise.bound_tokens(2.0), promise.bound_tokens(4.0)
+    (120, None)
     """
 
     spent_tokens: int
     burst_tokens: int
-    rate_tokens_per_s: float
+    lease_s: float
 
-    def bound_tokens(self, elapsed_s: float) -> int:
-        """Return the most that is spent when some time has passed."""
-        grown = int(self.rate_tokens_per_s * max(0.0, elapsed_s))
-        return self.spent_tokens + self.burst_tokens + grown
+    def bound_tokens(self, elapsed_s: float) -> int | None:
+        """Return the most that is spent when some time has passed; None: all that is held."""
+        if elapsed_s >= self.lease_s:
+            return None
+        return self.spent_tokens + self.burst_tokens
 
 
 class SpendReport(msgspec.Struct, frozen=True):
@@ -98,12 +103,12 @@
     Examples
     --------
     >>> promise_for(100, 60_000, 0, PromiseRule())
-    SpendPromise(spent_tokens=100, burst_tokens=12000, rate_tokens_per_s=5000.0)
+    SpendPromise(spent_tokens=100, burst_tokens=24000, lease_s=4.0)
     """
     free_tokens = max(0, free_tokens)
     share = int(rule.burst_share * free_tokens)
     burst = min(free_tokens, max(rule.burst_tokens, share, waiting_tokens))
-    return SpendPromise(spent_tokens, burst, round(free_tokens / rule.spend_in_s, 1))
+    return SpendPromise(spent_tokens, burst, rule.lease_s)
 
 
 class _SentReport(msgspec.Struct):
@@ -154,18 +159,19 @@
         self._busy = False
         self._sent: list[_SentReport] = []
         self._last_sent_s = -1e9
-        self._reported: dict[str, SpendPromise] = {}
         #: By ended incarnation and workspace, the most that it spent; None until read.
         self.ended: dict[str, dict[str, int]] | None = None
 
     def allowance_tokens(self, workspace: str, committed_tokens: int) -> int | None:
         """Return how much more may be committed without another report; None: any."""
+        now_s = self._reactor.seconds()
         bounds = [
-            sent.report.promises[workspace].bound_tokens(self._reactor.seconds() - sent.sent_s)
+            sent.report.promises[workspace].bound_tokens(now_s - sent.sent_s)
             for sent in self._sent
             if workspace in sent.report.promises
         ]
-        return min(bounds) - committed_tokens if bounds else None
+        known = [bound for bound in bounds if bound is not None]
+        return min(known) - committed_tokens if known else None
 
     # Predecessors.
 
@@ -196,9 +202,9 @@
     # Own reports.
 
     def report_if_due(self) -> None:
-        """Write a report when the last one is old and something has changed."""
+        """Write a report when the last one is old, so that its lease never ends in contact."""
         age_s = self._reactor.seconds() - self._last_sent_s
-        if age_s >= _PERIOD_S and self._make_promises() != self._reported:
+        if age_s >= _PERIOD_S and self._make_promises():
             self.report()
 
     def report(self) -> bool:
@@ -254,7 +260,6 @@
     def _stands(self, sent: _SentReport) -> None:
         """Drop the reports that a newer one has replaced for good."""
         self._sent = [sent]
-        self._reported = sent.report.promises
         self._on_reported()
 
 
