--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -51,7 +51,7 @@
 #: Seconds of pause after the store was not reached.
 _PAUSE_S = 0.5
 #: Part of the tokens within reach that all routers together hold without demand.
-_FLOOR = 0.2
+_FLOOR = 0.08
 #: Conflicts in a row after which a change is left for the next look.
 _CONFLICT_LIMIT = 6
 
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -59,7 +59,7 @@
     weighs_start=True,
     keep_s=4.0,
     near_view_s=1.0,
-    far_view_s=10.0,
+    far_view_s=3.0,
 )
 
 
--- a/turnward/gateway/spending.py
+++ b/turnward/gateway/spending.py
@@ -52,7 +52,7 @@
         the cuts that are to be served through.
     """
 
-    burst_share: float = 0.4
+    burst_share: float = 0.5
     burst_tokens: int = 16_000
     lease_s: float = 4.0
 
@@ -103,7 +103,7 @@
     Examples
     --------
     >>> promise_for(100, 60_000, 0, PromiseRule())
-    SpendPromise(spent_tokens=100, burst_tokens=24000, lease_s=4.0)
+    SpendPromise(spent_tokens=100, burst_tokens=30000, lease_s=4.0)
     """
     free_tokens = max(0, free_tokens)
     share = int(rule.burst_share * free_tokens)
