--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -23,7 +23,7 @@
 #: Prompt tokens that an engine reads in a millisecond, until measured.
 _PREFILL_TOKENS_PER_MS = 50.0
 #: Milliseconds that a request already there adds to a new one's cost.
-_COST_OF_RUNNING_MS = 3.0
+_COST_OF_RUNNING_MS = 1.5
 #: Milliseconds that a request waiting for a place adds, on plain services.
 _COST_OF_PLACE_MS = 60.0
 #: Milliseconds that another zone adds.
@@ -31,13 +31,13 @@
 #: Costs that differ by less are taken for equal.
 _TIE_MS = 0.5
 #: Share of a prompt part that an agreed home is taken to keep.
-_HOME_TRUST = 0.8
+_HOME_TRUST = 1.0
 #: Agreed homes of a prompt part.
-_HOMES = 2
+_HOMES = 1
 #: Prompt parts remembered by endpoint.
 _PARTS_LIMIT = 1_500
 #: Seconds after which a prompt part is no longer taken for kept.
-_PART_LIFE_S = 60.0
+_PART_LIFE_S = 25.0
 #: Seconds an endpoint rests after failures in a row: the first, and at most.
 _REST_S = 0.5
 _REST_LIMIT_S = 4.0
