--- a/tests/test_faces.py
+++ b/tests/test_faces.py
@@ -2,6 +2,7 @@
 """Bad input at each face of a running router: a clear error, nothing lost, the process lives."""
 
 import socket
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -144,22 +145,53 @@
     assert_lives(rig)
 
 
-def test_connections_above_the_limit_are_closed(rig):
-    address = ("127.0.0.1", rig.routers[0].callers_port)
+@pytest.fixture
+def patient_rig():
+    """Return a rig that closes no connection for being idle while a test looks."""
+    rig = Rig(connection_limit=50, idle_timeout_s=60.0)
+    yield rig
+    rig.fleet.stop()
+
+
+def test_connections_above_the_limit_are_closed(patient_rig):
+    router = patient_rig.routers[0]
+    # A connection of the rig's own that ends meanwhile would let one more in.
+    patient_rig.fleet.wait_until(lambda: not _held_connections(router.callers_port))
+    address = ("127.0.0.1", router.callers_port)
     connections = [socket.create_connection(address) for _ in range(60)]
     closed = 0
     for connection in connections[50:]:
-        connection.settimeout(0.8)
+        connection.settimeout(20.0)
         try:
             closed += connection.recv(10) == b""
         except TimeoutError:
             pass
         except ConnectionError:
             closed += 1
+    open_still = 0
+    for connection in connections[:50]:
+        connection.settimeout(0.0)
+        try:
+            connection.recv(10)
+        except BlockingIOError:
+            open_still += 1
     for connection in connections:
         connection.close()
-    assert closed == 10
-    rig.fleet.wait_until(lambda: rig.send(rig.routers[0], CHAT, rig.chat_body(2))[0] == 200)
+    assert (closed, open_still) == (10, 50)
+    patient_rig.fleet.wait_until(
+        lambda: patient_rig.send(router, CHAT, patient_rig.chat_body(2))[0] == 200
+    )
+
+
+def _held_connections(port):
+    """Return the connections that a process on this machine holds at a local port."""
+    held_states = {"01", "08"}  # established, and closed by the other end only
+    held = []
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        _, local, _, state = line.split()[:4]
+        if int(local.rpartition(":")[2], 16) == port and state in held_states:
+            held.append(line)
+    return held
 
 
 def test_peer_port_survives_any_bytes(rig):
--- a/turnward/callers/claim_desk.py
+++ b/turnward/callers/claim_desk.py
@@ -2,7 +2,7 @@
 """Takes the claim of a call that may not be repeated, or finds who took it."""
 
 import msgspec
-from twisted.internet import defer
+from twisted.internet import defer, task
 from twisted.internet.defer import Deferred
 
 from turnward.callers.flight import Flight
@@ -21,7 +21,7 @@
 from turnward.fleet import RouterState, router_key
 from turnward.ids import minted_s
 from turnward.router.claim_task import KeepClaim, ReleaseClaim, WantClaim
-from turnward.router.pair_task import ReleaseHeld, WantHeld
+from turnward.router.pair_task import LookAgain, ReleaseHeld, WantHeld
 from turnward.store import PlatformError, Put
 
 __all__ = ["ClaimDesk", "outcome_writes"]
@@ -30,6 +30,14 @@
 CLAIM_WAIT_S = 2.0
 
 
+#: Seconds between two tries while the holders of a claim's shard change.
+STALE_PAUSES_S = (0.05, 0.1, 0.2, 0.4)
+
+
+class _Stale(msgspec.Struct, frozen=True):
+    """The shard's row is not the one known here."""
+
+
 class ClaimDesk:
     """Takes claims at the pair of holders and in the table.
 
@@ -48,6 +56,24 @@
         Both holders of the claim's shard must record it, and the table too
         where it is reached. A shard without holders rests on the table alone.
         """
+        until_s = self._context.now_s() + CLAIM_WAIT_S
+        for pause_s in STALE_PAUSES_S:
+            taken = await self._take_once(flight, claim)
+            if not isinstance(taken, _Stale):
+                return taken
+            if self._context.now_s() >= until_s:
+                break
+            self._context.pairs.tell(LookAgain())
+            await task.deferLater(self._context.reactor, pause_s)
+        self.release(flight, claim)
+        raise RefusedError(_claims_unreachable())
+
+    async def _take_once(self, flight: Flight, claim: ClaimRow):
+        """Take the claim by the shard's row as known here; ``_Stale`` when that has changed.
+
+        Nothing was sent and no row was written then, so the same claim may be
+        tried again: its holders know it by its token.
+        """
         key = claim_key(claim.workspace, claim.request_id)
         epoch = 0
         if self._context.pairs.row_of(key) is not None:
@@ -55,10 +81,14 @@
             if held.outcome is HoldOutcome.STANDING:
                 return await self._standing_at_holders(claim, held)
             if held.outcome is not HoldOutcome.HELD:
-                self._context.pairs.tell(ReleaseHeld(claim))
-                raise RefusedError(_claims_unreachable())
+                return _Stale()
             epoch = self._context.pairs.row_of(key).epoch
         result = await self._claim_in_table(flight, claim, epoch)
+        if result.outcome is ClaimOutcome.STALE:
+            return _Stale()
+        return self._judge_table(flight, claim, epoch, result)
+
+    def _judge_table(self, flight: Flight, claim: ClaimRow, epoch: int, result: ClaimAnswer):
         if result.outcome is ClaimOutcome.TAKEN:
             return None
         if result.outcome is ClaimOutcome.STANDING:
@@ -69,8 +99,6 @@
             flight.core.claims.tell(KeepClaim(claim))
             return None
         self.release(flight, claim)
-        if result.outcome is ClaimOutcome.STALE:
-            self._context.pairs.note_stale()
         raise RefusedError(_claims_unreachable())
 
     async def _hold(self, claim: ClaimRow) -> HoldAnswer:
--- a/turnward/router/pair_task.py
+++ b/turnward/router/pair_task.py
@@ -34,7 +34,7 @@
     Transaction,
 )
 
-__all__ = ["PairTask", "ReleaseHeld", "WantHeld"]
+__all__ = ["LookAgain", "PairTask", "ReleaseHeld", "WantHeld"]
 
 #: Seconds between looks at the shards when nothing in the fleet has changed.
 LOOK_S = 30.0
@@ -56,6 +56,10 @@
     row: ClaimRow
 
 
+class LookAgain(msgspec.Struct, frozen=True):
+    """A shard's row proved to be another than the one known here."""
+
+
 class PairTask(TaskBase):
     """Owns the shards this process holds and its view of all shards' rows.
 
@@ -88,6 +92,8 @@
             elif isinstance(message, ReleaseHeld):
                 key = claim_key(message.row.workspace, message.row.request_id)
                 self._unreleased[key] = message.row
+            elif isinstance(message, LookAgain):
+                self.note_stale()
         if self._context.machine.state in ("serving", "leaving") and self._is_due():
             await self._look()
             for shard in range(CLAIM_SHARDS):
@@ -107,7 +113,7 @@
         ]
 
     def note_stale(self) -> None:
-        """Have the shards' rows read again at the next tick."""
+        """Have the shards' rows read again at the next turn."""
         self._stale = True
 
     def _is_due(self) -> bool:
@@ -132,7 +138,7 @@
         if answer.row is not None and self._learn(answer.row):
             answer = await self._hold(answer.row, claim)
         if answer.outcome is HoldOutcome.STALE:
-            self.note_stale()
+            self._stale = True
         if not message.answer.called:
             message.answer.callback(answer)
 
