--- a/turnward/cli/commands.py
+++ b/turnward/cli/commands.py
@@ -111,6 +111,29 @@
         path = f"/resources/{kind}/{name}" if name else f"/resources/{kind}"
         _show(client.call("GET", path))
 
+    def story(self, request_id: str, *files: str, around_s: float = 3.0):
+        """Tell what happened to one request, from gateways' captured lines.
+
+        Parameters
+        ----------
+        request_id : str
+            The request's id, as the caller has it.
+        files : str
+            Files with the lines of one process or of several.
+        around_s : float
+            Seconds before and after in which changes of belief are shown too.
+        """
+        from turnward.events.story import read_lines, render_line, tell_story
+
+        if not files:
+            raise CommandError("expected one or more files")
+        lines = [line for name in files for line in read_lines(Path(str(name)))]
+        story = tell_story(lines, str(request_id), around_s)
+        if not story:
+            raise CommandError(f"no line names request {request_id}")
+        for line in story:
+            print(render_line(line))
+
     def watch(self, url: str, key_file: str, kind: str = "fleet", name: str = "", times: int = 0):
         """Show a state each time it changes; ``times`` above 0 ends after so many looks."""
         client = OperatorClient(url, key_file)
--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -18,7 +18,14 @@
 from turnward.gateway.peers import EndpointLoad
 from turnward.hashing import rendezvous_weight
 
-__all__ = ["EndpointBook", "EndpointRecord", "Prompt", "PromptPart", "parse_prompt_parts"]
+__all__ = [
+    "EndpointBook",
+    "EndpointChoice",
+    "EndpointRecord",
+    "Prompt",
+    "PromptPart",
+    "parse_prompt_parts",
+]
 
 #: Prompt tokens that an engine reads in a millisecond, until measured.
 _PREFILL_TOKENS_PER_MS = 50.0
@@ -168,6 +175,14 @@
             self.trial = True
 
 
+class EndpointChoice(msgspec.Struct, frozen=True):
+    """The endpoint chosen, what it costs and among how many."""
+
+    record: EndpointRecord
+    cost_ms: float
+    candidates: int
+
+
 class EndpointBook:
     """The endpoints known, and the choice among them.
 
@@ -234,7 +249,7 @@
         prompt: Prompt,
         traits: EngineTraits | None,
         without: set[str],
-    ) -> EndpointRecord | None:
+    ) -> "EndpointChoice | None":
         """Return the endpoint with the least cost, or None when none takes work."""
         now_s = self._clock()
         candidates = [
@@ -255,8 +270,8 @@
                 (self._engine_cost_ms(record, prompt, loads, homes, now_s), record)
                 for record in candidates
             ]
-        best = min(costs, key=lambda cost: cost[0] + self._draw.random() * _TIE_MS)
-        return best[1]
+        cost_ms, record = min(costs, key=lambda cost: cost[0] + self._draw.random() * _TIE_MS)
+        return EndpointChoice(record, round(cost_ms, 1), len(candidates))
 
     def _may_take(self, record: EndpointRecord, now_s: float) -> bool:
         if now_s < record.rest_until_s:
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -338,13 +338,26 @@
             self._pool = self._route.choose_pool(forwarder.draw)
             forwarder.allowance(self._pool).note_request()
         pool = forwarder.state.routes.pools.get(self._pool)
-        record = forwarder.endpoints.choose(
+        choice = forwarder.endpoints.choose(
             self._pool, self._prompt, pool.engine if pool is not None else None, self._tried
         )
-        if record is None:
+        if choice is None:
             self._give_up(Reason.NO_ENDPOINT)
             return
+        record = choice.record
         self._tried.add(record.endpoint_id)
+        forwarder.log.event(
+            "attempt.chosen",
+            request=self._request_id.decode("latin-1"),
+            route=self._route.name,
+            pool=self._pool,
+            endpoint=record.endpoint_id,
+            cost_ms=choice.cost_ms,
+            candidates=choice.candidates,
+            in_flight=record.in_flight,
+            endpoints=forwarder.state.endpoints_version,
+            left_s=round(self._deadline_s - self._now_s(), 3),
+        )
         self._attempt = _Attempt(self, record)
         self._attempt.start()
 
--- a/turnward/gateway/logs.py
+++ b/turnward/gateway/logs.py
@@ -7,6 +7,7 @@
 """
 
 import os
+import time
 from collections import Counter
 from collections.abc import Callable
 
@@ -152,6 +153,7 @@
 
     def _stamp(self, _logger, _method, line):
         line["steady_s"] = round(self._clock(), 4)
+        line["wall_s"] = round(time.time(), 3)
         return line
 
     def _write(self, line: bytes) -> None:
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -53,7 +53,7 @@
 #: Part of the tokens within reach that all routers together hold without demand.
 _FLOOR = 0.08
 #: Conflicts in a row after which a change is left for the next look.
-_CONFLICT_LIMIT = 6
+_CONFLICT_LIMIT = 30
 
 
 class AccountRow(msgspec.Struct, frozen=True):
@@ -472,8 +472,11 @@
         change = RowChange(key, encode_account(wanted), account.version)
         try:
             version = await self._store.transact(VersionedTransaction((change,)))
-        except VersionConflictError:
-            await self._read(workspace, account)
+        except VersionConflictError as conflict:
+            if conflict.rows:
+                self._take_in(workspace, account, conflict.rows[0])
+            else:
+                await self._read(workspace, account)
             return False
         except RowOutcomeUnknownError:
             account.unresolved = (delta_tokens, wanted)
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -2,6 +2,7 @@
 """A gateway process: its parts, put together, started and stopped."""
 
 import random
+import traceback
 import uuid
 from abc import ABC, abstractmethod
 
@@ -170,7 +171,7 @@
         )
         self.forwarder = self._make_forwarder()
         self.callers = InboundFactory(
-            reactor, self.forwarder.handle, InboundLimits(), self._note_refused
+            reactor, self.forwarder.handle, InboundLimits(), self._note_refused, self._note_fault
         )
         self._feeds = [
             TableFeed(
@@ -219,7 +220,7 @@
 
     def _make_pool(self, address: str) -> OutboundPool:
         host, _, port = address.rpartition(":")
-        return OutboundPool(self._reactor, (host, int(port)), _CONNECT_TIMEOUT_S)
+        return OutboundPool(self._reactor, (host, int(port)), _CONNECT_TIMEOUT_S, self._note_fault)
 
     def _make_forwarder(self) -> Forwarder:
         settings = self._settings
@@ -326,6 +327,14 @@
         metrics.unconfirmed_seconds.set(min(1e6, self.state.unconfirmed_for_s()))
         request.answer(200, [(b"content-type", metrics.content_type)], metrics.text())
 
+    def _note_fault(self, failure: Exception) -> None:
+        where = traceback.extract_tb(failure.__traceback__)[-1:]
+        self._log.failure(
+            "process.fault",
+            cause=f"{type(failure).__name__}: {failure}",
+            where=[f"{frame.filename.rpartition('/')[2]}:{frame.lineno}" for frame in where],
+        )
+
     def _note_refused(self, refusal) -> None:
         self._log.failure("request.malformed", status=refusal.status, reason=refusal.reason)
 
--- a/turnward/gateway/tests/test_forwarding.py
+++ b/turnward/gateway/tests/test_forwarding.py
@@ -630,3 +630,14 @@
     assert idle.closed is None
     rig.network.advance(1.0)
     assert idle.closed is not None
+
+
+def test_fault_of_the_program_is_told_and_harms_no_other_request(monkeypatch):
+    rig = Rig()
+    rig.endpoint(well)
+    rig.ready()
+    with monkeypatch.context() as patch:
+        patch.setattr(rig.gateways[0].endpoints, "choose", lambda *_: 1 / 0)
+        assert rig.ask().status == 500
+    assert "ZeroDivisionError" in rig.logs[0].of("process.fault")[0]["cause"]
+    assert rig.ask().status == 200
--- /dev/null
+++ b/turnward/gateway/tests/test_log_events.py
@@ -0,0 +1,111 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The page of log events is in step with the code, and its lines explain failed requests."""
+
+import os
+import re
+from pathlib import Path
+
+import pytest
+
+from turnward.events.story import BELIEFS, TOKENS, read_lines, render_line, tell_story
+from turnward.gateway import Repeat, Workspace
+from turnward.gateway.logs import BoundedLineWriter, GatewayLog
+from turnward.gateway.tests import rig as rigs
+from turnward.gateway.tests.rig import ENGINE_POOL, KEY, Rig, reset, silent, stream
+
+PAGE = Path("docs/log-events.md")
+SOURCES = [*Path("turnward/gateway").glob("*.py"), *Path("platform").glob("*.py")]
+CALL = re.compile(r"""(?:log|write|_log)\.?(?:event|failure)?\(\s*"([a-z]+\.[a-z_]+)\"""")
+
+
+def events_of_code():
+    return {name for path in SOURCES for name in CALL.findall(path.read_text())} | {"log.left_out"}
+
+
+def events_of_page():
+    rows = [line for line in PAGE.read_text().splitlines() if line.startswith("| `")]
+    return {name for row in rows for name in re.findall(r"`([a-z]+\.[a-z_]+)`", row.split("|")[1])}
+
+
+def test_page_names_every_event_and_no_other():
+    assert events_of_page() == events_of_code()
+
+
+def test_story_knows_only_events_that_exist():
+    assert events_of_page() >= BELIEFS | TOKENS
+
+
+class Told:
+    """A rig whose first gateway writes real lines to a file."""
+
+    def __init__(self, monkeypatch, tmp_path, **fields):
+        self.path = tmp_path / "lines"
+        descriptor = os.open(self.path, os.O_WRONLY | os.O_CREAT)
+        self.rig = Rig(**fields)
+
+        def make_log():
+            return GatewayLog(
+                BoundedLineWriter(descriptor), self.rig.network.clock.seconds, "node-1@x"
+            )
+
+        monkeypatch.setattr(rigs, "ListLog", make_log)
+
+    def story(self, request_id):
+        lines = tell_story(read_lines(self.path), request_id, 1e9)
+        assert lines
+        return [render_line(line) for line in lines]
+
+
+def find(story, *words):
+    """Return the one line that has all the words."""
+    found = [line for line in story if all(word in line for word in words)]
+    assert found, story
+    return found[-1]
+
+
+def test_walk_for_a_request_refused_for_its_budget(monkeypatch, tmp_path):
+    workspace = Workspace(name="acme", keys=(KEY.decode(),), prepaid_tokens=1_000)
+    told = Told(
+        monkeypatch, tmp_path, pools=(ENGINE_POOL,), workspaces=(workspace,), repeat=Repeat.STREAM
+    )
+    rig = told.rig
+    rig.endpoint(stream(4))
+    rig.ready()
+    rig.network.advance(1.0)
+    headers = rig.prompt(5_000, 10)
+    caller = rig.ask(method=b"POST", body=b"", request_id=b"lost-1", headers=headers)
+    assert caller.status == 402
+    story = told.story("lost-1")
+    assert "reason=budget_exhausted" in find(story, "request.ended")
+    assert "workspace=acme" in find(story, "request.ended")
+    assert "ungranted=" in find(story, "prepaid.taken")
+
+
+@pytest.mark.parametrize(
+    ("behave", "status", "words"),
+    [(reset, 502, ("how=lost", "sent=True")), (silent, 504, ())],
+)
+def test_walk_for_a_request_answered_502_or_504(monkeypatch, tmp_path, behave, status, words):
+    told = Told(monkeypatch, tmp_path, repeat=Repeat.ONCE, time_limit_s=1.0)
+    told.rig.endpoint(behave)
+    told.rig.ready()
+    caller = told.rig.ask(method=b"POST", body=b"", request_id=b"lost-2")
+    assert caller.status == status
+    story = told.story("lost-2")
+    assert "endpoint=e-1" in find(story, "attempt.chosen")
+    assert f"status={status}" in find(story, "request.ended")
+    if words:
+        find(story, "attempt.failed", *words)
+
+
+def test_walk_for_a_request_refused_while_cut_off(monkeypatch, tmp_path):
+    told = Told(monkeypatch, tmp_path)
+    told.rig.endpoint(stream(1))
+    told.rig.ready()
+    told.rig.clients[0].faults.away = True
+    told.rig.network.advance(8.0)
+    caller = told.rig.ask(key=b"new-key", request_id=b"lost-3")
+    assert caller.status == 503
+    story = told.story("lost-3")
+    assert "reason=configuration_not_confirmed" in find(story, "request.ended")
+    find(story, "store.lost", "table=configuration")
--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -432,7 +432,15 @@
             return
         if (header_value(request.headers, b"expect") or b"").lower() == b"100-continue":
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        self._factory.handler(request)
+        try:
+            self._factory.handler(request)
+        except Exception as failure:
+            # The parser would take a fault of ours for one of the caller's.
+            self._factory.note_fault(failure)
+            if not request.head_sent:
+                request.answer(500, [], b"")
+            else:
+                request.abort()
 
     def _feed(self, data: bytes) -> None:
         if self._current is None and self.head_since_s is None:
@@ -441,6 +449,11 @@
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._broken = Refusal(501, "upgrade_not_supported")
+        except httptools.HttpParserCallbackError as failure:
+            self._factory.note_fault(failure.__context__ or failure)
+            self._broken = Refusal(500, "internal_fault")
+            if self._current is not None:
+                self._current.refusal = self._broken
         except httptools.HttpParserError:
             self._broken = Refusal(400, "malformed_request")
         if self.head_since_s is not None and self._head_bytes > self._factory.limits.head_bytes:
@@ -513,14 +526,17 @@
         Called with each ``InboundRequest`` once its head is whole.
     limits : InboundLimits
         May be replaced at any time.
+    on_fault : callable, optional
+        Told the exception of a handler that failed.
     on_refused : callable, optional
         Told the ``Refusal`` of what was refused before it was a request.
     """
 
     noisy = False
 
-    def __init__(self, reactor, handler, limits: InboundLimits, on_refused=None):
+    def __init__(self, reactor, handler, limits: InboundLimits, on_refused=None, on_fault=None):
         self._reactor = reactor
+        self._on_fault = on_fault
         self._on_refused = on_refused
         self.handler = handler
         self.limits = limits
@@ -551,6 +567,11 @@
         if self._on_refused is not None:
             self._on_refused(refusal)
 
+    def note_fault(self, failure: Exception) -> None:
+        """Report a fault of the handler."""
+        if self._on_fault is not None:
+            self._on_fault(failure)
+
     def close_idle(self) -> None:
         """Close the connections on which nothing is under way."""
         for connection in list(self.connections):
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -193,7 +193,9 @@
         self._answered = True
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as failure:
+            if isinstance(failure, httptools.HttpParserCallbackError):
+                self._pool.note_fault(failure.__context__ or failure)
             if self._exchange is not None:
                 self._fail(FailureCause.MALFORMED)
             self.drop()
@@ -381,11 +383,16 @@
         IP number and port.
     connect_timeout_s : float
         Limit for opening a connection.
+    on_fault : callable, optional
+        Told the exception of an exchange's method that failed.
     """
 
-    def __init__(self, reactor, address: tuple[str, int], connect_timeout_s: float = 1.0):
+    def __init__(
+        self, reactor, address: tuple[str, int], connect_timeout_s: float = 1.0, on_fault=None
+    ):
         self._reactor = reactor
         self._address = address
+        self._on_fault = on_fault
         self._connect_timeout_s = connect_timeout_s
         self._idle: deque[OutboundConnection] = deque()
         self._closed = False
@@ -417,6 +424,11 @@
         )
         return Attempt(None, connecting)
 
+    def note_fault(self, failure: Exception) -> None:
+        """Report a fault of an exchange."""
+        if self._on_fault is not None:
+            self._on_fault(failure)
+
     def close(self) -> None:
         """Close idle connections; busy ones close after their exchange."""
         self._closed = True
--- a/turnward/rows/errors.py
+++ b/turnward/rows/errors.py
@@ -29,4 +29,16 @@
 
 
 class VersionConflictError(RowStoreError):
-    """A row did not have the version named; nothing was written."""
+    """A row did not have the version named; nothing was written.
+
+    Parameters
+    ----------
+    message : str
+        What went wrong.
+    rows : tuple of StoredRow, optional
+        The rows with conditions as they are, where the store told them.
+    """
+
+    def __init__(self, message, rows=()):
+        super().__init__(message)
+        self.rows = tuple(rows)
--- a/turnward/standins/rows.py
+++ b/turnward/standins/rows.py
@@ -82,7 +82,8 @@
             row = self.get(change.key)
             held = 0 if row.gone else row.version
             if held != change.expected_version:
-                raise VersionConflictError(f"version {held}")
+                rows = [self.get(other.key) for other in transaction.changes]
+                raise VersionConflictError(f"version {held}", rows)
         self.writes += 1
         rows = [StoredRow(change.key, change.value, 0) for change in transaction.changes]
         rows += [StoredRow(key, b"", 0, gone=True) for key in transaction.removals]
