--- a/turnward/cli/commands.py
+++ b/turnward/cli/commands.py
@@ -54,12 +54,46 @@
         configure_logs(checked.log_json)
         serve_router(checked)
 
+    def gateway(self, settings: str):
+        """Run one gateway with a settings file; ``store_address`` is the platform's."""
+        from turnward.cli.serving import serve_home_gateway
+
+        serve_home_gateway(str(settings))
+
+    def gateway_apply(self, url: str, *files: str):
+        """Write gateway resources to the platform's table.
+
+        Parameters
+        ----------
+        url : str
+            Base URL of the platform.
+        files : str
+            Resource files; all are checked before any is written.
+        """
+        from turnward.cli.serving import write_gateway_rows
+        from turnward.gateway.home import load_gateway_resources
+
+        if not files:
+            raise CommandError("expected one or more files")
+        resources = [load_gateway_resources(str(name)) for name in files]
+        rows = [row for resource in resources for row in resource.rows()]
+        write_gateway_rows(url, rows)
+        print(f"accepted: {len(rows)} rows")
+
     def check(self, *files: str):
         """Check settings and resource files; name every fault."""
+        from turnward.gateway.home import load_gateway_resources
+        from turnward.gateway.settings import load_gateway_settings
+
         if not files:
             raise CommandError("expected one or more files")
         for name in files:
-            if set(read_toml(name)) & set(KINDS):
+            keys = set(read_toml(name))
+            if "configuration" in keys:
+                load_gateway_resources(name)
+            elif "store_address" in keys:
+                load_gateway_settings(name)
+            elif keys & set(KINDS):
                 load_resources(name)
             else:
                 load_settings(name)
--- a/turnward/cli/serving.py
+++ b/turnward/cli/serving.py
@@ -7,11 +7,26 @@
 from twisted.web import server
 
 from turnward.events import configure_logs, get_log
+from turnward.gateway import Dialect, load_gateway_settings, serve_gateway
+from turnward.gateway.home import HomeSources, TableRows
+from turnward.http import HttpClient
 from turnward.router.process import RouterProcess
+from turnward.rows import RowChange, RowKey, VersionedTransaction
 from turnward.settings import SettingsError, parse_address
 from turnward.standins import BatchSettings, EngineStandIn, PlatformStandIn, ServiceStandIn
+from turnward.store import HttpTable
 
-__all__ = ["serve_engine", "serve_platform", "serve_router", "serve_service"]
+__all__ = [
+    "serve_engine",
+    "serve_home_gateway",
+    "serve_platform",
+    "serve_router",
+    "serve_service",
+    "write_gateway_rows",
+]
+
+#: Seconds that a call to the platform may take.
+PLATFORM_TIMEOUT_S = 2.0
 
 
 def serve_router(settings) -> None:
@@ -34,6 +49,40 @@
     reactor.run(installSignalHandlers=False)
 
 
+def serve_home_gateway(path: str) -> None:
+    """Run a gateway over the platform's table until its planned stop is over."""
+
+    def make_store(reactor, address, _metrics):
+        url = f"http://{address[0]}:{address[1]}"
+        return TableRows(reactor, HttpTable(HttpClient(reactor), url, PLATFORM_TIMEOUT_S))
+
+    serve_gateway(path, load_gateway_settings(path), Dialect(), make_store, HomeSources())
+
+
+def write_gateway_rows(url: str, rows: list[tuple[RowKey, bytes]]) -> None:
+    """Write rows to the platform's table, whatever stood there before."""
+    from twisted.internet import reactor
+
+    failures = []
+
+    async def write():
+        table = TableRows(reactor, HttpTable(HttpClient(reactor), url, PLATFORM_TIMEOUT_S))
+        for key, value in rows:
+            row = await table.read_row(key)
+            change = RowChange(key, value, row.version)
+            await table.transact(VersionedTransaction((change,)))
+
+    def start():
+        written = defer.ensureDeferred(write())
+        written.addErrback(lambda failure: failures.append(failure.value))
+        written.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    if failures:
+        raise failures[0]
+
+
 def serve_platform(address: str) -> None:
     """Run a platform stand-in."""
     from twisted.internet import reactor
--- a/turnward/gateway/__init__.py
+++ b/turnward/gateway/__init__.py
@@ -17,6 +17,7 @@
 from turnward.gateway.logs import BoundedLineWriter, GatewayLog
 from turnward.gateway.metrics import GatewayMetrics
 from turnward.gateway.process import GatewayProcess, SourcesBase, new_incarnation
+from turnward.gateway.serving import serve_gateway
 from turnward.gateway.settings import GatewaySettings, load_gateway_settings
 from turnward.gateway.state import EndpointsSnapshot, FleetState
 
@@ -43,4 +44,5 @@
     "Workspace",
     "load_gateway_settings",
     "new_incarnation",
+    "serve_gateway",
 ]
--- /dev/null
+++ b/turnward/gateway/home.py
@@ -0,0 +1,254 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The gateway in its own home: rows over the transactional table, resources from a file.
+
+The table has no feed and no clock, so changes are looked for, and a dead
+gateway's grants stay spent. Rows are never removed; a removed one is empty. So
+the sum of a table's row versions rises with each write, and every gateway
+reads the same number for the same rows.
+"""
+
+import base64
+from pathlib import Path
+
+import msgspec
+from twisted.internet import task
+
+from turnward.gateway.configuration import Configuration, EndpointEntry
+from turnward.gateway.feeds import FeedListenerBase
+from turnward.gateway.process import SourcesBase
+from turnward.gateway.state import EndpointsSnapshot, FleetState
+from turnward.rows import (
+    RowKey,
+    RowOutcomeUnknownError,
+    RowsUnavailableError,
+    StoredRow,
+    TableChanges,
+    VersionConflictError,
+    VersionedStoreBase,
+)
+from turnward.settings import SettingsError, convert_checked, parse_address, read_toml
+from turnward.store import (
+    Absent,
+    Committed,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    Put,
+    Row,
+    TableBase,
+    Transaction,
+    VersionIs,
+)
+
+__all__ = ["GatewayResources", "HomeSources", "TableRows", "load_gateway_resources"]
+
+CONFIGURATION_TABLE = "configuration"
+ENDPOINTS_TABLE = "endpoints"
+CONFIGURATION_KEY = "all"
+#: Seconds between two looks for changes.
+_POLL_S = 0.5
+_CONFIGURATION_WAIT_S = 2.0
+_ENDPOINTS_WAIT_S = 4.0
+
+
+class TableRows(VersionedStoreBase):
+    """Versioned rows in the transactional table.
+
+    Parameters
+    ----------
+    reactor
+        Twisted's reactor.
+    table : TableBase
+        The platform's table.
+    """
+
+    def __init__(self, reactor, table: TableBase):
+        self._reactor = reactor
+        self._table = table
+
+    def time_floor_s(self):
+        """See ``VersionedStoreBase.time_floor_s``; the table tells no time."""
+        return
+
+    async def read_row(self, key):
+        """See ``VersionedStoreBase.read_row``."""
+        rows = await self._read(self._table.read([_name(key)]))
+        row = rows.get(_name(key))
+        return _stored(key, row) if row is not None else StoredRow(key, b"", 0)
+
+    async def read_table(self, table, part=""):
+        """See ``VersionedStoreBase.read_table``."""
+        prefix = _name(RowKey(table, part, ""))
+        rows = await self._read(self._table.scan_all(prefix))
+        stored = tuple(_stored(RowKey(table, part, row.key[len(prefix) :]), row) for row in rows)
+        version = sum(row.version for row in stored)
+        return TableChanges(tuple(row for row in stored if not row.gone), version)
+
+    async def transact(self, transaction):
+        """See ``VersionedStoreBase.transact``."""
+        checks = []
+        writes = []
+        for change in transaction.changes:
+            name = _name(change.key)
+            version = change.expected_version
+            checks.append(VersionIs(name, version) if version else Absent(name))
+            writes.append(Put(name, {"value": base64.b64encode(change.value).decode()}))
+        writes.extend(Put(_name(key), {"value": None}) for key in transaction.removals)
+        try:
+            result = await self._table.transact(Transaction(tuple(checks), tuple(writes)))
+        except OutcomeUnknownError as failure:
+            raise RowOutcomeUnknownError(str(failure)) from failure
+        except PlatformUnavailableError as failure:
+            raise RowsUnavailableError(str(failure)) from failure
+        if not isinstance(result, Committed):
+            raise VersionConflictError("a row had another version")
+        return max((change.expected_version for change in transaction.changes), default=0) + 1
+
+    async def changes(self, table, after_version, wait_s):
+        """See ``VersionedStoreBase.changes``; all rows are told when one has changed."""
+        until_s = self._reactor.seconds() + wait_s
+        prefix = _name(RowKey(table, "", ""))
+        while True:
+            rows = await self._read(self._table.scan_all(prefix))
+            stored = [_stored(RowKey(table, "", row.key[len(prefix) :]), row) for row in rows]
+            version = sum(row.version for row in stored)
+            if version > after_version:
+                return TableChanges(tuple(stored), version)
+            if self._reactor.seconds() >= until_s:
+                return TableChanges((), version)
+            await task.deferLater(self._reactor, _POLL_S)
+
+    async def _read(self, reading):
+        try:
+            return await reading
+        except (OutcomeUnknownError, PlatformUnavailableError) as failure:
+            raise RowsUnavailableError(str(failure)) from failure
+
+
+def _name(key: RowKey) -> str:
+    return f"rows/{key.table}/{key.part}/{key.key}"
+
+
+def _stored(key: RowKey, row: Row) -> StoredRow:
+    value = row.value["value"]
+    if value is None:
+        return StoredRow(key, b"", row.version, gone=True)
+    return StoredRow(key, base64.b64decode(value), row.version)
+
+
+class _ConfigurationListener(FeedListenerBase):
+    """Follows the configuration's row."""
+
+    def __init__(self, state: FleetState):
+        self._state = state
+        self._version = 0
+
+    @property
+    def version(self):
+        return self._version
+
+    def table_read(self, table):
+        self.rows_changed(table)
+
+    def rows_changed(self, changes):
+        self._version = max(self._version, changes.version)
+        for row in changes.rows:
+            if row.gone:
+                continue
+            try:
+                configuration = msgspec.json.decode(row.value, type=Configuration)
+            except msgspec.DecodeError as failure:
+                self._state.note_unreadable(row.key, failure)
+                continue
+            self._state.adopt_configuration(configuration, "store")
+
+
+class _EndpointsListener(FeedListenerBase):
+    """Follows the endpoints' rows."""
+
+    def __init__(self, state: FleetState):
+        self._state = state
+
+    @property
+    def version(self):
+        return self._state.endpoints_version
+
+    def table_read(self, table):
+        self._adopt({}, table)
+
+    def rows_changed(self, changes):
+        self._adopt(dict(self._state.endpoints), changes)
+
+    def _adopt(self, entries: dict[str, EndpointEntry], changes: TableChanges) -> None:
+        for row in changes.rows:
+            entries.pop(row.key.key, None)
+            if row.gone:
+                continue
+            try:
+                entries[row.key.key] = msgspec.json.decode(row.value, type=EndpointEntry)
+            except msgspec.DecodeError as failure:
+                self._state.note_unreadable(row.key, failure)
+        snapshot = EndpointsSnapshot(changes.version, tuple(entries.values()))
+        self._state.adopt_endpoints(snapshot, "store")
+
+
+class HomeSources(SourcesBase):
+    """Configuration and endpoints as ``turnward gateway_apply`` writes them."""
+
+    def feeds(self, state):
+        """See ``SourcesBase.feeds``."""
+        return [
+            (CONFIGURATION_TABLE, _CONFIGURATION_WAIT_S, _ConfigurationListener(state)),
+            (ENDPOINTS_TABLE, _ENDPOINTS_WAIT_S, _EndpointsListener(state)),
+        ]
+
+
+class GatewayResources(msgspec.Struct, forbid_unknown_fields=True):
+    """A file of gateway resources: a configuration, and the endpoints behind it."""
+
+    configuration: Configuration
+    endpoints: tuple[EndpointEntry, ...] = ()
+
+    def faults(self) -> list[str]:
+        """Return what is wrong beyond types."""
+        found = []
+        pools = {pool.name for pool in self.configuration.pools}
+        for route in self.configuration.routes:
+            prefix = route.path_prefix
+            if not (prefix.startswith("/") and prefix.endswith("/")):
+                found.append(f"routes.{route.name}.path_prefix: expected /.../, found {prefix!r}")
+            found.extend(
+                f"routes.{route.name}.pools: expected one of {', '.join(sorted(pools))}, "
+                f"found {share.pool!r}"
+                for share in route.pools
+                if share.pool not in pools
+            )
+        found.extend(
+            f"endpoints.{entry.endpoint_id}.address: expected IP:port, found {entry.address!r}"
+            for entry in self.endpoints
+            if parse_address(entry.address) is None
+        )
+        return found
+
+    def rows(self) -> list[tuple[RowKey, bytes]]:
+        """Return the rows to write."""
+        key = RowKey(CONFIGURATION_TABLE, "", CONFIGURATION_KEY)
+        rows = [(key, msgspec.json.encode(self.configuration))]
+        rows.extend(
+            (RowKey(ENDPOINTS_TABLE, "", entry.endpoint_id), msgspec.json.encode(entry))
+            for entry in self.endpoints
+        )
+        return rows
+
+
+def load_gateway_resources(path: str | Path) -> GatewayResources:
+    """Read and check a resource file.
+
+    Raises
+    ------
+    SettingsError
+        Names the file and every fault.
+    """
+    resources, faults = convert_checked(read_toml(str(path)), GatewayResources)
+    if faults:
+        raise SettingsError([f"{path}: {fault}" for fault in faults])
+    return resources
--- a/turnward/gateway/tests/rig.py
+++ b/turnward/gateway/tests/rig.py
@@ -11,19 +11,17 @@
     Dialect,
     EndpointEntry,
     EndpointPool,
-    EndpointsSnapshot,
     EngineTraits,
-    FeedListenerBase,
     GatewayMetrics,
     GatewayProcess,
     GatewaySettings,
     Repeat,
     Route,
-    SourcesBase,
     WeightedPool,
     Workspace,
     new_incarnation,
 )
+from turnward.gateway.home import HomeSources
 from turnward.http1 import InboundFactory, InboundLimits, header_value
 from turnward.standins import MemoryNetwork, MemoryRows, RowsClient
 
@@ -54,59 +52,6 @@
         return [line for line in self.lines if line["event"] == event]
 
 
-class _ConfigurationListener(FeedListenerBase):
-    def __init__(self, state):
-        self._state = state
-        self._version = 0
-
-    @property
-    def version(self):
-        return self._version
-
-    def table_read(self, table):
-        self.rows_changed(table)
-
-    def rows_changed(self, changes):
-        self._version = max(self._version, changes.version)
-        for row in changes.rows:
-            configuration = msgspec.msgpack.decode(row.value, type=Configuration)
-            self._state.adopt_configuration(configuration, "store")
-
-
-class _EndpointsListener(FeedListenerBase):
-    def __init__(self, state):
-        self._state = state
-
-    @property
-    def version(self):
-        return self._state.endpoints_version
-
-    def table_read(self, table):
-        entries = tuple(_entry(row) for row in table.rows)
-        self._state.adopt_endpoints(EndpointsSnapshot(table.version, entries), "store")
-
-    def rows_changed(self, changes):
-        entries = dict(self._state.endpoints)
-        for row in changes.rows:
-            entries.pop(row.key.key, None)
-            if not row.gone:
-                entries[row.key.key] = _entry(row)
-        snapshot = EndpointsSnapshot(changes.version, tuple(entries.values()))
-        self._state.adopt_endpoints(snapshot, "store")
-
-
-def _entry(row):
-    return msgspec.msgpack.decode(row.value, type=EndpointEntry)
-
-
-class Sources(SourcesBase):
-    def feeds(self, state):
-        return [
-            ("configuration", 2.0, _ConfigurationListener(state)),
-            ("endpoints", 4.0, _EndpointsListener(state)),
-        ]
-
-
 class Endpoint:
     """A scripted endpoint; ``behave(endpoint, request)`` answers each request."""
 
@@ -285,7 +230,7 @@
         self.configuration = msgspec.structs.replace(
             self.configuration, version=self.configuration.version + 3, **changes
         )
-        self.rows.put("configuration", "all", msgspec.msgpack.encode(self.configuration))
+        self.rows.put("configuration", "all", msgspec.json.encode(self.configuration))
 
     def endpoint(self, behave, pool="pool", announce=True):
         number = len(self.endpoints) + 1
@@ -296,7 +241,7 @@
         return endpoint
 
     def announce(self, endpoint, **changes):
-        value = msgspec.msgpack.encode(endpoint.entry(**changes))
+        value = msgspec.json.encode(endpoint.entry(**changes))
         self.rows.put("endpoints", endpoint.endpoint_id, value)
 
     def gateway(self, start=True):
@@ -325,7 +270,7 @@
             new_incarnation(node),
             DIALECT,
             client,
-            Sources(),
+            HomeSources(),
             log,
             GatewayMetrics(),
             random.Random(len(self.gateways)),
@@ -340,7 +285,7 @@
 
     def ready(self, gateways=1):
         """Write the configuration, start gateways and wait until they serve."""
-        self.rows.put("configuration", "all", msgspec.msgpack.encode(self.configuration))
+        self.rows.put("configuration", "all", msgspec.json.encode(self.configuration))
         for _ in range(gateways):
             self.gateway()
         assert self.network.advance_until(lambda: all(g.ready for g in self.gateways))
--- a/turnward/gateway/tests/test_forwarding.py
+++ b/turnward/gateway/tests/test_forwarding.py
@@ -531,7 +531,7 @@
     rig.configure(routes=(rig.route(path_prefix="/b/"),))
     rig.network.advance(0.1)
     assert (rig.ask(path=b"/a/x").status, rig.ask(path=b"/b/x").status) == (404, 200)
-    rig.rows.put("configuration", "all", msgspec.msgpack.encode(old))
+    rig.rows.put("configuration", "all", msgspec.json.encode(old))
     rig.network.advance(0.5)
     assert rig.ask(path=b"/b/x").status == 200
 
--- /dev/null
+++ b/turnward/gateway/tests/test_home.py
@@ -0,0 +1,124 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The gateway in its own home: its rows in the table, its resource files, its settings."""
+
+import msgspec
+import pytest
+from twisted.internet import defer, task
+
+from turnward.gateway import load_gateway_settings
+from turnward.gateway.home import TableRows, load_gateway_resources
+from turnward.rows import (
+    RowChange,
+    RowKey,
+    RowOutcomeUnknownError,
+    RowsUnavailableError,
+    VersionConflictError,
+    VersionedTransaction,
+)
+from turnward.settings import SettingsError
+from turnward.store import MemoryTable, OutcomeUnknownError, PlatformUnavailableError
+
+KEY = RowKey("mine", "part", "row")
+GOOD = "examples/gateway-resources.toml"
+
+
+class World:
+    def __init__(self, table=None):
+        self.clock = task.Clock()
+        self.table = table or MemoryTable()
+        self.rows = TableRows(self.clock, self.table)
+
+    def run(self, coroutine, seconds=5.0):
+        outcome = []
+        defer.ensureDeferred(coroutine).addBoth(outcome.append)
+        while not outcome and seconds > 0:
+            self.clock.advance(0.1)
+            seconds -= 0.1
+        if hasattr(outcome[0], "raiseException"):
+            outcome[0].raiseException()
+        return outcome[0]
+
+    def write(self, value, expected, key=KEY):
+        change = RowChange(key, value, expected)
+        return self.run(self.rows.transact(VersionedTransaction((change,))))
+
+
+def test_rows_are_written_under_a_condition():
+    world = World()
+    version = world.write(b"one", 0)
+    row = world.run(world.rows.read_row(KEY))
+    assert (row.value, row.version) == (b"one", version)
+    assert world.write(b"two", version) == version + 1
+    with pytest.raises(VersionConflictError):
+        world.write(b"three", version)
+
+
+def test_removed_row_is_gone_and_raises_the_version():
+    world = World()
+    key = RowKey("mine", "", "a")
+    world.write(b"1", 0, key)
+    before = world.run(world.rows.read_table("mine"))
+    world.run(world.rows.transact(VersionedTransaction((), removals=(key,))))
+    changes = world.run(world.rows.changes("mine", before.version, 1.0))
+    assert [(row.key, row.gone) for row in changes.rows] == [(key, True)]
+    assert world.run(world.rows.changes("mine", changes.version, 1.0)).rows == ()
+
+
+class Failing(MemoryTable):
+    def __init__(self, error):
+        super().__init__()
+        self.error = error
+
+    async def read(self, keys):
+        raise self.error
+
+    async def transact(self, transaction):
+        raise self.error
+
+
+@pytest.mark.parametrize(
+    ("error", "written"),
+    [
+        (PlatformUnavailableError("down"), RowsUnavailableError),
+        (OutcomeUnknownError("lost"), RowOutcomeUnknownError),
+    ],
+)
+def test_errors_of_the_table_are_turned(error, written):
+    world = World(Failing(error))
+    with pytest.raises(written):
+        world.write(b"x", 0)
+    with pytest.raises(RowsUnavailableError):
+        world.run(world.rows.read_row(KEY))
+
+
+def test_examples_are_good():
+    resources = load_gateway_resources(GOOD)
+    assert {row[0].table for row in resources.rows()} == {"configuration", "endpoints"}
+    assert load_gateway_settings("examples/gateway.toml").node == "gateway-1"
+
+
+@pytest.mark.parametrize(
+    ("change", "told"),
+    [
+        (('path_prefix = "/bookings/"', 'path_prefix = "bookings"'), "path_prefix: expected /.../"),
+        (('{ pool = "points" }', '{ pool = "point" }'), "found 'point'"),
+        (('address = "127.0.0.1:8080"', 'address = "here"'), "address: expected IP:port"),
+        (("version = 1", 'version = "one"'), "configuration.version: expected `int`"),
+        (("[[endpoints]]", "[[endpoint]]"), "endpoint: expected one of"),
+    ],
+)
+def test_faults_in_resources_are_named(change, told, tmp_path):
+    with open(GOOD) as file:
+        text = file.read()
+    assert change[0] in text
+    path = tmp_path / "resources.toml"
+    path.write_text(text.replace(*change))
+    with pytest.raises(SettingsError, match="resources.toml") as caught:
+        load_gateway_resources(path)
+    assert told in str(caught.value)
+
+
+def test_configuration_survives_its_row():
+    configuration = load_gateway_resources(GOOD).configuration
+    encoded = msgspec.json.encode(configuration)
+    assert msgspec.json.decode(encoded, type=type(configuration)) == configuration
