--- /dev/null
+++ b/turnward/gateway/tests/test_fuzz.py
@@ -0,0 +1,136 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Any bytes at any face: a clear answer or a closed connection, and the process serves on."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from turnward.gateway import Repeat
+from turnward.gateway.tests.rig import PEERS_PORT, READY_PORT, Rig, raw, well
+
+FUZZ = settings(max_examples=150, deadline=None, derandomize=True, database=None)
+
+LINES = st.lists(
+    st.sampled_from(
+        [
+            b"GET /a/x HTTP/1.1",
+            b"POST /a/x HTTP/1.1",
+            b"GET /a/x HTTP/1.0",
+            b"GET http://shop.example/a/x HTTP/1.1",
+            b"CONNECT shop.example:80 HTTP/1.1",
+            b"PRI * HTTP/2.0",
+            b"Host: shop.example",
+            b"Host: other",
+            b"Request-Id: f-1",
+            b"Request-Id:",
+            b"Authorization: Bearer key-one",
+            b"Authorization: Bearer",
+            b"Content-Length: 3",
+            b"Content-Length: -1",
+            b"Content-Length: 99999999999",
+            b"Transfer-Encoding: chunked",
+            b"Transfer-Encoding: gzip, chunked",
+            b"Upgrade: websocket",
+            b"Connection: upgrade, close",
+            b"Expect: 100-continue",
+            b"Deadline-Ms: many",
+            b"Deadline-Ms: -5",
+            b"Deadline-Ms: nan",
+            b"Token-Count: 1,",
+            b"Token-Count: 999999999999999999999,1",
+            b"Prompt-Parts: a:b:c,,:",
+            b" folded",
+            b"",
+            b"3\r\nabc",
+            b"0",
+            b"abc",
+        ]
+    ),
+    max_size=14,
+).map(b"\r\n".join)
+
+
+def alive(rig):
+    caller = rig.ask()
+    return caller.status == 200 and not rig.logs[0].of("process.fault")
+
+
+def fresh(**fields):
+    rig = Rig(**fields)
+    rig.endpoint(well)
+    return rig.ready()
+
+
+@FUZZ
+@given(st.one_of(st.binary(max_size=200), LINES))
+def test_any_bytes_of_a_caller(data):
+    rig = fresh(time_limit_s=2.0)
+    caller = rig.connect()
+    caller.transport.write(data + b"\r\n\r\n")
+    rig.network.advance(0.1)
+    caller.transport.write(b"more\r\n\r\n")
+    rig.network.advance(8.0, step_s=0.05)
+    assert caller.received == b"" or caller.received.startswith(b"HTTP/1.1 ")
+    assert alive(rig)
+
+
+ANSWERS = st.lists(
+    st.sampled_from(
+        [
+            b"HTTP/1.1 200 OK",
+            b"HTTP/1.1 503 Busy",
+            b"HTTP/1.1 100 Continue",
+            b"HTTP/1.1 204 None",
+            b"HTTP/1.1 999 ?",
+            b"HTTP/9.9 200 OK",
+            b"Request-Id: <id>",
+            b"Request-Id: other",
+            b"Answer-Seal: s",
+            b"Not-Run: 1",
+            b"Content-Length: 3",
+            b"Content-Length: x",
+            b"Transfer-Encoding: chunked",
+            b"Connection: close",
+            b"Keep-Alive: timeout=x",
+            b"",
+            b"abc",
+            b"3\r\nabc",
+            b"0\r\n",
+            b"id: 1\ndata: x\n",
+        ]
+    ),
+    max_size=12,
+).map(b"\r\n".join)
+
+
+@FUZZ
+@given(
+    st.one_of(st.binary(max_size=200), ANSWERS),
+    st.sampled_from([Repeat.ANY, Repeat.ONCE, Repeat.STREAM]),
+)
+def test_any_bytes_of_an_endpoint(data, repeat):
+    rig = Rig(repeat=repeat, time_limit_s=1.0, attempts=1)
+    endpoint = rig.endpoint(raw(data))
+    rig.ready()
+    caller = rig.ask(method=b"POST", body=b"", limit_s=3.0)
+    if caller.status == 200:
+        assert b"Answer-Seal: s" in data
+        assert b"HTTP/1.1 200 OK" in data
+    assert caller.received == b"" or caller.received.startswith(b"HTTP/1.1 ")
+    endpoint.behave = well
+    rig.network.advance(6.0, step_s=0.05)
+    assert rig.ask(method=b"POST", body=b"").status == 200
+    assert not rig.logs[0].of("process.fault")
+
+
+@FUZZ
+@given(st.binary(max_size=300))
+def test_any_datagram_and_any_bytes_at_the_inner_ports(data):
+    rig = fresh()
+    sender = rig.network.machine("10.7.7.7")
+    sender.listenUDP(5, rig.gateways[0].peers.exchange.__class__(lambda digest: None))
+    rig.machines[0].datagram_listeners[PEERS_PORT].datagramReceived(data, ("10.7.7.7", 5))
+    for port in (PEERS_PORT, READY_PORT):
+        caller = rig.connect(port=port)
+        caller.transport.write(data)
+    rig.network.advance(0.2)
+    assert alive(rig)
