--- a/turnward/events/story.py
+++ b/turnward/events/story.py
@@ -25,6 +25,8 @@
         "store.lost",
         "store.regained",
         "prepaid.answer_lost",
+        "prepaid.contact_lost",
+        "prepaid.contact_regained",
         "prepaid.resolved",
         "prepaid.predecessors",
         "log.left_out",
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -278,7 +278,7 @@
         if accounts is None or workspace is None or workspace.prepaid_tokens is None or not tokens:
             self._gather_body()
             return
-        answer = accounts.reserve(workspace.name, tokens)
+        answer = accounts.reserve(workspace.name, tokens, self.priority)
         if isinstance(answer, defer.Deferred):
             self._waiting = answer
             answer.addCallback(self._reserved)
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -49,9 +49,13 @@
 #: Seconds between two looks at the ledger's plans.
 _PERIOD_S = 0.25
 #: Seconds of pause after the store was not reached.
-_PAUSE_S = 0.5
+_PAUSE_S = 0.3
 #: Part of the tokens within reach that all routers together hold without demand.
 _FLOOR = 0.08
+#: Part of what was held at the last contact that is kept for more urgent requests, by step
+#: of priority, and at most.
+_KEPT_BY_PRIORITY = 0.15
+_KEPT_LIMIT = 0.5
 #: Conflicts in a row after which a change is left for the next look.
 _CONFLICT_LIMIT = 30
 
@@ -162,13 +166,22 @@
 class _Account:
     """What this router knows of one workspace's row."""
 
-    __slots__ = ("busy", "limit", "row", "unresolved", "version", "waiters")
+    __slots__ = (
+        "busy",
+        "free_in_contact",
+        "limit",
+        "row",
+        "unresolved",
+        "version",
+        "waiters",
+    )
 
     def __init__(self):
         self.row: AccountRow | None = None
         self.version = 0
         self.limit = (0, 0)
         self.busy = False
+        self.free_in_contact = 0
         self.waiters: list[_Waiter] = []
         self.unresolved: tuple[int, AccountRow] | None = None
 
@@ -214,6 +227,7 @@
         self._live_routers = live_routers
         self._promise_rule = promise_rule or PromiseRule()
         self._paused_until_s = 0.0
+        self._lost_contact = False
         self._stopping = False
         self.ledger = GrantLedger(rule)
         self._reports = SpendReports(
@@ -230,11 +244,17 @@
             account = self._account(workspace.name)
             account.limit = (workspace.prepaid_tokens, version)
             if account.row is not None:
-                self._observe(workspace.name, account)
+                self._show_limit(workspace.name, account)
             self.work_on(workspace.name)
 
-    def reserve(self, workspace: str, tokens: int):
-        """Return a reservation, a refusal, or a deferred of one of them."""
+    def reserve(self, workspace: str, tokens: int, priority: int = 0):
+        """Return a reservation, a refusal, or a deferred of one of them.
+
+        While the store is not reached, a part of what is left is kept for more
+        urgent requests than one of ``priority`` (0 is the most urgent).
+        """
+        if self._lost_contact and not self._leaves_enough(workspace, tokens, priority):
+            return BudgetAnswer.UNREACHABLE
         reservation = self._try_reserve(workspace, tokens, first_try=True)
         if reservation is not None:
             if self.ledger.free_tokens(workspace) < tokens:
@@ -244,8 +264,8 @@
         if account.row is not None and self._is_exhausted(account, workspace, tokens):
             self.work_on(workspace)
             return BudgetAnswer.EXHAUSTED
-        if self._reactor.seconds() < self._paused_until_s:
-            # The store was just not reached: waiting would only make the refusal late.
+        if self._lost_contact:
+            # Waiting would only make the refusal late.
             return BudgetAnswer.UNREACHABLE
         waiter = _Waiter(tokens, self._reactor.seconds() + _WAIT_S)
         account.waiters.append(waiter)
@@ -254,6 +274,11 @@
         self.work_on(workspace)
         return waiter.deferred
 
+    def _leaves_enough(self, workspace: str, tokens: int, priority: int) -> bool:
+        kept = min(_KEPT_LIMIT, _KEPT_BY_PRIORITY * priority)
+        floor = kept * self._account(workspace).free_in_contact
+        return self.ledger.free_tokens(workspace) - tokens >= floor
+
     def _try_reserve(self, workspace: str, tokens: int, first_try: bool) -> Reservation | None:
         committed = self.ledger.committed_tokens(workspace)
         allowance = self._reports.allowance_tokens(workspace, committed)
@@ -327,6 +352,21 @@
 
     def _pause(self) -> None:
         self._paused_until_s = self._reactor.seconds() + _PAUSE_S
+        if self._lost_contact:
+            return
+        self._lost_contact = True
+        self._log.failure("prepaid.contact_lost")
+        for account in self._accounts.values():
+            waiters, account.waiters = account.waiters, []
+            for waiter in waiters:
+                waiter.deferred.callback(BudgetAnswer.UNREACHABLE)
+
+    def _note_contact(self) -> None:
+        if self._lost_contact:
+            self._lost_contact = False
+            self._log.event("prepaid.contact_regained")
+        for workspace, account in self._accounts.items():
+            account.free_in_contact = self.ledger.free_tokens(workspace)
 
     def _ended(self, workspace: str, account: _Account) -> None:
         account.busy = False
@@ -350,6 +390,7 @@
         )
 
     def _reported(self) -> None:
+        self._note_contact()
         for workspace, account in self._accounts.items():
             if account.waiters:
                 self._serve_waiters(workspace, account)
@@ -452,6 +493,11 @@
         self._observe(workspace, account)
 
     def _observe(self, workspace: str, account: _Account) -> None:
+        self._note_contact()
+        self._show_limit(workspace, account)
+
+    def _show_limit(self, workspace: str, account: _Account) -> None:
+        """Let the ledger see the row under the newest limit known."""
         account.row = with_limit(account.row, *account.limit)
         held = account.row.granted_tokens.get(self._incarnation, 0)
         granted = sum(account.row.granted_tokens.values())
--- a/turnward/gateway/tests/test_prepaid.py
+++ b/turnward/gateway/tests/test_prepaid.py
@@ -440,6 +440,31 @@
     assert world.routers[0].reserve("acme", 6) is BudgetAnswer.UNREACHABLE
 
 
+def test_urgent_requests_go_first_while_the_store_is_not_reached():
+    world = World()
+    world.spend(0, 20)
+    calm(world)
+    router = world.routers[0]
+    world.clock.advance(PROMISES.lease_s)
+    held = router.ledger.free_tokens("acme")
+    router.look()
+    while world.stores[0].decide("refused"):
+        pass
+    assert router.reserve("acme", held - 2, priority=2) is BudgetAnswer.UNREACHABLE
+    assert isinstance(router.reserve("acme", held - 2, priority=0), Reservation)
+
+
+def test_waiting_requests_are_refused_when_contact_is_lost():
+    world = World()
+    answer = world.routers[0].reserve("acme", 5)
+    refused = []
+    answer.addCallback(refused.append)
+    assert refused == []
+    while world.stores[0].decide("refused"):
+        pass
+    assert refused == [BudgetAnswer.UNREACHABLE]
+
+
 def calm(world, seconds=3.0):
     """Let the store answer everything for a while."""
     for _ in range(int(seconds / 0.1)):
