--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -270,7 +270,7 @@
 
     def _reserve(self) -> None:
         self._timer = self._forwarder.reactor.callLater(
-            max(0.0, self._deadline_s - self._now_s()), self._time_over
+            max(0.0, self._deadline_s - self._now_s()), self.time_over
         )
         workspace = self._workspace
         accounts = self._forwarder.accounts
@@ -332,7 +332,7 @@
         """Send to an endpoint, or answer that the request has not run."""
         forwarder = self._forwarder
         if self._deadline_s - self._now_s() < _LEAST_SEND_S:
-            self._time_over()
+            self.time_over()
             return
         if not self._pool:
             self._pool = self._route.choose_pool(forwarder.draw)
@@ -473,6 +473,11 @@
             return True
         return forwarder.allowance(self._pool).take(forwarder.live_routers())
 
+    @property
+    def may_still_send(self) -> bool:
+        """Whether a send is worth while; the process may have stood still since it was decided."""
+        return not self._over and self._deadline_s - self._now_s() >= _LEAST_SEND_S
+
     def note_sent(self) -> None:
         """Count an endpoint that the request is sent to."""
         self._attempts += 1
@@ -591,7 +596,8 @@
         self._request.abort()
         self._end(Outcome.CUT, None, reason=reason)
 
-    def _time_over(self) -> None:
+    def time_over(self) -> None:
+        """End a request whose time is up."""
         if self._over:
             return
         attempt, self._attempt = self._attempt, None
@@ -787,6 +793,10 @@
     def exchange_began(self, connection):
         self._connection = connection
         owner = self._owner
+        if not owner.may_still_send:
+            connection.drop()
+            owner.time_over()
+            return
         self.sent = True
         self.reused = connection.exchanges > 1
         owner.note_sent()
--- a/turnward/gateway/tests/test_forwarding.py
+++ b/turnward/gateway/tests/test_forwarding.py
@@ -641,3 +641,19 @@
         assert rig.ask().status == 500
     assert "ZeroDivisionError" in rig.logs[0].of("process.fault")[0]["cause"]
     assert rig.ask().status == 200
+
+
+def test_process_that_was_frozen_before_a_send_sends_nothing_late():
+    rig = Rig(repeat=Repeat.ONCE, time_limit_s=2.0)
+    endpoint = rig.endpoint(well)
+    rig.ready()
+    caller = rig.connect()
+    caller.transport.write(rig.request_bytes(method=b"POST", body=b""))
+    # The request is read and a connection is being opened.
+    assert rig.network.advance_until(lambda: rig.gateways[0].forwarder.open)
+    rig.machines[0].freeze()
+    rig.network.advance(3.0)
+    rig.machines[0].wake()
+    rig.network.advance(0.5)
+    assert endpoint.requests == []
+    assert (caller.status, reason(caller)) == (503, "time_limit")
--- a/turnward/standins/network.py
+++ b/turnward/standins/network.py
@@ -93,20 +93,10 @@
 
     def callLater(self, delay, function, *args, **kwargs):  # noqa: N802
         """Call a function later, if the machine lives and is awake then."""
-        holder: list = []
-
-        def call():
-            self._calls.remove(holder[0])
-            if not self.alive:
-                return
-            if self._frozen is not None:
-                self._frozen.append(lambda: function(*args, **kwargs))
-                return
-            function(*args, **kwargs)
-
-        holder.append(self._network.clock.callLater(delay, call))
-        self._calls.append(holder[0])
-        return holder[0]
+        call = _MemoryCall(self, function, args, kwargs)
+        call.start(self._network.clock, delay)
+        self._calls.append(call)
+        return call
 
     def callFromThread(self, function, *args):  # noqa: N802
         """Call a function soon."""
@@ -138,7 +128,8 @@
         """End the process: its connections are reset, its calls never come."""
         self.alive = False
         for call in list(self._calls):
-            call.cancel()
+            if call.active():
+                call.cancel()
         self._calls.clear()
         self.listeners.clear()
         self.datagram_listeners.clear()
@@ -157,7 +148,22 @@
         """Let a frozen process go on, with all that became due."""
         due, self._frozen = self._frozen or [], None
         for call in due:
-            call()
+            if call.active():
+                call.run()
+
+    def due(self, call: "_MemoryCall") -> None:
+        """Run a call whose time has come, or keep it while the machine is frozen."""
+        if not self.alive:
+            return
+        if self._frozen is not None:
+            self._frozen.append(call)
+        else:
+            call.run()
+
+    def forget(self, call: "_MemoryCall") -> None:
+        """Drop a call that has run or was cancelled."""
+        if call in self._calls:
+            self._calls.remove(call)
 
     @property
     def network(self) -> MemoryNetwork:
@@ -169,6 +175,43 @@
         return not self._network.is_cut(self.host, host)
 
 
+class _MemoryCall:
+    """A call that comes later; it can be cancelled until it runs, also while frozen."""
+
+    def __init__(self, machine, function, args, kwargs):
+        self._machine = machine
+        self._function = function
+        self._args = args
+        self._kwargs = kwargs
+        self._timer = None
+        self._over = False
+
+    def start(self, clock, delay):
+        """Have the clock call."""
+        self._timer = clock.callLater(delay, self._machine.due, self)
+
+    def active(self):
+        """Tell whether the call is still to come."""
+        return not self._over
+
+    def cancel(self):
+        """Let the call never come."""
+        if self._over:
+            raise error.AlreadyCalled
+        self._end()
+
+    def run(self):
+        """Call now."""
+        self._end()
+        self._function(*self._args, **self._kwargs)
+
+    def _end(self):
+        self._over = True
+        if self._timer.active():
+            self._timer.cancel()
+        self._machine.forget(self)
+
+
 class _MemoryPort:
     """A port that is listened on."""
 
