--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -176,11 +176,18 @@
 
 
 class EndpointChoice(msgspec.Struct, frozen=True):
-    """The endpoint chosen, what it costs and among how many."""
+    """The endpoint chosen, what it costs and among how many.
+
+    Attributes
+    ----------
+    kept_tokens : int
+        Tokens of the prompt that own requests have read there lately.
+    """
 
     record: EndpointRecord
     cost_ms: float
     candidates: int
+    kept_tokens: int
 
 
 class EndpointBook:
@@ -271,7 +278,8 @@
                 for record in candidates
             ]
         cost_ms, record = min(costs, key=lambda cost: cost[0] + self._draw.random() * _TIE_MS)
-        return EndpointChoice(record, round(cost_ms, 1), len(candidates))
+        kept = record.kept_tokens(prompt, now_s)
+        return EndpointChoice(record, round(cost_ms, 1), len(candidates), kept)
 
     def _may_take(self, record: EndpointRecord, now_s: float) -> bool:
         if now_s < record.rest_until_s:
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -30,6 +30,7 @@
     header_value,
     header_values,
 )
+from turnward.ledger import Reservation
 
 __all__ = ["Forwarder", "ForwardingRules", "Outcome"]
 
@@ -176,6 +177,7 @@
         self._request_id = b""
         self._deadline_s = 0.0
         self._reservation = None
+        self._repeat_reservations: list[Reservation] = []
         self._waiting: defer.Deferred | None = None
         self._timer = None
         self._body: list[bytes] = []
@@ -355,6 +357,8 @@
             cost_ms=choice.cost_ms,
             candidates=choice.candidates,
             in_flight=record.in_flight,
+            prompt_tokens=self._prompt.tokens,
+            kept_tokens=choice.kept_tokens,
             endpoints=forwarder.state.endpoints_version,
             left_s=round(self._deadline_s - self._now_s(), 3),
         )
@@ -471,8 +475,21 @@
             return False
         if not take:
             return True
+        if ran and not self._reserve_repeat():
+            return False
         return forwarder.allowance(self._pool).take(forwarder.live_routers())
 
+    def _reserve_repeat(self) -> bool:
+        """Set aside what another run may make; the one before may go on for nobody."""
+        if self._reservation is None or not self._prompt.output_tokens:
+            return True
+        accounts = self._forwarder.accounts
+        reservation = accounts.reserve_now(self._workspace.name, self._prompt.output_tokens)
+        if reservation is None:
+            return False
+        self._repeat_reservations.append(reservation)
+        return True
+
     @property
     def may_still_send(self) -> bool:
         """Whether a send is worth while; the process may have stood still since it was decided."""
@@ -693,6 +710,8 @@
     def _settle(self, used_tokens: int | None) -> int:
         """Close the reservation; what may have been used but isn't known counts whole."""
         reservation, self._reservation = self._reservation, None
+        for repeat in self._repeat_reservations:
+            self._forwarder.accounts.settle(repeat, repeat.tokens)
         if reservation is None:
             return 0
         used = reservation.tokens if used_tokens is None else used_tokens
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -288,6 +288,10 @@
         result = self.ledger.reserve(workspace, tokens, self._reactor.seconds(), first_try)
         return result.ok if result.is_ok() else None
 
+    def reserve_now(self, workspace: str, tokens: int) -> Reservation | None:
+        """Return a reservation out of what is held, or None."""
+        return self._try_reserve(workspace, tokens, first_try=True)
+
     def settle(self, reservation: Reservation, used_tokens: int) -> None:
         """Close a reservation with what was used."""
         self.ledger.settle(reservation, used_tokens)
--- a/turnward/gateway/tests/test_prepaid.py
+++ b/turnward/gateway/tests/test_prepaid.py
@@ -501,6 +501,25 @@
     assert {(caller.status, reason(caller)) for caller in refused} == {(402, "budget_exhausted")}
 
 
+def test_repeat_after_a_run_sets_aside_what_another_run_may_make():
+    workspace = Workspace(name="acme", keys=(KEY.decode(),), prepaid_tokens=100_000)
+    rig = Rig(
+        pools=(ENGINE_POOL,),
+        workspaces=(workspace,),
+        repeat=Repeat.STREAM,
+        resumable=True,
+        attempts=2,
+    )
+    for _ in range(2):
+        rig.endpoint(stream(9, upto=4, then=lambda e, r: e.machine.callLater(0.1, r.abort)))
+    rig.ready()
+    rig.network.advance(1.0)
+    rig.ask(method=b"POST", body=b"", headers=rig.prompt(80, 40))
+    ledger = rig.gateways[0].accounts.ledger
+    assert sum(len(endpoint.requests) for endpoint in rig.endpoints) == 2
+    assert ledger.committed_tokens("acme") == 80 + 40 + 40
+
+
 def test_request_larger_than_all_that_is_left_is_refused_at_once():
     rig = prepaid_rig(1_000)
     rig.network.advance(1.0)
