--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -45,7 +45,7 @@
 TABLE = "prepaid"
 ROW_NAME = "account"
 #: Seconds a request waits for a grant before it is refused.
-_WAIT_S = 0.4
+_WAIT_S = 0.3
 #: Seconds between two looks at the ledger's plans.
 _PERIOD_S = 0.25
 #: Seconds of pause after the store was not reached.
@@ -171,6 +171,7 @@
         "free_in_contact",
         "limit",
         "row",
+        "unfolded",
         "unresolved",
         "version",
         "waiters",
@@ -178,6 +179,8 @@
 
     def __init__(self):
         self.row: AccountRow | None = None
+        #: The row as stored, while ``row`` leaves out ended processes' grants.
+        self.unfolded: AccountRow | None = None
         self.version = 0
         self.limit = (0, 0)
         self.busy = False
@@ -356,6 +359,9 @@
 
     def _pause(self) -> None:
         self._paused_until_s = self._reactor.seconds() + _PAUSE_S
+        self._lose_contact()
+
+    def _lose_contact(self) -> None:
         if self._lost_contact:
             return
         self._lost_contact = True
@@ -492,7 +498,9 @@
     def _take_in(self, workspace: str, account: _Account, row: StoredRow) -> None:
         if row.version >= account.version:
             stored = decode_account(row)
-            account.row = self._fold(workspace, with_limit(stored, *account.limit))
+            limited = with_limit(stored, *account.limit)
+            account.row = self._fold(workspace, limited)
+            account.unfolded = limited if account.row is not limited else None
             account.version = 0 if row.gone else row.version
         self._observe(workspace, account)
 
@@ -516,8 +524,7 @@
         tokens is not spent, one that gives back is not taken again, until it
         is known what became of it.
         """
-        before = self._fold(workspace, account.row)
-        wanted = change_grant(before, self._incarnation, delta_tokens)
+        wanted = change_grant(account.row, self._incarnation, delta_tokens)
         key = RowKey(TABLE, workspace, ROW_NAME)
         change = RowChange(key, encode_account(wanted), account.version)
         try:
@@ -532,11 +539,21 @@
             account.unresolved = (delta_tokens, wanted)
             self._log.failure("prepaid.answer_lost", workspace=workspace, tokens=delta_tokens)
             raise
+        if account.unfolded is not None:
+            self._log_fold(workspace, account.unfolded, account.row)
+            account.unfolded = None
         account.row = wanted
         account.version = version
         self._observe(workspace, account)
         return True
 
+    def _log_fold(self, workspace: str, row: AccountRow, folded: AccountRow) -> None:
+        held = sum(row.granted_tokens.values()) - sum(folded.granted_tokens.values())
+        spent = folded.ended_tokens - row.ended_tokens
+        self._log.event(
+            "prepaid.folded", workspace=workspace, held=held, spent=spent, returned=held - spent
+        )
+
     def _fold(self, workspace: str, row: AccountRow) -> AccountRow:
         bounds = {
             incarnation: by_workspace[workspace]
@@ -594,6 +611,8 @@
         if waiter in account.waiters:
             account.waiters.remove(waiter)
             waiter.deferred.callback(BudgetAnswer.UNREACHABLE)
+            # Whoever comes before the store has answered is refused without this wait.
+            self._lose_contact()
 
     def _is_exhausted(self, account: _Account, workspace: str, tokens: int) -> bool:
         """Tell whether what is left, here and in the store, can't hold a request."""
--- a/turnward/gateway/spending.py
+++ b/turnward/gateway/spending.py
@@ -157,6 +157,8 @@
         self._version = 0
         self._number = 0
         self._busy = False
+        self._reading: defer.Deferred | None = None
+        self._readers: list[defer.Deferred] = []
         self._sent: list[_SentReport] = []
         self._last_sent_s = -1e9
         #: By ended incarnation and workspace, the most that it spent; None until read.
@@ -176,7 +178,24 @@
     # Predecessors.
 
     async def read_ended(self) -> None:
-        """Learn what earlier incarnations of this node can have spent at most."""
+        """Learn what earlier incarnations of this node can have spent at most.
+
+        Several callers at once share one read.
+        """
+        if self._reading is None:
+            self._reading = defer.ensureDeferred(self._read_ended())
+            self._reading.addBoth(self._read_over)
+        waiting = defer.Deferred()
+        self._readers.append(waiting)
+        await waiting
+
+    def _read_over(self, result) -> None:
+        self._reading = None
+        readers, self._readers = self._readers, []
+        for waiting in readers:
+            waiting.callback(result)
+
+    async def _read_ended(self) -> None:
         table = await self._store.read_table(TABLE, self._node)
         now_s = self._store.time_floor_s()
         ended = {}
--- a/turnward/gateway/tests/test_prepaid.py
+++ b/turnward/gateway/tests/test_prepaid.py
@@ -465,6 +465,20 @@
     assert refused == [BudgetAnswer.UNREACHABLE]
 
 
+def test_only_the_first_request_waits_for_a_store_that_is_silent():
+    world = World()
+    answers = []
+    world.routers[0].reserve("acme", 5).addCallback(answers.append)
+    world.clock.advance(0.5)
+    assert answers == [BudgetAnswer.UNREACHABLE]
+    assert world.routers[0].reserve("acme", 5) is BudgetAnswer.UNREACHABLE
+    calm(world)
+    assert isinstance(world.routers[0].reserve_now("acme", 1), Reservation | None)
+    world.spend(0, 5)
+    calm(world)
+    assert world.spent == 5
+
+
 def calm(world, seconds=3.0):
     """Let the store answer everything for a while."""
     for _ in range(int(seconds / 0.1)):
