--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -6,23 +6,20 @@
 """
 
 from collections.abc import Callable
-from enum import StrEnum
 
 import msgspec
 from twisted.internet import defer
 
+from turnward.gateway.attempt import EndpointAttempt
 from turnward.gateway.choice import EndpointBook, EndpointRecord, Prompt, parse_prompt_parts
 from turnward.gateway.configuration import Route, Workspace
 from turnward.gateway.dialect import Dialect
+from turnward.gateway.outcomes import PROMISES_NOT_RUN, Outcome, Reason
 from turnward.gateway.prepaid import BudgetAnswer, PrepaidAccounts
 from turnward.gateway.retries import RepeatAllowance, RepeatRule
 from turnward.gateway.state import FleetState
-from turnward.gateway.streams import EventSplitter
 from turnward.http1 import (
-    AnswerMatch,
-    ExchangeBase,
     ExchangeFailure,
-    FailureCause,
     HeaderList,
     InboundRequest,
     encode_request_head,
@@ -32,49 +29,12 @@
 )
 from turnward.ledger import Reservation
 
-__all__ = ["Forwarder", "ForwardingRules", "Outcome"]
+__all__ = ["Forwarder", "Forwarding", "ForwardingRules"]
 
 #: Bytes of a request's body kept for another send.
 _REPLAY_LIMIT_BYTES = 262_144
-#: Bytes of a plain answer that are gathered before any is passed on.
-_GATHER_LIMIT_BYTES = 65_536
 #: Least time left that is worth a send, in seconds.
 _LEAST_SEND_S = 0.02
-#: Seconds a kept connection may have rested for a request that must not run twice.
-_FRESH_S = 1.0
-#: Answers that promise that a request has not run.
-_PROMISES_NOT_RUN = frozenset((408, 421, 429, 503))
-
-
-class Outcome(StrEnum):
-    """How a request ended, for logs and counters."""
-
-    SERVED = "served"
-    ENDPOINT_ERROR = "endpoint_error"
-    REFUSED = "refused"
-    NOT_RUN = "not_run"
-    UNKNOWN = "unknown"
-    TIME_LIMIT = "time_limit"
-    CUT = "cut"
-    CALLER_GONE = "caller_gone"
-
-
-class Reason(StrEnum):
-    """Why a request was refused or failed; told to the caller."""
-
-    BAD_REQUEST = "bad_request"
-    NO_ROUTE = "no_route"
-    NO_KEY = "unknown_key"
-    NO_CONFIGURATION = "no_configuration_yet"
-    STALE_CONFIGURATION = "configuration_not_confirmed"
-    BUDGET_EXHAUSTED = "budget_exhausted"
-    BUDGET_UNREACHABLE = "budget_unreachable"
-    NO_ENDPOINT = "no_endpoint"
-    ENDPOINTS_FULL = "endpoints_full"
-    TIME_LIMIT = "time_limit"
-    ENDPOINT_LOST = "endpoint_lost"
-    BAD_ANSWER = "bad_answer"
-    STOPPING = "stopping"
 
 
 class ForwardingRules(msgspec.Struct, frozen=True, kw_only=True):
@@ -183,7 +143,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._replayable = True
-        self._attempt: _Attempt | None = None
+        self._attempt: EndpointAttempt | None = None
         self._attempts = 0
         self._tried: set[str] = set()
         self._may_have_run = False
@@ -362,7 +322,7 @@
             endpoints=forwarder.state.endpoints_version,
             left_s=round(self._deadline_s - self._now_s(), 3),
         )
-        self._attempt = _Attempt(self, record)
+        self._attempt = EndpointAttempt(self, record)
         self._attempt.start()
 
     def request_head(self, record: EndpointRecord) -> bytes:
@@ -408,7 +368,7 @@
 
     # Answers of attempts.
 
-    def attempt_not_run(self, attempt: "_Attempt", status: int, reason: Reason) -> None:
+    def attempt_not_run(self, attempt: "EndpointAttempt", status: int, reason: Reason) -> None:
         """Note that an endpoint did not run the request."""
         self._end_attempt(attempt, "not_run", status=status)
         if self._may_go_on(repeat=attempt.sent, ran=False):
@@ -416,7 +376,7 @@
         else:
             self._give_up(reason)
 
-    def attempt_failed(self, attempt: "_Attempt", failure: ExchangeFailure) -> None:
+    def attempt_failed(self, attempt: "EndpointAttempt", failure: ExchangeFailure) -> None:
         """Note that an attempt ended without a whole answer."""
         if not failure.sent:
             self._end_attempt(attempt, "unreachable", cause=failure.cause)
@@ -434,7 +394,7 @@
         else:
             self._fail(502, Reason.ENDPOINT_LOST)
 
-    def attempt_bad(self, attempt: "_Attempt", reason: Reason) -> None:
+    def attempt_bad(self, attempt: "EndpointAttempt", reason: Reason) -> None:
         """Note an answer that must not be passed on."""
         self._may_have_run = True
         self._end_attempt(attempt, "bad_answer")
@@ -449,7 +409,7 @@
         """Tell whether an endpoint's error may be answered by another endpoint."""
         return self._may_go_on(repeat=True, ran=True, take=False)
 
-    def retry_error(self, attempt: "_Attempt", status: int) -> bool:
+    def retry_error(self, attempt: "EndpointAttempt", status: int) -> bool:
         """Send an errored request elsewhere; False when that is not allowed any more."""
         if not self._may_go_on(repeat=True, ran=True):
             return False
@@ -499,7 +459,7 @@
         """Count an endpoint that the request is sent to."""
         self._attempts += 1
 
-    def _end_attempt(self, attempt: "_Attempt", how: str, **fields) -> None:
+    def _end_attempt(self, attempt: "EndpointAttempt", how: str, **fields) -> None:
         self._attempt = None
         attempt.over = True
         self._forwarder.log.failure(
@@ -562,7 +522,7 @@
         if last_id is not None:
             self._last_event_id = last_id
 
-    def answer_ended(self, attempt: "_Attempt", status: int) -> None:
+    def answer_ended(self, attempt: "EndpointAttempt", status: int) -> None:
         """End a whole answer."""
         self._attempt = None
         attempt.over = True
@@ -591,7 +551,7 @@
     def _refuse(self, status: int, reason: Reason) -> None:
         """Answer a request that has not run and will not."""
         headers = []
-        if status in _PROMISES_NOT_RUN:
+        if status in PROMISES_NOT_RUN:
             retry_s = self._forwarder.rules.retry_after_s
             headers.append((b"retry-after", b"%g" % retry_s))
         self._answer_problem(status, reason, headers)
@@ -752,239 +712,3 @@
     def must_run_once(self) -> bool:
         """Whether a second run is ruled out."""
         return not self._route.may_repeat
-
-
-class _Attempt(ExchangeBase):
-    """One send of a request to one endpoint."""
-
-    def __init__(self, owner: Forwarding, record: EndpointRecord):
-        self._owner = owner
-        self._handle = None
-        self._connection = None
-        self._status = 0
-        self._headers: HeaderList = []
-        self._retrying = False
-        self._gathered: list[bytes] | None = None
-        self._gathered_bytes = 0
-        self._splitter = EventSplitter() if owner.streams else None
-        self._prefill_tokens = 0
-        self._counted = False
-        self.record = record
-        self.method = owner.method
-        self.answer_id = (owner.forwarder.dialect.request_id, owner.request_id)
-        self.over = False
-        self.sent = False
-        self.reused = False
-
-    def start(self) -> None:
-        """Send."""
-        owner = self._owner
-        now_s = owner.forwarder.reactor.seconds()
-        record = self.record
-        kept = record.kept_tokens(owner.prompt, now_s)
-        self._prefill_tokens = max(0, owner.prompt.tokens - kept)
-        record.in_flight += 1
-        record.prefill_tokens += self._prefill_tokens
-        self._counted = True
-        handle = record.pool.start(self, _FRESH_S if owner.must_run_once else None)
-        if not self.over:
-            self._handle = handle
-
-    def cancel(self) -> None:
-        """Give the attempt up; its connection is reset."""
-        self.over = True
-        self._uncount()
-        if self._handle is not None:
-            self._handle.cancel()
-
-    def pause(self) -> None:
-        """Hold the endpoint back."""
-        if self._connection is not None:
-            self._connection.pause()
-
-    def resume(self) -> None:
-        """Let the endpoint send on."""
-        if self._connection is not None:
-            self._connection.resume()
-
-    # The request.
-
-    def exchange_began(self, connection):
-        self._connection = connection
-        owner = self._owner
-        if not owner.may_still_send:
-            connection.drop()
-            owner.time_over()
-            return
-        self.sent = True
-        self.reused = connection.exchanges > 1
-        owner.note_sent()
-        self.record.remember(owner.prompt, owner.forwarder.reactor.seconds())
-        head = owner.request_head(self.record)
-        if owner.body_in_chunks:
-            body = b"".join(b"%x\r\n%b\r\n" % (len(data), data) for data in owner.body)
-        else:
-            body = b"".join(owner.body)
-        connection.send(head + body, last=owner.body_complete)
-
-    def send_body(self, data: bytes) -> None:
-        """Send a further part of a large body."""
-        if self._connection is None:
-            self._owner.body.append(data)
-            return
-        if self._owner.body_in_chunks:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._connection.send(data, last=False)
-
-    def send_body_end(self) -> None:
-        """End a large body."""
-        if self._connection is not None:
-            self._connection.send(b"0\r\n\r\n" if self._owner.body_in_chunks else b"", last=True)
-
-    def sending_paused(self):
-        self._owner.pause_body()
-
-    def sending_resumed(self):
-        self._owner.resume_body()
-
-    # The answer.
-
-    def match(self, status, headers):
-        found = super().match(status, headers)
-        if found is AnswerMatch.INVALID and self._says_not_run(status, headers):
-            # Endpoints that refuse need not tell which request they refuse.
-            return AnswerMatch.OWN
-        return found
-
-    def _says_not_run(self, status: int, headers: HeaderList) -> bool:
-        not_run = self._owner.forwarder.dialect.not_run
-        return status == 421 or header_value(headers, not_run) is not None
-
-    def head_received(self, status, headers):
-        if self.over:
-            return
-        self._status = status
-        self._headers = headers
-        owner = self._owner
-        dialect = owner.forwarder.dialect
-        if self._says_not_run(status, headers):
-            self._not_run(status)
-            return
-        sealed = header_value(headers, dialect.answer_seal) is not None
-        if not self._is_genuine(status, headers, sealed):
-            self._finish(failed=True)
-            self._drop()
-            owner.attempt_bad(self, Reason.BAD_ANSWER)
-            return
-        if owner.head_sent:
-            return
-        if self._splitter is None or status != 200:
-            # A plain answer is passed on whole, so that a cut one can be had elsewhere.
-            self._gathered = []
-            self._retrying = status >= 500 and owner.may_retry_error()
-            return
-        owner.answer_head(status, headers, self._declared_length())
-
-    def _is_genuine(self, status: int, headers: HeaderList, sealed: bool) -> bool:
-        if not sealed:
-            return False
-        if status in _PROMISES_NOT_RUN and self._owner.must_run_once:
-            # Passed on, it would promise what the endpoint did not say.
-            return False
-        if self._owner.head_sent and status != 200:
-            return False
-        return header_value(headers, b"content-encoding") is None
-
-    def _not_run(self, status: int) -> None:
-        self._finish(failed=status == 421)
-        self._drop()
-        reason = Reason.NO_ENDPOINT if status == 421 else Reason.ENDPOINTS_FULL
-        self._owner.attempt_not_run(self, status, reason)
-
-    def body_received(self, data):
-        if self.over:
-            return
-        owner = self._owner
-        if self._gathered is not None:
-            self._gather(data)
-            return
-        if self._splitter is None or self._status != 200:
-            owner.answer_body(data)
-            return
-        events = self._splitter.feed(data)
-        if not events.count:
-            return
-        if not owner.continues(events.first_id):
-            self._finish(failed=True)
-            self._drop()
-            owner.attempt_bad(self, Reason.BAD_ANSWER)
-            return
-        self._first_event()
-        owner.note_events(events.count, events.last_id)
-        owner.answer_body(events.data)
-
-    def _declared_length(self) -> int | None:
-        length = header_value(self._headers, b"content-length")
-        return int(length) if length is not None else None
-
-    def _gather(self, data: bytes) -> None:
-        """Hold a plain answer's body, up to a limit."""
-        self._gathered.append(data)
-        self._gathered_bytes += len(data)
-        if self._gathered_bytes > _GATHER_LIMIT_BYTES:
-            gathered, self._gathered = self._gathered, None
-            self._retrying = False
-            self._owner.answer_head(self._status, self._headers, self._declared_length())
-            self._owner.answer_body(b"".join(gathered))
-
-    def answer_ended(self):
-        if self.over:
-            return
-        owner = self._owner
-        if self._splitter is not None and self._splitter.partial:
-            self.exchange_failed(ExchangeFailure(FailureCause.CLOSED, True, True, self.reused))
-            return
-        self._finish(failed=self._status >= 500)
-        if self._retrying and owner.retry_error(self, self._status):
-            return
-        if self._gathered is not None:
-            body = b"".join(self._gathered)
-            owner.answer_head(self._status, self._headers, len(body))
-            owner.answer_body(body)
-        owner.answer_ended(self, self._status)
-
-    def exchange_failed(self, failure):
-        if self.over:
-            return
-        self._uncount()
-        self._note_failure(certain=failure.cause is FailureCause.CONNECT)
-        self._owner.attempt_failed(self, failure)
-
-    # Accounts of the endpoint.
-
-    def _first_event(self) -> None:
-        self.record.prefill_tokens -= self._prefill_tokens
-        self._prefill_tokens = 0
-
-    def _finish(self, failed: bool) -> None:
-        self._uncount()
-        if failed:
-            self._note_failure(certain=False)
-        else:
-            self.record.succeeded()
-
-    def _note_failure(self, certain: bool) -> None:
-        forwarder = self._owner.forwarder
-        spread = forwarder.draw.uniform(0.8, 1.2)
-        self.record.failed(forwarder.reactor.seconds(), certain, spread)
-
-    def _uncount(self) -> None:
-        if self._counted:
-            self._counted = False
-            self.record.in_flight -= 1
-            self._first_event()
-
-    def _drop(self) -> None:
-        """Give up reading an answer that is not passed on."""
-        if self._connection is not None:
-            self._connection.drop()
--- /dev/null
+++ b/turnward/gateway/outcomes.py
@@ -0,0 +1,40 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""How requests end, and why."""
+
+from enum import StrEnum
+
+__all__ = ["PROMISES_NOT_RUN", "Outcome", "Reason"]
+
+#: Answers that promise that a request has not run.
+PROMISES_NOT_RUN = frozenset((408, 421, 429, 503))
+
+
+class Outcome(StrEnum):
+    """How a request ended, for logs and counters."""
+
+    SERVED = "served"
+    ENDPOINT_ERROR = "endpoint_error"
+    REFUSED = "refused"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    TIME_LIMIT = "time_limit"
+    CUT = "cut"
+    CALLER_GONE = "caller_gone"
+
+
+class Reason(StrEnum):
+    """Why a request was refused or failed; told to the caller."""
+
+    BAD_REQUEST = "bad_request"
+    NO_ROUTE = "no_route"
+    NO_KEY = "unknown_key"
+    NO_CONFIGURATION = "no_configuration_yet"
+    STALE_CONFIGURATION = "configuration_not_confirmed"
+    BUDGET_EXHAUSTED = "budget_exhausted"
+    BUDGET_UNREACHABLE = "budget_unreachable"
+    NO_ENDPOINT = "no_endpoint"
+    ENDPOINTS_FULL = "endpoints_full"
+    TIME_LIMIT = "time_limit"
+    ENDPOINT_LOST = "endpoint_lost"
+    BAD_ANSWER = "bad_answer"
+    STOPPING = "stopping"
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -7,7 +7,7 @@
 dies or is cut off. Of a dead router's grant, its successor on the same node gives back
 what it can't have spent; see ``spending``.
 
-``plan`` functions are pure; ``PrepaidAccounts`` talks to the store.
+``accounts`` has the row and its changes.
 """
 
 import contextlib
@@ -17,6 +17,15 @@
 import msgspec
 from twisted.internet import defer
 
+from turnward.gateway.accounts import (
+    AccountRow,
+    change_grant,
+    decode_account,
+    encode_account,
+    fold_ended,
+    ungranted_tokens,
+    with_limit,
+)
 from turnward.gateway.configuration import Workspace
 from turnward.gateway.spending import PromiseRule, SpendPromise, SpendReports, promise_for
 from turnward.ledger import BudgetView, GrantAsk, GrantLedger, Reservation, SizingRule
@@ -31,16 +40,7 @@
     VersionedTransaction,
 )
 
-__all__ = [
-    "AccountRow",
-    "BudgetAnswer",
-    "PrepaidAccounts",
-    "change_grant",
-    "decode_account",
-    "encode_account",
-    "ungranted_tokens",
-    "with_limit",
-]
+__all__ = ["BudgetAnswer", "PrepaidAccounts"]
 
 TABLE = "prepaid"
 ROW_NAME = "account"
@@ -60,25 +60,6 @@
 _CONFLICT_LIMIT = 30
 
 
-class AccountRow(msgspec.Struct, frozen=True):
-    """The row of one workspace.
-
-    Attributes
-    ----------
-    limit_tokens : int
-        As of ``limit_version`` of the configuration.
-    ended_tokens : int
-        Spent by incarnations whose grants were folded.
-    granted_tokens : dict
-        By incarnation: all it was granted less what it gave back.
-    """
-
-    limit_tokens: int = 0
-    limit_version: int = 0
-    ended_tokens: int = 0
-    granted_tokens: dict[str, int] = {}
-
-
 class BudgetAnswer(StrEnum):
     """Why a request gets no tokens."""
 
@@ -86,72 +67,6 @@
     UNREACHABLE = "budget_unreachable"
 
 
-def decode_account(row: StoredRow) -> AccountRow:
-    """Return a row's account; a missing row is an empty account."""
-    if row.version == 0 or row.gone or not row.value:
-        return AccountRow()
-    return msgspec.json.decode(row.value, type=AccountRow)
-
-
-def encode_account(account: AccountRow) -> bytes:
-    """Return the bytes of an account's row."""
-    return msgspec.json.encode(account)
-
-
-def with_limit(account: AccountRow, limit_tokens: int, limit_version: int) -> AccountRow:
-    """Return the account under a limit, unless a newer one is known to it.
-
-    Examples
-    --------
-    >>> with_limit(AccountRow(limit_tokens=5, limit_version=3), 9, 2).limit_tokens
-    5
-    """
-    if limit_version <= account.limit_version:
-        return account
-    return msgspec.structs.replace(account, limit_tokens=limit_tokens, limit_version=limit_version)
-
-
-def ungranted_tokens(account: AccountRow) -> int:
-    """Return what no router holds; below 0 after the limit was lowered.
-
-    Examples
-    --------
-    >>> ungranted_tokens(AccountRow(10, 1, 2, {"a": 3}))
-    5
-    """
-    return account.limit_tokens - account.ended_tokens - sum(account.granted_tokens.values())
-
-
-def change_grant(account: AccountRow, incarnation: str, delta_tokens: int) -> AccountRow:
-    """Return the account with an incarnation's grant changed."""
-    granted = dict(account.granted_tokens)
-    granted[incarnation] = granted.get(incarnation, 0) + delta_tokens
-    return msgspec.structs.replace(account, granted_tokens=granted)
-
-
-def fold_ended(
-    account: AccountRow, node: str, incarnation: str, bounds: dict[str, int]
-) -> AccountRow:
-    """Return the account with the grants of a node's earlier incarnations folded.
-
-    What they held counts as spent, up to the most that they can have spent
-    where that is known: ``bounds`` has it by incarnation.
-    """
-    prefix = f"{node}@"
-    ended = {
-        name: tokens
-        for name, tokens in account.granted_tokens.items()
-        if name.startswith(prefix) and name != incarnation
-    }
-    if not ended:
-        return account
-    granted = {name: tokens for name, tokens in account.granted_tokens.items() if name not in ended}
-    spent = sum(min(tokens, bounds.get(name, tokens)) for name, tokens in ended.items())
-    return msgspec.structs.replace(
-        account, ended_tokens=account.ended_tokens + spent, granted_tokens=granted
-    )
-
-
 class _Waiter:
     """A request that waits for a grant."""
 
--- a/turnward/gateway/tests/test_prepaid.py
+++ b/turnward/gateway/tests/test_prepaid.py
@@ -12,18 +12,15 @@
 import pytest
 from twisted.internet import defer, task
 
-from turnward.gateway.configuration import Repeat, Workspace
-from turnward.gateway.prepaid import (
-    ROW_NAME,
-    TABLE,
+from turnward.gateway.accounts import (
     AccountRow,
-    BudgetAnswer,
-    PrepaidAccounts,
     change_grant,
     decode_account,
     fold_ended,
     ungranted_tokens,
 )
+from turnward.gateway.configuration import Repeat, Workspace
+from turnward.gateway.prepaid import ROW_NAME, TABLE, BudgetAnswer, PrepaidAccounts
 from turnward.gateway.spending import PromiseRule, SpendReports
 from turnward.gateway.tests.rig import KEY, ListLog, Rig, stream
 from turnward.gateway.tests.test_forwarding import ENGINE_POOL, reason
