--- a/turnward/gateway/logs.py
+++ b/turnward/gateway/logs.py
@@ -119,6 +119,7 @@
         self._normal = LineBudget(lines_per_s, 2 * lines_per_s)
         self._failures = LineBudget(failures_per_s, 2 * failures_per_s)
         self._left_out: Counter[str] = Counter()
+        self._left_out_total = 0
         self._reported_s = clock()
         logger = structlog.wrap_logger(
             _LineLogger(self._write),
@@ -147,7 +148,7 @@
 
     def _log(self, budget: LineBudget, event: str, fields) -> None:
         if not budget.take(self._clock()):
-            self._left_out[event] += 1
+            self._leave_out(event)
             return
         self._logger.msg(event, **fields)
 
@@ -158,7 +159,16 @@
 
     def _write(self, line: bytes) -> None:
         if not self._writer.write_line(line):
-            self._left_out["not_written"] += 1
+            self._leave_out("not_written")
+
+    def _leave_out(self, what: str) -> None:
+        self._left_out[what] += 1
+        self._left_out_total += 1
+
+    def take_left_out(self) -> int:
+        """Return how many lines were left out since the last call."""
+        taken, self._left_out_total = self._left_out_total, 0
+        return taken
 
 
 class _LineLogger:
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -322,6 +322,7 @@
             return
         metrics = self._metrics
         metrics.open_requests.set(len(self.forwarder.open))
+        metrics.lines_left_out.inc(self._log.take_left_out())
         metrics.peers_live.set(self.book.live_count)
         metrics.configuration_version.set(self.state.configuration_version)
         metrics.unconfirmed_seconds.set(min(1e6, self.state.unconfirmed_for_s()))
--- a/turnward/gateway/tests/rig.py
+++ b/turnward/gateway/tests/rig.py
@@ -48,6 +48,9 @@
     def flush(self):
         """Nothing waits."""
 
+    def take_left_out(self):
+        return 0
+
     def of(self, event):
         return [line for line in self.lines if line["event"] == event]
 
--- a/turnward/gateway/tests/test_home.py
+++ b/turnward/gateway/tests/test_home.py
@@ -1,11 +1,13 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The gateway in its own home: its rows in the table, its resource files, its settings."""
 
+from pathlib import Path
+
 import msgspec
 import pytest
 from twisted.internet import defer, task
 
-from turnward.gateway import load_gateway_settings
+from turnward.gateway import GatewayMetrics, GatewaySettings, load_gateway_settings
 from turnward.gateway.home import TableRows, load_gateway_resources
 from turnward.rows import (
     RowChange,
@@ -122,3 +124,13 @@
     configuration = load_gateway_resources(GOOD).configuration
     encoded = msgspec.json.encode(configuration)
     assert msgspec.json.decode(encoded, type=type(configuration)) == configuration
+
+
+def test_page_names_every_setting_and_figure():
+    page = Path("docs/operators/gateway.md").read_text()
+    for key in GatewaySettings.__struct_fields__:
+        assert f"`{key}`" in page
+    text = GatewayMetrics().text().decode()
+    names = {line.split()[2] for line in text.splitlines() if line.startswith("# TYPE")}
+    for name in names - {name for name in names if name.endswith("_created")}:
+        assert f"`{name}`" in page
