--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -143,6 +143,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._replayable = True
+        self._chunks_out = False
         self._attempt: EndpointAttempt | None = None
         self._attempts = 0
         self._tried: set[str] = set()
@@ -340,16 +341,23 @@
         headers.append((dialect.priority, b"%d" % self.priority))
         if self._workspace is not None:
             headers.append((dialect.workspace, self._workspace.name.encode()))
-        if request.declared_length is None and not request.body_complete:
-            headers.append((b"transfer-encoding", b"chunked"))
-        elif self._replayable and (self._body_bytes or request.declared_length):
-            headers.append((b"content-length", b"%d" % self._body_bytes))
-        elif request.declared_length:
-            headers.append((b"content-length", b"%d" % request.declared_length))
-        elif request.method in (b"POST", b"PUT", b"PATCH"):
-            headers.append((b"content-length", b"0"))
+        headers.extend(self._framing())
         return encode_request_head(request.method, request.target, headers)
 
+    def _framing(self) -> HeaderList:
+        """Return the header that tells the body's length; decided anew for each send."""
+        request = self._request
+        self._chunks_out = False
+        if request.body_complete:
+            # All of it is still here: it is sent with the head.
+            if self._body_bytes or request.method in (b"POST", b"PUT", b"PATCH"):
+                return [(b"content-length", b"%d" % self._body_bytes)]
+            return []
+        if request.declared_length is not None:
+            return [(b"content-length", b"%d" % request.declared_length)]
+        self._chunks_out = True
+        return [(b"transfer-encoding", b"chunked")]
+
     @property
     def priority(self) -> int:
         """Urgency, 0 to 9; the workspace's goes before the route's."""
@@ -364,7 +372,7 @@
     @property
     def body_in_chunks(self) -> bool:
         """Whether the body goes on in chunks as it comes."""
-        return not self._replayable and self._request.declared_length is None
+        return self._chunks_out
 
     # Answers of attempts.
 
--- a/turnward/gateway/tests/test_recovery.py
+++ b/turnward/gateway/tests/test_recovery.py
@@ -2,6 +2,7 @@
 """Kills of all gateways, a store away at the start, bounds on repeats, early answers."""
 
 import msgspec
+import pytest
 
 from turnward.gateway import Repeat, Workspace
 from turnward.gateway.tests.rig import (
@@ -105,6 +106,24 @@
     assert len({id(request._connection) for request in endpoint.requests}) == 2
 
 
+@pytest.mark.parametrize("declared", [True, False])
+def test_large_body_that_is_whole_before_the_endpoint_is_reached_is_framed_once(declared):
+    rig = Rig(repeat=Repeat.ONCE, time_limit_s=20.0)
+    endpoint = rig.endpoint(well)
+    rig.ready()
+    body = b"GET /a/smuggled HTTP/1.1\r\n\r\n" + b"x" * 299_970
+    if declared:
+        data = rig.request_bytes(method=b"POST", body=body)
+    else:
+        head = rig.request_bytes(method=b"POST", headers=((b"Transfer-Encoding", b"chunked"),))
+        data = head + b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+    caller = rig.connect()
+    caller.transport.write(data)
+    rig.network.advance(1.0)
+    assert caller.status == 200
+    assert endpoint.bodies == [body]
+
+
 def test_configuration_under_load_cuts_nothing():
     rig = Rig(repeat=Repeat.ONCE, time_limit_s=9.0)
     rig.endpoint(lambda e, r: e.machine.callLater(0.5, well, e, r))
