--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -27,9 +27,11 @@
 
 
 def test_shipped_file_checks_the_examples():
-    done = turnward("check", *[str(path) for path in sorted(Path("examples").glob("*.toml"))])
+    names = [str(path) for path in sorted(Path("examples").glob("*.toml"))]
+    done = turnward("check", *names)
     assert done.returncode == 0, done.stderr
-    assert done.stdout.count(": good") == 3
+    assert done.stdout.splitlines() == [f"{name}: good" for name in names]
+    assert len(names) == 5
 
 
 def test_shipped_router_serves_in_one_process():
