--- a/turnward/gateway/spending.py
+++ b/turnward/gateway/spending.py
@@ -283,9 +283,13 @@
 
 
 def _bounds(row: StoredRow, now_s: float) -> dict[str, int]:
-    """Return by workspace the most that a report's writer can have spent by now."""
+    """Return by workspace the most that a report's writer can have spent by now.
+
+    Workspaces whose promise is over are left out: all that was held may be spent.
+    """
     report = msgspec.json.decode(row.value, type=SpendReport)
     elapsed_s = now_s - report.stamp_s
-    return {
+    bounds = {
         workspace: promise.bound_tokens(elapsed_s) for workspace, promise in report.promises.items()
     }
+    return {workspace: bound for workspace, bound in bounds.items() if bound is not None}
--- a/turnward/gateway/tests/test_recovery.py
+++ b/turnward/gateway/tests/test_recovery.py
@@ -45,6 +45,33 @@
     assert len(endpoint.requests) * 8_020 <= 400_000
 
 
+@pytest.mark.parametrize("away_s", [0.5, 6.0, 20.0])
+def test_gateways_without_power_for_longer_than_a_lease_serve_again(away_s):
+    """Successors failed on reports whose lease was over, and got no tokens at all."""
+    workspace = Workspace(name="acme", keys=(KEY.decode(),), prepaid_tokens=400_000)
+    rig = Rig(pools=(ENGINE_POOL,), workspaces=(workspace,), repeat=Repeat.STREAM, time_limit_s=9.0)
+    rig.endpoint(stream(4))
+    rig.ready(gateways=2)
+    rig.network.advance(1.0)
+    headers = rig.prompt(8_000, 20)
+    assert rig.ask(method=b"POST", body=b"", headers=headers).status == 200
+    for machine in rig.machines[:2]:
+        machine.kill()
+    rig.network.advance(away_s)
+    started = []
+    for index in (0, 1):
+        rig.machines[index].restart()
+        started.append(rig.run_gateway(rig.machines[index], f"node-{index + 1}"))
+    assert rig.network.advance_until(lambda: all(gateway.ready for gateway in started))
+    rig.network.advance(1.0)
+    served = 0
+    for turn in range(8):
+        caller = rig.ask(gateway=-1 - turn % 2, method=b"POST", body=b"", headers=headers)
+        served += caller.status == 200
+    assert served == 8
+    assert not [line for log in rig.logs for line in log.of("prepaid.fault")]
+
+
 def test_gateway_that_starts_while_the_store_is_away_learns_from_a_peer():
     rig = Rig()
     rig.endpoint(well)
