--- a/turnward/events/story.py
+++ b/turnward/events/story.py
@@ -35,7 +35,7 @@
     )
 )
 #: Changes of one workspace's tokens; shown where the request's workspace is known.
-TOKENS = frozenset(("prepaid.taken", "prepaid.returned"))
+TOKENS = frozenset(("prepaid.taken", "prepaid.returned", "prepaid.lent", "prepaid.borrowed"))
 
 _PREFIX = re.compile(r"^\s*(-?\d+(?:\.\d+)?)?[^{]*$")
 
--- a/turnward/gateway/accounts.py
+++ b/turnward/gateway/accounts.py
@@ -95,7 +95,7 @@
     if not ended:
         return account
     granted = {name: tokens for name, tokens in account.granted_tokens.items() if name not in ended}
-    spent = sum(min(tokens, bounds.get(name, tokens)) for name, tokens in ended.items())
+    spent = sum(min(tokens, max(0, bounds.get(name, tokens))) for name, tokens in ended.items())
     return msgspec.structs.replace(
         account, ended_tokens=account.ended_tokens + spent, granted_tokens=granted
     )
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -14,6 +14,7 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from turnward.gateway.configuration import Configuration
+from turnward.gateway.loans import LOANS_PATH, Loan, LoanAsk, Spare
 from turnward.gateway.state import EndpointsSnapshot, FleetState
 from turnward.http1 import Http1Error, HttpCaller, InboundRequest
 
@@ -31,8 +32,12 @@
 _FORGET_S = 120.0
 #: Most endpoints whose load one digest tells, so that it fits a datagram.
 _LOADS_LIMIT = 48
+#: Most workspaces whose spare tokens one digest tells.
+_SPARE_LIMIT = 24
+#: Seconds for which a router that was short keeps its peers telling what they can spare.
+_SHORT_LIFE_S = 1.5
 #: Version of the digest's layout.
-DIGEST_LAYOUT = 1
+DIGEST_LAYOUT = 2
 
 CONFIGURATION_PATH = b"/state/configuration"
 ENDPOINTS_PATH = b"/state/endpoints"
@@ -54,6 +59,10 @@
     confirmed_age_s : float
         How long ago the store said that the configuration is the newest; below
         0 when it never did.
+    short : bool
+        It may soon want to borrow tokens: peers tell what they can spare.
+    spare : tuple of Spare
+        What it can lend; told only while some router is short.
     """
 
     layout: int
@@ -66,6 +75,8 @@
     confirmed_age_s: float
     loads: tuple[EndpointLoad, ...] = ()
     stopping: bool = False
+    short: bool = False
+    spare: tuple[Spare, ...] = ()
 
 
 class Peer:
@@ -195,6 +206,8 @@
         The peers.
     loads : callable
         Returns this router's own ``EndpointLoad`` list.
+    accounts : PrepaidAccounts
+        Tells whether tokens are short here and what can be spared, and lends.
     log : GatewayLog
         Told of what is fetched.
     draw : random.Random
@@ -208,10 +221,12 @@
         state: FleetState,
         book: PeerBook,
         loads,
+        accounts,
         log,
         draw: random.Random,
     ):
         self._draw = draw
+        self._accounts = accounts
         self._reactor = reactor
         self._identity = identity
         self._state = state
@@ -259,8 +274,14 @@
             confirmed_age_s=round(age_s, 3) if age_s != float("inf") else -1.0,
             loads=tuple(self._loads()[:_LOADS_LIMIT]),
             stopping=self.stopping,
+            short=self._accounts.short,
+            spare=tuple(self._accounts.spare()[:_SPARE_LIMIT]) if self._some_short() else (),
         )
 
+    def _some_short(self) -> bool:
+        since_s = self._reactor.seconds() - _SHORT_LIFE_S
+        return any(peer.digest.short and peer.heard_s >= since_s for peer in self._book.live())
+
     def hear(self, digest: Digest) -> None:
         """Take in a peer's digest, and fetch what it knows better."""
         known = digest.address in self._book.addresses
@@ -332,5 +353,31 @@
             request.answer(200, [], body)
         elif request.target == ENDPOINTS_PATH and self._state.endpoints_version:
             request.answer(200, [], msgspec.msgpack.encode(self._state.snapshot()))
+        elif request.target == LOANS_PATH:
+            self._lend(request)
         else:
             request.answer(404, [])
+
+    def _lend(self, request: InboundRequest) -> None:
+        """Answer a peer that asks for tokens."""
+        parts: list[bytes] = []
+
+        def answer() -> None:
+            try:
+                ask = msgspec.msgpack.decode(b"".join(parts), type=LoanAsk)
+            except msgspec.DecodeError:
+                request.answer(400, [])
+                return
+            loan = Loan(self._accounts.lend(ask))
+            request.answer(200, [], msgspec.msgpack.encode(loan))
+
+        request.attach(parts.append, answer)
+
+    async def call(self, address: str, path: bytes, body: bytes, timeout_s: float) -> bytes | None:
+        """Return the body of a peer's answer, None when there was no good one."""
+        try:
+            reply = await self._caller(address).call(b"POST", path, body, timeout_s)
+        except Http1Error as failure:
+            self._log.failure("peer.fetch_failed", peer=address, what=path.decode(), cause=failure)
+            return None
+        return reply.body if reply.status == 200 else None
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -7,7 +7,8 @@
 dies or is cut off. Of a dead router's grant, its successor on the same node gives back
 what it can't have spent; see ``spending``.
 
-``accounts`` has the row and its changes.
+What the store can't give, because it is not reached or has nothing left, is
+borrowed from peers; see ``loans``. ``accounts`` has the row and its changes.
 """
 
 import contextlib
@@ -27,6 +28,7 @@
     with_limit,
 )
 from turnward.gateway.configuration import Workspace
+from turnward.gateway.loans import LenderBase, LoanAsk, LoanRule, NoLenders, Spare
 from turnward.gateway.spending import PromiseRule, SpendPromise, SpendReports, promise_for
 from turnward.ledger import BudgetView, GrantAsk, GrantLedger, Reservation, SizingRule
 from turnward.rows import (
@@ -50,12 +52,12 @@
 _PERIOD_S = 0.25
 #: Seconds of pause after the store was not reached.
 _PAUSE_S = 0.3
-#: Part of the tokens within reach that all routers together hold without demand.
-_FLOOR = 0.08
 #: Part of what was held at the last contact that is kept for more urgent requests, by step
 #: of priority, and at most.
 _KEPT_BY_PRIORITY = 0.15
 _KEPT_LIMIT = 0.5
+#: Seconds for which a shortage is told to peers.
+_SHORT_S = 2.0
 #: Conflicts in a row after which a change is left for the next look.
 _CONFLICT_LIMIT = 30
 
@@ -82,17 +84,22 @@
     """What this router knows of one workspace's row."""
 
     __slots__ = (
+        "borrowed_tokens",
+        "borrowing",
         "busy",
         "free_in_contact",
         "limit",
         "row",
+        "short_until_s",
         "unfolded",
         "unresolved",
         "version",
         "waiters",
+        "workspace",
     )
 
-    def __init__(self):
+    def __init__(self, workspace: str):
+        self.workspace = workspace
         self.row: AccountRow | None = None
         #: The row as stored, while ``row`` leaves out ended processes' grants.
         self.unfolded: AccountRow | None = None
@@ -100,6 +107,10 @@
         self.limit = (0, 0)
         self.busy = False
         self.free_in_contact = 0
+        #: All that peers ever lent here; spent without a grant of the own.
+        self.borrowed_tokens = 0
+        self.borrowing = False
+        self.short_until_s = 0.0
         self.waiters: list[_Waiter] = []
         self.unresolved: tuple[int, AccountRow] | None = None
 
@@ -116,13 +127,20 @@
     node, incarnation : str
         This router; the incarnation's name begins with the node's and ``@``.
     rule : SizingRule
-        How far ahead grants are taken.
+        How far ahead grants are taken; its ``floor_share`` is that of all routers together.
     log : GatewayLog
         Told of each change of a grant.
     live_routers : callable
         How many routers may live; what one of them may hold follows from it.
     promise_rule : PromiseRule, optional
         How tight the promises of reports are.
+    loan_rule : LoanRule, optional
+        How much is lent and borrowed.
+
+    Attributes
+    ----------
+    lenders : LenderBase
+        The peers that may lend.
     """
 
     def __init__(
@@ -135,6 +153,7 @@
         log,
         live_routers: Callable[[], int],
         promise_rule: PromiseRule | None = None,
+        loan_rule: LoanRule | None = None,
     ):
         self._reactor = reactor
         self._store = store
@@ -143,10 +162,13 @@
         self._log = log
         self._accounts: dict[str, _Account] = {}
         self._live_routers = live_routers
+        self._rule = rule
         self._promise_rule = promise_rule or PromiseRule()
+        self._loan_rule = loan_rule or LoanRule()
         self._paused_until_s = 0.0
         self._lost_contact = False
         self._stopping = False
+        self.lenders: LenderBase = NoLenders()
         self.ledger = GrantLedger(rule)
         self._reports = SpendReports(
             reactor, store, node, incarnation, self._promises, self._reported, log
@@ -171,41 +193,62 @@
         While the store is not reached, a part of what is left is kept for more
         urgent requests than one of ``priority`` (0 is the most urgent).
         """
-        if self._lost_contact and not self._leaves_enough(workspace, tokens, priority):
+        account = self._account(workspace)
+        lendable = self._lendable_by_peers(workspace)
+        if self._lost_contact and self._is_kept(account, tokens - lendable, priority):
             return BudgetAnswer.UNREACHABLE
         reservation = self._try_reserve(workspace, tokens, first_try=True)
         if reservation is not None:
             if self.ledger.free_tokens(workspace) < tokens:
                 self.work_on(workspace)
             return reservation
-        account = self._account(workspace)
-        if account.row is not None and self._is_exhausted(account, workspace, tokens):
+        account.short_until_s = self._reactor.seconds() + _SHORT_S
+        if self._is_exhausted(account, workspace, tokens):
             self.work_on(workspace)
             return BudgetAnswer.EXHAUSTED
-        if self._lost_contact:
+        if self._lost_contact and not lendable:
             # Waiting would only make the refusal late.
             return BudgetAnswer.UNREACHABLE
         waiter = _Waiter(tokens, self._reactor.seconds() + _WAIT_S)
         account.waiters.append(waiter)
         self._reactor.callLater(_WAIT_S, self._give_up, workspace, waiter)
-        self._reports.report()
-        self.work_on(workspace)
+        if lendable and (self._lost_contact or self._store_has_too_little(account, workspace)):
+            self._borrow(workspace, account)
+        else:
+            self._reports.report()
+            self.work_on(workspace)
         return waiter.deferred
 
-    def _leaves_enough(self, workspace: str, tokens: int, priority: int) -> bool:
-        kept = min(_KEPT_LIMIT, _KEPT_BY_PRIORITY * priority)
-        floor = kept * self._account(workspace).free_in_contact
-        return self.ledger.free_tokens(workspace) - tokens >= floor
+    def _is_kept(self, account: _Account, tokens: int, priority: int) -> bool:
+        """Tell whether a request would take what is kept for more urgent ones."""
+        kept_share = min(_KEPT_LIMIT, _KEPT_BY_PRIORITY * priority)
+        kept = kept_share * account.free_in_contact
+        return kept > 0 and self.ledger.free_tokens(account.workspace) - tokens < kept
 
     def _try_reserve(self, workspace: str, tokens: int, first_try: bool) -> Reservation | None:
-        committed = self.ledger.committed_tokens(workspace)
-        allowance = self._reports.allowance_tokens(workspace, committed)
-        if allowance is not None and tokens > allowance:
+        promised = self._promised_tokens(workspace)
+        if promised is not None and tokens > promised:
             # The promise of the last report is used up; a new one lets it go.
             return None
         result = self.ledger.reserve(workspace, tokens, self._reactor.seconds(), first_try)
         return result.ok if result.is_ok() else None
 
+    def _promised_tokens(self, workspace: str) -> int | None:
+        """Return what the last report lets be committed; None: all that is free."""
+        return self._reports.allowance_tokens(workspace, self._own_committed(workspace))
+
+    def _own_committed(self, workspace: str) -> int:
+        """Return what is settled or reserved under the own grant."""
+        account = self._accounts.get(workspace)
+        borrowed = account.borrowed_tokens if account is not None else 0
+        return self.ledger.committed_tokens(workspace) - borrowed
+
+    def _spendable_tokens(self, workspace: str) -> int:
+        """Return what may be reserved now."""
+        free = max(0, self.ledger.free_tokens(workspace))
+        promised = self._promised_tokens(workspace)
+        return free if promised is None else max(0, min(free, promised))
+
     def reserve_now(self, workspace: str, tokens: int) -> Reservation | None:
         """Return a reservation out of what is held, or None."""
         return self._try_reserve(workspace, tokens, first_try=True)
@@ -242,7 +285,8 @@
     def _size_grants(self) -> None:
         """Share what is held without demand evenly among the routers."""
         routers = max(1, self._live_routers())
-        self.ledger.rule = msgspec.structs.replace(self.ledger.rule, floor_share=_FLOOR / routers)
+        share = self._rule.floor_share / routers
+        self.ledger.rule = msgspec.structs.replace(self._rule, floor_share=share)
 
     def _needs_work(self, workspace: str, account: _Account, now_s: float) -> bool:
         if account.unresolved is not None or account.waiters:
@@ -281,7 +325,10 @@
             return
         self._lost_contact = True
         self._log.failure("prepaid.contact_lost")
-        for account in self._accounts.values():
+        for workspace, account in self._accounts.items():
+            if account.waiters and self.lenders.spare(workspace):
+                self._borrow(workspace, account)
+                continue
             waiters, account.waiters = account.waiters, []
             for waiter in waiters:
                 waiter.deferred.callback(BudgetAnswer.UNREACHABLE)
@@ -308,9 +355,10 @@
         account = self._accounts.get(workspace)
         waiting = sum(waiter.tokens for waiter in account.waiters) if account else 0
         return promise_for(
-            self.ledger.committed_tokens(workspace),
+            self._own_committed(workspace),
             self.ledger.free_tokens(workspace),
             waiting,
+            self.ledger.demand_tokens_per_s(workspace, self._reactor.seconds()),
             self._promise_rule,
         )
 
@@ -508,6 +556,107 @@
             "prepaid.resolved", workspace=workspace, tokens=delta_tokens, took_effect=took_effect
         )
 
+    # Loans.
+
+    @property
+    def short(self) -> bool:
+        """Whether tokens may soon have to be borrowed."""
+        now_s = self._reactor.seconds()
+        return self._lost_contact or any(
+            now_s < account.short_until_s for account in self._accounts.values()
+        )
+
+    def spare(self) -> list[Spare]:
+        """Return what could be lent, most first."""
+        offers = [Spare(name, self._lendable_tokens(name)) for name in self.ledger.budgets()]
+        offers = [offer for offer in offers if offer.tokens >= self._loan_rule.least_offer_tokens]
+        return sorted(offers, key=lambda offer: -offer.tokens)
+
+    def lend(self, ask: LoanAsk) -> int:
+        """Give tokens to a peer; they count as spent here from now on."""
+        tokens = min(max(0, ask.most_tokens), self._lendable_tokens(ask.workspace))
+        if tokens <= 0:
+            return 0
+        reservation = self._try_reserve(ask.workspace, tokens, first_try=False)
+        if reservation is None:
+            return 0
+        self.ledger.settle(reservation, tokens)
+        self._log.event(
+            "prepaid.lent",
+            workspace=ask.workspace,
+            tokens=tokens,
+            free=self.ledger.free_tokens(ask.workspace),
+        )
+        return tokens
+
+    def _lendable_tokens(self, workspace: str) -> int:
+        account = self._accounts.get(workspace)
+        if account is None or account.waiters:
+            return 0
+        spendable = self._spendable_tokens(workspace)
+        demand = self.ledger.demand_tokens_per_s(workspace, self._reactor.seconds())
+        return max(spendable - int(demand * self._loan_rule.kept_s), spendable // 2)
+
+    def _borrow(self, workspace: str, account: _Account) -> None:
+        """Ask peers for what waiting requests need, one loan at a time."""
+        if account.borrowing:
+            return
+        account.borrowing = True
+        done = defer.ensureDeferred(self._borrow_from_peers(workspace, account))
+        done.addErrback(self._failed, workspace)
+        done.addBoth(lambda _: self._borrowing_ended(workspace, account))
+
+    async def _borrow_from_peers(self, workspace: str, account: _Account) -> None:
+        for address, _ in self.lenders.spare(workspace)[: self._loan_rule.lenders_asked]:
+            ask = self._loan_ask(workspace, account)
+            if ask is None:
+                return
+            tokens = await self.lenders.ask(address, ask)
+            if tokens <= 0:
+                continue
+            account.borrowed_tokens += tokens
+            self.ledger.add(workspace, tokens)
+            self._log.event(
+                "prepaid.borrowed",
+                workspace=workspace,
+                lender=address,
+                tokens=tokens,
+                wanted=ask.least_tokens,
+                free=self.ledger.free_tokens(workspace),
+            )
+            self._serve_waiters(workspace, account)
+
+    def _loan_ask(self, workspace: str, account: _Account) -> LoanAsk | None:
+        waiting = sum(waiter.tokens for waiter in account.waiters)
+        least = waiting - self._spendable_tokens(workspace)
+        if least <= 0:
+            return None
+        demand = self.ledger.demand_tokens_per_s(workspace, self._reactor.seconds())
+        return LoanAsk(workspace, least, least + int(demand * self._loan_rule.ahead_s))
+
+    def _borrowing_ended(self, workspace: str, account: _Account) -> None:
+        account.borrowing = False
+        self._serve_waiters(workspace, account)
+        if self._lost_contact or self._store_has_too_little(account, workspace):
+            # Nobody else can help, and waiting would only make the refusal late.
+            answer = self._shortage(account)
+            waiters, account.waiters = account.waiters, []
+            for waiter in waiters:
+                waiter.deferred.callback(answer)
+        elif account.waiters:
+            self.work_on(workspace)
+
+    def _shortage(self, account: _Account) -> BudgetAnswer:
+        return BudgetAnswer.UNREACHABLE if self._lost_contact else BudgetAnswer.EXHAUSTED
+
+    def _store_has_too_little(self, account: _Account, workspace: str) -> bool:
+        """Tell whether the store can't give what waiting requests need."""
+        if account.row is None:
+            return False
+        waiting = sum(waiter.tokens for waiter in account.waiters)
+        short = waiting - max(0, self.ledger.free_tokens(workspace))
+        return max(0, ungranted_tokens(account.row)) < short
+
     # Waiting requests.
 
     def _serve_waiters(self, workspace: str, account: _Account) -> None:
@@ -516,7 +665,7 @@
             reservation = self._try_reserve(workspace, waiter.tokens, first_try=False)
             if reservation is not None:
                 waiter.deferred.callback(reservation)
-            elif account.row is not None and self._is_exhausted(account, workspace, waiter.tokens):
+            elif not account.borrowing and self._is_exhausted(account, workspace, waiter.tokens):
                 waiter.deferred.callback(BudgetAnswer.EXHAUSTED)
             else:
                 account.waiters.append(waiter)
@@ -530,9 +679,15 @@
             self._lose_contact()
 
     def _is_exhausted(self, account: _Account, workspace: str, tokens: int) -> bool:
-        """Tell whether what is left, here and in the store, can't hold a request."""
-        free = self.ledger.free_tokens(workspace)
-        return max(0, ungranted_tokens(account.row)) + max(0, free) < tokens
+        """Tell whether what is left, here, in the store and with peers, can't hold a request."""
+        if account.row is None:
+            return False
+        free = max(0, self.ledger.free_tokens(workspace))
+        lendable = self._lendable_by_peers(workspace)
+        return max(0, ungranted_tokens(account.row)) + free + lendable < tokens
+
+    def _lendable_by_peers(self, workspace: str) -> int:
+        return sum(tokens for _, tokens in self.lenders.spare(workspace))
 
     def stop(self) -> None:
         """Give back from now on what is not reserved, before a planned stop."""
@@ -551,5 +706,5 @@
     def _account(self, workspace: str) -> _Account:
         account = self._accounts.get(workspace)
         if account is None:
-            account = self._accounts[workspace] = _Account()
+            account = self._accounts[workspace] = _Account(workspace)
         return account
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -13,6 +13,7 @@
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.feeds import FeedListenerBase, TableFeed
 from turnward.gateway.forwarding import Forwarder, ForwardingRules
+from turnward.gateway.loans import PeersAsLenders
 from turnward.gateway.logs import GatewayLog
 from turnward.gateway.metrics import GatewayMetrics
 from turnward.gateway.peers import DIGEST_LAYOUT, Digest, PeerBook, PeerTask
@@ -54,9 +55,10 @@
 _CONNECT_TIMEOUT_S = 0.5
 #: How far ahead prepaid tokens are taken; see ``docs/decisions``.
 _SIZING = SizingRule(
-    horizon_s=12.0,
+    horizon_s=60.0,
     minimum_tokens=2_000,
     share=0.5,
+    floor_share=0.5,
     weighs_start=True,
     keep_s=4.0,
     near_view_s=1.0,
@@ -157,9 +159,6 @@
         self.endpoints = EndpointBook(
             settings.zone, reactor.seconds, self._make_pool, self.book.loads, self._draw
         )
-        self.peers = PeerTask(
-            reactor, self._identity(), self.state, self.book, self.endpoints.loads, log, self._draw
-        )
         self.accounts = PrepaidAccounts(
             reactor,
             store,
@@ -169,6 +168,17 @@
             log,
             lambda: self.book.most_live,
         )
+        self.peers = PeerTask(
+            reactor,
+            self._identity(),
+            self.state,
+            self.book,
+            self.endpoints.loads,
+            self.accounts,
+            log,
+            self._draw,
+        )
+        self.accounts.lenders = PeersAsLenders(self.book, self.peers.call, reactor.seconds)
         self.forwarder = self._make_forwarder()
         self.callers = InboundFactory(
             reactor, self.forwarder.handle, InboundLimits(), self._note_refused, self._note_fault
--- a/turnward/gateway/spending.py
+++ b/turnward/gateway/spending.py
@@ -2,11 +2,11 @@
 """Reports of what a router has spent, so that a successor knows what it had left.
 
 A router writes now and then what it has spent of each workspace, and promises
-to spend only so much more without another report for the length of a lease;
-once the lease is over it may spend all that it holds, so that a router that is
-cut off from the store serves on. When the process has died, the next one on the
-same node reads the last report: while its lease lasts, what the dead one spent
-is bounded by the promise, and the rest of its grant goes back to all.
+how it goes on without another report: a burst at once, and so much a second.
+A router that is cut off from the store so spends what it holds bit by bit.
+When the process has died, the next one on the same node reads the last report:
+what the dead one spent is bounded by the promise, and the rest of its grant
+goes back to all.
 
 Time is the store's steady clock. The writer stamps a report with a time that
 is not later than the store's own, and the reader takes a time that is not
@@ -41,20 +41,24 @@
 class PromiseRule(msgspec.Struct, frozen=True):
     """How tight a router's promises are.
 
+    A tight promise loses little when the process dies; a loose one needs fewer
+    reports, and lets a router that is cut off serve more at once.
+
     Attributes
     ----------
-    burst_share, burst_tokens : float, int
-        What may be spent after a report: a part of what is held, and at least
-        so many tokens.
-    lease_s : float
-        Seconds that a promise binds. Longer than a process takes to be started
-        again, so that its successor finds the promise in force; shorter than
-        the cuts that are to be served through.
+    burst_s, burst_tokens : float, int
+        What may be spent at once after a report: so many seconds of demand,
+        and at least so many tokens.
+    pace : float
+        How much faster than the demand may be spent from then on.
+    spread_s : float
+        Seconds in which all that is held may be spent, whatever the demand.
     """
 
-    burst_share: float = 0.5
-    burst_tokens: int = 16_000
-    lease_s: float = 4.0
+    burst_s: float = 1.0
+    burst_tokens: int = 4_000
+    pace: float = 2.0
+    spread_s: float = 15.0
 
 
 class SpendPromise(msgspec.Struct, frozen=True, array_like=True):
@@ -63,28 +67,29 @@
     Attributes
     ----------
     spent_tokens : int
-        Settled or reserved when the report was made.
+        Settled or reserved of the own grant when the report was made. Tokens
+        lent to peers count as spent, borrowed ones as not yet: below 0 when
+        more was borrowed than spent.
     burst_tokens : int
-        May be added while the lease lasts.
-    lease_s : float
-        Seconds from the report.
+        May be added at once.
+    pace_tokens_per_s : float
+        May be added besides, from the report on.
 
     Examples
     --------
-    >>> promise = SpendPromise(100, 20, 4.0)
-    >>> promise.bound_tokens(2.0), promise.bound_tokens(4.0)
-    (120, None)
+    >>> promise = SpendPromise(100, 20, 10.0)
+    >>> promise.bound_tokens(0.0), promise.bound_tokens(2.55)
+    (120, 145)
     """
 
     spent_tokens: int
     burst_tokens: int
-    lease_s: float
+    pace_tokens_per_s: float
 
-    def bound_tokens(self, elapsed_s: float) -> int | None:
-        """Return the most that is spent when some time has passed; None: all that is held."""
-        if elapsed_s >= self.lease_s:
-            return None
-        return self.spent_tokens + self.burst_tokens
+    def bound_tokens(self, elapsed_s: float) -> int:
+        """Return the most that is spent when some time has passed."""
+        paced = int(self.pace_tokens_per_s * max(0.0, elapsed_s))
+        return self.spent_tokens + self.burst_tokens + paced
 
 
 class SpendReport(msgspec.Struct, frozen=True):
@@ -96,19 +101,24 @@
 
 
 def promise_for(
-    spent_tokens: int, free_tokens: int, waiting_tokens: int, rule: PromiseRule
+    spent_tokens: int,
+    free_tokens: int,
+    waiting_tokens: int,
+    demand_tokens_per_s: float,
+    rule: PromiseRule,
 ) -> SpendPromise:
     """Return the promise of a router that has spent, holds and is asked for some tokens.
 
     Examples
     --------
-    >>> promise_for(100, 60_000, 0, PromiseRule())
-    SpendPromise(spent_tokens=100, burst_tokens=30000, lease_s=4.0)
+    >>> promise_for(100, 60_000, 0, 5_000.0, PromiseRule())
+    SpendPromise(spent_tokens=100, burst_tokens=5000, pace_tokens_per_s=10000.0)
     """
     free_tokens = max(0, free_tokens)
-    share = int(rule.burst_share * free_tokens)
-    burst = min(free_tokens, max(rule.burst_tokens, share, waiting_tokens))
-    return SpendPromise(spent_tokens, burst, rule.lease_s)
+    demanded = int(rule.burst_s * demand_tokens_per_s)
+    burst = min(free_tokens, max(rule.burst_tokens, demanded, waiting_tokens))
+    pace = max(rule.pace * demand_tokens_per_s, free_tokens / rule.spread_s)
+    return SpendPromise(spent_tokens, burst, round(pace, 1))
 
 
 class _SentReport(msgspec.Struct):
@@ -165,15 +175,17 @@
         self.ended: dict[str, dict[str, int]] | None = None
 
     def allowance_tokens(self, workspace: str, committed_tokens: int) -> int | None:
-        """Return how much more may be committed without another report; None: any."""
+        """Return how much more may be committed without another report; None: any.
+
+        ``committed_tokens`` counts as ``SpendPromise.spent_tokens`` does.
+        """
         now_s = self._reactor.seconds()
         bounds = [
             sent.report.promises[workspace].bound_tokens(now_s - sent.sent_s)
             for sent in self._sent
             if workspace in sent.report.promises
         ]
-        known = [bound for bound in bounds if bound is not None]
-        return min(known) - committed_tokens if known else None
+        return min(bounds) - committed_tokens if bounds else None
 
     # Predecessors.
 
@@ -221,7 +233,7 @@
     # Own reports.
 
     def report_if_due(self) -> None:
-        """Write a report when the last one is old, so that its lease never ends in contact."""
+        """Write a report when the last one is old, so that its promise stays tight."""
         age_s = self._reactor.seconds() - self._last_sent_s
         if age_s >= _PERIOD_S and self._make_promises():
             self.report()
@@ -283,13 +295,9 @@
 
 
 def _bounds(row: StoredRow, now_s: float) -> dict[str, int]:
-    """Return by workspace the most that a report's writer can have spent by now.
-
-    Workspaces whose promise is over are left out: all that was held may be spent.
-    """
+    """Return by workspace the most that a report's writer can have spent by now."""
     report = msgspec.json.decode(row.value, type=SpendReport)
     elapsed_s = now_s - report.stamp_s
-    bounds = {
+    return {
         workspace: promise.bound_tokens(elapsed_s) for workspace, promise in report.promises.items()
     }
-    return {workspace: bound for workspace, bound in bounds.items() if bound is not None}
--- a/turnward/ledger/ledger.py
+++ b/turnward/ledger/ledger.py
@@ -160,6 +160,11 @@
         account = self._accounts.get(budget)
         return account.settled_tokens + account.reserved_tokens if account else 0
 
+    def demand_tokens_per_s(self, budget: str, now_s: float) -> float:
+        """Return how fast a budget is drawn on here."""
+        account = self._accounts.get(budget)
+        return account.demand.rate_tokens_per_s(now_s) if account else 0.0
+
     def held_tokens(self, budget: str) -> int:
         """Return granted tokens that are not settled."""
         account = self._accounts.get(budget)
