--- a/turnward/gateway/__init__.py
+++ b/turnward/gateway/__init__.py
@@ -19,14 +19,17 @@
 from turnward.gateway.process import GatewayProcess, SourcesBase, new_incarnation
 from turnward.gateway.serving import serve_gateway
 from turnward.gateway.settings import GatewaySettings, load_gateway_settings
+from turnward.gateway.sources import ConfigurationListener, EndpointsListener
 from turnward.gateway.state import EndpointsSnapshot, FleetState
 
 __all__ = [
     "BoundedLineWriter",
     "Configuration",
+    "ConfigurationListener",
     "Dialect",
     "EndpointEntry",
     "EndpointPool",
+    "EndpointsListener",
     "EndpointsSnapshot",
     "EngineTraits",
     "FeedListenerBase",
--- a/turnward/gateway/home.py
+++ b/turnward/gateway/home.py
@@ -14,9 +14,8 @@
 from twisted.internet import task
 
 from turnward.gateway.configuration import Configuration, EndpointEntry
-from turnward.gateway.feeds import FeedListenerBase
 from turnward.gateway.process import SourcesBase
-from turnward.gateway.state import EndpointsSnapshot, FleetState
+from turnward.gateway.sources import ConfigurationListener, EndpointsListener
 from turnward.rows import (
     RowKey,
     RowOutcomeUnknownError,
@@ -135,73 +134,27 @@
     return StoredRow(key, base64.b64decode(value), row.version)
 
 
-class _ConfigurationListener(FeedListenerBase):
-    """Follows the configuration's row."""
-
-    def __init__(self, state: FleetState):
-        self._state = state
-        self._version = 0
-
-    @property
-    def version(self):
-        return self._version
-
-    def table_read(self, table):
-        self.rows_changed(table)
-
-    def rows_changed(self, changes):
-        self._version = max(self._version, changes.version)
-        for row in changes.rows:
-            if row.gone:
-                continue
-            try:
-                configuration = msgspec.json.decode(row.value, type=Configuration)
-            except msgspec.DecodeError as failure:
-                self._state.note_unreadable(row.key, failure)
-                continue
-            self._state.adopt_configuration(configuration, "store")
-
-
-class _EndpointsListener(FeedListenerBase):
-    """Follows the endpoints' rows."""
-
-    def __init__(self, state: FleetState):
-        self._state = state
-
-    @property
-    def version(self):
-        return self._state.endpoints_version
-
-    def table_read(self, table):
-        self._adopt({}, table)
-
-    def rows_changed(self, changes):
-        self._adopt(dict(self._state.endpoints), changes)
-
-    def _adopt(self, entries: dict[str, EndpointEntry], changes: TableChanges) -> None:
-        for row in changes.rows:
-            entries.pop(row.key.key, None)
-            if row.gone:
-                continue
-            try:
-                entries[row.key.key] = msgspec.json.decode(row.value, type=EndpointEntry)
-            except msgspec.DecodeError as failure:
-                self._state.note_unreadable(row.key, failure)
-        snapshot = EndpointsSnapshot(changes.version, tuple(entries.values()))
-        self._state.adopt_endpoints(snapshot, "store")
-
-
 class HomeSources(SourcesBase):
     """Configuration and endpoints as ``turnward gateway_apply`` writes them."""
 
     def feeds(self, state):
         """See ``SourcesBase.feeds``."""
+        configuration = ConfigurationListener(state, CONFIGURATION_KEY, _decode_configuration)
+        endpoints = EndpointsListener(state, _decode_endpoint)
         return [
-            (CONFIGURATION_TABLE, _CONFIGURATION_WAIT_S, _ConfigurationListener(state)),
-            (ENDPOINTS_TABLE, _ENDPOINTS_WAIT_S, _EndpointsListener(state)),
+            (CONFIGURATION_TABLE, _CONFIGURATION_WAIT_S, configuration),
+            (ENDPOINTS_TABLE, _ENDPOINTS_WAIT_S, endpoints),
         ]
 
 
+def _decode_configuration(value: bytes) -> Configuration:
+    return msgspec.json.decode(value, type=Configuration)
+
+
+def _decode_endpoint(row: StoredRow) -> EndpointEntry:
+    return msgspec.json.decode(row.value, type=EndpointEntry)
+
+
 class GatewayResources(msgspec.Struct, forbid_unknown_fields=True):
     """A file of gateway resources: a configuration, and the endpoints behind it."""
 
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -196,7 +196,7 @@
         account = self._account(workspace)
         lendable = self._lendable_by_peers(workspace)
         if self._lost_contact and self._is_kept(account, tokens - lendable, priority):
-            return BudgetAnswer.UNREACHABLE
+            return self._refused(account, tokens, BudgetAnswer.UNREACHABLE, kept=True)
         reservation = self._try_reserve(workspace, tokens, first_try=True)
         if reservation is not None:
             if self.ledger.free_tokens(workspace) < tokens:
@@ -205,10 +205,10 @@
         account.short_until_s = self._reactor.seconds() + _SHORT_S
         if self._is_exhausted(account, workspace, tokens):
             self.work_on(workspace)
-            return BudgetAnswer.EXHAUSTED
+            return self._refused(account, tokens, BudgetAnswer.EXHAUSTED)
         if self._lost_contact and not lendable:
             # Waiting would only make the refusal late.
-            return BudgetAnswer.UNREACHABLE
+            return self._refused(account, tokens, BudgetAnswer.UNREACHABLE)
         waiter = _Waiter(tokens, self._reactor.seconds() + _WAIT_S)
         account.waiters.append(waiter)
         self._reactor.callLater(_WAIT_S, self._give_up, workspace, waiter)
@@ -219,6 +219,26 @@
             self.work_on(workspace)
         return waiter.deferred
 
+    def _refused(
+        self, account: _Account, tokens: int, answer: BudgetAnswer, kept: bool = False
+    ) -> BudgetAnswer:
+        """Write a line on a refusal with what decided it; return the answer."""
+        workspace = account.workspace
+        self._log.failure(
+            "prepaid.refused",
+            workspace=workspace,
+            tokens=tokens,
+            answer=answer,
+            free=self.ledger.free_tokens(workspace),
+            promised=self._promised_tokens(workspace),
+            lendable=self._lendable_by_peers(workspace),
+            ungranted=ungranted_tokens(account.row) if account.row is not None else None,
+            row_version=account.version,
+            in_contact=not self._lost_contact,
+            kept_for_urgent=kept,
+        )
+        return answer
+
     def _is_kept(self, account: _Account, tokens: int, priority: int) -> bool:
         """Tell whether a request would take what is kept for more urgent ones."""
         kept_share = min(_KEPT_LIMIT, _KEPT_BY_PRIORITY * priority)
@@ -329,9 +349,7 @@
             if account.waiters and self.lenders.spare(workspace):
                 self._borrow(workspace, account)
                 continue
-            waiters, account.waiters = account.waiters, []
-            for waiter in waiters:
-                waiter.deferred.callback(BudgetAnswer.UNREACHABLE)
+            self._refuse_waiters(account, BudgetAnswer.UNREACHABLE)
 
     def _note_contact(self) -> None:
         if self._lost_contact:
@@ -359,9 +377,22 @@
             self.ledger.free_tokens(workspace),
             waiting,
             self.ledger.demand_tokens_per_s(workspace, self._reactor.seconds()),
-            self._promise_rule,
+            self._rule_of_promise(workspace, account),
         )
 
+    def _rule_of_promise(self, workspace: str, account: _Account | None) -> PromiseRule:
+        """Return a tighter rule where little is left of a workspace's limit.
+
+        What the others hold is guessed to be what is held here, for each.
+        """
+        rule = self._promise_rule
+        if account is None or account.row is None:
+            return rule
+        held = self._live_routers() * max(0, self.ledger.free_tokens(workspace))
+        left = max(0, ungranted_tokens(account.row)) + held
+        scarce = left < rule.scarce_share * account.row.limit_tokens
+        return rule.tightened() if scarce else rule
+
     def _reported(self) -> None:
         self._note_contact()
         for workspace, account in self._accounts.items():
@@ -639,13 +670,15 @@
         self._serve_waiters(workspace, account)
         if self._lost_contact or self._store_has_too_little(account, workspace):
             # Nobody else can help, and waiting would only make the refusal late.
-            answer = self._shortage(account)
-            waiters, account.waiters = account.waiters, []
-            for waiter in waiters:
-                waiter.deferred.callback(answer)
+            self._refuse_waiters(account, self._shortage(account))
         elif account.waiters:
             self.work_on(workspace)
 
+    def _refuse_waiters(self, account: _Account, answer: BudgetAnswer) -> None:
+        waiters, account.waiters = account.waiters, []
+        for waiter in waiters:
+            waiter.deferred.callback(self._refused(account, waiter.tokens, answer))
+
     def _shortage(self, account: _Account) -> BudgetAnswer:
         return BudgetAnswer.UNREACHABLE if self._lost_contact else BudgetAnswer.EXHAUSTED
 
@@ -666,7 +699,8 @@
             if reservation is not None:
                 waiter.deferred.callback(reservation)
             elif not account.borrowing and self._is_exhausted(account, workspace, waiter.tokens):
-                waiter.deferred.callback(BudgetAnswer.EXHAUSTED)
+                answer = self._refused(account, waiter.tokens, BudgetAnswer.EXHAUSTED)
+                waiter.deferred.callback(answer)
             else:
                 account.waiters.append(waiter)
 
@@ -674,7 +708,8 @@
         account = self._account(workspace)
         if waiter in account.waiters:
             account.waiters.remove(waiter)
-            waiter.deferred.callback(BudgetAnswer.UNREACHABLE)
+            answer = self._refused(account, waiter.tokens, BudgetAnswer.UNREACHABLE)
+            waiter.deferred.callback(answer)
             # Whoever comes before the store has answered is refused without this wait.
             self._lose_contact()
 
--- a/turnward/gateway/settings.py
+++ b/turnward/gateway/settings.py
@@ -1,6 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Settings of a gateway process."""
 
+import math
+
 import msgspec
 
 from turnward.settings import SettingsError, convert_checked, parse_address, read_toml
@@ -67,12 +69,12 @@
         found += [
             f"{key}: expected more than 0, found {getattr(self, key)}"
             for key in ("stop_limit_s", "configuration_in_force_s", "repeat_window_s")
-            if getattr(self, key) <= 0
+            if not 0 < getattr(self, key) < math.inf
         ]
         found += [
             f"{key}: expected 0 or more, found {getattr(self, key)}"
             for key in ("repeat_ratio", "repeat_slack")
-            if getattr(self, key) < 0
+            if not 0 <= getattr(self, key) < math.inf
         ]
         return found
 
--- /dev/null
+++ b/turnward/gateway/sources.py
@@ -0,0 +1,98 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Takes rows of configuration and endpoints into the state, in whatever form they are written."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from turnward.gateway.configuration import Configuration, EndpointEntry
+from turnward.gateway.feeds import FeedListenerBase
+from turnward.gateway.state import EndpointsSnapshot, FleetState
+from turnward.rows import StoredRow, TableChanges
+
+__all__ = ["ConfigurationListener", "EndpointsListener"]
+
+_UNREADABLE = (msgspec.DecodeError, ValueError)
+
+
+class ConfigurationListener(FeedListenerBase):
+    """Follows the row that holds the configuration.
+
+    Parameters
+    ----------
+    state : FleetState
+        Told of each version.
+    key : str
+        The row's key; other rows are passed over.
+    decode : callable
+        Returns the configuration in a row's value; raises ``DecodeError`` or ``ValueError``.
+    """
+
+    def __init__(self, state: FleetState, key: str, decode: Callable[[bytes], Configuration]):
+        self._state = state
+        self._key = key
+        self._decode = decode
+        self._version = 0
+
+    @property
+    def version(self) -> int:
+        """See ``FeedListenerBase.version``."""
+        return self._version
+
+    def table_read(self, table: TableChanges) -> None:
+        """See ``FeedListenerBase.table_read``."""
+        self.rows_changed(table)
+
+    def rows_changed(self, changes: TableChanges) -> None:
+        """See ``FeedListenerBase.rows_changed``."""
+        self._version = max(self._version, changes.version)
+        for row in changes.rows:
+            if row.key.key != self._key or row.gone:
+                continue
+            try:
+                configuration = self._decode(row.value)
+            except _UNREADABLE as failure:
+                self._state.note_unreadable(row.key, failure)
+                continue
+            self._state.adopt_configuration(configuration, "store")
+
+
+class EndpointsListener(FeedListenerBase):
+    """Follows the endpoints' rows; one that can't be read counts as gone.
+
+    Parameters
+    ----------
+    state : FleetState
+        Told of each change.
+    decode : callable
+        Returns the entry in a row; raises ``DecodeError`` or ``ValueError``.
+    """
+
+    def __init__(self, state: FleetState, decode: Callable[[StoredRow], EndpointEntry]):
+        self._state = state
+        self._decode = decode
+
+    @property
+    def version(self) -> int:
+        """See ``FeedListenerBase.version``."""
+        return self._state.endpoints_version
+
+    def table_read(self, table: TableChanges) -> None:
+        """See ``FeedListenerBase.table_read``."""
+        self._adopt({}, table)
+
+    def rows_changed(self, changes: TableChanges) -> None:
+        """See ``FeedListenerBase.rows_changed``."""
+        self._adopt(dict(self._state.endpoints), changes)
+
+    def _adopt(self, entries: dict[str, EndpointEntry], changes: TableChanges) -> None:
+        for row in changes.rows:
+            entries.pop(row.key.key, None)
+            if row.gone:
+                continue
+            try:
+                entries[row.key.key] = self._decode(row)
+            except _UNREADABLE as failure:
+                self._state.note_unreadable(row.key, failure)
+        snapshot = EndpointsSnapshot(changes.version, tuple(entries.values()))
+        self._state.adopt_endpoints(snapshot, "store")
--- a/turnward/gateway/spending.py
+++ b/turnward/gateway/spending.py
@@ -42,7 +42,9 @@
     """How tight a router's promises are.
 
     A tight promise loses little when the process dies; a loose one needs fewer
-    reports, and lets a router that is cut off serve more at once.
+    reports, and lets a router that is cut off serve more. A process that dies
+    is mostly started again within seconds, while a cut may last long, so
+    promises are tight at first and loose later.
 
     Attributes
     ----------
@@ -51,14 +53,33 @@
         and at least so many tokens.
     pace : float
         How much faster than the demand may be spent from then on.
+    late_s : float
+        Seconds after a report from which more is promised.
     spread_s : float
-        Seconds in which all that is held may be spent, whatever the demand.
+        Seconds from then on in which all that is held may be spent.
+    scarce_share : float
+        Part of a limit that is taken for little: tokens lost with a process
+        are missed then, which they are not while more is left than is used.
+    scarce_factor : float
+        What a promise's early part is scaled by then.
     """
 
     burst_s: float = 1.0
-    burst_tokens: int = 4_000
+    burst_tokens: int = 3_000
     pace: float = 2.0
-    spread_s: float = 15.0
+    late_s: float = 4.0
+    spread_s: float = 8.0
+    scarce_share: float = 0.3
+    scarce_factor: float = 0.4
+
+    def tightened(self) -> "PromiseRule":
+        """Return the rule for a workspace that has little left."""
+        return msgspec.structs.replace(
+            self,
+            burst_s=self.burst_s * self.scarce_factor,
+            burst_tokens=int(self.burst_tokens * self.scarce_factor),
+            pace=self.pace * self.scarce_factor,
+        )
 
 
 class SpendPromise(msgspec.Struct, frozen=True, array_like=True):
@@ -74,22 +95,27 @@
         May be added at once.
     pace_tokens_per_s : float
         May be added besides, from the report on.
+    late_s, late_tokens_per_s : float
+        So long after the report, so much a second may be added besides.
 
     Examples
     --------
-    >>> promise = SpendPromise(100, 20, 10.0)
-    >>> promise.bound_tokens(0.0), promise.bound_tokens(2.55)
-    (120, 145)
+    >>> promise = SpendPromise(100, 20, 10.0, 4.0, 50.0)
+    >>> promise.bound_tokens(0.0), promise.bound_tokens(2.55), promise.bound_tokens(5.0)
+    (120, 145, 220)
     """
 
     spent_tokens: int
     burst_tokens: int
     pace_tokens_per_s: float
+    late_s: float
+    late_tokens_per_s: float
 
     def bound_tokens(self, elapsed_s: float) -> int:
         """Return the most that is spent when some time has passed."""
-        paced = int(self.pace_tokens_per_s * max(0.0, elapsed_s))
-        return self.spent_tokens + self.burst_tokens + paced
+        paced = self.pace_tokens_per_s * max(0.0, elapsed_s)
+        paced += self.late_tokens_per_s * max(0.0, elapsed_s - self.late_s)
+        return self.spent_tokens + self.burst_tokens + int(paced)
 
 
 class SpendReport(msgspec.Struct, frozen=True):
@@ -111,14 +137,16 @@
 
     Examples
     --------
-    >>> promise_for(100, 60_000, 0, 5_000.0, PromiseRule())
-    SpendPromise(spent_tokens=100, burst_tokens=5000, pace_tokens_per_s=10000.0)
+    >>> promise = promise_for(100, 60_000, 0, 5_000.0, PromiseRule())
+    >>> promise.burst_tokens, promise.pace_tokens_per_s, promise.late_tokens_per_s
+    (5000, 10000.0, 7500.0)
     """
     free_tokens = max(0, free_tokens)
     demanded = int(rule.burst_s * demand_tokens_per_s)
     burst = min(free_tokens, max(rule.burst_tokens, demanded, waiting_tokens))
-    pace = max(rule.pace * demand_tokens_per_s, free_tokens / rule.spread_s)
-    return SpendPromise(spent_tokens, burst, round(pace, 1))
+    pace = rule.pace * demand_tokens_per_s
+    late_pace = free_tokens / rule.spread_s
+    return SpendPromise(spent_tokens, burst, round(pace, 1), rule.late_s, round(late_pace, 1))
 
 
 class _SentReport(msgspec.Struct):
