--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := $(VENV)/bin
 SOURCES := $(shell find turnward -name '*.py' -o -name '*.toml' -o -name '*.capnp') pyproject.toml
 
-.PHONY: demo platform-demo test check dist bench capacity docs format clean
+.PHONY: demo platform-demo soak test check dist bench capacity docs format clean
 
 $(VENV)/ready: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -19,6 +19,9 @@
 platform-demo: $(VENV)/ready
 	$(BIN)/python platform/standins/demo.py
 
+soak: $(VENV)/ready
+	$(BIN)/python platform/standins/soak.py --seeds $(or $(SEEDS),3) $(if $(SEED),--first $(SEED))
+
 test: $(VENV)/ready dist/turnward
 	mkdir -p build
 	$(BIN)/python -m pytest --junitxml=build/tests.xml
