Promises with bursts that fit a request, at the pace of the demand

And a router that was cut off refused single large requests with hundreds of thousands of free tokens, as its burst was smaller than a request.

Ruled out: tokens held elsewhere (lent at need), the store (in contact), waiting (a waiting request brings a new report at once). Reports to peers: all may lose power together.

Tests (failed first): a request of 10,000 tokens is let through by a router whose demand is 500; the fleet's reports are bounded.

--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -296,7 +296,10 @@
         self._size_grants()
         if now_s >= self._paused_until_s:
             waiting = any(account.waiters for account in self._accounts.values())
-            self._reports.report() if waiting else self._reports.report_if_due()
+            if waiting:
+                self._reports.report()
+            else:
+                self._reports.report_if_due(self._live_routers())
         for workspace in {*self.ledger.plan_views(now_s), *self.ledger.budgets()}:
             account = self._accounts.get(workspace)
             if account is not None and self._needs_work(workspace, account, now_s):
@@ -388,7 +391,9 @@
         rule = self._promise_rule
         if account is None or account.row is None:
             return rule
-        held = self._live_routers() * max(0, self.ledger.free_tokens(workspace))
+        routers = self._live_routers()
+        rule = rule.for_limit(account.row.limit_tokens, routers)
+        held = routers * max(0, self.ledger.free_tokens(workspace))
         left = max(0, ungranted_tokens(account.row)) + held
         scarce = left < rule.scarce_share * account.row.limit_tokens
         return rule.tightened() if scarce else rule
--- a/turnward/gateway/spending.py
+++ b/turnward/gateway/spending.py
@@ -32,8 +32,11 @@
 __all__ = ["PromiseRule", "SpendPromise", "SpendReport", "SpendReports", "promise_for"]
 
 TABLE = "spending"
-#: Seconds between two reports while tokens are held.
-_PERIOD_S = 0.8
+#: Seconds between two reports while tokens are held, at least and at most.
+_PERIOD_S = 0.25
+_PERIOD_LIMIT_S = 0.8
+#: Reports a second that all routers together write, as long as the period stays in its bounds.
+_FLEET_REPORTS_PER_S = 100.0
 #: Least seconds between two reports that requests wait for.
 _LEAST_PERIOD_S = 0.05
 
@@ -41,7 +44,8 @@
 class PromiseRule(msgspec.Struct, frozen=True):
     """How tight a router's promises are.
 
-    A tight promise loses little when the process dies; a loose one needs fewer
+    The burst lets single large requests through; the pace only has to keep up
+    with the demand. A tight promise loses little when the process dies; a loose one needs fewer
     reports, and lets a router that is cut off serve more. A process that dies
     is mostly started again within seconds, while a cut may last long, so
     promises are tight at first and loose later.
@@ -51,6 +55,10 @@
     burst_s, burst_tokens : float, int
         What may be spent at once after a report: so many seconds of demand,
         and at least so many tokens.
+    burst_share, burst_limit_tokens : float, int
+        The bursts of all routers together are this part of a workspace's
+        limit, if that is more for each, up to so many tokens for one router:
+        a single request may be much larger than what is asked for in a second.
     pace : float
         How much faster than the demand may be spent from then on.
     late_s : float
@@ -66,12 +74,28 @@
 
     burst_s: float = 1.0
     burst_tokens: int = 3_000
-    pace: float = 2.0
+    burst_share: float = 0.2
+    burst_limit_tokens: int = 12_000
+    pace: float = 1.0
     late_s: float = 4.0
     spread_s: float = 8.0
     scarce_share: float = 0.3
     scarce_factor: float = 0.4
 
+    def for_limit(self, limit_tokens: int, routers: int) -> "PromiseRule":
+        """Return the rule for a workspace with a limit that some routers share.
+
+        Examples
+        --------
+        >>> PromiseRule().for_limit(600_000, 6).burst_tokens
+        12000
+        >>> PromiseRule().for_limit(600_000, 30).burst_tokens
+        4000
+        """
+        shared = int(self.burst_share * limit_tokens / max(1, routers))
+        burst = max(self.burst_tokens, min(self.burst_limit_tokens, shared))
+        return msgspec.structs.replace(self, burst_tokens=burst)
+
     def tightened(self) -> "PromiseRule":
         """Return the rule for a workspace that has little left."""
         return msgspec.structs.replace(
@@ -139,7 +163,7 @@
     --------
     >>> promise = promise_for(100, 60_000, 0, 5_000.0, PromiseRule())
     >>> promise.burst_tokens, promise.pace_tokens_per_s, promise.late_tokens_per_s
-    (5000, 10000.0, 7500.0)
+    (5000, 5000.0, 7500.0)
     """
     free_tokens = max(0, free_tokens)
     demanded = int(rule.burst_s * demand_tokens_per_s)
@@ -260,10 +284,14 @@
 
     # Own reports.
 
-    def report_if_due(self) -> None:
-        """Write a report when the last one is old, so that its promise stays tight."""
+    def report_if_due(self, routers: int) -> None:
+        """Write a report when the last one is old, so that its promise stays tight.
+
+        The more routers share the store, the less often each of them reports.
+        """
+        period_s = max(_PERIOD_S, min(_PERIOD_LIMIT_S, routers / _FLEET_REPORTS_PER_S))
         age_s = self._reactor.seconds() - self._last_sent_s
-        if age_s >= _PERIOD_S and self._make_promises():
+        if age_s >= period_s and self._make_promises():
             self.report()
 
     def report(self) -> bool:
--- a/turnward/gateway/tests/test_prepaid.py
+++ b/turnward/gateway/tests/test_prepaid.py
@@ -477,6 +477,53 @@
     assert reports.allowance_tokens("acme", committed) >= held
 
 
+def lone_account(limit, routers=6):
+    """Return the accounts of one router under the product's own rules, and its world."""
+    world = World(limit=limit)
+    world.routers[1] = None
+    accounts = PrepaidAccounts(
+        world.clock,
+        world.stores[0],
+        "node-0",
+        "node-0@own",
+        SizingRule(floor_share=0.5, share=0.5, weighs_start=True),
+        ListLog(),
+        lambda: routers,
+    )
+    world.routers[0] = accounts
+    accounts.set_limits({"acme": Workspace(name="acme", prepaid_tokens=limit)}, 1)
+    return world, accounts
+
+
+def settle_down(world, seconds):
+    for _ in range(int(seconds / 0.05)):
+        while world.stores[0].decide("done"):
+            pass
+        world.clock.advance(0.05)
+        world.routers[0].look()
+
+
+def test_request_much_larger_than_the_demand_is_let_through_when_the_store_is_lost():
+    world, accounts = lone_account(limit=1_000_000)
+    settle_down(world, 1.0)
+    small = accounts.reserve("acme", 500)
+    assert isinstance(small, Reservation)
+    settle_down(world, 1.0)
+    # The store is not reached from now on: reads and writes stay open.
+    world.clock.advance(0.3)
+    large = accounts.reserve("acme", 10_000)
+    assert isinstance(large, Reservation)
+
+
+@pytest.mark.parametrize(("routers", "reports"), [(6, 15), (390, 5)])
+def test_the_fleet_writes_a_bounded_number_of_reports(routers, reports):
+    world, accounts = lone_account(limit=1_000_000, routers=routers)
+    settle_down(world, 1.0)
+    before = accounts._reports._number
+    settle_down(world, 4.0)
+    assert abs(accounts._reports._number - before - reports) <= 1
+
+
 def ungranted(world):
     return ungranted_tokens(decode_account(world.rows.get(KEY_OF_ROW)))
 
