Shared parts of prompts weigh six times in the choice of an engine

Ruled out: changed sets of endpoints (the home is the same for all routers in these lines), parts that nobody keeps (counted apart).

Test (failed first): a home with 200 ms of work is waited for.

--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -3,6 +3,7 @@
 
 The cost of an engine is the time until a new prompt is read there: what is
 being read already, and the parts of this prompt that the engine does not keep.
+Shared parts weigh more than their time, so that they are read again seldom.
 Which engine keeps a part that nobody here has sent is guessed by rendezvous
 hashing, so that all routers guess alike.
 """
@@ -41,6 +42,9 @@
 _HOME_TRUST = 1.0
 #: Agreed homes of a prompt part.
 _HOMES = 1
+#: How much more it costs to read a shared part where it is not kept, than to read anything
+#: else: that time is taken from all that run there, and a kept copy elsewhere lies idle.
+_REREAD_WEIGHT = 6.0
 #: Prompt parts remembered by endpoint.
 _PARTS_LIMIT = 1_500
 #: Seconds after which a prompt part is no longer taken for kept.
@@ -76,6 +80,11 @@
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts that other prompts may have too: all but the last."""
+        return sum(part.tokens for part in self.parts[:-1])
+
 
 def parse_prompt_parts(text: str, limit: int = 64) -> tuple[PromptPart, ...]:
     """Return the parts that ``ID:TOKENS,ID:TOKENS`` names; empty when it is not that.
@@ -317,10 +326,11 @@
             backlog += load.prefill_tokens
         kept = record.kept_tokens(prompt, now_s)
         if record.endpoint_id in homes:
-            shared = sum(part.tokens for part in prompt.parts[:-1])
-            kept = max(kept, int(_HOME_TRUST * shared))
+            kept = max(kept, int(_HOME_TRUST * prompt.shared_tokens))
         unread = max(0, prompt.tokens - kept)
-        cost_ms = (backlog + unread) / _PREFILL_TOKENS_PER_MS + running * _COST_OF_RUNNING_MS
+        reread = max(0, prompt.shared_tokens - kept)
+        weighed = unread + (_REREAD_WEIGHT - 1.0) * reread
+        cost_ms = (backlog + weighed) / _PREFILL_TOKENS_PER_MS + running * _COST_OF_RUNNING_MS
         over = max(0, running + 1 - record.entry.slots)
         return cost_ms + over * _COST_OF_PLACE_MS + self._zone_cost_ms(record)
 
--- a/turnward/gateway/tests/test_choice.py
+++ b/turnward/gateway/tests/test_choice.py
@@ -91,6 +91,15 @@
     assert world.choose(prompt("a"), ENGINE) is not home
 
 
+def test_busy_home_of_a_large_shared_part_is_waited_for():
+    world = World()
+    wanted = prompt("1")
+    home = world.choose(wanted, ENGINE)
+    # 200 ms of other prompts are read there first; to read the part anew takes 90 ms elsewhere.
+    home.prefill_tokens = 10_000
+    assert world.choose(wanted, ENGINE) is home
+
+
 @pytest.mark.parametrize("certain", [True, False])
 def test_endpoint_that_fails_rests_and_is_tried_by_one_request(certain):
     world = World(count=2)
