The borrower's side of loans in a module of its own; no sum over peers on each reserve

Borrower and the state of a workspace are modules now; the sum is taken after a refusal or where it decides what is kept for urgent requests. Behaviour as before; no test changed.

--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -27,9 +27,11 @@
     ungranted_tokens,
     with_limit,
 )
+from turnward.gateway.borrowing import Borrower
 from turnward.gateway.configuration import Workspace
-from turnward.gateway.loans import LenderBase, LoanAsk, LoanRule, NoLenders, Spare
+from turnward.gateway.loans import LenderBase, LoanAsk, LoanRule, Spare
 from turnward.gateway.spending import PromiseRule, SpendPromise, SpendReports, promise_for
+from turnward.gateway.workspace_account import WaitingRequest, WorkspaceAccount
 from turnward.ledger import BudgetView, GrantAsk, GrantLedger, Reservation, SizingRule
 from turnward.rows import (
     RowChange,
@@ -69,52 +71,6 @@
     UNREACHABLE = "budget_unreachable"
 
 
-class _Waiter:
-    """A request that waits for a grant."""
-
-    __slots__ = ("deferred", "tokens", "until_s")
-
-    def __init__(self, tokens: int, until_s: float):
-        self.tokens = tokens
-        self.until_s = until_s
-        self.deferred: defer.Deferred = defer.Deferred()
-
-
-class _Account:
-    """What this router knows of one workspace's row."""
-
-    __slots__ = (
-        "borrowed_tokens",
-        "borrowing",
-        "busy",
-        "free_in_contact",
-        "limit",
-        "row",
-        "short_until_s",
-        "unfolded",
-        "unresolved",
-        "version",
-        "waiters",
-        "workspace",
-    )
-
-    def __init__(self, workspace: str):
-        self.workspace = workspace
-        self.row: AccountRow | None = None
-        #: The row as stored, while ``row`` leaves out ended processes' grants.
-        self.unfolded: AccountRow | None = None
-        self.version = 0
-        self.limit = (0, 0)
-        self.busy = False
-        self.free_in_contact = 0
-        #: All that peers ever lent here; spent without a grant of the own.
-        self.borrowed_tokens = 0
-        self.borrowing = False
-        self.short_until_s = 0.0
-        self.waiters: list[_Waiter] = []
-        self.unresolved: tuple[int, AccountRow] | None = None
-
-
 class PrepaidAccounts:
     """Grants of one router incarnation.
 
@@ -136,11 +92,6 @@
         How tight the promises of reports are.
     loan_rule : LoanRule, optional
         How much is lent and borrowed.
-
-    Attributes
-    ----------
-    lenders : LenderBase
-        The peers that may lend.
     """
 
     def __init__(
@@ -160,7 +111,7 @@
         self._node = node
         self._incarnation = incarnation
         self._log = log
-        self._accounts: dict[str, _Account] = {}
+        self._accounts: dict[str, WorkspaceAccount] = {}
         self._live_routers = live_routers
         self._rule = rule
         self._promise_rule = promise_rule or PromiseRule()
@@ -168,8 +119,10 @@
         self._paused_until_s = 0.0
         self._lost_contact = False
         self._stopping = False
-        self.lenders: LenderBase = NoLenders()
         self.ledger = GrantLedger(rule)
+        self._borrower = Borrower(
+            reactor, self.ledger, self._loan_rule, self._spendable_tokens, self._loan_came, log
+        )
         self._reports = SpendReports(
             reactor, store, node, incarnation, self._promises, self._reported, log
         )
@@ -194,8 +147,7 @@
         urgent requests than one of ``priority`` (0 is the most urgent).
         """
         account = self._account(workspace)
-        lendable = self._lendable_by_peers(workspace)
-        if self._lost_contact and self._is_kept(account, tokens - lendable, priority):
+        if self._lost_contact and self._is_kept(account, tokens, priority):
             return self._refused(account, tokens, BudgetAnswer.UNREACHABLE, kept=True)
         reservation = self._try_reserve(workspace, tokens, first_try=True)
         if reservation is not None:
@@ -203,24 +155,25 @@
                 self.work_on(workspace)
             return reservation
         account.short_until_s = self._reactor.seconds() + _SHORT_S
+        lendable = self._borrower.lendable_tokens(workspace)
         if self._is_exhausted(account, workspace, tokens):
             self.work_on(workspace)
             return self._refused(account, tokens, BudgetAnswer.EXHAUSTED)
         if self._lost_contact and not lendable:
             # Waiting would only make the refusal late.
             return self._refused(account, tokens, BudgetAnswer.UNREACHABLE)
-        waiter = _Waiter(tokens, self._reactor.seconds() + _WAIT_S)
+        waiter = WaitingRequest(tokens, self._reactor.seconds() + _WAIT_S)
         account.waiters.append(waiter)
         self._reactor.callLater(_WAIT_S, self._give_up, workspace, waiter)
         if lendable and (self._lost_contact or self._store_has_too_little(account, workspace)):
-            self._borrow(workspace, account)
+            self._borrow(account)
         else:
             self._reports.report()
             self.work_on(workspace)
         return waiter.deferred
 
     def _refused(
-        self, account: _Account, tokens: int, answer: BudgetAnswer, kept: bool = False
+        self, account: WorkspaceAccount, tokens: int, answer: BudgetAnswer, kept: bool = False
     ) -> BudgetAnswer:
         """Write a line on a refusal with what decided it; return the answer."""
         workspace = account.workspace
@@ -231,7 +184,7 @@
             answer=answer,
             free=self.ledger.free_tokens(workspace),
             promised=self._promised_tokens(workspace),
-            lendable=self._lendable_by_peers(workspace),
+            lendable=self._borrower.lendable_tokens(workspace),
             ungranted=ungranted_tokens(account.row) if account.row is not None else None,
             row_version=account.version,
             in_contact=not self._lost_contact,
@@ -239,11 +192,15 @@
         )
         return answer
 
-    def _is_kept(self, account: _Account, tokens: int, priority: int) -> bool:
+    def _is_kept(self, account: WorkspaceAccount, tokens: int, priority: int) -> bool:
         """Tell whether a request would take what is kept for more urgent ones."""
         kept_share = min(_KEPT_LIMIT, _KEPT_BY_PRIORITY * priority)
         kept = kept_share * account.free_in_contact
-        return kept > 0 and self.ledger.free_tokens(account.workspace) - tokens < kept
+        if kept <= 0:
+            return False
+        within_reach = self.ledger.free_tokens(account.workspace)
+        within_reach += self._borrower.lendable_tokens(account.workspace)
+        return within_reach - tokens < kept
 
     def _try_reserve(self, workspace: str, tokens: int, first_try: bool) -> Reservation | None:
         promised = self._promised_tokens(workspace)
@@ -311,7 +268,7 @@
         share = self._rule.floor_share / routers
         self.ledger.rule = msgspec.structs.replace(self._rule, floor_share=share)
 
-    def _needs_work(self, workspace: str, account: _Account, now_s: float) -> bool:
+    def _needs_work(self, workspace: str, account: WorkspaceAccount, now_s: float) -> bool:
         if account.unresolved is not None or account.waiters:
             return True
         if self._stopping:
@@ -350,7 +307,7 @@
         self._log.failure("prepaid.contact_lost")
         for workspace, account in self._accounts.items():
             if account.waiters and self.lenders.spare(workspace):
-                self._borrow(workspace, account)
+                self._borrow(account)
                 continue
             self._refuse_waiters(account, BudgetAnswer.UNREACHABLE)
 
@@ -361,7 +318,7 @@
         for workspace, account in self._accounts.items():
             account.free_in_contact = self.ledger.free_tokens(workspace)
 
-    def _ended(self, workspace: str, account: _Account) -> None:
+    def _ended(self, workspace: str, account: WorkspaceAccount) -> None:
         account.busy = False
         self._serve_waiters(workspace, account)
 
@@ -374,7 +331,7 @@
 
     def _promise(self, workspace: str) -> SpendPromise:
         account = self._accounts.get(workspace)
-        waiting = sum(waiter.tokens for waiter in account.waiters) if account else 0
+        waiting = account.waiting_tokens if account else 0
         return promise_for(
             self._own_committed(workspace),
             self.ledger.free_tokens(workspace),
@@ -383,7 +340,7 @@
             self._rule_of_promise(workspace, account),
         )
 
-    def _rule_of_promise(self, workspace: str, account: _Account | None) -> PromiseRule:
+    def _rule_of_promise(self, workspace: str, account: WorkspaceAccount | None) -> PromiseRule:
         """Return a tighter rule where little is left of a workspace's limit.
 
         What the others hold is guessed to be what is held here, for each.
@@ -404,7 +361,7 @@
             if account.waiters:
                 self._serve_waiters(workspace, account)
 
-    async def _work(self, workspace: str, account: _Account) -> None:
+    async def _work(self, workspace: str, account: WorkspaceAccount) -> None:
         await self._look(workspace, account)
         spare = self._spare(workspace)
         if spare and not account.waiters:
@@ -434,7 +391,7 @@
                 )
                 return
 
-    async def _look(self, workspace: str, account: _Account) -> None:
+    async def _look(self, workspace: str, account: WorkspaceAccount) -> None:
         """Learn from the store what is not known, or no longer fresh."""
         if self._reports.ended is None:
             await self._reports.read_ended()
@@ -449,18 +406,18 @@
             return self.ledger.free_tokens(workspace)
         return self.ledger.plan_returns(self._reactor.seconds()).get(workspace, 0)
 
-    def _ask(self, workspace: str, account: _Account) -> GrantAsk | None:
+    def _ask(self, workspace: str, account: WorkspaceAccount) -> GrantAsk | None:
         ask = self.ledger.plan_take(workspace, self._reactor.seconds())
         if self._stopping:
             ask = None
-        waiting = sum(waiter.tokens for waiter in account.waiters)
+        waiting = account.waiting_tokens
         short = waiting - max(0, self.ledger.free_tokens(workspace))
         if short <= 0:
             return ask
         most = max(short, ask.most_tokens if ask is not None else 0)
         return GrantAsk(short, most)
 
-    def _grantable(self, account: _Account, ask: GrantAsk) -> int:
+    def _grantable(self, account: WorkspaceAccount, ask: GrantAsk) -> int:
         left = ungranted_tokens(account.row)
         shared = int(left * self.ledger.rule.share)
         tokens = min(ask.most_tokens, max(ask.least_tokens, shared))
@@ -469,7 +426,7 @@
         # What is left serves some of those that wait, if not all.
         return max(0, left) if ask.least_tokens else 0
 
-    async def _give_back(self, workspace: str, account: _Account, spare: int) -> None:
+    async def _give_back(self, workspace: str, account: WorkspaceAccount, spare: int) -> None:
         taken = self.ledger.withdraw(workspace, spare)
         if taken <= 0:
             return
@@ -490,11 +447,11 @@
                 return
         self.ledger.add(workspace, taken)
 
-    async def _read(self, workspace: str, account: _Account) -> None:
+    async def _read(self, workspace: str, account: WorkspaceAccount) -> None:
         row = await self._store.read_row(RowKey(TABLE, workspace, ROW_NAME))
         self._take_in(workspace, account, row)
 
-    def _take_in(self, workspace: str, account: _Account, row: StoredRow) -> None:
+    def _take_in(self, workspace: str, account: WorkspaceAccount, row: StoredRow) -> None:
         if row.version >= account.version:
             stored = decode_account(row)
             limited = with_limit(stored, *account.limit)
@@ -503,11 +460,11 @@
             account.version = 0 if row.gone else row.version
         self._observe(workspace, account)
 
-    def _observe(self, workspace: str, account: _Account) -> None:
+    def _observe(self, workspace: str, account: WorkspaceAccount) -> None:
         self._note_contact()
         self._show_limit(workspace, account)
 
-    def _show_limit(self, workspace: str, account: _Account) -> None:
+    def _show_limit(self, workspace: str, account: WorkspaceAccount) -> None:
         """Let the ledger see the row under the newest limit known."""
         account.row = with_limit(account.row, *account.limit)
         held = account.row.granted_tokens.get(self._incarnation, 0)
@@ -516,7 +473,7 @@
         view = BudgetView(account.row.limit_tokens, ungranted_tokens(account.row), spent)
         self.ledger.observe(workspace, view, self._reactor.seconds())
 
-    async def _write(self, workspace: str, account: _Account, delta_tokens: int) -> bool:
+    async def _write(self, workspace: str, account: WorkspaceAccount, delta_tokens: int) -> bool:
         """Write a changed grant; False after a conflict, with the row read anew.
 
         After a lost answer the change is kept in ``unresolved``: one that adds
@@ -561,7 +518,7 @@
         }
         return fold_ended(row, self._node, self._incarnation, bounds)
 
-    async def _resolve(self, workspace: str, account: _Account) -> None:
+    async def _resolve(self, workspace: str, account: WorkspaceAccount) -> None:
         """Learn what became of a write whose answer was lost.
 
         The write may still take effect while its condition holds. So the same
@@ -594,6 +551,18 @@
 
     # Loans.
 
+    @property
+    def lenders(self) -> LenderBase:
+        """The peers that may lend."""
+        return self._borrower.lenders
+
+    @lenders.setter
+    def lenders(self, lenders: LenderBase) -> None:
+        self._borrower.lenders = lenders
+
+    def _loan_came(self, account: WorkspaceAccount) -> None:
+        self._serve_waiters(account.workspace, account)
+
     @property
     def short(self) -> bool:
         """Whether tokens may soon have to be borrowed."""
@@ -633,45 +602,15 @@
         demand = self.ledger.demand_tokens_per_s(workspace, self._reactor.seconds())
         return max(spendable - int(demand * self._loan_rule.kept_s), spendable // 2)
 
-    def _borrow(self, workspace: str, account: _Account) -> None:
+    def _borrow(self, account: WorkspaceAccount) -> None:
         """Ask peers for what waiting requests need, one loan at a time."""
         if account.borrowing:
             return
-        account.borrowing = True
-        done = defer.ensureDeferred(self._borrow_from_peers(workspace, account))
-        done.addErrback(self._failed, workspace)
-        done.addBoth(lambda _: self._borrowing_ended(workspace, account))
+        done = defer.ensureDeferred(self._borrower.borrow(account))
+        done.addErrback(self._failed, account.workspace)
+        done.addBoth(lambda _: self._borrowing_ended(account.workspace, account))
 
-    async def _borrow_from_peers(self, workspace: str, account: _Account) -> None:
-        for address, _ in self.lenders.spare(workspace)[: self._loan_rule.lenders_asked]:
-            ask = self._loan_ask(workspace, account)
-            if ask is None:
-                return
-            tokens = await self.lenders.ask(address, ask)
-            if tokens <= 0:
-                continue
-            account.borrowed_tokens += tokens
-            self.ledger.add(workspace, tokens)
-            self._log.event(
-                "prepaid.borrowed",
-                workspace=workspace,
-                lender=address,
-                tokens=tokens,
-                wanted=ask.least_tokens,
-                free=self.ledger.free_tokens(workspace),
-            )
-            self._serve_waiters(workspace, account)
-
-    def _loan_ask(self, workspace: str, account: _Account) -> LoanAsk | None:
-        waiting = sum(waiter.tokens for waiter in account.waiters)
-        least = waiting - self._spendable_tokens(workspace)
-        if least <= 0:
-            return None
-        demand = self.ledger.demand_tokens_per_s(workspace, self._reactor.seconds())
-        return LoanAsk(workspace, least, least + int(demand * self._loan_rule.ahead_s))
-
-    def _borrowing_ended(self, workspace: str, account: _Account) -> None:
-        account.borrowing = False
+    def _borrowing_ended(self, workspace: str, account: WorkspaceAccount) -> None:
         self._serve_waiters(workspace, account)
         if self._lost_contact or self._store_has_too_little(account, workspace):
             # Nobody else can help, and waiting would only make the refusal late.
@@ -679,25 +618,25 @@
         elif account.waiters:
             self.work_on(workspace)
 
-    def _refuse_waiters(self, account: _Account, answer: BudgetAnswer) -> None:
+    def _refuse_waiters(self, account: WorkspaceAccount, answer: BudgetAnswer) -> None:
         waiters, account.waiters = account.waiters, []
         for waiter in waiters:
             waiter.deferred.callback(self._refused(account, waiter.tokens, answer))
 
-    def _shortage(self, account: _Account) -> BudgetAnswer:
+    def _shortage(self, account: WorkspaceAccount) -> BudgetAnswer:
         return BudgetAnswer.UNREACHABLE if self._lost_contact else BudgetAnswer.EXHAUSTED
 
-    def _store_has_too_little(self, account: _Account, workspace: str) -> bool:
+    def _store_has_too_little(self, account: WorkspaceAccount, workspace: str) -> bool:
         """Tell whether the store can't give what waiting requests need."""
         if account.row is None:
             return False
-        waiting = sum(waiter.tokens for waiter in account.waiters)
+        waiting = account.waiting_tokens
         short = waiting - max(0, self.ledger.free_tokens(workspace))
         return max(0, ungranted_tokens(account.row)) < short
 
     # Waiting requests.
 
-    def _serve_waiters(self, workspace: str, account: _Account) -> None:
+    def _serve_waiters(self, workspace: str, account: WorkspaceAccount) -> None:
         waiters, account.waiters = account.waiters, []
         for waiter in waiters:
             reservation = self._try_reserve(workspace, waiter.tokens, first_try=False)
@@ -709,7 +648,7 @@
             else:
                 account.waiters.append(waiter)
 
-    def _give_up(self, workspace: str, waiter: _Waiter) -> None:
+    def _give_up(self, workspace: str, waiter: WaitingRequest) -> None:
         account = self._account(workspace)
         if waiter in account.waiters:
             account.waiters.remove(waiter)
@@ -718,17 +657,14 @@
             # Whoever comes before the store has answered is refused without this wait.
             self._lose_contact()
 
-    def _is_exhausted(self, account: _Account, workspace: str, tokens: int) -> bool:
+    def _is_exhausted(self, account: WorkspaceAccount, workspace: str, tokens: int) -> bool:
         """Tell whether what is left, here, in the store and with peers, can't hold a request."""
         if account.row is None:
             return False
         free = max(0, self.ledger.free_tokens(workspace))
-        lendable = self._lendable_by_peers(workspace)
+        lendable = self._borrower.lendable_tokens(workspace)
         return max(0, ungranted_tokens(account.row)) + free + lendable < tokens
 
-    def _lendable_by_peers(self, workspace: str) -> int:
-        return sum(tokens for _, tokens in self.lenders.spare(workspace))
-
     def stop(self) -> None:
         """Give back from now on what is not reserved, before a planned stop."""
         self._stopping = True
@@ -743,8 +679,8 @@
             for workspace, account in self._accounts.items()
         )
 
-    def _account(self, workspace: str) -> _Account:
+    def _account(self, workspace: str) -> WorkspaceAccount:
         account = self._accounts.get(workspace)
         if account is None:
-            account = self._accounts[workspace] = _Account(workspace)
+            account = self._accounts[workspace] = WorkspaceAccount(workspace)
         return account
--- /dev/null
+++ b/turnward/gateway/workspace_account.py
@@ -0,0 +1,91 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""What one router knows of one workspace's prepaid tokens."""
+
+from twisted.internet import defer
+
+from turnward.gateway.accounts import AccountRow
+
+__all__ = ["WaitingRequest", "WorkspaceAccount"]
+
+
+class WaitingRequest:
+    """A request that waits for tokens.
+
+    Attributes
+    ----------
+    tokens : int
+        What it needs at its most.
+    until_s : float
+        When it is refused if none have come.
+    deferred : Deferred
+        Fires with a reservation or with why there is none.
+    """
+
+    __slots__ = ("deferred", "tokens", "until_s")
+
+    def __init__(self, tokens: int, until_s: float):
+        self.tokens = tokens
+        self.until_s = until_s
+        self.deferred: defer.Deferred = defer.Deferred()
+
+
+class WorkspaceAccount:
+    """One workspace's row as last seen, and what is under way for it.
+
+    Attributes
+    ----------
+    row : AccountRow or None
+        As last seen, with ended processes' grants folded.
+    unfolded : AccountRow or None
+        The row as stored, while ``row`` leaves out ended processes' grants.
+    version : int
+        The row's version; 0 while it is not there.
+    limit : tuple of int
+        Tokens, and the version of the configuration that says so.
+    busy, borrowing : bool
+        Whether the row is being worked on, and whether a loan is asked for.
+    free_in_contact : int
+        Tokens that were free when the store was last reached.
+    borrowed_tokens : int
+        All that peers ever lent here; spent without a grant of the own.
+    short_until_s : float
+        Until when the shortage is told to peers.
+    waiters : list of WaitingRequest
+        Requests that wait for tokens.
+    unresolved : tuple or None
+        A change whose answer was lost: its tokens, and the row it would make.
+    """
+
+    __slots__ = (
+        "borrowed_tokens",
+        "borrowing",
+        "busy",
+        "free_in_contact",
+        "limit",
+        "row",
+        "short_until_s",
+        "unfolded",
+        "unresolved",
+        "version",
+        "waiters",
+        "workspace",
+    )
+
+    def __init__(self, workspace: str):
+        self.workspace = workspace
+        self.row: AccountRow | None = None
+        self.unfolded: AccountRow | None = None
+        self.version = 0
+        self.limit = (0, 0)
+        self.busy = False
+        self.free_in_contact = 0
+        self.borrowed_tokens = 0
+        self.borrowing = False
+        self.short_until_s = 0.0
+        self.waiters: list[WaitingRequest] = []
+        self.unresolved: tuple[int, AccountRow] | None = None
+
+    @property
+    def waiting_tokens(self) -> int:
+        """What all waiting requests need together."""
+        return sum(waiter.tokens for waiter in self.waiters)
