No repeat is used up where no other endpoint is there

Tests (both failed first): the budget stays whole, with the reason in attempt.not_repeated; the only endpoint's 500 is passed on with its body.

--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -273,6 +273,17 @@
             if record.in_flight
         ]
 
+    def has_other(self, pool: str, without: set[str]) -> bool:
+        """Tell whether an endpoint takes work besides those in ``without``."""
+        return bool(self._candidates(pool, without))
+
+    def _candidates(self, pool: str, without: set[str]) -> list[EndpointRecord]:
+        return [
+            record
+            for record in self._by_pool.get(pool, ())
+            if not record.entry.leaving and record.endpoint_id not in without
+        ]
+
     def choose(
         self,
         pool: str,
@@ -282,11 +293,7 @@
     ) -> "EndpointChoice | None":
         """Return the endpoint with the least cost, or None when none takes work."""
         now_s = self._clock()
-        candidates = [
-            record
-            for record in self._by_pool.get(pool, ())
-            if not record.entry.leaving and record.endpoint_id not in without
-        ]
+        candidates = self._candidates(pool, without)
         rested = [record for record in candidates if self._may_take(record, now_s)]
         candidates = rested or candidates
         if not candidates:
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -463,6 +463,8 @@
             return NoRepeat.ENDPOINTS_TRIED
         if repeat and self._attempts >= self._route.attempts:
             return NoRepeat.ATTEMPTS
+        if not self._forwarder.endpoints.has_other(self._pool, self._tried):
+            return NoRepeat.NO_OTHER_ENDPOINT
         return None
 
     def _take_repeat(self, ran: bool) -> NoRepeat | None:
--- a/turnward/gateway/outcomes.py
+++ b/turnward/gateway/outcomes.py
@@ -49,6 +49,7 @@
     ANSWER_BEGUN = "answer_begun_and_not_resumable"
     TIME = "no_time_left"
     ENDPOINTS_TRIED = "enough_endpoints_tried"
+    NO_OTHER_ENDPOINT = "no_other_endpoint"
     ATTEMPTS = "attempts_used_up"
     TOKENS = "no_tokens_for_another_run"
     REPEAT_BUDGET = "repeat_budget_used_up"
--- a/turnward/gateway/tests/test_forwarding.py
+++ b/turnward/gateway/tests/test_forwarding.py
@@ -135,6 +135,26 @@
     assert [rig.ask().status for _ in range(6)] == [200] * 6
 
 
+def test_no_repeat_is_used_up_where_no_other_endpoint_is_there():
+    rig = Rig(repeat=Repeat.ANY, attempts=3)
+    rig.endpoint(reset)
+    rig.ready()
+    assert rig.ask().status == 502
+    assert rig.logs[0].of("attempt.not_repeated")[0]["why"] == "no_other_endpoint"
+    assert not rig.gateways[0].forwarder.allowance("pool")._repeats
+
+
+def test_error_of_the_only_endpoint_is_passed_on_as_it_is():
+    def fail(endpoint, request):
+        request.answer(500, answer_head(request), b"own words")
+
+    rig = Rig(repeat=Repeat.ANY, attempts=3)
+    rig.endpoint(fail)
+    rig.ready()
+    caller = rig.ask()
+    assert (caller.status, caller.body) == (500, b"own words")
+
+
 def test_attempts_bound_the_endpoints_of_a_request():
     rig = Rig(repeat=Repeat.ANY, attempts=2)
     for _ in range(4):
