--- a/turnward/standins/network.py
+++ b/turnward/standins/network.py
@@ -108,7 +108,7 @@
         """Accept connections at a port."""
         self.listeners[port] = factory
         factory.doStart()
-        return _MemoryPort(self.listeners, port)
+        return _MemoryPort(self.listeners, interface, port)
 
     def connectTCP(self, host, port, factory, timeout=30):  # noqa: N802
         """Open a connection."""
@@ -120,7 +120,7 @@
         """Receive datagrams at a port."""
         self.datagram_listeners[port] = protocol
         protocol.makeConnection(_MemoryDatagrams(self, port))
-        return _MemoryPort(self.datagram_listeners, port)
+        return _MemoryPort(self.datagram_listeners, interface, port)
 
     # Failures.
 
@@ -215,10 +215,15 @@
 class _MemoryPort:
     """A port that is listened on."""
 
-    def __init__(self, listeners, port):
+    def __init__(self, listeners, host, port):
         self._listeners = listeners
+        self._host = host
         self._port = port
 
+    def getHost(self):  # noqa: N802
+        """Return the address listened on."""
+        return IPv4Address("TCP", self._host, self._port)
+
     def stopListening(self):  # noqa: N802
         """Accept no more."""
         self._listeners.pop(self._port, None)
