--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -29,6 +29,7 @@
 )
 from turnward.gateway.borrowing import Borrower
 from turnward.gateway.configuration import Workspace
+from turnward.gateway.end_reserve import EndReserve, EndReserveRule
 from turnward.gateway.loans import LenderBase, LoanAsk, LoanRule, Spare
 from turnward.gateway.spending import PromiseRule, SpendPromise, SpendReports, promise_for
 from turnward.gateway.workspace_account import WaitingRequest, WorkspaceAccount
@@ -92,6 +93,8 @@
         How tight the promises of reports are.
     loan_rule : LoanRule, optional
         How much is lent and borrowed.
+    end_rule : EndReserveRule, optional
+        What is kept for the end of a limit.
     """
 
     def __init__(
@@ -105,6 +108,7 @@
         live_routers: Callable[[], int],
         promise_rule: PromiseRule | None = None,
         loan_rule: LoanRule | None = None,
+        end_rule: EndReserveRule | None = None,
     ):
         self._reactor = reactor
         self._store = store
@@ -116,6 +120,7 @@
         self._rule = rule
         self._promise_rule = promise_rule or PromiseRule()
         self._loan_rule = loan_rule or LoanRule()
+        self._end_rule = end_rule or EndReserveRule()
         self._paused_until_s = 0.0
         self._lost_contact = False
         self._stopping = False
@@ -156,13 +161,14 @@
             return reservation
         account.short_until_s = self._reactor.seconds() + _SHORT_S
         lendable = self._borrower.lendable_tokens(workspace)
-        if self._is_exhausted(account, workspace, tokens):
+        exhausted = self._is_exhausted(account, workspace, tokens)
+        if exhausted and not self._lets_through(account, tokens):
             self.work_on(workspace)
             return self._refused(account, tokens, BudgetAnswer.EXHAUSTED)
         if self._lost_contact and not lendable:
             # Waiting would only make the refusal late.
             return self._refused(account, tokens, BudgetAnswer.UNREACHABLE)
-        waiter = WaitingRequest(tokens, self._reactor.seconds() + _WAIT_S)
+        waiter = WaitingRequest(tokens, self._reactor.seconds() + _WAIT_S, exhausted)
         account.waiters.append(waiter)
         self._reactor.callLater(_WAIT_S, self._give_up, workspace, waiter)
         if lendable and (self._lost_contact or self._store_has_too_little(account, workspace)):
@@ -192,6 +198,10 @@
         )
         return answer
 
+    def _lets_through(self, account: WorkspaceAccount, tokens: int) -> bool:
+        """Tell whether a request gets a part of what is kept for the end."""
+        return not self._lost_contact and account.end_reserve.lets_through(account.row, tokens)
+
     def _is_kept(self, account: WorkspaceAccount, tokens: int, priority: int) -> bool:
         """Tell whether a request would take what is kept for more urgent ones."""
         kept_share = min(_KEPT_LIMIT, _KEPT_BY_PRIORITY * priority)
@@ -418,7 +428,10 @@
         return GrantAsk(short, most)
 
     def _grantable(self, account: WorkspaceAccount, ask: GrantAsk) -> int:
-        left = ungranted_tokens(account.row)
+        if account.draws_on_reserve:
+            left = ungranted_tokens(account.row)
+            return min(ask.least_tokens, left) if left >= ask.least_tokens else 0
+        left = account.end_reserve.open_tokens(account.row)
         shared = int(left * self.ledger.rule.share)
         tokens = min(ask.most_tokens, max(ask.least_tokens, shared))
         if tokens <= left:
@@ -470,7 +483,9 @@
         held = account.row.granted_tokens.get(self._incarnation, 0)
         granted = sum(account.row.granted_tokens.values())
         spent = account.row.ended_tokens + granted - held
-        view = BudgetView(account.row.limit_tokens, ungranted_tokens(account.row), spent)
+        view = BudgetView(
+            account.row.limit_tokens, account.end_reserve.open_tokens(account.row), spent
+        )
         self.ledger.observe(workspace, view, self._reactor.seconds())
 
     async def _write(self, workspace: str, account: WorkspaceAccount, delta_tokens: int) -> bool:
@@ -632,7 +647,7 @@
             return False
         waiting = account.waiting_tokens
         short = waiting - max(0, self.ledger.free_tokens(workspace))
-        return max(0, ungranted_tokens(account.row)) < short
+        return max(0, account.end_reserve.open_tokens(account.row)) < short
 
     # Waiting requests.
 
@@ -642,7 +657,7 @@
             reservation = self._try_reserve(workspace, waiter.tokens, first_try=False)
             if reservation is not None:
                 waiter.deferred.callback(reservation)
-            elif not account.borrowing and self._is_exhausted(account, workspace, waiter.tokens):
+            elif not account.borrowing and self._has_no_hope(account, waiter):
                 answer = self._refused(account, waiter.tokens, BudgetAnswer.EXHAUSTED)
                 waiter.deferred.callback(answer)
             else:
@@ -657,13 +672,19 @@
             # Whoever comes before the store has answered is refused without this wait.
             self._lose_contact()
 
+    def _has_no_hope(self, account: WorkspaceAccount, waiter: WaitingRequest) -> bool:
+        """Tell whether a waiting request can get no tokens any more."""
+        if waiter.from_reserve:
+            return ungranted_tokens(account.row) < waiter.tokens
+        return self._is_exhausted(account, account.workspace, waiter.tokens)
+
     def _is_exhausted(self, account: WorkspaceAccount, workspace: str, tokens: int) -> bool:
         """Tell whether what is left, here, in the store and with peers, can't hold a request."""
         if account.row is None:
             return False
         free = max(0, self.ledger.free_tokens(workspace))
         lendable = self._borrower.lendable_tokens(workspace)
-        return max(0, ungranted_tokens(account.row)) + free + lendable < tokens
+        return max(0, account.end_reserve.open_tokens(account.row)) + free + lendable < tokens
 
     def stop(self) -> None:
         """Give back from now on what is not reserved, before a planned stop."""
@@ -682,5 +703,6 @@
     def _account(self, workspace: str) -> WorkspaceAccount:
         account = self._accounts.get(workspace)
         if account is None:
-            account = self._accounts[workspace] = WorkspaceAccount(workspace)
+            reserve = EndReserve(self._end_rule, f"{self._incarnation}/{workspace}")
+            account = self._accounts[workspace] = WorkspaceAccount(workspace, reserve)
         return account
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -11,6 +11,7 @@
 
 from turnward.gateway.choice import EndpointBook
 from turnward.gateway.dialect import Dialect
+from turnward.gateway.end_reserve import EndReserveRule
 from turnward.gateway.feeds import FeedListenerBase, TableFeed
 from turnward.gateway.forwarding import Forwarder, ForwardingRules
 from turnward.gateway.loans import PeersAsLenders
@@ -167,6 +168,7 @@
             _SIZING,
             log,
             lambda: self.book.most_live,
+            end_rule=EndReserveRule(share=settings.budget_reserve_share),
         )
         self.peers = PeerTask(
             reactor,
--- a/turnward/gateway/settings.py
+++ b/turnward/gateway/settings.py
@@ -25,6 +25,9 @@
         ``IP:port`` of further instances; only the IP numbers are used.
     store_address : str
         ``IP:port`` of the store of versioned rows.
+    budget_reserve_share : float
+        Part of each workspace's prepaid tokens that only small requests get, a few of
+        them, once all else is used up.
     """
 
     node: str
@@ -44,6 +47,7 @@
     repeat_window_s: float = 10.0
     repeat_slack: float = 50.0
     log_lines_per_s: float = 100.0
+    budget_reserve_share: float = 0.0
 
     def faults(self) -> list[str]:
         """Return what is wrong beyond types."""
@@ -76,6 +80,9 @@
             for key in ("repeat_ratio", "repeat_slack")
             if not 0 <= getattr(self, key) < math.inf
         ]
+        if not 0 <= self.budget_reserve_share < 1:
+            share = self.budget_reserve_share
+            found.append(f"budget_reserve_share: expected 0 to below 1, found {share}")
         return found
 
 
--- a/turnward/gateway/tests/rig.py
+++ b/turnward/gateway/tests/rig.py
@@ -196,6 +196,9 @@
 class Rig:
     """A small deployment."""
 
+    #: Part of each limit that gateways keep for the end.
+    budget_reserve_share = 0.0
+
     def __init__(self, routes=None, pools=None, workspaces=None, **route_fields):
         self.network = MemoryNetwork()
         self.rows = MemoryRows(self.network.clock)
@@ -264,6 +267,7 @@
             store_address="10.0.0.1:1",
             peers_port=PEERS_PORT,
             seeds=["10.1.0.1:9", "10.1.0.2:9"],
+            budget_reserve_share=self.budget_reserve_share,
         )
         log = ListLog()
         client = RowsClient(self.rows, machine)
--- a/turnward/gateway/tests/test_prepaid.py
+++ b/turnward/gateway/tests/test_prepaid.py
@@ -163,10 +163,11 @@
 class World:
     """Two routers that spend one workspace's tokens."""
 
-    def __init__(self, accounts_type=PrepaidAccounts, limit=LIMIT):
+    def __init__(self, accounts_type=PrepaidAccounts, limit=LIMIT, end_rule=None):
         self.clock = task.Clock()
         self.rows = MemoryRows(self.clock)
         self.accounts_type = accounts_type
+        self.end_rule = end_rule
         self.limit = limit
         self.version = 1
         self.spent = 0
@@ -198,6 +199,7 @@
             lambda: 2,
             PROMISES,
             LOANS,
+            self.end_rule,
         )
         if old is not None:
             # Loans that the dead one had asked for may still be given, to nobody.
--- a/turnward/gateway/workspace_account.py
+++ b/turnward/gateway/workspace_account.py
@@ -4,6 +4,7 @@
 from twisted.internet import defer
 
 from turnward.gateway.accounts import AccountRow
+from turnward.gateway.end_reserve import EndReserve
 
 __all__ = ["WaitingRequest", "WorkspaceAccount"]
 
@@ -17,15 +18,18 @@
         What it needs at its most.
     until_s : float
         When it is refused if none have come.
+    from_reserve : bool
+        Whether it is served out of what is kept for the end of the limit.
     deferred : Deferred
         Fires with a reservation or with why there is none.
     """
 
-    __slots__ = ("deferred", "tokens", "until_s")
+    __slots__ = ("deferred", "from_reserve", "tokens", "until_s")
 
-    def __init__(self, tokens: int, until_s: float):
+    def __init__(self, tokens: int, until_s: float, from_reserve: bool = False):
         self.tokens = tokens
         self.until_s = until_s
+        self.from_reserve = from_reserve
         self.deferred: defer.Deferred = defer.Deferred()
 
 
@@ -42,6 +46,8 @@
         The row's version; 0 while it is not there.
     limit : tuple of int
         Tokens, and the version of the configuration that says so.
+    end_reserve : EndReserve
+        What is kept for the end of the limit.
     busy, borrowing : bool
         Whether the row is being worked on, and whether a loan is asked for.
     free_in_contact : int
@@ -60,6 +66,7 @@
         "borrowed_tokens",
         "borrowing",
         "busy",
+        "end_reserve",
         "free_in_contact",
         "limit",
         "row",
@@ -71,8 +78,9 @@
         "workspace",
     )
 
-    def __init__(self, workspace: str):
+    def __init__(self, workspace: str, end_reserve: EndReserve):
         self.workspace = workspace
+        self.end_reserve = end_reserve
         self.row: AccountRow | None = None
         self.unfolded: AccountRow | None = None
         self.version = 0
@@ -89,3 +97,8 @@
     def waiting_tokens(self) -> int:
         """What all waiting requests need together."""
         return sum(waiter.tokens for waiter in self.waiters)
+
+    @property
+    def draws_on_reserve(self) -> bool:
+        """Whether all that wait are served out of what is kept for the end."""
+        return bool(self.waiters) and all(waiter.from_reserve for waiter in self.waiters)
