The more routers hold tokens, the less often each looks at the rows

All routers together take 100 looks a second now; each row is looked at every 10 s at least.

A pause after a row had nothing left was tried and taken out again: no test or figure showed that it saves reads.

--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -59,6 +59,10 @@
 #: of priority, and at most.
 _KEPT_BY_PRIORITY = 0.15
 _KEPT_LIMIT = 0.5
+#: Looks at rows a second that all routers together take, as long as each looks at least every
+#: so many seconds.
+_FLEET_VIEWS_PER_S = 100.0
+_VIEW_LIMIT_S = 10.0
 #: Seconds for which a shortage is told to peers.
 _SHORT_S = 2.0
 #: Conflicts in a row after which a change is left for the next look.
@@ -273,10 +277,16 @@
                 self.work_on(workspace)
 
     def _size_grants(self) -> None:
-        """Share what is held without demand evenly among the routers."""
+        """Share what is held without demand, and looks at rows, among the routers."""
         routers = max(1, self._live_routers())
-        share = self._rule.floor_share / routers
-        self.ledger.rule = msgspec.structs.replace(self._rule, floor_share=share)
+        view_s = min(_VIEW_LIMIT_S, routers * len(self._accounts) / _FLEET_VIEWS_PER_S)
+        near_s = max(self._rule.near_view_s, view_s)
+        self.ledger.rule = msgspec.structs.replace(
+            self._rule,
+            floor_share=self._rule.floor_share / routers,
+            near_view_s=near_s,
+            far_view_s=max(self._rule.far_view_s, near_s),
+        )
 
     def _needs_work(self, workspace: str, account: WorkspaceAccount, now_s: float) -> bool:
         if account.unresolved is not None or account.waiters:
--- a/turnward/gateway/tests/test_prepaid.py
+++ b/turnward/gateway/tests/test_prepaid.py
@@ -526,6 +526,31 @@
     assert abs(accounts._reports._number - before - reports) <= 1
 
 
+def count_reads(world, accounts, seconds):
+    """Return how many reads the store gets from a router without new requests."""
+    reads = 0
+    for _ in range(int(seconds / 0.05)):
+        while world.stores[0].pending:
+            reads += world.stores[0].pending[0][0] == "read"
+            world.stores[0].decide("done")
+        world.clock.advance(0.05)
+        accounts.look()
+    return reads
+
+
+@pytest.mark.parametrize(("routers", "most"), [(6, 12), (87, 2)])
+def test_the_more_routers_hold_tokens_the_less_often_each_looks_at_rows(routers, most):
+    world, accounts = lone_account(limit=100_000, routers=routers)
+    workspaces = {f"w-{n}": Workspace(name=f"w-{n}", prepaid_tokens=100_000) for n in range(24)}
+    accounts.set_limits(workspaces, 1)
+    settle_down(world, 2.0)
+    for name in workspaces:
+        accounts.reserve(name, 10)
+    settle_down(world, 2.0)
+    reads = count_reads(world, accounts, 10.0)
+    assert reads <= most * 25
+
+
 def ungranted(world):
     return ungranted_tokens(decode_account(world.rows.get(KEY_OF_ROW)))
 
