--- a/turnward/gateway/tests/test_end_reserve.py
+++ b/turnward/gateway/tests/test_end_reserve.py
@@ -7,7 +7,7 @@
 from turnward.gateway.accounts import AccountRow
 from turnward.gateway.end_reserve import EndReserve, EndReserveRule
 from turnward.gateway.tests.rig import ENGINE_POOL, KEY, Rig, stream
-from turnward.gateway.tests.test_prepaid import MORE_ACTIONS, World, random_schedule
+from turnward.gateway.tests.test_prepaid import World, random_schedule
 
 RULE = EndReserveRule(share=0.1, one_in=6, smallness=4)
 ROW = AccountRow(limit_tokens=10_000, ended_tokens=9_000)
@@ -51,8 +51,8 @@
 def test_random_schedules_with_a_reserve_keep_the_limit(seed):
     world = World(end_rule=EndReserveRule(share=0.3, one_in=2, smallness=2))
     for action in random_schedule(seed):
+        # Each step checks what is spent against the limit.
         world.step(action)
-    assert len(MORE_ACTIONS) > 0
 
 
 def ask_until_dry(reserve_share, small=20, large=2_000):
