--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -20,6 +20,7 @@
 from turnward.hashing import rendezvous_weight
 
 __all__ = [
+    "ChoiceRule",
     "EndpointBook",
     "EndpointChoice",
     "EndpointRecord",
@@ -34,17 +35,10 @@
 _COST_OF_RUNNING_MS = 1.5
 #: Milliseconds that a request waiting for a place adds, on plain services.
 _COST_OF_PLACE_MS = 60.0
-#: Milliseconds that another zone adds.
-_COST_OF_ZONE_MS = 2.0
 #: Costs that differ by less are taken for equal.
 _TIE_MS = 0.5
 #: Share of a prompt part that an agreed home is taken to keep.
 _HOME_TRUST = 1.0
-#: Agreed homes of a prompt part.
-_HOMES = 1
-#: How much more it costs to read a shared part where it is not kept, than to read anything
-#: else: that time is taken from all that run there, and a kept copy elsewhere lies idle.
-_REREAD_WEIGHT = 6.0
 #: Prompt parts remembered by endpoint.
 _PARTS_LIMIT = 1_500
 #: Seconds after which a prompt part is no longer taken for kept.
@@ -56,6 +50,29 @@
 _FAILURES_TO_REST = 2
 
 
+class ChoiceRule(msgspec.Struct, frozen=True):
+    """What the choice of an endpoint takes into account.
+
+    Attributes
+    ----------
+    homes : int
+        Agreed homes of a prompt part; 0: none.
+    reread_weight : float
+        How much more it costs to read a shared part where it is not kept, than to read
+        anything else: that time is taken from all that run there, and a kept copy elsewhere
+        lies idle. Measured in decision 14.
+    zone_cost_ms : float
+        Milliseconds that another zone adds.
+    rests : bool
+        Whether endpoints that fail rest.
+    """
+
+    homes: int = 1
+    reread_weight: float = 6.0
+    zone_cost_ms: float = 2.0
+    rests: bool = True
+
+
 class PromptPart(msgspec.Struct, frozen=True):
     """A part of a prompt, named by all parts up to it."""
 
@@ -228,11 +245,20 @@
         Returns by endpoint id what all peers have in flight.
     draw : random.Random
         Breaks ties.
+    rule : ChoiceRule, optional
+        What the choice takes into account.
     """
 
     def __init__(
-        self, zone: str, clock: Callable[[], float], make_pool, peer_loads, draw: random.Random
+        self,
+        zone: str,
+        clock: Callable[[], float],
+        make_pool,
+        peer_loads,
+        draw: random.Random,
+        rule: ChoiceRule | None = None,
     ):
+        self._rule = rule or ChoiceRule()
         self._draw = draw
         self._zone = zone
         self._clock = clock
@@ -302,7 +328,7 @@
         if traits is None:
             costs = [(self._service_cost_ms(record, loads), record) for record in candidates]
         else:
-            homes = _homes(prompt, candidates)
+            homes = _homes(prompt, candidates, self._rule.homes)
             costs = [
                 (self._engine_cost_ms(record, prompt, loads, homes, now_s), record)
                 for record in candidates
@@ -312,6 +338,8 @@
         return EndpointChoice(record, round(cost_ms, 1), len(candidates), kept)
 
     def _may_take(self, record: EndpointRecord, now_s: float) -> bool:
+        if not self._rule.rests:
+            return True
         if now_s < record.rest_until_s:
             return False
         # After a rest one request at a time tries whether the endpoint is back.
@@ -336,20 +364,20 @@
             kept = max(kept, int(_HOME_TRUST * prompt.shared_tokens))
         unread = max(0, prompt.tokens - kept)
         reread = max(0, prompt.shared_tokens - kept)
-        weighed = unread + (_REREAD_WEIGHT - 1.0) * reread
+        weighed = unread + (self._rule.reread_weight - 1.0) * reread
         cost_ms = (backlog + weighed) / _PREFILL_TOKENS_PER_MS + running * _COST_OF_RUNNING_MS
         over = max(0, running + 1 - record.entry.slots)
         return cost_ms + over * _COST_OF_PLACE_MS + self._zone_cost_ms(record)
 
     def _zone_cost_ms(self, record: EndpointRecord) -> float:
-        return 0.0 if record.entry.zone == self._zone else _COST_OF_ZONE_MS
+        return 0.0 if record.entry.zone == self._zone else self._rule.zone_cost_ms
 
 
-def _homes(prompt: Prompt, candidates: list[EndpointRecord]) -> set[str]:
+def _homes(prompt: Prompt, candidates: list[EndpointRecord], count: int) -> set[str]:
     """Return the agreed homes of the last shared part of a prompt."""
     if len(prompt.parts) < 2:
         return set()
     key = str(prompt.parts[-2].path)
     names = [record.endpoint_id for record in candidates]
     names.sort(key=lambda name: rendezvous_weight(key, name), reverse=True)
-    return set(names[:_HOMES])
+    return set(names[:count])
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -44,12 +44,15 @@
 
     Attributes
     ----------
+    looks_for_others : bool
+        Whether a repeat is used up only where another endpoint takes work.
     stale_after_s : float
         Age of the last confirmation of the configuration above which a missing
         route or key is not taken for the caller's fault.
     """
 
     repeats: RepeatRule = RepeatRule()
+    looks_for_others: bool = True
     stale_after_s: float = 3.0
     retry_after_s: float = 0.25
 
@@ -463,7 +466,9 @@
             return NoRepeat.ENDPOINTS_TRIED
         if repeat and self._attempts >= self._route.attempts:
             return NoRepeat.ATTEMPTS
-        if not self._forwarder.endpoints.has_other(self._pool, self._tried):
+        forwarder = self._forwarder
+        looks = forwarder.rules.looks_for_others
+        if looks and not forwarder.endpoints.has_other(self._pool, self._tried):
             return NoRepeat.NO_OTHER_ENDPOINT
         return None
 
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -57,7 +57,7 @@
 _PAUSE_S = 0.3
 #: Part of what was held at the last contact that is kept for more urgent requests, by step
 #: of priority, and at most.
-_KEPT_BY_PRIORITY = 0.15
+KEPT_BY_PRIORITY = 0.15
 _KEPT_LIMIT = 0.5
 #: Looks at rows a second that all routers together take, as long as each looks at least every
 #: so many seconds.
@@ -99,6 +99,11 @@
         How much is lent and borrowed.
     end_rule : EndReserveRule, optional
         What is kept for the end of a limit.
+    kept_by_priority : float, optional
+        Part of what was held at the last contact that is kept for more urgent requests
+        while the store is away, by step of priority.
+    reports : bool, optional
+        Whether what is spent is reported for a successor.
     """
 
     def __init__(
@@ -113,6 +118,8 @@
         promise_rule: PromiseRule | None = None,
         loan_rule: LoanRule | None = None,
         end_rule: EndReserveRule | None = None,
+        kept_by_priority: float = KEPT_BY_PRIORITY,
+        reports: bool = True,
     ):
         self._reactor = reactor
         self._store = store
@@ -125,6 +132,7 @@
         self._promise_rule = promise_rule or PromiseRule()
         self._loan_rule = loan_rule or LoanRule()
         self._end_rule = end_rule or EndReserveRule()
+        self._kept_by_priority = kept_by_priority
         self._paused_until_s = 0.0
         self._lost_contact = False
         self._stopping = False
@@ -133,7 +141,7 @@
             reactor, self.ledger, self._loan_rule, self._spendable_tokens, self._loan_came, log
         )
         self._reports = SpendReports(
-            reactor, store, node, incarnation, self._promises, self._reported, log
+            reactor, store, node, incarnation, self._promises, self._reported, log, reports
         )
 
     # Used by requests.
@@ -208,7 +216,7 @@
 
     def _is_kept(self, account: WorkspaceAccount, tokens: int, priority: int) -> bool:
         """Tell whether a request would take what is kept for more urgent ones."""
-        kept_share = min(_KEPT_LIMIT, _KEPT_BY_PRIORITY * priority)
+        kept_share = min(_KEPT_LIMIT, self._kept_by_priority * priority)
         kept = kept_share * account.free_in_contact
         if kept <= 0:
             return False
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -9,16 +9,17 @@
 import msgspec
 from twisted.internet import defer, task
 
-from turnward.gateway.choice import EndpointBook
+from turnward.gateway.choice import ChoiceRule, EndpointBook
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.end_reserve import EndReserveRule
 from turnward.gateway.feeds import FeedListenerBase, TableFeed
 from turnward.gateway.forwarding import Forwarder, ForwardingRules
 from turnward.gateway.loans import PeersAsLenders
 from turnward.gateway.logs import GatewayLog
+from turnward.gateway.mechanisms import Mechanisms
 from turnward.gateway.metrics import GatewayMetrics
 from turnward.gateway.peers import DIGEST_LAYOUT, Digest, PeerBook, PeerTask
-from turnward.gateway.prepaid import PrepaidAccounts
+from turnward.gateway.prepaid import KEPT_BY_PRIORITY, PrepaidAccounts
 from turnward.gateway.retries import RepeatRule
 from turnward.gateway.settings import GatewaySettings
 from turnward.gateway.state import FleetState
@@ -72,6 +73,15 @@
     return f"{node}@{uuid.uuid4().hex[:10]}"
 
 
+def _choice_rule(mechanisms: Mechanisms) -> ChoiceRule:
+    rule = ChoiceRule(reread_weight=mechanisms.reread_weight, rests=mechanisms.rests)
+    if not mechanisms.agreed_homes:
+        rule = msgspec.structs.replace(rule, homes=0)
+    if not mechanisms.zone_cost:
+        rule = msgspec.structs.replace(rule, zone_cost_ms=0.0)
+    return rule
+
+
 class SourcesBase(ABC):
     """Where configuration and endpoints come from; construct with the state to fill."""
 
@@ -158,7 +168,12 @@
         self.book = PeerBook(self.peers_address, reactor.seconds)
         self._add_seeds()
         self.endpoints = EndpointBook(
-            settings.zone, reactor.seconds, self._make_pool, self.book.loads, self._draw
+            settings.zone,
+            reactor.seconds,
+            self._make_pool,
+            self.book.loads,
+            self._draw,
+            _choice_rule(settings.mechanisms),
         )
         self.accounts = PrepaidAccounts(
             reactor,
@@ -169,6 +184,8 @@
             log,
             lambda: self.book.most_live,
             end_rule=EndReserveRule(share=settings.budget_reserve_share),
+            kept_by_priority=KEPT_BY_PRIORITY if settings.mechanisms.urgency_in_cut else 0.0,
+            reports=settings.mechanisms.spend_reports,
         )
         self.peers = PeerTask(
             reactor,
@@ -180,7 +197,8 @@
             log,
             self._draw,
         )
-        self.accounts.lenders = PeersAsLenders(self.book, self.peers.call, reactor.seconds)
+        if settings.mechanisms.loans:
+            self.accounts.lenders = PeersAsLenders(self.book, self.peers.call, reactor.seconds)
         self.forwarder = self._make_forwarder()
         self.callers = InboundFactory(
             reactor, self.forwarder.handle, InboundLimits(), self._note_refused, self._note_fault
@@ -237,10 +255,12 @@
     def _make_forwarder(self) -> Forwarder:
         settings = self._settings
         repeats = RepeatRule(settings.repeat_ratio, settings.repeat_window_s, settings.repeat_slack)
+        if not settings.mechanisms.repeats:
+            repeats = RepeatRule(0.0, settings.repeat_window_s, 0.0)
         return Forwarder(
             self._reactor,
             self._dialect,
-            ForwardingRules(repeats=repeats),
+            ForwardingRules(repeats=repeats, looks_for_others=settings.mechanisms.looks_for_others),
             self.state,
             self.endpoints,
             self.accounts,
--- a/turnward/gateway/settings.py
+++ b/turnward/gateway/settings.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from turnward.gateway.mechanisms import Mechanisms
 from turnward.settings import SettingsError, convert_checked, parse_address, read_toml
 
 __all__ = ["GatewaySettings", "load_gateway_settings"]
@@ -28,6 +29,8 @@
     budget_reserve_share : float
         Part of each workspace's prepaid tokens that only small requests get, a few of
         them, once all else is used up.
+    mechanisms : Mechanisms
+        Switches for experiments.
     """
 
     node: str
@@ -48,6 +51,7 @@
     repeat_slack: float = 50.0
     log_lines_per_s: float = 100.0
     budget_reserve_share: float = 0.0
+    mechanisms: Mechanisms = Mechanisms()
 
     def faults(self) -> list[str]:
         """Return what is wrong beyond types."""
@@ -62,7 +66,7 @@
             found.append(f"peers_port: expected 1 to 65535, found {self.peers_port}")
         if not 0 <= self.metrics_port < 65_536:
             found.append(f"metrics_port: expected 0 to 65535, found {self.metrics_port}")
-        return found + self._amount_faults()
+        return found + self._amount_faults() + self.mechanisms.faults()
 
     def _amount_faults(self) -> list[str]:
         found = [
--- a/turnward/gateway/spending.py
+++ b/turnward/gateway/spending.py
@@ -197,6 +197,9 @@
         Called after each report that is known to stand.
     log : GatewayLog
         Told of what predecessors left.
+    enabled : bool, optional
+        Whether reports are written and read at all; without them all that a dead process
+        held counts as spent.
     """
 
     def __init__(
@@ -208,7 +211,9 @@
         make_promises: Callable[[], dict[str, SpendPromise]],
         on_reported: Callable[[], None],
         log,
+        enabled: bool = True,
     ):
+        self._enabled = enabled
         self._reactor = reactor
         self._store = store
         self._node = node
@@ -246,11 +251,12 @@
 
         Several callers at once share one read.
         """
+        # Listed first: a read that ends at once wakes only those who wait already.
+        waiting = defer.Deferred()
+        self._readers.append(waiting)
         if self._reading is None:
             self._reading = defer.ensureDeferred(self._read_ended())
             self._reading.addBoth(self._read_over)
-        waiting = defer.Deferred()
-        self._readers.append(waiting)
         await waiting
 
     def _read_over(self, result) -> None:
@@ -260,6 +266,9 @@
             waiting.callback(result)
 
     async def _read_ended(self) -> None:
+        if not self._enabled:
+            self.ended = {}
+            return
         table = await self._store.read_table(TABLE, self._node)
         now_s = self._store.time_floor_s()
         ended = {}
@@ -297,7 +306,7 @@
     def report(self) -> bool:
         """Write a report now; False when one is under way or was just written."""
         now_s = self._reactor.seconds()
-        if self._busy or now_s - self._last_sent_s < _LEAST_PERIOD_S:
+        if not self._enabled or self._busy or now_s - self._last_sent_s < _LEAST_PERIOD_S:
             return False
         if self._store.time_floor_s() is None:
             return False
--- a/turnward/gateway/tests/rig.py
+++ b/turnward/gateway/tests/rig.py
@@ -22,6 +22,7 @@
     new_incarnation,
 )
 from turnward.gateway.home import HomeSources
+from turnward.gateway.mechanisms import Mechanisms
 from turnward.http1 import InboundFactory, InboundLimits, header_value
 from turnward.standins import MemoryNetwork, MemoryRows, RowsClient
 
@@ -198,6 +199,8 @@
 
     #: Part of each limit that gateways keep for the end.
     budget_reserve_share = 0.0
+    #: Switches of the gateways that start from now on.
+    mechanisms = Mechanisms()
 
     def __init__(self, routes=None, pools=None, workspaces=None, **route_fields):
         self.network = MemoryNetwork()
@@ -268,6 +271,7 @@
             peers_port=PEERS_PORT,
             seeds=["10.1.0.1:9", "10.1.0.2:9"],
             budget_reserve_share=self.budget_reserve_share,
+            mechanisms=self.mechanisms,
         )
         log = ListLog()
         client = RowsClient(self.rows, machine)
--- /dev/null
+++ b/turnward/gateway/tests/test_mechanisms.py
@@ -0,0 +1,179 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Each mechanism can be switched off, and its naive version does what it says."""
+
+import random
+
+import msgspec
+import pytest
+
+from turnward.gateway import EndpointEntry, EngineTraits, Repeat, Workspace, load_gateway_settings
+from turnward.gateway.choice import ChoiceRule, EndpointBook, Prompt, parse_prompt_parts
+from turnward.gateway.mechanisms import Mechanisms
+from turnward.gateway.tests.rig import ENGINE_POOL, KEY, Rig, full, reset, stream, well
+from turnward.gateway.tests.test_settings import GOOD
+from turnward.settings import SettingsError
+
+ENGINE = EngineTraits(slots=8, event_tokens=5)
+
+
+class Switched(Rig):
+    """A deployment whose gateways lack a mechanism."""
+
+    def __init__(self, mechanisms, **fields):
+        self.mechanisms = mechanisms
+        super().__init__(**fields)
+
+
+def prepaid_rig(mechanisms, prepaid_tokens=400_000):
+    workspace = Workspace(name="acme", keys=(KEY.decode(),), prepaid_tokens=prepaid_tokens)
+    rig = Switched(
+        mechanisms,
+        pools=(ENGINE_POOL,),
+        workspaces=(workspace,),
+        repeat=Repeat.STREAM,
+        time_limit_s=9.0,
+        priority=3,
+    )
+    rig.endpoint(stream(4))
+    rig.ready(gateways=2)
+    rig.network.advance(1.0)
+    return rig
+
+
+def ask_model(rig, gateway=0, tokens=8_000):
+    return rig.ask(gateway, method=b"POST", body=b"", headers=rig.prompt(tokens, 20)).status
+
+
+def test_without_loans_nothing_is_borrowed():
+    rig = prepaid_rig(Mechanisms(loans=False))
+    for client in rig.clients:
+        client.faults.away = True
+    rig.network.advance(6.0)
+    statuses = [ask_model(rig, tokens=20_000) for _ in range(12)]
+    assert 503 in statuses
+    assert not [line for log in rig.logs for line in log.of("prepaid.borrowed")]
+
+
+@pytest.mark.parametrize(("reports", "returned"), [(True, True), (False, False)])
+def test_without_reports_all_that_a_dead_router_held_counts_as_spent(reports, returned):
+    rig = prepaid_rig(Mechanisms(spend_reports=reports))
+    assert ask_model(rig) == 200
+    rig.network.advance(1.0)
+    machine = rig.machines[0]
+    machine.kill()
+    machine.restart()
+    successor = rig.run_gateway(machine, "node-1")
+    assert rig.network.advance_until(lambda: successor.ready)
+    rig.network.advance(2.0)
+    assert ask_model(rig, -1) == 200
+    folded = rig.logs[-1].of("prepaid.folded")
+    assert folded
+    assert (folded[0]["returned"] > 0) is returned
+
+
+@pytest.mark.parametrize(("urgency", "status"), [(True, 503), (False, 200)])
+def test_without_urgency_a_cut_off_router_serves_who_comes_first(urgency, status):
+    rig = prepaid_rig(Mechanisms(urgency_in_cut=urgency, loans=False))
+    for client in rig.clients:
+        client.faults.away = True
+    rig.network.advance(16.0)
+    free = rig.gateways[0].accounts.ledger.free_tokens("acme")
+    assert ask_model(rig, tokens=int(free * 0.8)) == status
+
+
+def book(rule, seed=0):
+    found = EndpointBook("z", lambda: 0.0, lambda address: None, dict, random.Random(seed), rule)
+    entries = [
+        EndpointEntry(endpoint_id=f"e-{n}", pool="pool", address=f"10.0.0.{n}:80", zone=zone)
+        for n, zone in enumerate(("z", "z", "other"))
+    ]
+    found.set_entries({entry.endpoint_id: entry for entry in entries})
+    return found
+
+
+def test_without_agreed_homes_routers_choose_apart():
+    prompts = [Prompt(5_000, 9, parse_prompt_parts(f"{n:x}:4000,own:1000")) for n in range(30)]
+
+    def choices(rule, seed):
+        routers = book(rule, seed)
+        return [routers.choose("pool", one, ENGINE, set()).record.endpoint_id for one in prompts]
+
+    assert choices(ChoiceRule(), 1) == choices(ChoiceRule(), 2)
+    assert choices(ChoiceRule(homes=0), 1) != choices(ChoiceRule(homes=0), 2)
+
+
+def test_without_a_weight_a_busy_home_is_left_sooner():
+    wanted = Prompt(5_000, 9, parse_prompt_parts("a1:4000,own:1000"))
+    left = []
+    for weight in (6.0, 1.0):
+        endpoints = book(ChoiceRule(reread_weight=weight))
+        home = endpoints.choose("pool", wanted, ENGINE, set()).record
+        home.prefill_tokens = 8_000
+        left.append(endpoints.choose("pool", wanted, ENGINE, set()).record is not home)
+    assert left == [False, True]
+
+
+def test_without_a_cost_other_zones_are_chosen_as_often():
+    def zones(rule):
+        routers = book(rule)
+        return {routers.choose("pool", Prompt(), None, set()).record.entry.zone for _ in range(40)}
+
+    assert zones(ChoiceRule()) == {"z"}
+    assert zones(ChoiceRule(zone_cost_ms=0.0)) == {"z", "other"}
+
+
+def test_without_rests_a_failed_endpoint_is_chosen_as_before():
+    def chosen(rule):
+        routers = book(rule)
+        routers.get("e-0").failed(0.0, certain=True)
+        return {routers.choose("pool", Prompt(), None, set()).record.endpoint_id for _ in range(40)}
+
+    assert "e-0" not in chosen(ChoiceRule())
+    assert "e-0" in chosen(ChoiceRule(rests=False))
+
+
+@pytest.mark.parametrize(("repeats", "status"), [(True, 200), (False, 502)])
+def test_without_repeats_a_failure_is_passed_on(repeats, status):
+    rig = Switched(Mechanisms(repeats=repeats))
+    rig.endpoint(reset)
+    rig.ready()
+    rig.endpoint(well)
+    rig.network.advance(1.0)
+    statuses = {rig.ask().status for _ in range(4)}
+    assert status in statuses
+    assert repeats or statuses <= {200, 502}
+
+
+@pytest.mark.parametrize("looks", [True, False])
+def test_without_a_look_for_others_a_repeat_is_used_up_for_nothing(looks):
+    rig = Switched(Mechanisms(looks_for_others=looks))
+    rig.endpoint(full)
+    rig.ready()
+    # More than the 0.8 x (0.2 x 70 + 50) repeats that are allowed in the window.
+    for _ in range(70):
+        rig.ask()
+    whys = {line["why"] for line in rig.logs[0].of("attempt.not_repeated")}
+    assert ("repeat_budget_used_up" in whys) is not looks
+
+
+def test_switches_stand_in_the_settings_file(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_bytes(msgspec.toml.encode(GOOD) + b"mechanisms.loans = false\n")
+    assert load_gateway_settings(str(path)).mechanisms == Mechanisms(loans=False)
+
+
+@pytest.mark.parametrize(
+    ("line", "named"),
+    [
+        (b"mechanisms.lones = false", "lones"),
+        (b"mechanisms.loans = 3", "loans"),
+        (b"mechanisms.reread_weight = 0.5", "reread_weight"),
+        (b"mechanisms.reread_weight = nan", "reread_weight"),
+        (b"mechanisms = 4", "mechanisms"),
+    ],
+)
+def test_wrong_switches_are_named(tmp_path, line, named):
+    path = tmp_path / "node.toml"
+    path.write_bytes(msgspec.toml.encode(GOOD) + line + b"\n")
+    with pytest.raises(SettingsError, match=named):
+        load_gateway_settings(str(path))
