How far a stream has come is a class of its own; lines tell sizes, pauses and limits

Cause: what made an answer late could not be read from the lines, nor whether a refused request would have fitted into its workspace's limit. `request.ended` now has the prompt's size, the most that may be made and the longest pause between events; `prepaid.refused` has the limit. The fields of a stream that were spread over Forwarding are StreamProgress.

--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -16,6 +16,7 @@
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.outcomes import PROMISES_NOT_RUN, NoRepeat, Outcome, Reason
 from turnward.gateway.prepaid import BudgetAnswer, PrepaidAccounts
+from turnward.gateway.progress import StreamProgress
 from turnward.gateway.retries import RepeatAllowance, RepeatRule
 from turnward.gateway.state import FleetState
 from turnward.http1 import (
@@ -153,9 +154,7 @@
         self._attempts = 0
         self._tried: set[str] = set()
         self._may_have_run = False
-        self._events = 0
-        self._last_event_id: bytes | None = None
-        self._first_event_s: float | None = None
+        self._progress = StreamProgress()
         self._over = False
 
     # Admission.
@@ -337,9 +336,10 @@
         dialect = forwarder.dialect
         request = self._request
         headers = end_to_end(request.headers, forwarder.never_forwarded)
-        if self._last_event_id is not None:
+        last_id = self._progress.last_id
+        if last_id is not None:
             headers = [item for item in headers if item[0] != dialect.last_event_id]
-            headers.append((dialect.last_event_id, self._last_event_id))
+            headers.append((dialect.last_event_id, last_id))
         left_ms = max(1, int((self._deadline_s - self._now_s()) * 1_000))
         headers.append((dialect.deadline_ms, b"%d" % left_ms))
         headers.append((dialect.expected_endpoint, record.endpoint_id.encode()))
@@ -514,7 +514,7 @@
             sent=attempt.sent,
             reused=attempt.reused,
             attempt=self._attempts,
-            events=self._events,
+            events=self._progress.events,
             left_s=round(self._deadline_s - self._now_s(), 3),
             **fields,
         )
@@ -549,20 +549,11 @@
 
     def continues(self, first_id: bytes | None) -> bool:
         """Tell whether an event may follow the last one passed on."""
-        last_id = self._last_event_id
-        if last_id is None or first_id is None:
-            return True
-        if not last_id.isdigit() or not first_id.isdigit():
-            return first_id != last_id
-        return int(first_id) > int(last_id)
+        return self._progress.may_go_on_with(first_id)
 
     def note_events(self, count: int, last_id: bytes | None) -> None:
         """Count events passed on."""
-        if count and self._first_event_s is None:
-            self._first_event_s = self._now_s()
-        self._events += count
-        if last_id is not None:
-            self._last_event_id = last_id
+        self._progress.note(count, last_id, self._now_s())
 
     def answer_ended(self, attempt: "EndpointAttempt", status: int) -> None:
         """End a whole answer."""
@@ -571,7 +562,7 @@
         self._request.finish()
         used = None
         if status < 300 and not self._may_have_run:
-            used = self._prompt.tokens + self._events * self._event_tokens()
+            used = self._prompt.tokens + self._progress.events * self._event_tokens()
         outcome = Outcome.SERVED if status < 400 else Outcome.ENDPOINT_ERROR
         self._end(outcome, status, used_tokens=used, endpoint=attempt.record.endpoint_id)
 
@@ -681,7 +672,8 @@
         route = self._route.name if self._route is not None else ""
         self._count(outcome, took_s)
         write = forwarder.log.event if outcome is Outcome.SERVED else forwarder.log.failure
-        first = self._first_event_s
+        progress = self._progress
+        first = progress.first_s
         write(
             "request.ended",
             request=self._request_id.decode("latin-1"),
@@ -692,8 +684,11 @@
             status=status,
             took_ms=round(took_s * 1_000, 1),
             first_event_ms=round((first - self._started_s) * 1_000, 1) if first else None,
+            longest_pause_ms=round(progress.longest_pause_s * 1_000, 1) if first else None,
             attempts=self._attempts,
-            events=self._events,
+            events=self._progress.events,
+            prompt_tokens=self._prompt.tokens,
+            output_tokens=self._prompt.output_tokens,
             tokens=tokens,
             configuration=forwarder.state.configuration_version,
             endpoints=forwarder.state.endpoints_version,
@@ -705,8 +700,8 @@
         metrics = self._forwarder.metrics
         metrics.requests.labels(self._pool, outcome).inc()
         metrics.request_seconds.labels(self._pool).observe(took_s)
-        if self._first_event_s is not None:
-            first_s = self._first_event_s - self._started_s
+        if self._progress.first_s is not None:
+            first_s = self._progress.first_s - self._started_s
             metrics.first_event_seconds.labels(self._pool).observe(first_s)
 
     def _settle(self, used_tokens: int | None) -> int:
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -204,6 +204,7 @@
             promised=self._promised_tokens(workspace),
             lendable=self._borrower.lendable_tokens(workspace),
             ungranted=ungranted_tokens(account.row) if account.row is not None else None,
+            limit=account.row.limit_tokens if account.row is not None else None,
             row_version=account.version,
             in_contact=not self._lost_contact,
             kept_for_urgent=kept,
--- /dev/null
+++ b/turnward/gateway/progress.py
@@ -0,0 +1,60 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""How far the event stream of one answer has come at its caller."""
+
+__all__ = ["StreamProgress"]
+
+
+class StreamProgress:
+    """Events passed on to one caller, whichever endpoints they came from.
+
+    Attributes
+    ----------
+    events : int
+        Passed on so far.
+    last_id : bytes or None
+        Id of the last event that had one.
+    first_s, last_s : float or None
+        When the first and the last event passed, on the steady clock.
+    longest_pause_s : float
+        Longest time between two events.
+
+    Examples
+    --------
+    >>> progress = StreamProgress()
+    >>> progress.note(2, b"2", now_s=1.0)
+    >>> progress.note(1, b"3", now_s=1.25)
+    >>> progress.events, progress.longest_pause_s
+    (3, 0.25)
+    >>> progress.may_go_on_with(b"3"), progress.may_go_on_with(b"4")
+    (False, True)
+    """
+
+    __slots__ = ("events", "first_s", "last_id", "last_s", "longest_pause_s")
+
+    def __init__(self):
+        self.events = 0
+        self.last_id: bytes | None = None
+        self.first_s: float | None = None
+        self.last_s: float | None = None
+        self.longest_pause_s = 0.0
+
+    def note(self, count: int, last_id: bytes | None, now_s: float) -> None:
+        """Count events that came together."""
+        if not count:
+            return
+        if self.first_s is None:
+            self.first_s = now_s
+        else:
+            self.longest_pause_s = max(self.longest_pause_s, now_s - self.last_s)
+        self.last_s = now_s
+        self.events += count
+        if last_id is not None:
+            self.last_id = last_id
+
+    def may_go_on_with(self, first_id: bytes | None) -> bool:
+        """Tell whether an event with this id may follow the last one passed on."""
+        if self.last_id is None or first_id is None:
+            return True
+        if not self.last_id.isdigit() or not first_id.isdigit():
+            return first_id != self.last_id
+        return int(first_id) > int(self.last_id)
