--- a/turnward/gateway/end_reserve.py
+++ b/turnward/gateway/end_reserve.py
@@ -26,12 +26,13 @@
     one_in : int
         Of so many small requests one is served while the reserve is whole.
     smallness : int
-        A request is small up to this fraction of the reserve.
+        A request is small up to this fraction of the reserve: one in so many. With more
+        than 2 the reserve of a small limit lets no request through at all.
     """
 
     share: float = 0.0
     one_in: int = 6
-    smallness: int = 4
+    smallness: int = 2
 
 
 class EndReserve:
--- a/turnward/gateway/tests/test_end_reserve.py
+++ b/turnward/gateway/tests/test_end_reserve.py
@@ -41,6 +41,13 @@
     assert not any(reserve.lets_through(ROW, tokens) for _ in range(60))
 
 
+def test_reserve_of_a_small_limit_still_serves_a_usual_request():
+    """With a fourth as bound, 1,800 tokens that are left served nobody."""
+    reserve = EndReserve(EndReserveRule(share=0.012), "x")
+    row = AccountRow(limit_tokens=150_000, ended_tokens=148_200)
+    assert sum(reserve.lets_through(row, 900) for _ in range(60)) == 10
+
+
 def test_nothing_is_kept_without_a_share():
     reserve = EndReserve(EndReserveRule(), "x")
     assert reserve.open_tokens(ROW) == 1_000
