The part kept for the end is handed out by time

Cause: one small request in six, and only up to a part of the reserve, gives the tokens away within seconds where many ask and never where the limit is small.

--- a/turnward/gateway/end_reserve.py
+++ b/turnward/gateway/end_reserve.py
@@ -1,12 +1,10 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""The last part of a workspace's limit, handed out slowly to small requests.
+"""The last part of a workspace's limit, handed out slowly.
 
 Without it a workspace that has used up its tokens is without service until its
-limit is raised. With it a few small requests are still served, fewer the less
-is left.
+limit is raised. With it a request that fits is served now and then.
 """
 
-import math
 import zlib
 
 import msgspec
@@ -17,27 +15,27 @@
 
 
 class EndReserveRule(msgspec.Struct, frozen=True):
-    """How much is kept for the end, and who gets it.
+    """How much is kept for the end, and for how long it lasts.
 
     Attributes
     ----------
     share : float
         Part of the limit; 0 keeps nothing.
-    one_in : int
-        Of so many small requests one is served while the reserve is whole.
-    smallness : int
-        A request is small up to this fraction of the reserve: one in so many. With more
-        than 2 the reserve of a small limit lets no request through at all.
+    spread_s : float
+        Seconds over which the reserve is handed out once nothing else is left: it has to
+        outlast the time until operators raise a limit that an alert told them of. Measured in
+        decision 16.
     """
 
     share: float = 0.0
-    one_in: int = 6
-    smallness: int = 2
+    spread_s: float = 40.0
 
 
 class EndReserve:
     """One workspace's reserve at one router.
 
+    All routers see what is left in the workspace's row, so together they keep to the pace.
+
     Parameters
     ----------
     rule : EndReserveRule
@@ -46,11 +44,14 @@
         Spreads the first request that is served over routers and workspaces.
     """
 
-    __slots__ = ("_passed_over", "_rule")
+    __slots__ = ("_asked_s", "_begun_s", "_begun_tokens", "_head_start", "_rule")
 
     def __init__(self, rule: EndReserveRule, name: str):
         self._rule = rule
-        self._passed_over = zlib.crc32(name.encode()) % rule.one_in
+        self._head_start = (zlib.crc32(name.encode()) % 100) / 100
+        self._asked_s = 0.0
+        self._begun_s = 0.0
+        self._begun_tokens = -1
 
     def tokens(self, row: AccountRow) -> int:
         """Return what is kept of a limit.
@@ -67,14 +68,17 @@
         left = ungranted_tokens(row)
         return left if left < 0 else max(0, left - self.tokens(row))
 
-    def lets_through(self, row: AccountRow, tokens: int) -> bool:
+    def lets_through(self, row: AccountRow, tokens: int, now_s: float) -> bool:
         """Tell whether a request that nothing else is left for gets a part of the reserve."""
-        kept = self.tokens(row)
-        left = min(kept, ungranted_tokens(row))
-        if left < tokens or tokens > kept // self._rule.smallness:
-            return False
-        self._passed_over += 1
-        if self._passed_over < math.ceil(self._rule.one_in * kept / left):
+        left = min(self.tokens(row), ungranted_tokens(row))
+        if left < tokens:
             return False
-        self._passed_over = 0
-        return True
+        # Nobody needed it for so long: the limit was raised meanwhile, and is used up again.
+        enough_meanwhile = now_s - self._asked_s > self._rule.spread_s
+        self._asked_s = now_s
+        if left > self._begun_tokens or enough_meanwhile:
+            self._begun_s = now_s
+            self._begun_tokens = left
+        passed = (now_s - self._begun_s) / self._rule.spread_s
+        released = self._begun_tokens * passed + self._head_start * tokens
+        return self._begun_tokens - left + tokens <= released
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -213,7 +213,10 @@
 
     def _lets_through(self, account: WorkspaceAccount, tokens: int) -> bool:
         """Tell whether a request gets a part of what is kept for the end."""
-        return not self._lost_contact and account.end_reserve.lets_through(account.row, tokens)
+        if self._lost_contact:
+            return False
+        now_s = self._reactor.seconds()
+        return account.end_reserve.lets_through(account.row, tokens, now_s)
 
     def _is_kept(self, account: WorkspaceAccount, tokens: int, priority: int) -> bool:
         """Tell whether a request would take what is kept for more urgent ones."""
