--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -49,6 +49,7 @@
         self._splitter = EventSplitter() if owner.streams else None
         self._prefill_tokens = 0
         self._counted = False
+        self._event_s: float | None = None
         self.record = record
         self.method = owner.method
         self.answer_id = (owner.forwarder.dialect.request_id, owner.request_id)
@@ -205,10 +206,17 @@
             self._drop()
             owner.attempt_bad(self, Reason.BAD_ANSWER)
             return
+        self._note_pace(events.count)
         self._first_event()
         owner.note_events(events.count, events.last_id)
         owner.answer_body(events.data)
 
+    def _note_pace(self, count: int) -> None:
+        now_s = self._owner.forwarder.reactor.seconds()
+        if self._event_s is not None:
+            self.record.pace.note((now_s - self._event_s) * 1_000 / count, now_s)
+        self._event_s = now_s
+
     def _declared_length(self) -> int | None:
         length = header_value(self._headers, b"content-length")
         return int(length) if length is not None else None
--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from turnward.gateway.configuration import EndpointEntry, EngineTraits
+from turnward.gateway.pace import EventPace, ObservedPace, PaceClass, next_class, usual_pace
 from turnward.gateway.peers import EndpointLoad
 from turnward.hashing import rendezvous_weight
 
@@ -39,6 +40,17 @@
 _TIE_MS = 0.5
 #: Share of a prompt part that an agreed home is taken to keep.
 _HOME_TRUST = 1.0
+#: Prompts from this size on are long: engines read prompts in pieces of some 2,000 tokens
+#: between the tokens of others, so several events in a row wait for a longer one.
+_LONG_PROMPT_TOKENS = 4_000
+#: What a long prompt costs on a slower engine, where it holds all streams up for too long.
+_COST_OF_LONG_ON_SLOWER_MS = 800.0
+#: What a short one costs where long ones are read, if slower engines have none of them.
+_COST_OF_SHORT_BESIDE_LONG_MS = 30.0
+#: Seconds between two looks at the engines' speeds; peers tell theirs as often.
+_CLASSIFY_PERIOD_S = 0.25
+#: What anything costs on an engine that crawls.
+_COST_OF_CRAWLING_MS = 200.0
 #: Prompt parts remembered by endpoint.
 _PARTS_LIMIT = 1_500
 #: Seconds after which a prompt part is no longer taken for kept.
@@ -65,12 +77,16 @@
         Milliseconds that another zone adds.
     rests : bool
         Whether endpoints that fail rest.
+    weighs_pace : bool
+        Whether long prompts keep away from engines that are slower than most, and short
+        ones go there.
     """
 
     homes: int = 1
     reread_weight: float = 6.0
     zone_cost_ms: float = 2.0
     rests: bool = True
+    weighs_pace: bool = True
 
 
 class PromptPart(msgspec.Struct, frozen=True):
@@ -137,6 +153,10 @@
         In a row.
     rest_until_s : float
         It gets no new work before, while others can take it.
+    pace : EventPace
+        How fast own streams go on there.
+    pace_class : PaceClass
+        How fast it is beside the others of its pool.
     lost : bool
         It failed and has not answered since.
     """
@@ -147,6 +167,8 @@
         "failures",
         "in_flight",
         "lost",
+        "pace",
+        "pace_class",
         "pool",
         "prefill_tokens",
         "rest_until_s",
@@ -162,6 +184,8 @@
         self.rest_until_s = 0.0
         self.lost = False
         self.trial = False
+        self.pace = EventPace()
+        self.pace_class = PaceClass.USUAL
         self._parts: OrderedDict[int, float] = OrderedDict()
 
     @property
@@ -266,6 +290,10 @@
         self._peer_loads = peer_loads
         self._records: dict[str, EndpointRecord] = {}
         self._by_pool: dict[str, list[EndpointRecord]] = {}
+        self._classified_s: dict[str, float] = {}
+        #: Called with record, its pace and the usual one when a pace class has changed.
+        self.on_pace_class: Callable[[EndpointRecord, ObservedPace, ObservedPace], None]
+        self.on_pace_class = _told_nobody
 
     def set_entries(self, entries: dict[str, EndpointEntry]) -> None:
         """Take in all endpoints; what is known of those that stay is kept."""
@@ -293,11 +321,8 @@
 
     def loads(self) -> list[EndpointLoad]:
         """Return what this router has in flight, for its peers."""
-        return [
-            EndpointLoad(record.endpoint_id, record.in_flight, record.prefill_tokens)
-            for record in self._records.values()
-            if record.in_flight
-        ]
+        now_s = self._clock()
+        return [_load_of(record, now_s) for record in self._records.values() if record.in_flight]
 
     def has_other(self, pool: str, without: set[str]) -> bool:
         """Tell whether an endpoint takes work besides those in ``without``."""
@@ -316,8 +341,13 @@
         prompt: Prompt,
         traits: EngineTraits | None,
         without: set[str],
+        pause_target_s: float | None = None,
     ) -> "EndpointChoice | None":
-        """Return the endpoint with the least cost, or None when none takes work."""
+        """Return the endpoint with the least cost, or None when none takes work.
+
+        ``pause_target_s`` is the longest pause that the pool's streams should have; None
+        leaves the engines' speeds out of account.
+        """
         now_s = self._clock()
         candidates = self._candidates(pool, without)
         rested = [record for record in candidates if self._may_take(record, now_s)]
@@ -328,15 +358,49 @@
         if traits is None:
             costs = [(self._service_cost_ms(record, loads), record) for record in candidates]
         else:
-            homes = _homes(prompt, candidates, self._rule.homes)
-            costs = [
-                (self._engine_cost_ms(record, prompt, loads, homes, now_s), record)
-                for record in candidates
-            ]
+            costs = self._engine_costs(pool, prompt, candidates, loads, now_s, pause_target_s)
         cost_ms, record = min(costs, key=lambda cost: cost[0] + self._draw.random() * _TIE_MS)
         kept = record.kept_tokens(prompt, now_s)
         return EndpointChoice(record, round(cost_ms, 1), len(candidates), kept)
 
+    def _engine_costs(self, pool, prompt: Prompt, candidates, loads, now_s, pause_target_s):
+        """Return the cost of each candidate engine with its record."""
+        if self._rule.weighs_pace and pause_target_s is not None:
+            self._classify(pool, loads, now_s, pause_target_s * 1_000)
+        homes = _homes(prompt, _fit_to_keep(prompt, candidates), self._rule.homes)
+        return [
+            (
+                self._engine_cost_ms(record, prompt, loads, homes, now_s)
+                + _pace_cost_ms(prompt, record.pace_class),
+                record,
+            )
+            for record in candidates
+        ]
+
+    def _classify(self, pool: str, loads, now_s: float, pause_target_ms: float) -> None:
+        """Bring the engines' pace classes up to date, by own streams and what peers tell."""
+        if now_s - self._classified_s.get(pool, -1e9) < _CLASSIFY_PERIOD_S:
+            return
+        self._classified_s[pool] = now_s
+        records = self._by_pool[pool]
+        paces = [self._observed_pace(record, loads, now_s) for record in records]
+        usual = usual_pace(paces)
+        for record, pace in zip(records, paces, strict=True):
+            found = next_class(record.pace_class, pace, usual, pause_target_ms)
+            if found is not record.pace_class:
+                record.pace_class = found
+                self.on_pace_class(record, pace, usual)
+
+    @staticmethod
+    def _observed_pace(record: EndpointRecord, loads, now_s: float) -> ObservedPace:
+        own = record.pace.observed(now_s)
+        load = loads.get(record.endpoint_id)
+        if load is None:
+            return own
+        return ObservedPace(
+            max(own.quiet_gap_ms, load.quiet_gap_ms), max(own.held_up_gap_ms, load.held_up_gap_ms)
+        )
+
     def _may_take(self, record: EndpointRecord, now_s: float) -> bool:
         if not self._rule.rests:
             return True
@@ -373,6 +437,38 @@
         return 0.0 if record.entry.zone == self._zone else self._rule.zone_cost_ms
 
 
+def _load_of(record: EndpointRecord, now_s: float) -> EndpointLoad:
+    pace = record.pace.observed(now_s)
+    return EndpointLoad(
+        record.endpoint_id,
+        record.in_flight,
+        record.prefill_tokens,
+        round(pace.quiet_gap_ms, 1),
+        round(pace.held_up_gap_ms, 1),
+    )
+
+
+def _fit_to_keep(prompt: Prompt, candidates: list[EndpointRecord]) -> list[EndpointRecord]:
+    """Return the candidates among which the agreed home of a prompt is chosen."""
+    if prompt.tokens < _LONG_PROMPT_TOKENS:
+        return candidates
+    usual = [record for record in candidates if record.pace_class is PaceClass.USUAL]
+    return usual or candidates
+
+
+def _pace_cost_ms(prompt: Prompt, pace_class: PaceClass) -> float:
+    """Return what an engine's speed adds to the cost of a prompt there."""
+    if pace_class is PaceClass.CRAWLING:
+        return _COST_OF_CRAWLING_MS
+    if prompt.tokens >= _LONG_PROMPT_TOKENS:
+        return _COST_OF_LONG_ON_SLOWER_MS if pace_class is PaceClass.SLOWER else 0.0
+    return _COST_OF_SHORT_BESIDE_LONG_MS if pace_class is PaceClass.USUAL else 0.0
+
+
+def _told_nobody(record: EndpointRecord, pace: ObservedPace, usual: ObservedPace) -> None:
+    """Stand in where nobody wants to know of changed classes."""
+
+
 def _homes(prompt: Prompt, candidates: list[EndpointRecord], count: int) -> set[str]:
     """Return the agreed homes of the last shared part of a prompt."""
     if len(prompt.parts) < 2:
--- a/turnward/gateway/configuration.py
+++ b/turnward/gateway/configuration.py
@@ -137,6 +137,16 @@
     leaving: bool = False
 
 
+def _pause_targets_s(routes: tuple[Route, ...]) -> dict[str, float]:
+    """Return by pool the shortest pause target of the streams that it serves."""
+    targets_s: dict[str, float] = {}
+    for route in routes:
+        for weighted in route.pools if route.streams else ():
+            before_s = targets_s.get(weighted.pool, route.pause_target_s)
+            targets_s[weighted.pool] = min(before_s, route.pause_target_s)
+    return targets_s
+
+
 class RouteTable:
     """Finds the route of a request and the workspace of a key.
 
@@ -169,6 +179,7 @@
         }
         self.pools = {pool.name: pool for pool in configuration.pools}
         self.workspaces = {workspace.name: workspace for workspace in configuration.workspaces}
+        self.pause_targets_s = _pause_targets_s(configuration.routes)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, or None."""
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -304,9 +304,14 @@
         if not self._pool:
             self._pool = self._route.choose_pool(forwarder.draw)
             forwarder.allowance(self._pool).note_request()
-        pool = forwarder.state.routes.pools.get(self._pool)
+        routes = forwarder.state.routes
+        pool = routes.pools.get(self._pool)
         choice = forwarder.endpoints.choose(
-            self._pool, self._prompt, pool.engine if pool is not None else None, self._tried
+            self._pool,
+            self._prompt,
+            pool.engine if pool is not None else None,
+            self._tried,
+            routes.pause_targets_s.get(self._pool),
         )
         if choice is None:
             self._give_up(Reason.NO_ENDPOINT)
--- a/turnward/gateway/mechanisms.py
+++ b/turnward/gateway/mechanisms.py
@@ -36,6 +36,9 @@
         Endpoints that fail get no new work for a while. Naive: they are chosen as before.
     repeats : bool
         A failed request may be sent to a second endpoint. Naive: its failure is passed on.
+    weighs_pace : bool
+        Long prompts keep away from engines whose streams go on more slowly than most. Naive:
+        all engines of a pool are taken for equally fast.
     looks_for_others : bool
         No repeat is used up where no other endpoint takes work. Naive: it is.
     """
@@ -48,6 +51,7 @@
     zone_cost: bool = True
     rests: bool = True
     repeats: bool = True
+    weighs_pace: bool = True
     looks_for_others: bool = True
 
     def faults(self) -> list[str]:
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -44,11 +44,38 @@
 
 
 class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
-    """What one router has in flight at an endpoint."""
+    """What one router has in flight at an endpoint, and how fast its streams go on there.
+
+    Attributes
+    ----------
+    quiet_gap_ms : float
+        Between two events of a stream when nothing holds them up; 0: not known.
+    held_up_gap_ms : float
+        Between two events that a prompt holds up which is read there; 0: not known.
+    """
 
     endpoint_id: str
     requests: int
     prefill_tokens: int
+    quiet_gap_ms: float = 0.0
+    held_up_gap_ms: float = 0.0
+
+    def with_another(self, other: "EndpointLoad") -> "EndpointLoad":
+        """Return the sum of two routers' loads; the longer of their times between events.
+
+        Examples
+        --------
+        >>> both = EndpointLoad("e", 1, 10, 20.0).with_another(EndpointLoad("e", 2, 5, 30.0))
+        >>> both.requests, both.prefill_tokens, both.quiet_gap_ms
+        (3, 15, 30.0)
+        """
+        return EndpointLoad(
+            self.endpoint_id,
+            self.requests + other.requests,
+            self.prefill_tokens + other.prefill_tokens,
+            max(self.quiet_gap_ms, other.quiet_gap_ms),
+            max(self.held_up_gap_ms, other.held_up_gap_ms),
+        )
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True):
@@ -146,11 +173,7 @@
             for load in peer.digest.loads:
                 before = totals.get(load.endpoint_id)
                 if before is not None:
-                    load = EndpointLoad(
-                        load.endpoint_id,
-                        load.requests + before.requests,
-                        load.prefill_tokens + before.prefill_tokens,
-                    )
+                    load = before.with_another(load)
                 totals[load.endpoint_id] = load
         return totals
 
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -9,7 +9,7 @@
 import msgspec
 from twisted.internet import defer, task
 
-from turnward.gateway.choice import ChoiceRule, EndpointBook
+from turnward.gateway.choice import ChoiceRule, EndpointBook, EndpointRecord
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.end_reserve import EndReserveRule
 from turnward.gateway.feeds import FeedListenerBase, TableFeed
@@ -18,6 +18,7 @@
 from turnward.gateway.logs import GatewayLog
 from turnward.gateway.mechanisms import Mechanisms
 from turnward.gateway.metrics import GatewayMetrics
+from turnward.gateway.pace import ObservedPace
 from turnward.gateway.peers import DIGEST_LAYOUT, Digest, PeerBook, PeerTask
 from turnward.gateway.prepaid import KEPT_BY_PRIORITY, PrepaidAccounts
 from turnward.gateway.retries import RepeatRule
@@ -74,7 +75,11 @@
 
 
 def _choice_rule(mechanisms: Mechanisms) -> ChoiceRule:
-    rule = ChoiceRule(reread_weight=mechanisms.reread_weight, rests=mechanisms.rests)
+    rule = ChoiceRule(
+        reread_weight=mechanisms.reread_weight,
+        rests=mechanisms.rests,
+        weighs_pace=mechanisms.weighs_pace,
+    )
     if not mechanisms.agreed_homes:
         rule = msgspec.structs.replace(rule, homes=0)
     if not mechanisms.zone_cost:
@@ -175,6 +180,7 @@
             self._draw,
             _choice_rule(settings.mechanisms),
         )
+        self.endpoints.on_pace_class = self._note_pace_class
         self.accounts = PrepaidAccounts(
             reactor,
             store,
@@ -371,6 +377,19 @@
     def _note_refused(self, refusal) -> None:
         self._log.failure("request.malformed", status=refusal.status, reason=refusal.reason)
 
+    def _note_pace_class(
+        self, record: EndpointRecord, pace: ObservedPace, usual: ObservedPace
+    ) -> None:
+        self._log.event(
+            "endpoint.pace",
+            endpoint=record.endpoint_id,
+            pool=record.entry.pool,
+            pace=record.pace_class.name.lower(),
+            event_gap_ms=round(pace.quiet_gap_ms, 1),
+            usual_gap_ms=round(usual.quiet_gap_ms, 1),
+            usual_held_up_ms=round(usual.held_up_gap_ms, 1),
+        )
+
     def _note_unreadable(self, key: RowKey, cause: Exception) -> None:
         self._log.failure("row.unreadable", table=key.table, key=key.key, cause=str(cause))
 
--- /dev/null
+++ b/turnward/gateway/tests/test_pace.py
@@ -0,0 +1,212 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Engines of one pool differ in speed, which is learned from the events of their streams."""
+
+import random
+
+import pytest
+
+from turnward.gateway import Configuration, EndpointEntry, EngineTraits, Repeat, RouteTable
+from turnward.gateway.choice import EndpointBook, Prompt, parse_prompt_parts
+from turnward.gateway.mechanisms import Mechanisms
+from turnward.gateway.pace import EventPace, ObservedPace, PaceClass, next_class, usual_pace
+from turnward.gateway.peers import EndpointLoad
+from turnward.gateway.tests.rig import ENGINE_POOL, Rig, answer_head, events
+
+ENGINE = EngineTraits(slots=64, event_tokens=3)
+SHORT = Prompt(600, 300, parse_prompt_parts("aa:120,own:480"))
+#: Milliseconds between two events of engines that are equally fast, or some of them slower.
+EQUAL = (20.0, 20.5, 21.0, 21.5)
+ONE_SLOWER = (20.0, 26.0, 20.5, 21.0)
+ONE_CRAWLING = (20.0, 100.0, 20.5, 21.0)
+
+
+class Engines:
+    """Simulated engines of given speeds, and a router that only sees their events."""
+
+    def __init__(self, gaps_ms, seed=0, pause_target_s=0.3):
+        self.now_s = 100.0
+        self.pause_target_s = pause_target_s
+        self.gaps_ms = gaps_ms
+        self.told = {}
+        self.book = EndpointBook(
+            "z", lambda: self.now_s, lambda address: None, lambda: self.told, random.Random(seed)
+        )
+        entries = [
+            EndpointEntry(endpoint_id=f"e-{n}", pool="pool", address=f"10.0.0.{n}:80", slots=64)
+            for n in range(len(gaps_ms))
+        ]
+        self.book.set_entries({entry.endpoint_id: entry for entry in entries})
+
+    def play(self, held_up_share=0.3):
+        """Let a stream run on each engine; long prompts hold up a share of its events."""
+        draw = random.Random(1)
+        for record, gap_ms in zip(self.book.all(), self.gaps_ms, strict=True):
+            for _ in range(200):
+                held_up = draw.random() < held_up_share
+                record.pace.note(gap_ms * (12 if held_up else draw.uniform(1.0, 1.1)), self.now_s)
+                record.pace.observed(self.now_s)
+
+    def shares(self, prompts):
+        """Return how many of the prompts each engine would get."""
+        chosen = [
+            self.book.choose("pool", one, ENGINE, set(), self.pause_target_s).record
+            for one in prompts
+        ]
+        return [sum(r.endpoint_id == f"e-{n}" for r in chosen) for n in range(len(self.gaps_ms))]
+
+
+def long_prompts(count=60):
+    return [Prompt(9_000, 200, parse_prompt_parts(f"{n:x}:6000,own:3000")) for n in range(count)]
+
+
+def test_long_prompts_keep_away_from_a_slower_engine():
+    engines = Engines(ONE_SLOWER)
+    assert engines.shares(long_prompts())[1] > 0
+    engines.play()
+    engines.now_s += 1.0
+    assert engines.shares(long_prompts())[1] == 0
+
+
+def test_short_prompts_go_where_no_long_ones_are_read():
+    engines = Engines(ONE_SLOWER)
+    engines.play()
+    assert engines.shares([SHORT] * 20) == [0, 20, 0, 0]
+
+
+def test_short_prompts_use_the_others_once_the_slower_engine_is_busy():
+    engines = Engines(ONE_SLOWER)
+    engines.play()
+    engines.book.get("e-1").in_flight = 60
+    assert engines.shares([SHORT] * 20)[1] == 0
+
+
+@pytest.mark.parametrize("prompts", [long_prompts(20), [SHORT] * 20])
+def test_an_engine_that_crawls_gets_nothing_while_others_have_room(prompts):
+    engines = Engines(ONE_CRAWLING)
+    engines.play()
+    assert engines.shares(prompts)[1] == 0
+
+
+def test_equally_fast_engines_are_chosen_as_if_nothing_were_known():
+    engines, unknown = Engines(EQUAL, seed=4), Engines(EQUAL, seed=4)
+    engines.play()
+    prompts = [*long_prompts(20), *[SHORT] * 20]
+    assert engines.shares(prompts) == unknown.shares(prompts)
+
+
+def test_routers_that_saw_no_stream_agree_with_those_that_did():
+    seen, unseen = Engines(ONE_SLOWER, seed=1), Engines(ONE_SLOWER, seed=2)
+    seen.play()
+    for record in seen.book.all():
+        pace = record.pace.observed(seen.now_s)
+        unseen.told[record.endpoint_id] = EndpointLoad(
+            record.endpoint_id, 0, 0, pace.quiet_gap_ms, pace.held_up_gap_ms
+        )
+    assert seen.shares(long_prompts()) == unseen.shares(long_prompts())
+
+
+def test_engine_that_recovers_is_chosen_again():
+    engines = Engines(ONE_SLOWER)
+    engines.play()
+    engines.gaps_ms = EQUAL
+    engines.play()
+    engines.now_s += 1.0
+    assert engines.shares(long_prompts())[1] > 0
+
+
+def test_figures_age():
+    engines = Engines(ONE_SLOWER)
+    engines.play()
+    engines.now_s += 60.0
+    assert engines.shares(long_prompts())[1] > 0
+
+
+def test_few_events_are_no_figure():
+    pace = EventPace()
+    for _ in range(10):
+        pace.note(90.0, 0.0)
+    assert pace.observed(0.0) == ObservedPace()
+
+
+def test_at_least_half_of_the_engines_are_usual():
+    paces = [ObservedPace(gap_ms, gap_ms * 12) for gap_ms in (10.0, 30.0, 30.0)]
+    usual = usual_pace(paces)
+    classes = [next_class(PaceClass.USUAL, pace, usual, 300.0) for pace in paces]
+    assert classes == [PaceClass.USUAL] * 3
+
+
+def test_slower_engine_is_as_good_where_callers_bear_its_pauses():
+    """Held up for 312 ms there: late where 300 ms are borne, in time where 400 ms are."""
+    for pause_target_s, avoided in ((0.3, True), (0.4, False)):
+        engines = Engines(ONE_SLOWER, pause_target_s=pause_target_s)
+        engines.play()
+        assert (engines.shares(long_prompts())[1] == 0) is avoided
+
+
+def test_speed_does_not_matter_where_nothing_is_held_up():
+    engines = Engines(ONE_SLOWER)
+    engines.play(held_up_share=0.0)
+    assert engines.shares(long_prompts())[1] > 0
+
+
+def test_pause_target_of_a_pool_is_the_shortest_of_its_streams():
+    routes = [
+        Rig.route(name="a", path_prefix="/a/", repeat=Repeat.STREAM, pause_target_s=0.5),
+        Rig.route(name="b", path_prefix="/b/", repeat=Repeat.STREAM, pause_target_s=0.3),
+        Rig.route(name="c", path_prefix="/c/", pause_target_s=0.1),
+    ]
+    table = RouteTable(Configuration(version=1, routes=tuple(routes)))
+    assert table.pause_targets_s == {"pool": 0.3}
+
+
+def test_class_of_an_engine_near_the_bound_does_not_flip():
+    engines = Engines((20.0, 23.5, 20.5, 21.0))
+    changes = []
+    engines.book.on_pace_class = lambda record, pace, usual: changes.append(record)
+    for gap_ms in (24.9, 23.5, 24.9, 23.5, 24.9):
+        engines.gaps_ms = (20.0, gap_ms, 20.5, 21.0)
+        engines.play()
+        engines.now_s += 1.0
+        engines.shares([SHORT])
+    assert len(changes) <= 1
+
+
+def slow_stream(gap_s):
+    """Return a behaviour that streams sixty events at a pace, one in four of them held up."""
+
+    def behave(endpoint, request):
+        request.start(200, [*answer_head(request), (b"content-type", b"text/event-stream")], None)
+
+        def send(number):
+            request.write(events(number, number))
+            if number == 60:
+                request.finish()
+            else:
+                pause_s = gap_s * (12 if number % 4 == 0 else 1)
+                endpoint.machine.callLater(pause_s, send, number + 1)
+
+        send(1)
+
+    return behave
+
+
+@pytest.mark.parametrize("weighs_pace", [True, False])
+def test_gateways_learn_from_streams_that_pass(weighs_pace):
+    rig = Rig(pools=(ENGINE_POOL,), repeat=Repeat.STREAM, time_limit_s=20.0, pause_target_s=0.3)
+    rig.mechanisms = Mechanisms(weighs_pace=weighs_pace)
+    for gap_s in (0.02, 0.03, 0.02):
+        rig.endpoint(slow_stream(gap_s))
+    rig.ready(gateways=2)
+    rig.network.advance(1.0)
+    callers = [rig.send(method=b"POST", body=b"", headers=rig.prompt(600, 9)) for _ in range(9)]
+    assert rig.network.advance_until(
+        lambda: all(caller.received.endswith(b"0\r\n\r\n") for caller in callers)
+    )
+    rig.network.advance(0.5)
+    before = len(rig.endpoints[1].requests)
+    for number in range(20):
+        headers = rig.prompt(9_000, 9, b"%x:6000,%x:3000" % (number + 1, number + 99))
+        rig.send(gateway=0, method=b"POST", body=b"", headers=headers)
+    assert (len(rig.endpoints[1].requests) == before) is weighs_pace
+    changed = [line["endpoint"] for line in rig.logs[0].of("endpoint.pace")]
+    assert changed == (["e-2"] if weighs_pace else [])
