--- a/turnward/gateway/end_reserve.py
+++ b/turnward/gateway/end_reserve.py
@@ -22,13 +22,12 @@
     share : float
         Part of the limit; 0 keeps nothing.
     spread_s : float
-        Seconds over which the reserve is handed out once nothing else is left: it has to
-        outlast the time until operators raise a limit that an alert told them of. Measured in
-        decision 16.
+        Seconds over which the reserve is handed out once nothing else is left. Measured in
+        decision 16: slower, and too few are served after a loss of power.
     """
 
     share: float = 0.0
-    spread_s: float = 40.0
+    spread_s: float = 25.0
 
 
 class EndReserve:
--- a/turnward/gateway/settings.py
+++ b/turnward/gateway/settings.py
@@ -27,8 +27,8 @@
     store_address : str
         ``IP:port`` of the store of versioned rows.
     budget_reserve_share : float
-        Part of each workspace's prepaid tokens that only small requests get, a few of
-        them, once all else is used up.
+        Part of each workspace's prepaid tokens that is handed out slowly once all else is
+        used up; see ``EndReserveRule``.
     mechanisms : Mechanisms
         Switches for experiments.
     """
