--- a/turnward/gateway/pace.py
+++ b/turnward/gateway/pace.py
@@ -34,11 +34,11 @@
 #: prompt parts, so it takes a clear difference.
 _SLOWER_RATIO = 1.18
 _NOT_SLOWER_RATIO = 1.08
-#: Part of the pause target below which held-up events no longer make an endpoint slower.
-_STILL_LATE = 0.7
 #: The same for an endpoint that crawls: a server at half speed has a fault.
 _CRAWLING_RATIO = 2.0
 _NOT_CRAWLING_RATIO = 1.6
+#: Part of the pause target below which held-up events no longer make an endpoint slower.
+_STILL_LATE = 0.7
 
 
 class PaceClass(Enum):
