--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -14,5 +14,5 @@
 mkdir -p target/app
 cp -R turnward platform target/app/
 find target/app -depth -type d \( -name tests -o -name __pycache__ \) -exec rm -rf {} +
-rm -rf target/app/platform/standins
+rm -rf target/app/platform/standins target/app/platform/tools
 python3 -m compileall -q target/app
