--- a/turnward/gateway/accounts.py
+++ b/turnward/gateway/accounts.py
@@ -72,9 +72,11 @@
 
 
 def change_grant(account: AccountRow, incarnation: str, delta_tokens: int) -> AccountRow:
-    """Return the account with an incarnation's grant changed."""
+    """Return the account with an incarnation's grant changed; a grant of 0 is left out."""
     granted = dict(account.granted_tokens)
     granted[incarnation] = granted.get(incarnation, 0) + delta_tokens
+    if not granted[incarnation]:
+        del granted[incarnation]
     return msgspec.structs.replace(account, granted_tokens=granted)
 
 
--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -17,7 +17,7 @@
 
 from turnward.gateway.configuration import EndpointEntry, EngineTraits
 from turnward.gateway.pace import EventPace, ObservedPace, PaceClass, next_class, usual_pace
-from turnward.gateway.peers import EndpointLoad
+from turnward.gateway.peer_book import EndpointLoad
 from turnward.hashing import rendezvous_weight
 
 __all__ = [
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -245,7 +245,9 @@
         if accounts is None or workspace is None or workspace.prepaid_tokens is None or not tokens:
             self._gather_body()
             return
-        answer = accounts.reserve(workspace.name, tokens, self.priority)
+        may_run_again = self._route.may_repeat and self._route.attempts > 1
+        ahead = self._prompt.output_tokens if may_run_again else 0
+        answer = accounts.reserve(workspace.name, tokens, self.priority, ahead)
         if isinstance(answer, defer.Deferred):
             self._waiting = answer
             answer.addCallback(self._reserved)
--- /dev/null
+++ b/turnward/gateway/holders.py
@@ -0,0 +1,177 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Which routers hold a workspace's tokens.
+
+A few routers hold grants of a workspace, chosen by rendezvous hashing over the members of the
+fleet; all others ask one of them for each request. So the rows written and read for a
+workspace, and what is lost with dead processes, do not grow with the fleet. A fleet of
+up to ``HOLDERS`` routers has no others: each holds tokens of every workspace.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+from turnward.gateway.peer_book import PeerBook
+from turnward.hashing import rendezvous_weight
+
+__all__ = ["HOLDERS", "EveryRouterHolds", "HoldersBase", "RankedHolders"]
+
+#: Routers that hold one workspace's tokens; as many as the largest of the small deployments
+#: has, where this number is measured (decision 18).
+HOLDERS = 8
+#: Seconds without a new member after which the ranking is acted on.
+_SETTLED_S = 0.3
+#: Seconds for which a holder that did not answer is not asked again.
+_REST_S = 1.0
+
+
+class HoldersBase(ABC):
+    """Tells which routers hold a workspace's tokens."""
+
+    @property
+    @abstractmethod
+    def count(self) -> int:
+        """How many routers hold one workspace's tokens."""
+
+    @property
+    @abstractmethod
+    def everyone(self) -> bool:
+        """Whether each router holds tokens of every workspace."""
+
+    @abstractmethod
+    def holds(self, workspace: str) -> bool:
+        """Tell whether this router holds tokens of a workspace."""
+
+    @abstractmethod
+    def others(self, workspace: str) -> list[str]:
+        """Return the addresses of the other holders that may answer, best first."""
+
+    @abstractmethod
+    def note_silent(self, address: str) -> None:
+        """Note that a holder did not answer."""
+
+
+class EveryRouterHolds(HoldersBase):
+    """A fleet in which each router holds tokens of every workspace.
+
+    Parameters
+    ----------
+    routers : callable
+        How many routers may live.
+    """
+
+    def __init__(self, routers: Callable[[], int]):
+        self._routers = routers
+
+    @property
+    def count(self) -> int:
+        """See ``HoldersBase.count``."""
+        return max(1, self._routers())
+
+    @property
+    def everyone(self) -> bool:
+        """See ``HoldersBase.everyone``."""
+        return True
+
+    def holds(self, workspace: str) -> bool:
+        """See ``HoldersBase.holds``."""
+        return True
+
+    def others(self, workspace: str) -> list[str]:
+        """See ``HoldersBase.others``."""
+        return []
+
+    def note_silent(self, address: str) -> None:
+        """See ``HoldersBase.note_silent``."""
+
+
+class RankedHolders(HoldersBase):
+    """The holders by rendezvous hashing over the members.
+
+    Members that died are still ranked: who holds what changes only when members are
+    added, and a holder that comes back finds its place again.
+
+    Parameters
+    ----------
+    book : PeerBook
+        The members.
+    zone : str
+        This router's zone; holders there are asked first.
+    clock : callable
+        Steady clock in seconds.
+    """
+
+    def __init__(self, book: PeerBook, zone: str, clock: Callable[[], float]):
+        self._book = book
+        self._zone = zone
+        self._clock = clock
+        self._ranked_version = -1
+        self._ranked: dict[str, tuple[str, ...]] = {}
+        self._asked: dict[str, tuple[str, ...]] = {}
+        self._resting: dict[str, float] = {}
+
+    @property
+    def count(self) -> int:
+        """See ``HoldersBase.count``."""
+        return min(HOLDERS, self._book.most_live)
+
+    @property
+    def everyone(self) -> bool:
+        """See ``HoldersBase.everyone``."""
+        return self._book.most_live <= HOLDERS
+
+    @property
+    def _settled(self) -> bool:
+        """Whether the members are known well enough to take tokens ahead of demand."""
+        return self._book.members_read and self._clock() - self._book.grown_s >= _SETTLED_S
+
+    def holds(self, workspace: str) -> bool:
+        """See ``HoldersBase.holds``."""
+        if not self._settled:
+            return False
+        return self.everyone or self._book.own_address in self._ranking(workspace)
+
+    def others(self, workspace: str) -> list[str]:
+        """See ``HoldersBase.others``."""
+        now_s = self._clock()
+        return [
+            address
+            for address in self._asking_order(workspace)
+            if self._resting.get(address, 0.0) <= now_s
+        ]
+
+    def note_silent(self, address: str) -> None:
+        """See ``HoldersBase.note_silent``."""
+        self._resting[address] = self._clock() + _REST_S
+
+    def _forget_old_ranking(self) -> None:
+        if self._ranked_version != self._book.membership_version:
+            self._ranked_version = self._book.membership_version
+            self._ranked = {}
+            self._asked = {}
+
+    def _ranking(self, workspace: str) -> tuple[str, ...]:
+        self._forget_old_ranking()
+        ranking = self._ranked.get(workspace)
+        if ranking is None:
+            addresses = [peer.address for peer in self._book.members]
+            addresses.append(self._book.own_address)
+            addresses.sort(key=lambda address: rendezvous_weight(workspace, address), reverse=True)
+            ranking = self._ranked[workspace] = tuple(addresses[:HOLDERS])
+        return ranking
+
+    def _asking_order(self, workspace: str) -> tuple[str, ...]:
+        """Return the other holders, those of the own zone first, spread over the routers."""
+        ranking = self._ranking(workspace)
+        order = self._asked.get(workspace)
+        if order is None:
+            own = self._book.own_address
+            others = [address for address in ranking if address != own]
+            others.sort(
+                key=lambda address: (self._is_far(address), rendezvous_weight(own, address))
+            )
+            order = self._asked[workspace] = tuple(others)
+        return order
+
+    def _is_far(self, address: str) -> bool:
+        peer = self._book.get(address)
+        return peer is None or peer.zone != self._zone
--- a/turnward/gateway/loans.py
+++ b/turnward/gateway/loans.py
@@ -10,16 +10,24 @@
 """
 
 from abc import ABC, abstractmethod
+from typing import Annotated
 
 import msgspec
 
-__all__ = ["LenderBase", "Loan", "LoanAsk", "LoanRule", "NoLenders", "PeersAsLenders", "Spare"]
+__all__ = [
+    "LOANS_PATH",
+    "RETURNS_PATH",
+    "LenderBase",
+    "Loan",
+    "LoanAsk",
+    "LoanReturn",
+    "LoanRule",
+    "NoLenders",
+    "Spare",
+]
 
 LOANS_PATH = b"/state/loans"
-#: Seconds that a borrower waits for a lender's answer.
-_ANSWER_LIMIT_S = 0.15
-#: Seconds after which what a peer said of its spare tokens no longer counts.
-_SPARE_LIFE_S = 1.0
+RETURNS_PATH = b"/state/returned-tokens"
 
 
 class LoanRule(msgspec.Struct, frozen=True):
@@ -59,17 +67,38 @@
         What waiting requests need.
     most_tokens : int
         What is of use soon.
+    priority : int
+        Urgency of the request that needs them; 0 is the most urgent.
+    for_request : bool
+        The lender is a holder, and gets the tokens as though the request were its own;
+        else it lends only what it can spare.
     """
 
     workspace: str
     least_tokens: int
     most_tokens: int
+    priority: int = 0
+    for_request: bool = False
 
 
 class Loan(msgspec.Struct, frozen=True, array_like=True):
-    """Tokens that are the borrower's from now on; 0 when none can be spared."""
+    """Tokens that are the borrower's from now on; 0 when none can be spared.
+
+    Attributes
+    ----------
+    exhausted : bool
+        The lender knows that nobody can give the tokens.
+    """
 
     tokens: int
+    exhausted: bool = False
+
+
+class LoanReturn(msgspec.Struct, frozen=True, array_like=True):
+    """Tokens that the sender counts as spent, and that are the receiver's from now on."""
+
+    workspace: str
+    tokens: Annotated[int, msgspec.Meta(gt=0)]
 
 
 class LenderBase(ABC):
@@ -94,45 +123,3 @@
     async def ask(self, address, ask):
         """See ``LenderBase.ask``."""
         return 0
-
-
-class PeersAsLenders(LenderBase):
-    """Asks the peers, by what their digests say they can spare.
-
-    Parameters
-    ----------
-    book : PeerBook
-        The peers.
-    call : callable
-        ``await call(address, path, body, timeout_s)`` gives an answer's body, or
-        None when there was none.
-    clock : callable
-        Steady clock in seconds.
-    """
-
-    def __init__(self, book, call, clock):
-        self._book = book
-        self._call = call
-        self._clock = clock
-
-    def spare(self, workspace):
-        """See ``LenderBase.spare``."""
-        since_s = self._clock() - _SPARE_LIFE_S
-        found = [
-            (peer.address, spare.tokens)
-            for peer in self._book.live()
-            if peer.heard_s >= since_s and not peer.digest.stopping
-            for spare in peer.digest.spare
-            if spare.workspace == workspace
-        ]
-        return sorted(found, key=lambda entry: -entry[1])
-
-    async def ask(self, address, ask):
-        """See ``LenderBase.ask``."""
-        body = await self._call(address, LOANS_PATH, msgspec.msgpack.encode(ask), _ANSWER_LIMIT_S)
-        if body is None:
-            return 0
-        try:
-            return max(0, msgspec.msgpack.decode(body, type=Loan).tokens)
-        except msgspec.DecodeError:
-            return 0
--- /dev/null
+++ b/turnward/gateway/peer_book.py
@@ -0,0 +1,198 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""What one router knows of the others: who they are, and what they last told."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from turnward.gateway.loans import Spare
+
+__all__ = ["DIGEST_LAYOUT", "Digest", "EndpointLoad", "Peer", "PeerBook"]
+
+#: Seconds after which a silent peer's load no longer counts.
+_LOAD_LIFE_S = 1.0
+#: Seconds after which a silent peer is no longer taken for live.
+_LIFE_S = 2.5
+#: Version of the digest's layout.
+DIGEST_LAYOUT = 2
+
+
+class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What one router has in flight at an endpoint, and how fast its streams go on there.
+
+    Attributes
+    ----------
+    quiet_gap_ms : float
+        Between two events of a stream when nothing holds them up; 0: not known.
+    held_up_gap_ms : float
+        Between two events that a prompt holds up which is read there; 0: not known.
+    """
+
+    endpoint_id: str
+    requests: int
+    prefill_tokens: int
+    quiet_gap_ms: float = 0.0
+    held_up_gap_ms: float = 0.0
+
+    def with_another(self, other: "EndpointLoad") -> "EndpointLoad":
+        """Return the sum of two routers' loads; the longer of their times between events.
+
+        Examples
+        --------
+        >>> both = EndpointLoad("e", 1, 10, 20.0).with_another(EndpointLoad("e", 2, 5, 30.0))
+        >>> both.requests, both.prefill_tokens, both.quiet_gap_ms
+        (3, 15, 30.0)
+        """
+        return EndpointLoad(
+            self.endpoint_id,
+            self.requests + other.requests,
+            self.prefill_tokens + other.prefill_tokens,
+            max(self.quiet_gap_ms, other.quiet_gap_ms),
+            max(self.held_up_gap_ms, other.held_up_gap_ms),
+        )
+
+
+class Digest(msgspec.Struct, frozen=True, array_like=True):
+    """What a router tells its peers of itself.
+
+    Attributes
+    ----------
+    confirmed_age_s : float
+        How long ago the store said that the configuration is the newest; below
+        0 when it never did.
+    short : bool
+        It may soon want to borrow tokens: peers tell what they can spare.
+    spare : tuple of Spare
+        What it can lend; told only while some router is short.
+    """
+
+    layout: int
+    node: str
+    incarnation: str
+    address: str
+    zone: str
+    configuration_version: int
+    endpoints_version: int
+    confirmed_age_s: float
+    loads: tuple[EndpointLoad, ...] = ()
+    stopping: bool = False
+    short: bool = False
+    spare: tuple[Spare, ...] = ()
+
+
+class Peer:
+    """One peer as last heard."""
+
+    __slots__ = ("address", "digest", "heard_s", "member", "zone")
+
+    def __init__(self, address: str):
+        self.address = address
+        self.digest: Digest | None = None
+        self.heard_s: float | None = None
+        self.member = False
+        self.zone = ""
+
+
+class PeerBook:
+    """The peers known, by address.
+
+    A peer is a member once the members' table names it or a digest of it came; an address
+    that is only a seed may be stale. Members stay members: none is lost to a digest that
+    did not come, so what is shared out by their number is never shared among too few.
+
+    Parameters
+    ----------
+    own_address : str
+        Never listed.
+
+    Attributes
+    ----------
+    membership_version : int
+        Rises when a member is added.
+    grown_s : float
+        When the last member was added.
+    members_read : bool
+        Whether the members' table was read.
+    """
+
+    def __init__(self, own_address: str, clock: Callable[[], float]):
+        self.own_address = own_address
+        self._clock = clock
+        self._peers: dict[str, Peer] = {}
+        self.membership_version = 0
+        self.grown_s = clock()
+        self.members_read = False
+
+    def add(self, address: str) -> None:
+        """Take in an address at which a peer may listen."""
+        if address != self.own_address and address not in self._peers:
+            self._peers[address] = Peer(address)
+
+    def add_member(self, address: str, zone: str) -> None:
+        """Take in a peer that the members' table names, or that was heard."""
+        self.add(address)
+        peer = self._peers.get(address)
+        if peer is None:
+            return
+        peer.zone = zone
+        if not peer.member:
+            peer.member = True
+            self.membership_version += 1
+            self.grown_s = self._clock()
+
+    def hear(self, digest: Digest) -> Peer | None:
+        """Take in a digest; return its sender unless that is this router."""
+        if digest.address == self.own_address:
+            return None
+        self.add_member(digest.address, digest.zone)
+        peer = self._peers[digest.address]
+        peer.digest = digest
+        peer.heard_s = self._clock()
+        return peer
+
+    def knows(self, address: str) -> bool:
+        """Tell whether a peer may listen at an address."""
+        return address in self._peers
+
+    def get(self, address: str) -> Peer | None:
+        """Return the peer at an address."""
+        return self._peers.get(address)
+
+    @property
+    def addresses(self) -> list[str]:
+        """Addresses of all peers known."""
+        return list(self._peers)
+
+    @property
+    def members(self) -> list[Peer]:
+        """Return the peers that are members."""
+        return [peer for peer in self._peers.values() if peer.member]
+
+    @property
+    def most_live(self) -> int:
+        """The most routers that may live, this one among them."""
+        return 1 + sum(peer.member for peer in self._peers.values())
+
+    @property
+    def live_count(self) -> int:
+        """Peers heard lately."""
+        return len(self.live())
+
+    def live(self) -> list[Peer]:
+        """Return the peers heard lately."""
+        since_s = self._clock() - _LIFE_S
+        return [peer for peer in self._peers.values() if (peer.heard_s or -1e9) >= since_s]
+
+    def loads(self) -> dict[str, EndpointLoad]:
+        """Return what all peers together have in flight, by endpoint."""
+        since_s = self._clock() - _LOAD_LIFE_S
+        totals: dict[str, EndpointLoad] = {}
+        for peer in self._peers.values():
+            if peer.digest is None or peer.heard_s < since_s:
+                continue
+            for load in peer.digest.loads:
+                before = totals.get(load.endpoint_id)
+                if before is not None:
+                    load = before.with_another(load)
+                totals[load.endpoint_id] = load
+        return totals
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -14,177 +14,34 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from turnward.gateway.configuration import Configuration
-from turnward.gateway.loans import LOANS_PATH, Loan, LoanAsk, Spare
+from turnward.gateway.loans import (
+    LOANS_PATH,
+    RETURNS_PATH,
+    Loan,
+    LoanAsk,
+    LoanReturn,
+)
+from turnward.gateway.peer_book import DIGEST_LAYOUT, Digest, PeerBook
 from turnward.gateway.state import EndpointsSnapshot, FleetState
 from turnward.http1 import Http1Error, HttpCaller, InboundRequest
 
-__all__ = ["DIGEST_LAYOUT", "Digest", "EndpointLoad", "PeerBook", "PeerExchange", "PeerTask"]
+__all__ = ["PeerExchange", "PeerTask"]
 
 #: Seconds between two digests.
 _PERIOD_S = 0.25
 #: Peers that one digest goes to at most.
 _FAN_OUT = 8
-#: Seconds after which a silent peer's load no longer counts.
-_LOAD_LIFE_S = 1.0
-#: Seconds after which a silent peer is no longer taken for live.
-_LIFE_S = 2.5
-#: Seconds after which a silent peer is forgotten.
-_FORGET_S = 120.0
 #: Most endpoints whose load one digest tells, so that it fits a datagram.
 _LOADS_LIMIT = 48
 #: Most workspaces whose spare tokens one digest tells.
 _SPARE_LIMIT = 24
 #: Seconds for which a router that was short keeps its peers telling what they can spare.
 _SHORT_LIFE_S = 1.5
-#: Version of the digest's layout.
-DIGEST_LAYOUT = 2
 
 CONFIGURATION_PATH = b"/state/configuration"
 ENDPOINTS_PATH = b"/state/endpoints"
 
 
-class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
-    """What one router has in flight at an endpoint, and how fast its streams go on there.
-
-    Attributes
-    ----------
-    quiet_gap_ms : float
-        Between two events of a stream when nothing holds them up; 0: not known.
-    held_up_gap_ms : float
-        Between two events that a prompt holds up which is read there; 0: not known.
-    """
-
-    endpoint_id: str
-    requests: int
-    prefill_tokens: int
-    quiet_gap_ms: float = 0.0
-    held_up_gap_ms: float = 0.0
-
-    def with_another(self, other: "EndpointLoad") -> "EndpointLoad":
-        """Return the sum of two routers' loads; the longer of their times between events.
-
-        Examples
-        --------
-        >>> both = EndpointLoad("e", 1, 10, 20.0).with_another(EndpointLoad("e", 2, 5, 30.0))
-        >>> both.requests, both.prefill_tokens, both.quiet_gap_ms
-        (3, 15, 30.0)
-        """
-        return EndpointLoad(
-            self.endpoint_id,
-            self.requests + other.requests,
-            self.prefill_tokens + other.prefill_tokens,
-            max(self.quiet_gap_ms, other.quiet_gap_ms),
-            max(self.held_up_gap_ms, other.held_up_gap_ms),
-        )
-
-
-class Digest(msgspec.Struct, frozen=True, array_like=True):
-    """What a router tells its peers of itself.
-
-    Attributes
-    ----------
-    confirmed_age_s : float
-        How long ago the store said that the configuration is the newest; below
-        0 when it never did.
-    short : bool
-        It may soon want to borrow tokens: peers tell what they can spare.
-    spare : tuple of Spare
-        What it can lend; told only while some router is short.
-    """
-
-    layout: int
-    node: str
-    incarnation: str
-    address: str
-    zone: str
-    configuration_version: int
-    endpoints_version: int
-    confirmed_age_s: float
-    loads: tuple[EndpointLoad, ...] = ()
-    stopping: bool = False
-    short: bool = False
-    spare: tuple[Spare, ...] = ()
-
-
-class Peer:
-    """One peer as last heard."""
-
-    __slots__ = ("address", "digest", "heard_s")
-
-    def __init__(self, address: str):
-        self.address = address
-        self.digest: Digest | None = None
-        self.heard_s: float | None = None
-
-
-class PeerBook:
-    """The peers known, by address.
-
-    Parameters
-    ----------
-    own_address : str
-        Never listed.
-    """
-
-    def __init__(self, own_address: str, clock: Callable[[], float]):
-        self._own_address = own_address
-        self._clock = clock
-        self._peers: dict[str, Peer] = {}
-        self.most_live = 1
-
-    def add(self, address: str) -> None:
-        """Take in an address at which a peer may listen."""
-        if address != self._own_address and address not in self._peers:
-            self._peers[address] = Peer(address)
-
-    def hear(self, digest: Digest) -> Peer | None:
-        """Take in a digest; return its sender unless that is this router."""
-        if digest.address == self._own_address:
-            return None
-        self.add(digest.address)
-        peer = self._peers[digest.address]
-        peer.digest = digest
-        peer.heard_s = self._clock()
-        self.most_live = max(self.most_live, self.live_count + 1)
-        return peer
-
-    @property
-    def addresses(self) -> list[str]:
-        """Addresses of all peers known."""
-        return list(self._peers)
-
-    @property
-    def live_count(self) -> int:
-        """Peers heard lately."""
-        return len(self.live())
-
-    def live(self) -> list[Peer]:
-        """Return the peers heard lately."""
-        since_s = self._clock() - _LIFE_S
-        return [peer for peer in self._peers.values() if (peer.heard_s or -1e9) >= since_s]
-
-    def loads(self) -> dict[str, EndpointLoad]:
-        """Return what all peers together have in flight, by endpoint."""
-        since_s = self._clock() - _LOAD_LIFE_S
-        totals: dict[str, EndpointLoad] = {}
-        for peer in self._peers.values():
-            if peer.digest is None or peer.heard_s < since_s:
-                continue
-            for load in peer.digest.loads:
-                before = totals.get(load.endpoint_id)
-                if before is not None:
-                    load = before.with_another(load)
-                totals[load.endpoint_id] = load
-        return totals
-
-    def forget_silent(self, keep: set[str]) -> None:
-        """Drop peers not heard for long, but for the addresses in ``keep``."""
-        since_s = self._clock() - _FORGET_S
-        for address, peer in list(self._peers.items()):
-            if address not in keep and peer.heard_s is not None and peer.heard_s < since_s:
-                del self._peers[address]
-
-
 class PeerExchange(DatagramProtocol):
     """Sends and receives digests."""
 
@@ -284,7 +141,7 @@
         for address in sorted(live - self._seen_live):
             self._log.event("peer.regained", peer=address, live=len(live))
         for address in sorted(self._seen_live - live):
-            self._log.failure("peer.lost", peer=address, live=len(live), silent_s=_LIFE_S)
+            self._log.failure("peer.lost", peer=address, live=len(live))
         self._seen_live = live
 
     def digest(self) -> Digest:
@@ -307,7 +164,7 @@
 
     def hear(self, digest: Digest) -> None:
         """Take in a peer's digest, and fetch what it knows better."""
-        known = digest.address in self._book.addresses
+        known = self._book.knows(digest.address)
         peer = self._book.hear(digest)
         if peer is None:
             return
@@ -346,12 +203,12 @@
             self._log.failure("peer.fetch_failed", peer=address, what=path.decode(), cause=failure)
 
     def _is_behind(self, path: bytes, address: str) -> bool:
-        peers = [peer for peer in self._book.live() if peer.address == address and peer.digest]
-        if not peers:
+        peer = self._book.get(address)
+        if peer is None or peer.digest is None:
             return False
         if path == CONFIGURATION_PATH:
-            return peers[0].digest.configuration_version > self._state.configuration_version
-        return peers[0].digest.endpoints_version > self._state.endpoints_version
+            return peer.digest.configuration_version > self._state.configuration_version
+        return peer.digest.endpoints_version > self._state.endpoints_version
 
     def _caller(self, address: str) -> HttpCaller:
         caller = self._callers.get(address)
@@ -377,30 +234,66 @@
         elif request.target == ENDPOINTS_PATH and self._state.endpoints_version:
             request.answer(200, [], msgspec.msgpack.encode(self._state.snapshot()))
         elif request.target == LOANS_PATH:
-            self._lend(request)
+            _take_body(request, LoanAsk, self._lend)
+        elif request.target == RETURNS_PATH:
+            _take_body(request, LoanReturn, self._take_back)
         else:
             request.answer(404, [])
 
-    def _lend(self, request: InboundRequest) -> None:
+    def _lend(self, request: InboundRequest, ask: LoanAsk) -> None:
         """Answer a peer that asks for tokens."""
-        parts: list[bytes] = []
-
-        def answer() -> None:
-            try:
-                ask = msgspec.msgpack.decode(b"".join(parts), type=LoanAsk)
-            except msgspec.DecodeError:
-                request.answer(400, [])
-                return
+        if not ask.for_request:
             loan = Loan(self._accounts.lend(ask))
             request.answer(200, [], msgspec.msgpack.encode(loan))
+            return
+        lending = self._accounts.lend_to_request(ask)
+        request.on_gone = lending.cancel
+
+        def answer(loan: Loan) -> None:
+            request.answer(200, [], msgspec.msgpack.encode(loan))
 
-        request.attach(parts.append, answer)
+        lending.addCallback(answer)
+        lending.addErrback(lambda failure: failure.trap(defer.CancelledError))
+
+    def _take_back(self, request: InboundRequest, returned: LoanReturn) -> None:
+        """Take in tokens that a peer has no use for."""
+        self._accounts.take_back(returned)
+        request.answer(200, [])
 
     async def call(self, address: str, path: bytes, body: bytes, timeout_s: float) -> bytes | None:
         """Return the body of a peer's answer, None when there was no good one."""
         try:
-            reply = await self._caller(address).call(b"POST", path, body, timeout_s)
+            return await self.call_or_fail(address, path, body, timeout_s)
         except Http1Error as failure:
             self._log.failure("peer.fetch_failed", peer=address, what=path.decode(), cause=failure)
             return None
+
+    async def call_or_fail(
+        self, address: str, path: bytes, body: bytes, timeout_s: float
+    ) -> bytes | None:
+        """Return the body of a peer's answer, None when it was no success.
+
+        Raises
+        ------
+        NotSentError
+            Nothing was sent.
+        UnansweredError
+            No answer came; the peer may have read the call.
+        """
+        reply = await self._caller(address).call(b"POST", path, body, timeout_s)
         return reply.body if reply.status == 200 else None
+
+
+def _take_body(request: InboundRequest, layout: type, act: Callable) -> None:
+    """Gather a peer's message and act on it; bytes that are none are told so."""
+    parts: list[bytes] = []
+
+    def ended() -> None:
+        try:
+            message = msgspec.msgpack.decode(b"".join(parts), type=layout)
+        except (msgspec.DecodeError, ValueError):
+            request.answer(400, [])
+            return
+        act(request, message)
+
+    request.attach(parts.append, ended)
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -30,7 +30,9 @@
 from turnward.gateway.borrowing import Borrower
 from turnward.gateway.configuration import Workspace
 from turnward.gateway.end_reserve import EndReserve, EndReserveRule
-from turnward.gateway.loans import LenderBase, LoanAsk, LoanRule, Spare
+from turnward.gateway.holder_client import HandBack, HolderClient
+from turnward.gateway.holders import EveryRouterHolds, HoldersBase
+from turnward.gateway.loans import LenderBase, Loan, LoanAsk, LoanReturn, LoanRule, Spare
 from turnward.gateway.spending import PromiseRule, SpendPromise, SpendReports, promise_for
 from turnward.gateway.workspace_account import WaitingRequest, WorkspaceAccount
 from turnward.ledger import BudgetView, GrantAsk, GrantLedger, Reservation, SizingRule
@@ -65,6 +67,10 @@
 _VIEW_LIMIT_S = 10.0
 #: Seconds for which a shortage is told to peers.
 _SHORT_S = 2.0
+#: Seconds without a request after which a router hands back what it does not hold for itself.
+_HAND_BACK_S = 0.5
+#: Seconds after which the reports of earlier incarnations are asked for again.
+_LOOK_BACK_PAUSE_S = 0.4
 #: Conflicts in a row after which a change is left for the next look.
 _CONFLICT_LIMIT = 30
 
@@ -92,7 +98,7 @@
     log : GatewayLog
         Told of each change of a grant.
     live_routers : callable
-        How many routers may live; what one of them may hold follows from it.
+        How many routers may live; how often one of them may call the store follows from it.
     promise_rule : PromiseRule, optional
         How tight the promises of reports are.
     loan_rule : LoanRule, optional
@@ -104,6 +110,13 @@
         while the store is away, by step of priority.
     reports : bool, optional
         Whether what is spent is reported for a successor.
+    holders : HoldersBase, optional
+        Which routers hold a workspace's tokens; what one of them may hold follows from it.
+
+    Attributes
+    ----------
+    holder_client : HolderClient or None
+        Asks the holders of workspaces that this router does not hold.
     """
 
     def __init__(
@@ -120,6 +133,7 @@
         end_rule: EndReserveRule | None = None,
         kept_by_priority: float = KEPT_BY_PRIORITY,
         reports: bool = True,
+        holders: HoldersBase | None = None,
     ):
         self._reactor = reactor
         self._store = store
@@ -128,6 +142,8 @@
         self._log = log
         self._accounts: dict[str, WorkspaceAccount] = {}
         self._live_routers = live_routers
+        self._holders = holders or EveryRouterHolds(live_routers)
+        self.holder_client: HolderClient | None = None
         self._rule = rule
         self._promise_rule = promise_rule or PromiseRule()
         self._loan_rule = loan_rule or LoanRule()
@@ -155,14 +171,28 @@
             account.limit = (workspace.prepaid_tokens, version)
             if account.row is not None:
                 self._show_limit(workspace.name, account)
-            self.work_on(workspace.name)
+            if self._holds(workspace.name):
+                self.work_on(workspace.name)
 
-    def reserve(self, workspace: str, tokens: int, priority: int = 0):
+    def reserve(self, workspace: str, tokens: int, priority: int = 0, ahead_tokens: int = 0):
         """Return a reservation, a refusal, or a deferred of one of them.
 
         While the store is not reached, a part of what is left is kept for more
-        urgent requests than one of ``priority`` (0 is the most urgent).
+        urgent requests than one of ``priority`` (0 is the most urgent). ``ahead_tokens``
+        are what the request may need later, see ``reserve_now``.
         """
+        if not self._holds(workspace) and self.holder_client is not None:
+            return self._reserve_elsewhere(workspace, tokens, priority, ahead_tokens)
+        return self._reserve_here(workspace, tokens, priority)
+
+    def _holds(self, workspace: str) -> bool:
+        """Tell whether this router holds tokens of a workspace ahead of demand."""
+        holds = self._holders.holds(workspace)
+        self.ledger.set_ahead(workspace, holds)
+        return holds
+
+    def _reserve_here(self, workspace: str, tokens: int, priority: int):
+        """Reserve out of the own grant, or what the store and the peers add to it."""
         account = self._account(workspace)
         if self._lost_contact and self._is_kept(account, tokens, priority):
             return self._refused(account, tokens, BudgetAnswer.UNREACHABLE, kept=True)
@@ -180,9 +210,8 @@
         if self._lost_contact and not lendable:
             # Waiting would only make the refusal late.
             return self._refused(account, tokens, BudgetAnswer.UNREACHABLE)
-        waiter = WaitingRequest(tokens, self._reactor.seconds() + _WAIT_S, exhausted)
-        account.waiters.append(waiter)
-        self._reactor.callLater(_WAIT_S, self._give_up, workspace, waiter)
+        waiter = WaitingRequest(tokens, exhausted)
+        self._let_wait(account, waiter)
         if lendable and (self._lost_contact or self._store_has_too_little(account, workspace)):
             self._borrow(account)
         else:
@@ -190,6 +219,11 @@
             self.work_on(workspace)
         return waiter.deferred
 
+    def _let_wait(self, account: WorkspaceAccount, waiter: WaitingRequest) -> None:
+        """Let a request wait for tokens, for a bounded time."""
+        account.waiters.append(waiter)
+        self._reactor.callLater(_WAIT_S, self._give_up, account.workspace, waiter)
+
     def _refused(
         self, account: WorkspaceAccount, tokens: int, answer: BudgetAnswer, kept: bool = False
     ) -> BudgetAnswer:
@@ -263,11 +297,126 @@
         if account is not None and account.waiters:
             self._serve_waiters(reservation.budget, account)
 
+    # Requests of workspaces that other routers hold.
+
+    def _reserve_elsewhere(self, workspace: str, tokens: int, priority: int, ahead_tokens: int):
+        """Reserve out of what a holder lends for this request."""
+        reservation = self._try_reserve(workspace, tokens, first_try=False)
+        if reservation is not None:
+            return reservation
+        # It is asked for below; the plans must not take it from the store as well.
+        self.ledger.clear_want(workspace)
+        account = self._account(workspace)
+        waiter = WaitingRequest(tokens)
+        least = tokens - max(0, self.ledger.free_tokens(workspace))
+        ask = LoanAsk(workspace, least, least + ahead_tokens, priority, for_request=True)
+        done = defer.ensureDeferred(self._borrow_for(account, waiter, ask))
+        done.addErrback(self._failed, workspace)
+        return waiter.deferred
+
+    async def _borrow_for(
+        self, account: WorkspaceAccount, waiter: WaitingRequest, ask: LoanAsk
+    ) -> None:
+        """Serve one request out of a holder's loan; without one it waits for the store."""
+        loan = await self.holder_client.borrow(ask)
+        if loan.tokens > 0:
+            account.borrowed_tokens += loan.tokens
+            self.ledger.add(account.workspace, loan.tokens)
+            reservation = self._try_reserve(account.workspace, waiter.tokens, first_try=False)
+            if reservation is not None:
+                waiter.deferred.callback(reservation)
+                return
+        if loan.exhausted or self._lost_contact:
+            answer = BudgetAnswer.EXHAUSTED if loan.exhausted else BudgetAnswer.UNREACHABLE
+            waiter.deferred.callback(self._refused(account, waiter.tokens, answer))
+            return
+        self._let_wait(account, waiter)
+        self.work_on(account.workspace)
+
+    def lend_to_request(self, ask: LoanAsk) -> defer.Deferred:
+        """Return what a peer's request needs, got as though the request were an own one.
+
+        The deferred fires with a ``Loan``; one that is cancelled lends nothing.
+        """
+        lending = defer.Deferred()
+
+        def decide(answer) -> None:
+            if not lending.called:
+                lending.callback(self._loan_of(ask, answer))
+            elif isinstance(answer, Reservation):
+                self.settle(answer, 0)
+
+        answer = self._reserve_here(ask.workspace, max(1, ask.least_tokens), ask.priority)
+        if isinstance(answer, defer.Deferred):
+            answer.addCallback(decide)
+        else:
+            decide(answer)
+        return lending
+
+    def _loan_of(self, ask: LoanAsk, answer: Reservation | BudgetAnswer) -> Loan:
+        """Count a reservation as spent here, and what can be spared besides."""
+        if isinstance(answer, BudgetAnswer):
+            return Loan(0, exhausted=answer is BudgetAnswer.EXHAUSTED)
+        self.ledger.settle(answer, answer.tokens)
+        self._log_lent(ask.workspace, answer.tokens)
+        ahead = LoanAsk(ask.workspace, 0, ask.most_tokens - ask.least_tokens)
+        return Loan(answer.tokens + self.lend(ahead))
+
+    def take_back(self, returned: LoanReturn) -> None:
+        """Take in what a peer was lent and has no use for."""
+        account = self._account(returned.workspace)
+        account.borrowed_tokens += returned.tokens
+        self.ledger.add(returned.workspace, returned.tokens)
+        self._serve_waiters(returned.workspace, account)
+
+    def _may_hand_back(self, workspace: str, account: WorkspaceAccount, now_s: float) -> bool:
+        if self.holder_client is None or account.handing_back or account.waiters:
+            return False
+        return self.ledger.is_idle(workspace, _HAND_BACK_S, now_s)
+
+    def _hand_back(self, workspace: str, account: WorkspaceAccount) -> None:
+        account.handing_back = True
+        done = defer.ensureDeferred(self._send_back(workspace))
+        done.addErrback(self._failed, workspace)
+        done.addBoth(lambda _: self._handed_back(account))
+
+    def _handed_back(self, account: WorkspaceAccount) -> None:
+        account.handing_back = False
+
+    async def _send_back(self, workspace: str) -> None:
+        """Hand what is free to a holder; it counts as spent here before the message leaves."""
+        tokens = self._spendable_tokens(workspace)
+        reservation = self._try_reserve(workspace, tokens, first_try=False) if tokens else None
+        if reservation is None:
+            return
+        self.ledger.settle(reservation, tokens)
+        became = await self.holder_client.hand_back(workspace, tokens)
+        if became is HandBack.NOT_SENT:
+            self.ledger.unsettle(workspace, tokens)
+        elif became is HandBack.LOST:
+            self._log.failure("prepaid.lost_on_return", workspace=workspace, tokens=tokens)
+
     # The work.
 
     def start(self) -> None:
-        """Begin to look at the ledger's plans."""
+        """Begin to look at the ledger's plans, and for what earlier incarnations left."""
         self._reactor.callLater(_PERIOD_S, self._tick)
+        self._look_back()
+
+    def _look_back(self) -> None:
+        """Account for what earlier incarnations of this node held, until it is known."""
+        if self._reports.ended is not None:
+            return
+        looking = defer.ensureDeferred(self._reports.read_ended())
+        looking.addCallbacks(lambda _: self._work_on_ended(), self._look_back_failed)
+
+    def _look_back_failed(self, failure) -> None:
+        self._log.failure("prepaid.look_back_failed", cause=failure.getErrorMessage())
+        self._reactor.callLater(_LOOK_BACK_PAUSE_S, self._look_back)
+
+    def _work_on_ended(self) -> None:
+        for workspace in {name for bounds in self._reports.ended.values() for name in bounds}:
+            self.work_on(workspace)
 
     def _tick(self) -> None:
         self._reactor.callLater(_PERIOD_S, self._tick)
@@ -283,14 +432,16 @@
                 self._reports.report()
             else:
                 self._reports.report_if_due(self._live_routers())
-        for workspace in {*self.ledger.plan_views(now_s), *self.ledger.budgets()}:
-            account = self._accounts.get(workspace)
-            if account is not None and self._needs_work(workspace, account, now_s):
+        for workspace, account in self._accounts.items():
+            holds = self._holds(workspace)
+            if self._needs_work(workspace, account, now_s):
                 self.work_on(workspace)
+            elif not holds and self._may_hand_back(workspace, account, now_s):
+                self._hand_back(workspace, account)
 
     def _size_grants(self) -> None:
-        """Share what is held without demand, and looks at rows, among the routers."""
-        routers = max(1, self._live_routers())
+        """Share what is held without demand, and looks at rows, among the holders."""
+        routers = self._holders.count
         view_s = min(_VIEW_LIMIT_S, routers * len(self._accounts) / _FLEET_VIEWS_PER_S)
         near_s = max(self._rule.near_view_s, view_s)
         self.ledger.rule = msgspec.structs.replace(
@@ -303,11 +454,11 @@
     def _needs_work(self, workspace: str, account: WorkspaceAccount, now_s: float) -> bool:
         if account.unresolved is not None or account.waiters:
             return True
+        if account.row is None and self._holders.holds(workspace):
+            return True
         if self._stopping:
             return self.ledger.free_tokens(workspace) > 0
-        if workspace in self.ledger.plan_views(now_s):
-            return True
-        if workspace in self.ledger.plan_returns(now_s):
+        if self.ledger.needs_view(workspace, now_s) or self.ledger.plan_return(workspace, now_s):
             return True
         return self.ledger.plan_take(workspace, now_s) is not None
 
@@ -358,9 +509,15 @@
         return {
             workspace: self._promise(workspace)
             for workspace in self.ledger.budgets()
-            if self.ledger.held_tokens(workspace) > 0
+            if self._has_own_grant(workspace) and self.ledger.held_tokens(workspace) > 0
         }
 
+    def _has_own_grant(self, workspace: str) -> bool:
+        """Tell whether a successor finds a grant of this incarnation in the row."""
+        account = self._accounts.get(workspace)
+        borrowed = account.borrowed_tokens if account is not None else 0
+        return self.ledger.granted_tokens(workspace) > borrowed
+
     def _promise(self, workspace: str) -> SpendPromise:
         account = self._accounts.get(workspace)
         waiting = account.waiting_tokens if account else 0
@@ -380,7 +537,7 @@
         rule = self._promise_rule
         if account is None or account.row is None:
             return rule
-        routers = self._live_routers()
+        routers = self._holders.count
         rule = rule.for_limit(account.row.limit_tokens, routers)
         held = routers * max(0, self.ledger.free_tokens(workspace))
         left = max(0, ungranted_tokens(account.row)) + held
@@ -402,6 +559,7 @@
         for _ in range(_CONFLICT_LIMIT):
             ask = self._ask(workspace, account)
             if ask is None:
+                await self._fold_only(workspace, account)
                 return
             tokens = self._grantable(account, ask)
             if tokens <= 0:
@@ -423,20 +581,25 @@
                 )
                 return
 
+    async def _fold_only(self, workspace: str, account: WorkspaceAccount) -> None:
+        """Write what earlier incarnations gave back, where nothing else is to be written."""
+        if account.unfolded is not None and not self._holders.everyone:
+            await self._write(workspace, account, 0)
+
     async def _look(self, workspace: str, account: WorkspaceAccount) -> None:
         """Learn from the store what is not known, or no longer fresh."""
         if self._reports.ended is None:
             await self._reports.read_ended()
         if account.unresolved is not None:
             await self._resolve(workspace, account)
-        stale = workspace in self.ledger.plan_views(self._reactor.seconds())
+        stale = self.ledger.needs_view(workspace, self._reactor.seconds())
         if account.row is None or stale:
             await self._read(workspace, account)
 
     def _spare(self, workspace: str) -> int:
         if self._stopping:
             return self.ledger.free_tokens(workspace)
-        return self.ledger.plan_returns(self._reactor.seconds()).get(workspace, 0)
+        return self.ledger.plan_return(workspace, self._reactor.seconds())
 
     def _ask(self, workspace: str, account: WorkspaceAccount) -> GrantAsk | None:
         ask = self.ledger.plan_take(workspace, self._reactor.seconds())
@@ -563,7 +726,7 @@
         passed, the lost one is done or never will be, and the row tells which.
         """
         delta_tokens, wanted = account.unresolved
-        expected = wanted.granted_tokens[self._incarnation]
+        expected = wanted.granted_tokens.get(self._incarnation, 0)
         before = expected - delta_tokens
         row = await self._store.read_row(RowKey(TABLE, workspace, ROW_NAME))
         stored = decode_account(row)
@@ -623,13 +786,16 @@
         if reservation is None:
             return 0
         self.ledger.settle(reservation, tokens)
+        self._log_lent(ask.workspace, tokens)
+        return tokens
+
+    def _log_lent(self, workspace: str, tokens: int) -> None:
         self._log.event(
             "prepaid.lent",
-            workspace=ask.workspace,
+            workspace=workspace,
             tokens=tokens,
-            free=self.ledger.free_tokens(ask.workspace),
+            free=self.ledger.free_tokens(workspace),
         )
-        return tokens
 
     def _lendable_tokens(self, workspace: str) -> int:
         account = self._accounts.get(workspace)
@@ -712,7 +878,8 @@
         """Give back from now on what is not reserved, before a planned stop."""
         self._stopping = True
         for workspace in self._accounts:
-            self.work_on(workspace)
+            if self._holders.everyone or self.ledger.free_tokens(workspace) > 0:
+                self.work_on(workspace)
 
     @property
     def settled(self) -> bool:
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -14,12 +14,16 @@
 from turnward.gateway.end_reserve import EndReserveRule
 from turnward.gateway.feeds import FeedListenerBase, TableFeed
 from turnward.gateway.forwarding import Forwarder, ForwardingRules
-from turnward.gateway.loans import PeersAsLenders
+from turnward.gateway.holder_client import HolderClient
+from turnward.gateway.holders import RankedHolders
+from turnward.gateway.lenders import HoldersAsLenders, PeersAsLenders
 from turnward.gateway.logs import GatewayLog
 from turnward.gateway.mechanisms import Mechanisms
+from turnward.gateway.members import MEMBERS_TABLE, Member, decode_member, encode_member
 from turnward.gateway.metrics import GatewayMetrics
 from turnward.gateway.pace import ObservedPace
-from turnward.gateway.peers import DIGEST_LAYOUT, Digest, PeerBook, PeerTask
+from turnward.gateway.peer_book import DIGEST_LAYOUT, Digest, PeerBook
+from turnward.gateway.peers import PeerTask
 from turnward.gateway.prepaid import KEPT_BY_PRIORITY, PrepaidAccounts
 from turnward.gateway.retries import RepeatRule
 from turnward.gateway.settings import GatewaySettings
@@ -35,11 +39,9 @@
     VersionedStoreBase,
     VersionedTransaction,
 )
-from turnward.settings import parse_address
 
 __all__ = ["GatewayProcess", "SourcesBase", "new_incarnation"]
 
-MEMBERS_TABLE = "members"
 #: Longest that the store holds a question for changes, in seconds, by table.
 _CONFIGURATION_WAIT_S = 2.0
 _ENDPOINTS_WAIT_S = 4.0
@@ -98,8 +100,9 @@
 class _Members(FeedListenerBase):
     """Learns peers' addresses from their rows."""
 
-    def __init__(self, book: PeerBook):
+    def __init__(self, book: PeerBook, note_unreadable):
         self._book = book
+        self._note_unreadable = note_unreadable
         self._version = 0
 
     @property
@@ -108,12 +111,19 @@
 
     def table_read(self, table):
         self.rows_changed(table)
+        self._book.members_read = True
 
     def rows_changed(self, changes: TableChanges):
         self._version = max(self._version, changes.version)
         for row in changes.rows:
-            if not row.gone and parse_address(row.value.decode("latin-1")) is not None:
-                self._book.add(row.value.decode("latin-1"))
+            if row.gone:
+                continue
+            try:
+                member = decode_member(row.value)
+            except (msgspec.DecodeError, ValueError) as failure:
+                self._note_unreadable(row.key, failure)
+                continue
+            self._book.add_member(member.address, member.zone)
 
 
 class GatewayProcess:
@@ -181,6 +191,7 @@
             _choice_rule(settings.mechanisms),
         )
         self.endpoints.on_pace_class = self._note_pace_class
+        self.holders = RankedHolders(self.book, settings.zone, reactor.seconds)
         self.accounts = PrepaidAccounts(
             reactor,
             store,
@@ -192,6 +203,7 @@
             end_rule=EndReserveRule(share=settings.budget_reserve_share),
             kept_by_priority=KEPT_BY_PRIORITY if settings.mechanisms.urgency_in_cut else 0.0,
             reports=settings.mechanisms.spend_reports,
+            holders=self.holders,
         )
         self.peers = PeerTask(
             reactor,
@@ -203,8 +215,7 @@
             log,
             self._draw,
         )
-        if settings.mechanisms.loans:
-            self.accounts.lenders = PeersAsLenders(self.book, self.peers.call, reactor.seconds)
+        self._let_borrow()
         self.forwarder = self._make_forwarder()
         self.callers = InboundFactory(
             reactor, self.forwarder.handle, InboundLimits(), self._note_refused, self._note_fault
@@ -249,6 +260,14 @@
             confirmed_age_s=-1.0,
         )
 
+    def _let_borrow(self) -> None:
+        """Join the accounts to the peers that lend."""
+        call = self.peers.call
+        self.accounts.holder_client = HolderClient(self.holders, self.peers.call_or_fail, self._log)
+        if self._settings.mechanisms.loans:
+            peers = PeersAsLenders(self.book, call, self._reactor.seconds)
+            self.accounts.lenders = HoldersAsLenders(self.holders, peers, self._reactor.seconds)
+
     def _add_seeds(self) -> None:
         for seed in self._settings.seeds:
             host, _, _ = seed.rpartition(":")
@@ -280,7 +299,8 @@
         for table, wait_s, listener in sources.feeds(self.state):
             confirms = wait_s <= _CONFIGURATION_WAIT_S
             yield table, wait_s, listener, self.state.confirm if confirms else None
-        yield MEMBERS_TABLE, _MEMBERS_WAIT_S, _Members(self.book), None
+        members = _Members(self.book, self._note_unreadable)
+        yield MEMBERS_TABLE, _MEMBERS_WAIT_S, members, None
 
     def _health_of(self, table: str):
         def note(works: bool, cause: str = "") -> None:
@@ -335,7 +355,7 @@
     async def _announce(self) -> None:
         """Write this process's address where peers look for it."""
         key = RowKey(MEMBERS_TABLE, "", self._settings.node)
-        value = self.peers_address.encode()
+        value = encode_member(Member(self.peers_address, self._settings.zone))
         while not self._stopping:
             try:
                 row = await self._store.read_row(key)
--- a/turnward/gateway/tests/test_choice.py
+++ b/turnward/gateway/tests/test_choice.py
@@ -8,7 +8,7 @@
 
 from turnward.gateway import EndpointEntry, EngineTraits
 from turnward.gateway.choice import EndpointBook, Prompt, parse_prompt_parts
-from turnward.gateway.peers import EndpointLoad
+from turnward.gateway.peer_book import EndpointLoad
 
 NO_PROMPT = Prompt()
 ENGINE = EngineTraits(slots=8, event_tokens=5)
--- /dev/null
+++ b/turnward/gateway/tests/test_holders.py
@@ -0,0 +1,222 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""In a large fleet a few routers hold a workspace's tokens, and all others ask them."""
+
+import msgspec
+import pytest
+from twisted.internet import task
+
+from turnward.gateway import Repeat, Workspace
+from turnward.gateway.accounts import decode_account
+from turnward.gateway.holders import HOLDERS, RankedHolders
+from turnward.gateway.loans import RETURNS_PATH, LoanAsk, LoanReturn
+from turnward.gateway.peer_book import PeerBook
+from turnward.gateway.prepaid import ROW_NAME, TABLE
+from turnward.gateway.spending import TABLE as REPORTS_TABLE
+from turnward.gateway.tests.rig import ENGINE_POOL, KEY, PEERS_PORT, Rig, answered, stream
+from turnward.rows import RowKey
+
+KEY_OF_ROW = RowKey(TABLE, "acme", ROW_NAME)
+
+
+def fleet_of(size):
+    """Return the rankings of each router of a fleet."""
+    clock = task.Clock()
+    addresses = [f"10.0.{number // 200}.{number % 200}:80" for number in range(size)]
+    found = {}
+    for own in addresses:
+        book = PeerBook(own, clock.seconds)
+        for number, address in enumerate(addresses):
+            book.add_member(address, f"z{number % 3}")
+        book.members_read = True
+        found[own] = RankedHolders(book, f"z{addresses.index(own) % 3}", clock.seconds)
+    clock.advance(1.0)
+    return found
+
+
+@pytest.mark.parametrize("size", [1, 7, 8, 9, 86, 195])
+def test_all_routers_agree_on_a_few_holders(size):
+    fleet = fleet_of(size)
+    for workspace in ("a", "b", "c"):
+        holders = {own for own, ranking in fleet.items() if ranking.holds(workspace)}
+        assert len(holders) == min(size, HOLDERS)
+        for own, ranking in fleet.items():
+            assert set(ranking.others(workspace)) == holders - {own}
+
+
+def test_holders_are_spread_over_routers_and_those_of_the_own_zone_are_asked_first():
+    fleet = fleet_of(86)
+    load = dict.fromkeys(fleet, 0)
+    first = dict.fromkeys(fleet, 0)
+    near = 0
+    for workspace in map(str, range(40)):
+        for own, ranking in fleet.items():
+            load[own] += ranking.holds(workspace)
+            asked = ranking.others(workspace)[0]
+            first[asked] += 1
+            near += ranking._book.get(asked).zone == ranking._zone
+    assert max(load.values()) <= 12
+    assert near >= 0.9 * 40 * 86
+    assert max(first.values()) <= 6 * 40
+
+
+def test_holder_that_does_not_answer_rests_for_a_while():
+    ranking = next(iter(fleet_of(30).values()))
+    silent, *rest = ranking.others("a")
+    ranking.note_silent(silent)
+    assert ranking.others("a") == rest
+
+
+def test_nothing_is_taken_ahead_before_the_members_are_known():
+    clock = task.Clock()
+    book = PeerBook("10.0.0.1:80", clock.seconds)
+    holders = RankedHolders(book, "z", clock.seconds)
+    clock.advance(5.0)
+    assert not holders.holds("a")
+    book.members_read = True
+    assert holders.holds("a")
+    book.add_member("10.0.0.2:80", "z")
+    assert not holders.holds("a")
+    clock.advance(0.5)
+    assert holders.holds("a")
+
+
+# The same through whole gateways.
+
+
+def large_rig(gateways=12, prepaid=400_000):
+    workspace = Workspace(name="acme", keys=(KEY.decode(),), prepaid_tokens=prepaid)
+    fields = {"repeat": Repeat.STREAM, "time_limit_s": 9.0, "priority": 0}
+    rig = Rig(pools=(ENGINE_POOL,), workspaces=(workspace,), **fields)
+    rig.endpoint(stream(4))
+    rig.ready(gateways=gateways)
+    rig.network.advance(3.0)
+    return rig
+
+
+def holds(rig):
+    return [gateway.holders.holds("acme") for gateway in rig.gateways]
+
+
+def ask(rig, gateway, tokens=8_000):
+    return rig.ask(gateway, method=b"POST", body=b"", headers=rig.prompt(tokens, 20))
+
+
+def test_only_holders_have_grants_and_write_reports():
+    rig = large_rig()
+    assert sum(holds(rig)) == HOLDERS
+    names = {
+        gateway.incarnation
+        for gateway, holder in zip(rig.gateways, holds(rig), strict=True)
+        if holder
+    }
+    assert set(decode_account(rig.rows.get(KEY_OF_ROW)).granted_tokens) == names
+    written = {
+        row.key.key
+        for gateway in rig.gateways
+        for row in rig.rows.table(REPORTS_TABLE, gateway.incarnation.partition("@")[0])
+    }
+    assert written == names
+
+
+def test_router_that_holds_none_serves_out_of_a_holder_and_hands_the_rest_back():
+    rig = large_rig()
+    other = holds(rig).index(False)
+    assert [ask(rig, other).status for _ in range(5)] == [200] * 5
+    rig.network.advance(2.0)
+    accounts = rig.gateways[other].accounts
+    assert accounts.ledger.free_tokens("acme") == 0
+    assert (
+        rig.gateways[other].incarnation
+        not in decode_account(rig.rows.get(KEY_OF_ROW)).granted_tokens
+    )
+    used = 5 * (8_000 + 4 * 5)
+    own = [gateway.accounts._own_committed("acme") for gateway in rig.gateways]
+    borrowed = sum(gateway.accounts._account("acme").borrowed_tokens for gateway in rig.gateways)
+    assert sum(gateway.accounts.ledger.committed_tokens("acme") for gateway in rig.gateways) == (
+        used + borrowed
+    )
+    assert sum(own) == used
+
+
+def test_router_without_a_holder_takes_from_the_store():
+    rig = large_rig()
+    other = holds(rig).index(False)
+    for number, holder in enumerate(holds(rig)):
+        if holder:
+            rig.machines[number].kill()
+    assert ask(rig, other).status == 200
+    assert decode_account(rig.rows.get(KEY_OF_ROW)).granted_tokens[rig.gateways[other].incarnation]
+
+
+def test_routers_that_are_cut_off_from_the_store_are_served_by_holders():
+    rig = large_rig()
+    for client in rig.clients:
+        client.faults.away = True
+    rig.network.advance(6.0)
+    served = [ask(rig, number).status for number in range(12)]
+    assert served == [200] * 12
+
+
+def test_exhausted_workspace_is_refused_at_every_router():
+    rig = large_rig(prepaid=1_000)
+    assert {ask(rig, number).status for number in range(12)} == {402}
+
+
+def test_request_whose_caller_leaves_while_a_holder_is_asked_costs_no_tokens():
+    rig = large_rig()
+    other = holds(rig).index(False)
+    caller = rig.send(other, method=b"POST", body=b"", headers=rig.prompt(8_000, 20))
+    caller.transport.abortConnection()
+    rig.network.advance(3.0)
+    own = sum(gateway.accounts._own_committed("acme") for gateway in rig.gateways)
+    assert own <= 8_000 + 20
+
+
+def test_loan_of_a_borrower_that_has_gone_is_not_counted():
+    rig = large_rig()
+    holder = holds(rig).index(True)
+    accounts = rig.gateways[holder].accounts
+    before = accounts.ledger.committed_tokens("acme")
+    # More than is held, so that it has to wait for the store.
+    lending = accounts.lend_to_request(LoanAsk("acme", 120_000, 120_000, for_request=True))
+    lending.addErrback(lambda failure: None)
+    lending.cancel()
+    rig.network.advance(1.0)
+    assert accounts.ledger.committed_tokens("acme") == before
+
+
+@pytest.mark.parametrize("tokens", [0, -5])
+def test_returned_tokens_that_are_none_are_told_so(tokens):
+    rig = large_rig()
+    before = rig.gateways[0].accounts.ledger.free_tokens("acme")
+    body = msgspec.msgpack.encode(["acme", tokens])
+    caller = rig.connect(port=PEERS_PORT)
+    head = b"POST %b HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % (RETURNS_PATH, len(body))
+    caller.transport.write(head + body)
+    assert rig.network.advance_until(lambda: answered(caller))
+    assert caller.status == 400
+    assert rig.gateways[0].accounts.ledger.free_tokens("acme") == before
+
+
+def test_tokens_handed_back_are_counted_once():
+    rig = large_rig()
+    accounts = rig.gateways[holds(rig).index(True)].accounts
+    before = accounts._own_committed("acme"), accounts.ledger.free_tokens("acme")
+    accounts.take_back(LoanReturn("acme", 500))
+    after = accounts._own_committed("acme"), accounts.ledger.free_tokens("acme")
+    assert after == (before[0] - 500, before[1] + 500)
+
+
+def test_successor_of_a_holder_returns_what_it_held_though_it_needs_none():
+    rig = large_rig()
+    number = holds(rig).index(True)
+    gateway = rig.gateways[number]
+    assert gateway.accounts.ledger.free_tokens("acme") > 0
+    machine = rig.machines[number]
+    machine.kill()
+    rig.network.advance(1.0)
+    machine.restart()
+    rig.run_gateway(machine, gateway.incarnation.partition("@")[0])
+    rig.network.advance(2.0)
+    granted = decode_account(rig.rows.get(KEY_OF_ROW)).granted_tokens
+    assert gateway.incarnation not in granted
--- a/turnward/gateway/tests/test_pace.py
+++ b/turnward/gateway/tests/test_pace.py
@@ -9,7 +9,7 @@
 from turnward.gateway.choice import EndpointBook, Prompt, parse_prompt_parts
 from turnward.gateway.mechanisms import Mechanisms
 from turnward.gateway.pace import EventPace, ObservedPace, PaceClass, next_class, usual_pace
-from turnward.gateway.peers import EndpointLoad
+from turnward.gateway.peer_book import EndpointLoad
 from turnward.gateway.tests.rig import ENGINE_POOL, Rig, answer_head, events
 
 ENGINE = EngineTraits(slots=64, event_tokens=3)
--- a/turnward/gateway/workspace_account.py
+++ b/turnward/gateway/workspace_account.py
@@ -16,19 +16,16 @@
     ----------
     tokens : int
         What it needs at its most.
-    until_s : float
-        When it is refused if none have come.
     from_reserve : bool
         Whether it is served out of what is kept for the end of the limit.
     deferred : Deferred
         Fires with a reservation or with why there is none.
     """
 
-    __slots__ = ("deferred", "from_reserve", "tokens", "until_s")
+    __slots__ = ("deferred", "from_reserve", "tokens")
 
-    def __init__(self, tokens: int, until_s: float, from_reserve: bool = False):
+    def __init__(self, tokens: int, from_reserve: bool = False):
         self.tokens = tokens
-        self.until_s = until_s
         self.from_reserve = from_reserve
         self.deferred: defer.Deferred = defer.Deferred()
 
@@ -48,8 +45,9 @@
         Tokens, and the version of the configuration that says so.
     end_reserve : EndReserve
         What is kept for the end of the limit.
-    busy, borrowing : bool
-        Whether the row is being worked on, and whether a loan is asked for.
+    busy, borrowing, handing_back : bool
+        Whether the row is being worked on, a loan is asked for, or tokens are on their
+        way to a holder.
     free_in_contact : int
         Tokens that were free when the store was last reached.
     borrowed_tokens : int
@@ -68,6 +66,7 @@
         "busy",
         "end_reserve",
         "free_in_contact",
+        "handing_back",
         "limit",
         "row",
         "short_until_s",
@@ -89,6 +88,7 @@
         self.free_in_contact = 0
         self.borrowed_tokens = 0
         self.borrowing = False
+        self.handing_back = False
         self.short_until_s = 0.0
         self.waiters: list[WaitingRequest] = []
         self.unresolved: tuple[int, AccountRow] | None = None
--- a/turnward/ledger/ledger.py
+++ b/turnward/ledger/ledger.py
@@ -94,6 +94,7 @@
     """One budget's figures in this router."""
 
     __slots__ = (
+        "ahead",
         "asked_s",
         "demand",
         "granted_tokens",
@@ -107,6 +108,7 @@
     )
 
     def __init__(self, weighs_start: bool):
+        self.ahead = True
         self.granted_tokens = 0
         self.settled_tokens = 0
         self.reserved_tokens = 0
@@ -165,6 +167,24 @@
         account = self._accounts.get(budget)
         return account.demand.rate_tokens_per_s(now_s) if account else 0.0
 
+    def set_ahead(self, budget: str, ahead: bool) -> None:
+        """Say whether tokens of a budget are held ahead of demand; they are by default."""
+        if ahead and budget not in self._accounts:
+            return
+        self._account(budget).ahead = ahead
+
+    def is_idle(self, budget: str, idle_s: float, now_s: float) -> bool:
+        """Tell whether free tokens lie here for which no request has asked lately."""
+        account = self._accounts.get(budget)
+        if account is None or account.free_tokens <= 0 or account.reserved_tokens:
+            return False
+        return now_s - account.asked_s >= idle_s
+
+    def granted_tokens(self, budget: str) -> int:
+        """Return all tokens added here less those withdrawn."""
+        account = self._accounts.get(budget)
+        return account.granted_tokens if account else 0
+
     def held_tokens(self, budget: str) -> int:
         """Return granted tokens that are not settled."""
         account = self._accounts.get(budget)
@@ -230,15 +250,16 @@
         A budget near its end is looked at often, so that tokens held here go
         back when others run dry; all others seldom.
         """
-        stale = []
-        for budget, account in self._accounts.items():
-            if account.free_tokens <= 0 or account.view is None:
-                continue
-            near = account.view.ungranted_tokens < NEAR_END_FACTOR * account.free_tokens
-            limit_s = self._rule.near_view_s if near else self._rule.far_view_s
-            if now_s - account.viewed_s >= limit_s:
-                stale.append(budget)
-        return stale
+        return [budget for budget in self._accounts if self.needs_view(budget, now_s)]
+
+    def needs_view(self, budget: str, now_s: float) -> bool:
+        """Tell whether one budget's row is to be read again; see ``plan_views``."""
+        account = self._accounts.get(budget)
+        if account is None or account.free_tokens <= 0 or account.view is None:
+            return False
+        near = account.view.ungranted_tokens < NEAR_END_FACTOR * account.free_tokens
+        limit_s = self._rule.near_view_s if near else self._rule.far_view_s
+        return now_s - account.viewed_s >= limit_s
 
     def clear_want(self, budget: str) -> None:
         """Forget what waiting requests wanted; they ask again if they still wait."""
@@ -275,19 +296,27 @@
 
     def plan_returns(self, now_s: float) -> dict[str, int]:
         """Return the spare tokens of budgets, to be given back."""
-        spare = {}
-        for budget, account in self._accounts.items():
-            useless = self._recalled(account) or self._too_little(account)
-            keep = 0 if useless else int(self._target_tokens(account, now_s) * 2)
-            idle = now_s - account.idle_since_s >= self._rule.keep_s
-            at_once = useless or self._is_scarce(account)
-            if account.free_tokens > keep and (idle or at_once):
-                spare[budget] = account.free_tokens - keep
-            if useless:
-                account.refused_tokens = 0
-        return spare
+        spare = {budget: self.plan_return(budget, now_s) for budget in self._accounts}
+        return {budget: tokens for budget, tokens in spare.items() if tokens}
+
+    def plan_return(self, budget: str, now_s: float) -> int:
+        """Return the spare tokens of one budget; 0 when none go back."""
+        account = self._accounts.get(budget)
+        if account is None:
+            return 0
+        useless = self._recalled(account) or self._too_little(account)
+        keep = 0 if useless else int(self._target_tokens(account, now_s) * 2)
+        idle = now_s - account.idle_since_s >= self._rule.keep_s
+        at_once = useless or self._is_scarce(account)
+        if useless:
+            account.refused_tokens = 0
+        if account.free_tokens > keep and (idle or at_once):
+            return account.free_tokens - keep
+        return 0
 
     def _target_tokens(self, account: _Account, now_s: float) -> float:
+        if not account.ahead:
+            return 0.0
         rate = account.demand.rate_tokens_per_s(now_s)
         if rate < 1.0 and not self._rule.floor_share:
             return 0.0
