What routers tell each other: sums over two levels, and feeds that ask seldom

Cause: each router told eight others, drawn at random, four times a second.

Change: up to 12 routers all tell all, as before. Larger fleets form groups of up to 16 in a zone; members tell two aggregators, these exchange sums, and tell their members the sum over all, with the newest versions and who has them. A member goes on to the next aggregator when one is silent for 1 s; no role is agreed upon. Routers that others do not learn from let changes gather for 1 s, and let the store hold their questions for 8 s. A line of figures each 10 s tells the calls by kind. A dead process's spending is bounded by the start of its successor, not by when the store answered it.

Ruled out: random gossip of single loads (at 195, 8 KB a datagram); a sample scaled up (a load of some four requests an engine, a fifth of it seen).

--- a/turnward/gateway/feeds.py
+++ b/turnward/gateway/feeds.py
@@ -7,6 +7,7 @@
 
 from twisted.internet import defer, task
 
+from turnward.gateway.overlay import Overlay
 from turnward.rows import (
     HistoryGoneError,
     RowStoreError,
@@ -14,10 +15,15 @@
     VersionedStoreBase,
 )
 
-__all__ = ["FeedListenerBase", "TableFeed"]
+__all__ = ["FeedListenerBase", "FeedPaceBase", "FleetPace", "PromptPace", "TableFeed"]
 
 #: Pauses after failures in a row, in seconds; the last one repeats.
 _PAUSES_S = (0.05, 0.1, 0.2, 0.4, 0.7)
+#: Longest that the store holds a question of a router that others need not learn from, in
+#: seconds. The answer to a change comes at once all the same; only silence takes longer to see.
+_LONG_WAIT_S = 8.0
+#: Seconds for which changes gather at a router that others learn from.
+_SHORT_REST_S = 0.1
 
 
 class FeedListenerBase(ABC):
@@ -37,6 +43,60 @@
         """Take in changed rows; removed ones are ``gone``."""
 
 
+class FeedPaceBase(ABC):
+    """Tells how often a feed asks the store."""
+
+    @abstractmethod
+    def wait_s(self, usual_s: float) -> float:
+        """Return how long the store may hold a question."""
+
+    @abstractmethod
+    def rest_s(self) -> float:
+        """Return how long to wait after an answer that brought changes."""
+
+
+class PromptPace(FeedPaceBase):
+    """Asks again at once."""
+
+    def wait_s(self, usual_s: float) -> float:
+        """See ``FeedPaceBase.wait_s``."""
+        return usual_s
+
+    def rest_s(self) -> float:
+        """See ``FeedPaceBase.rest_s``."""
+        return 0.0
+
+
+class FleetPace(FeedPaceBase):
+    """Asks seldom where other routers tell of what is new.
+
+    In a fleet whose aggregators pass on which versions are newest, and who has them, a
+    router learns of a change from them within a second. It follows the table all the same,
+    as they may all be cut off, but need not be the first to know.
+
+    Parameters
+    ----------
+    overlay : Overlay
+        Tells whether this router is one of those that others learn from.
+    rest_s : float
+        Seconds to wait after changes, for a router that others need not learn from.
+    """
+
+    def __init__(self, overlay: Overlay, rest_s: float):
+        self._overlay = overlay
+        self._rest_s = rest_s
+
+    def wait_s(self, usual_s: float) -> float:
+        """See ``FeedPaceBase.wait_s``."""
+        return usual_s if self._overlay.tells_others else max(usual_s, _LONG_WAIT_S)
+
+    def rest_s(self) -> float:
+        """See ``FeedPaceBase.rest_s``."""
+        if self._overlay.mesh:
+            return 0.0
+        return _SHORT_REST_S if self._overlay.tells_others else self._rest_s
+
+
 class TableFeed:
     """Follows one table.
 
@@ -58,6 +118,8 @@
         Called with True when the store answers, with False and the cause when not.
     on_answer : callable, optional
         Called after each answer with the moment that it is known to be of.
+    pace : FeedPace, optional
+        How often the store is asked; looked at anew for each question.
     """
 
     def __init__(
@@ -70,6 +132,7 @@
         draw: random.Random,
         on_health: Callable[..., None],
         on_answer: Callable[[float], None] | None = None,
+        pace: "FeedPaceBase | None" = None,
     ):
         self._reactor = clock_reactor
         self._store = store
@@ -79,8 +142,10 @@
         self._draw = draw
         self._on_health = on_health
         self._on_answer = on_answer
+        self._pace = pace or PromptPace()
         self._failures = 0
         self._reread = True
+        self._changed = False
         self._stopped = False
         self._running: defer.Deferred | None = None
 
@@ -111,15 +176,25 @@
                 await self._pause(failure)
             else:
                 self._note_health()
+                await self._rest()
+
+    async def _rest(self) -> None:
+        """Let more changes gather, where others would tell of urgent ones."""
+        rest_s = self._pace.rest_s() if self._changed else 0.0
+        if rest_s > 0:
+            await task.deferLater(self._reactor, rest_s * self._draw.uniform(0.8, 1.2))
 
     async def _step(self) -> None:
         newest_s = self._reactor.seconds()
         if self._reread or self._listener.version == 0:
             table = await self._store.read_table(self._table)
             self._reread = False
+            self._changed = True
             self._listener.table_read(table)
         else:
-            changes = await self._store.changes(self._table, self._listener.version, self._wait_s)
+            wait_s = self._pace.wait_s(self._wait_s)
+            changes = await self._store.changes(self._table, self._listener.version, wait_s)
+            self._changed = bool(changes.rows)
             self._listener.rows_changed(changes)
             # The store held the question; its answer is of just now.
             newest_s = self._reactor.seconds()
--- a/turnward/gateway/holders.py
+++ b/turnward/gateway/holders.py
@@ -98,9 +98,12 @@
         This router's zone; holders there are asked first.
     clock : callable
         Steady clock in seconds.
+    limit : int, optional
+        How many routers hold one workspace's tokens.
     """
 
-    def __init__(self, book: PeerBook, zone: str, clock: Callable[[], float]):
+    def __init__(self, book: PeerBook, zone: str, clock: Callable[[], float], limit: int = HOLDERS):
+        self._limit = limit
         self._book = book
         self._zone = zone
         self._clock = clock
@@ -112,12 +115,12 @@
     @property
     def count(self) -> int:
         """See ``HoldersBase.count``."""
-        return min(HOLDERS, self._book.most_live)
+        return min(self._limit, self._book.most_live)
 
     @property
     def everyone(self) -> bool:
         """See ``HoldersBase.everyone``."""
-        return self._book.most_live <= HOLDERS
+        return self._book.most_live <= self._limit
 
     @property
     def _settled(self) -> bool:
@@ -156,7 +159,7 @@
             addresses = [peer.address for peer in self._book.members]
             addresses.append(self._book.own_address)
             addresses.sort(key=lambda address: rendezvous_weight(workspace, address), reverse=True)
-            ranking = self._ranked[workspace] = tuple(addresses[:HOLDERS])
+            ranking = self._ranked[workspace] = tuple(addresses[: self._limit])
         return ranking
 
     def _asking_order(self, workspace: str) -> tuple[str, ...]:
--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -39,6 +39,15 @@
             "configuration_unconfirmed_seconds", "Since the configuration was known newest."
         )
 
+    def calls_by_kind(self) -> dict[str, int]:
+        """Return the calls to the store so far, by ``call/result``."""
+        return {
+            "/".join(sample.labels.values()): int(sample.value)
+            for family in self.store_calls.collect()
+            for sample in family.samples
+            if sample.name.endswith("_total")
+        }
+
     def text(self) -> bytes:
         """Return all figures in the text form."""
         return generate_latest(self._registry)
--- /dev/null
+++ b/turnward/gateway/overlay.py
@@ -0,0 +1,366 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""How routers of a large fleet learn what all others have in flight: sums over two levels.
+
+In a small fleet each router tells all others of itself. In a larger one the members of a zone
+form groups of bounded size. Each tells two aggregators of its group, chosen by
+rendezvous hashing; an aggregator sums its group up, exchanges sums with the aggregators of
+the other groups, and tells its members the sum over all. A router is an aggregator for whoever
+tells it of itself, so no role is agreed upon: a member that hears nothing from an
+aggregator for a while goes to the next one of its group.
+
+Sums are of the last second; what is older does not count. Nothing that a rule bounds follows from
+them: how many routers may live is counted by ``PeerBook``, which no lost datagram shrinks.
+"""
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from turnward.gateway.peer_book import (
+    DIGEST_LAYOUT,
+    Digest,
+    EndpointLoad,
+    PeerBook,
+    sum_loads,
+)
+from turnward.hashing import rendezvous_weight
+
+__all__ = ["ALL_GROUPS", "MESH_LIMIT", "FleetSummary", "Overlay"]
+
+#: Routers up to which each tells all others of itself: as many messages as an aggregator sends.
+MESH_LIMIT = 12
+#: Most members of a group: with as many groups, an aggregator hears about as many members as
+#: other aggregators at 250 routers.
+_GROUP_LIMIT = 16
+#: Aggregators that a member tells of itself, so that one may die unnoticed.
+_AGGREGATORS = 2
+#: Most endpoints in a sum, so that it fits a few packets.
+_SUM_LIMIT = 128
+#: Periods between two words of an aggregator to its members: there are two aggregators.
+_TOTAL_PERIODS = 2
+#: Seconds after which what was told no longer counts.
+_LIFE_S = 1.0
+#: Group number of a sum over all groups.
+ALL_GROUPS = -1
+#: Seconds without a word after which an aggregator is taken for silent, and for how long.
+_SILENT_AFTER_S = 1.0
+_SILENT_FOR_S = 3.0
+
+
+class FleetSummary(msgspec.Struct, frozen=True, array_like=True, tag="summary"):
+    """What an aggregator tells: the sum over its group, or over all groups.
+
+    Attributes
+    ----------
+    address : str
+        The aggregator's.
+    group : int
+        Its group's number, or ``ALL_GROUPS``.
+    routers : int
+        How many routers the sum is over.
+    configuration_version, configuration_from : int, str
+        The newest configuration among them, and the address of a router that has it.
+    confirmed_age_s : float
+        How long ago the store said that this configuration is the newest; below 0 when
+        it never did.
+    endpoints_version, endpoints_from : int, str
+        The newest view of the endpoints among them, and who has it.
+    """
+
+    layout: int
+    address: str
+    group: int
+    routers: int
+    configuration_version: int
+    configuration_from: str
+    confirmed_age_s: float
+    endpoints_version: int
+    endpoints_from: str
+    loads: tuple[EndpointLoad, ...] = ()
+
+
+class _Groups:
+    """The groups of a fleet, each with its members in the order in which they aggregate."""
+
+    def __init__(self, zones: dict[str, str]):
+        by_zone: dict[str, list[str]] = {}
+        for address in sorted(zones):
+            by_zone.setdefault(zones[address], []).append(address)
+        self.groups: list[list[str]] = []
+        self._group_of: dict[str, int] = {}
+        for zone in sorted(by_zone):
+            members = by_zone[zone]
+            count = -(-len(members) // _GROUP_LIMIT)
+            for index in range(count):
+                self._add(f"{zone}/{index}", members[index::count])
+
+    def _add(self, name: str, members: list[str]) -> None:
+        number = len(self.groups)
+        ranked = sorted(members, key=lambda address: rendezvous_weight(name, address), reverse=True)
+        self.groups.append(ranked)
+        for address in members:
+            self._group_of[address] = number
+
+    def of(self, address: str) -> int:
+        """Return the number of a member's group."""
+        return self._group_of[address]
+
+
+class _Heard(msgspec.Struct):
+    """A message, and when it came."""
+
+    message: Digest | FleetSummary
+    heard_s: float
+
+
+class Overlay:
+    """One router's part of the exchange: whom to tell what, and what was told.
+
+    Parameters
+    ----------
+    book : PeerBook
+        The members; told of each digest.
+    zone : str
+        This router's zone.
+    clock : callable
+        Steady clock in seconds.
+    """
+
+    def __init__(self, book: PeerBook, zone: str, clock: Callable[[], float]):
+        self._book = book
+        self._zone = zone
+        self._clock = clock
+        self._grouped_version = -1
+        self._groups = _Groups({book.own_address: zone})
+        self._members: dict[str, _Heard] = {}
+        self._sums: dict[str, _Heard] = {}
+        self._totals: dict[str, _Heard] = {}
+        self._asked_since_s: dict[str, float] = {}
+        self._silent_until_s: dict[str, float] = {}
+        self._own_loads: tuple[EndpointLoad, ...] = ()
+        self._period = 0
+
+    @property
+    def mesh(self) -> bool:
+        """Whether each router tells all others of itself."""
+        return self._book.most_live <= MESH_LIMIT
+
+    @property
+    def tells_others(self) -> bool:
+        """Whether other routers learn from this one what is new."""
+        return self.mesh or self._is_aggregator()
+
+    # What was told.
+
+    def hear_digest(self, digest: Digest) -> None:
+        """Take in what a member tells of itself."""
+        if not self.mesh:
+            self._members[digest.address] = _Heard(digest, self._clock())
+
+    def hear_summary(self, summary: FleetSummary) -> None:
+        """Take in what an aggregator tells."""
+        kept = self._totals if summary.group == ALL_GROUPS else self._sums
+        kept[summary.address] = _Heard(summary, self._clock())
+
+    def loads(self) -> dict[str, EndpointLoad]:
+        """Return what all other routers have in flight, by endpoint, as far as it is known."""
+        if self.mesh:
+            return self._book.loads()
+        total = self._own_total()
+        if total is None:
+            return {}
+        loads = {load.endpoint_id: load for load in total.loads}
+        for own in self._own_loads:
+            # The sum holds what this router told of itself.
+            told = loads.get(own.endpoint_id)
+            if told is not None:
+                loads[own.endpoint_id] = told.without(own)
+        return loads
+
+    @property
+    def live_routers(self) -> int:
+        """How many routers were heard lately, directly or through an aggregator."""
+        if self.mesh:
+            return self._book.live_count + 1
+        total = self._own_total()
+        return total.routers if total is not None else 1
+
+    def _own_total(self) -> FleetSummary | None:
+        """Return the sum over all routers that counts most of them."""
+        known = list(self._fresh(self._totals))
+        if self._is_aggregator() and self._fresh(self._members):
+            known.append(self._total())
+        return max(known, key=lambda total: total.routers, default=None)
+
+    # Whom to tell what.
+
+    def outgoing(self, own: Digest) -> list[tuple[str, Digest | FleetSummary]]:
+        """Return the messages of one period with their addresses."""
+        if self.mesh:
+            return [(address, own) for address in self._book.addresses]
+        self._regroup()
+        self._own_loads = own.loads
+        self._period += 1
+        self._members[own.address] = _Heard(own, self._clock())
+        messages: list[tuple[str, Digest | FleetSummary]] = [
+            (address, own)
+            for address in self._choose(self._own_group)[:_AGGREGATORS]
+            if address != own.address
+        ]
+        if self._is_aggregator():
+            messages.extend(self._sums_for_groups())
+        self._note_asked([address for address, _ in messages])
+        if self._is_aggregator() and self._period % _TOTAL_PERIODS == 0:
+            messages.extend(self._totals_for_members())
+        return messages
+
+    def watched(self) -> set[str]:
+        """Return the addresses of the peers whose silence this router would notice."""
+        if self.mesh:
+            return set(self._book.addresses)
+        self._regroup()
+        group = self._groups.groups[self._own_group]
+        if self._book.own_address not in group[:_AGGREGATORS]:
+            return set()
+        return set(group) - {self._book.own_address}
+
+    def _sums_for_groups(self) -> Iterable[tuple[str, FleetSummary]]:
+        """Return the own group's sum, for one aggregator of each other group."""
+        group_sum = self._group_sum()
+        plane = self._own_plane()
+        for number in range(len(self._groups.groups)):
+            chosen = self._choose(number)[:_AGGREGATORS]
+            if chosen and number != self._own_group:
+                yield chosen[min(plane, len(chosen) - 1)], group_sum
+
+    def _totals_for_members(self) -> Iterable[tuple[str, FleetSummary]]:
+        """Return the sum over all groups, for each member heard."""
+        total = self._total()
+        for digest in self._fresh(self._members):
+            if digest.address != self._book.own_address:
+                yield digest.address, total
+
+    def _note_asked(self, addresses: list[str]) -> None:
+        """Note who is counted on for an answer from now on."""
+        now_s = self._clock()
+        self._asked_since_s = {
+            address: self._asked_since_s.get(address, now_s) for address in addresses
+        }
+
+    def _is_aggregator(self) -> bool:
+        """Tell whether another member counts on this router, or none other is left."""
+        now_s = self._clock()
+        told = any(
+            now_s - heard.heard_s <= _LIFE_S
+            for address, heard in self._members.items()
+            if address != self._book.own_address
+        )
+        return told or self._book.own_address in self._choose(self._own_group)[:_AGGREGATORS]
+
+    def _choose(self, group: int) -> list[str]:
+        """Return the members of a group that are not silent, as they are ranked."""
+        now_s = self._clock()
+        ranked = self._groups.groups[group]
+        return [address for address in ranked if not self._is_silent(address, now_s)]
+
+    def _is_silent(self, address: str, now_s: float) -> bool:
+        """Tell whether an aggregator that was counted on has said nothing for too long."""
+        if address == self._book.own_address:
+            return False
+        if self._silent_until_s.get(address, 0.0) > now_s:
+            return True
+        since_s = self._asked_since_s.get(address)
+        if since_s is None:
+            return False
+        heard = [kept[address].heard_s for kept in (self._sums, self._totals) if address in kept]
+        if now_s - max([since_s, *heard]) <= _SILENT_AFTER_S:
+            return False
+        self._silent_until_s[address] = now_s + _SILENT_FOR_S
+        del self._asked_since_s[address]
+        return True
+
+    def _own_plane(self) -> int:
+        """Return which of the two exchanges between groups this router takes part in."""
+        chosen = self._choose(self._own_group)
+        return chosen.index(self._book.own_address) % _AGGREGATORS
+
+    @property
+    def _own_group(self) -> int:
+        return self._groups.of(self._book.own_address)
+
+    def _regroup(self) -> None:
+        if self._grouped_version == self._book.membership_version:
+            return
+        self._grouped_version = self._book.membership_version
+        zones = {peer.address: peer.zone for peer in self._book.members}
+        zones[self._book.own_address] = self._zone
+        self._groups = _Groups(zones)
+
+    # Sums.
+
+    def _fresh(self, kept: dict[str, _Heard]) -> list:
+        """Return the messages of the last second, and forget older ones."""
+        since_s = self._clock() - _LIFE_S
+        for address in [address for address, heard in kept.items() if heard.heard_s < since_s]:
+            del kept[address]
+        return [heard.message for heard in kept.values()]
+
+    def _group_sum(self) -> FleetSummary:
+        """Return the sum over the members heard lately, of which there must be one."""
+        digests = self._fresh(self._members)
+        newest = max(digests, key=lambda digest: digest.configuration_version)
+        endpoints = max(digests, key=lambda digest: digest.endpoints_version)
+        return FleetSummary(
+            DIGEST_LAYOUT,
+            self._book.own_address,
+            self._own_group,
+            len(digests),
+            newest.configuration_version,
+            newest.address,
+            _least_age(digests, newest.configuration_version),
+            endpoints.endpoints_version,
+            endpoints.address,
+            sum_loads(digest.loads for digest in digests),
+        )
+
+    def _total(self) -> FleetSummary:
+        """Return the sum over the own group and one sum of each other group."""
+        best = {self._own_group: self._group_sum()}
+        for summary in self._fresh(self._sums):
+            known = best.get(summary.group)
+            if summary.group != self._own_group and (
+                known is None or summary.routers > known.routers
+            ):
+                best[summary.group] = summary
+        sums = list(best.values())
+        newest = max(sums, key=lambda one: one.configuration_version)
+        endpoints = max(sums, key=lambda one: one.endpoints_version)
+        return FleetSummary(
+            DIGEST_LAYOUT,
+            self._book.own_address,
+            ALL_GROUPS,
+            sum(one.routers for one in sums),
+            newest.configuration_version,
+            newest.configuration_from,
+            _least_age(sums, newest.configuration_version),
+            endpoints.endpoints_version,
+            endpoints.endpoints_from,
+            _largest(sum_loads(one.loads for one in sums)),
+        )
+
+
+def _least_age(told: Iterable[Digest | FleetSummary], version: int) -> float:
+    """Return the least age of a confirmation of a configuration; below 0 when there is none."""
+    ages = [
+        one.confirmed_age_s
+        for one in told
+        if one.configuration_version == version and one.confirmed_age_s >= 0
+    ]
+    return min(ages, default=-1.0)
+
+
+def _largest(loads: tuple[EndpointLoad, ...]) -> tuple[EndpointLoad, ...]:
+    """Return the largest loads, as many as a sum may hold."""
+    if len(loads) <= _SUM_LIMIT:
+        return loads
+    return tuple(sorted(loads, key=lambda load: -load.requests)[:_SUM_LIMIT])
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -1,20 +1,20 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """What one router knows of the others: who they are, and what they last told."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
 from turnward.gateway.loans import Spare
 
-__all__ = ["DIGEST_LAYOUT", "Digest", "EndpointLoad", "Peer", "PeerBook"]
+__all__ = ["DIGEST_LAYOUT", "Digest", "EndpointLoad", "Peer", "PeerBook", "sum_loads"]
 
 #: Seconds after which a silent peer's load no longer counts.
 _LOAD_LIFE_S = 1.0
 #: Seconds after which a silent peer is no longer taken for live.
 _LIFE_S = 2.5
 #: Version of the digest's layout.
-DIGEST_LAYOUT = 2
+DIGEST_LAYOUT = 3
 
 
 class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -51,8 +51,23 @@
             max(self.held_up_gap_ms, other.held_up_gap_ms),
         )
 
+    def without(self, other: "EndpointLoad") -> "EndpointLoad":
+        """Return a sum of loads less one that it holds; never below 0.
 
-class Digest(msgspec.Struct, frozen=True, array_like=True):
+        Examples
+        --------
+        >>> rest = EndpointLoad("e", 3, 10).without(EndpointLoad("e", 1, 15))
+        >>> rest.requests, rest.prefill_tokens
+        (2, 0)
+        """
+        return msgspec.structs.replace(
+            self,
+            requests=max(0, self.requests - other.requests),
+            prefill_tokens=max(0, self.prefill_tokens - other.prefill_tokens),
+        )
+
+
+class Digest(msgspec.Struct, frozen=True, array_like=True, tag="digest"):
     """What a router tells its peers of itself.
 
     Attributes
@@ -186,13 +201,26 @@
     def loads(self) -> dict[str, EndpointLoad]:
         """Return what all peers together have in flight, by endpoint."""
         since_s = self._clock() - _LOAD_LIFE_S
-        totals: dict[str, EndpointLoad] = {}
-        for peer in self._peers.values():
-            if peer.digest is None or peer.heard_s < since_s:
-                continue
-            for load in peer.digest.loads:
-                before = totals.get(load.endpoint_id)
-                if before is not None:
-                    load = before.with_another(load)
-                totals[load.endpoint_id] = load
-        return totals
+        fresh = [
+            peer.digest.loads
+            for peer in self._peers.values()
+            if peer.digest is not None and peer.heard_s >= since_s
+        ]
+        return {load.endpoint_id: load for load in sum_loads(fresh)}
+
+
+def sum_loads(many: Iterable[Iterable[EndpointLoad]]) -> tuple[EndpointLoad, ...]:
+    """Return the sums by endpoint of several routers' loads.
+
+    Examples
+    --------
+    >>> one, two = EndpointLoad("e", 1, 10), EndpointLoad("e", 2, 5)
+    >>> [load.requests for load in sum_loads([[one], [two]])]
+    [3]
+    """
+    totals: dict[str, EndpointLoad] = {}
+    for loads in many:
+        for load in loads:
+            before = totals.get(load.endpoint_id)
+            totals[load.endpoint_id] = load if before is None else before.with_another(load)
+    return tuple(totals.values())
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -21,6 +21,7 @@
     LoanAsk,
     LoanReturn,
 )
+from turnward.gateway.overlay import FleetSummary, Overlay
 from turnward.gateway.peer_book import DIGEST_LAYOUT, Digest, PeerBook
 from turnward.gateway.state import EndpointsSnapshot, FleetState
 from turnward.http1 import Http1Error, HttpCaller, InboundRequest
@@ -29,8 +30,6 @@
 
 #: Seconds between two digests.
 _PERIOD_S = 0.25
-#: Peers that one digest goes to at most.
-_FAN_OUT = 8
 #: Most endpoints whose load one digest tells, so that it fits a datagram.
 _LOADS_LIMIT = 48
 #: Most workspaces whose spare tokens one digest tells.
@@ -47,9 +46,9 @@
 
     noisy = False
 
-    def __init__(self, on_digest: Callable[[Digest], None]):
-        self._on_digest = on_digest
-        self._decoder = msgspec.msgpack.Decoder(Digest)
+    def __init__(self, on_message: Callable[[Digest | FleetSummary], None]):
+        self._on_message = on_message
+        self._decoder = msgspec.msgpack.Decoder(Digest | FleetSummary)
 
     def send(self, data: bytes, address: str) -> None:
         """Send a datagram; one that can't be sent is lost."""
@@ -62,13 +61,13 @@
             return
 
     def datagramReceived(self, datagram, addr):
-        """Take in a digest; bytes that are none are passed over."""
+        """Take in a message; bytes that are none are passed over."""
         try:
-            digest = self._decoder.decode(datagram)
+            message = self._decoder.decode(datagram)
         except (msgspec.DecodeError, ValueError):
             return
-        if digest.layout == DIGEST_LAYOUT:
-            self._on_digest(digest)
+        if message.layout == DIGEST_LAYOUT:
+            self._on_message(message)
 
 
 class PeerTask:
@@ -114,6 +113,8 @@
         self._loads = loads
         self._log = log
         self._fetching: set[bytes] = set()
+        self._wanted: dict[bytes, int] = {}
+        self.overlay = Overlay(book, identity.zone, reactor.seconds)
         self._seen_live: set[str] = set()
         self._callers: dict[str, HttpCaller] = {}
         self.exchange = PeerExchange(self.hear)
@@ -126,21 +127,20 @@
     def _tick(self) -> None:
         self._reactor.callLater(_PERIOD_S * self._draw.uniform(0.85, 1.15), self._tick)
         self._note_changes()
-        addresses = self._book.addresses
-        if len(addresses) > _FAN_OUT:
-            addresses = self._draw.sample(addresses, _FAN_OUT)
-        if not addresses:
-            return
-        data = msgspec.msgpack.encode(self.digest())
-        for address in addresses:
+        encoded: dict[int, bytes] = {}
+        for address, message in self.overlay.outgoing(self.digest()):
+            data = encoded.get(id(message))
+            if data is None:
+                data = encoded[id(message)] = msgspec.msgpack.encode(message)
             self.exchange.send(data, address)
 
     def _note_changes(self) -> None:
         """Write a line on each peer that fell silent, or is heard again."""
-        live = {peer.address for peer in self._book.live()}
+        watched = self.overlay.watched()
+        live = {peer.address for peer in self._book.live()} & watched
         for address in sorted(live - self._seen_live):
             self._log.event("peer.regained", peer=address, live=len(live))
-        for address in sorted(self._seen_live - live):
+        for address in sorted((self._seen_live & watched) - live):
             self._log.failure("peer.lost", peer=address, live=len(live))
         self._seen_live = live
 
@@ -162,24 +162,60 @@
         since_s = self._reactor.seconds() - _SHORT_LIFE_S
         return any(peer.digest.short and peer.heard_s >= since_s for peer in self._book.live())
 
-    def hear(self, digest: Digest) -> None:
-        """Take in a peer's digest, and fetch what it knows better."""
+    def hear(self, message: Digest | FleetSummary) -> None:
+        """Take in what a peer tells, and fetch what it, or another, knows better."""
+        if isinstance(message, Digest):
+            self._hear_digest(message)
+        elif message.address != self._book.own_address:
+            self._hear_summary(message)
+
+    def _hear_summary(self, summary: FleetSummary) -> None:
+        self.overlay.hear_summary(summary)
+        self._compare(
+            summary.configuration_version,
+            summary.configuration_from,
+            summary.confirmed_age_s,
+            summary.endpoints_version,
+            summary.endpoints_from,
+        )
+
+    def _hear_digest(self, digest: Digest) -> None:
         known = self._book.knows(digest.address)
         peer = self._book.hear(digest)
         if peer is None:
             return
+        self.overlay.hear_digest(digest)
         if not known:
             self.exchange.send(msgspec.msgpack.encode(self.digest()), digest.address)
-        if digest.configuration_version > self._state.configuration_version:
-            self._fetch(CONFIGURATION_PATH, digest.address, self._adopt_configuration)
-        elif digest.configuration_version == self._state.configuration_version:
-            self._confirm(digest)
-        if digest.endpoints_version > self._state.endpoints_version:
-            self._fetch(ENDPOINTS_PATH, digest.address, self._adopt_endpoints)
+        self._compare(
+            digest.configuration_version,
+            digest.address,
+            digest.confirmed_age_s,
+            digest.endpoints_version,
+            digest.address,
+        )
 
-    def _confirm(self, digest: Digest) -> None:
-        if digest.confirmed_age_s >= 0 and digest.configuration_version:
-            self._state.confirm(self._reactor.seconds() - digest.confirmed_age_s)
+    def _compare(
+        self,
+        configuration_version: int,
+        configuration_from: str,
+        confirmed_age_s: float,
+        endpoints_version: int,
+        endpoints_from: str,
+    ) -> None:
+        """Fetch what is newer elsewhere; note when the own configuration is the newest."""
+        if configuration_version > self._state.configuration_version:
+            self._wanted[CONFIGURATION_PATH] = configuration_version
+            self._fetch(CONFIGURATION_PATH, configuration_from, self._adopt_configuration)
+        elif configuration_version == self._state.configuration_version:
+            self._confirm(configuration_version, confirmed_age_s)
+        if endpoints_version > self._state.endpoints_version:
+            self._wanted[ENDPOINTS_PATH] = endpoints_version
+            self._fetch(ENDPOINTS_PATH, endpoints_from, self._adopt_endpoints)
+
+    def _confirm(self, version: int, age_s: float) -> None:
+        if age_s >= 0 and version:
+            self._state.confirm(self._reactor.seconds() - age_s)
 
     def _fetch(self, path: bytes, address: str, adopt) -> None:
         if path in self._fetching:
@@ -193,7 +229,7 @@
         pause = defer.Deferred()
         self._reactor.callLater(0.12, pause.callback, None)
         await pause
-        if not self._is_behind(path, address):
+        if not self._is_behind(path):
             return
         try:
             reply = await self._caller(address).call(b"GET", path, timeout_s=1.0)
@@ -202,13 +238,11 @@
         except (Http1Error, msgspec.DecodeError) as failure:
             self._log.failure("peer.fetch_failed", peer=address, what=path.decode(), cause=failure)
 
-    def _is_behind(self, path: bytes, address: str) -> bool:
-        peer = self._book.get(address)
-        if peer is None or peer.digest is None:
-            return False
+    def _is_behind(self, path: bytes) -> bool:
+        own = self._state.endpoints_version
         if path == CONFIGURATION_PATH:
-            return peer.digest.configuration_version > self._state.configuration_version
-        return peer.digest.endpoints_version > self._state.endpoints_version
+            own = self._state.configuration_version
+        return self._wanted[path] > own
 
     def _caller(self, address: str) -> HttpCaller:
         caller = self._callers.get(address)
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -12,7 +12,7 @@
 from turnward.gateway.choice import ChoiceRule, EndpointBook, EndpointRecord
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.end_reserve import EndReserveRule
-from turnward.gateway.feeds import FeedListenerBase, TableFeed
+from turnward.gateway.feeds import FeedListenerBase, FleetPace, TableFeed
 from turnward.gateway.forwarding import Forwarder, ForwardingRules
 from turnward.gateway.holder_client import HolderClient
 from turnward.gateway.holders import RankedHolders
@@ -46,6 +46,12 @@
 _CONFIGURATION_WAIT_S = 2.0
 _ENDPOINTS_WAIT_S = 4.0
 _MEMBERS_WAIT_S = 20.0
+#: Seconds for which changes of a table gather at a router that learns them from others too:
+#: a part of the few seconds in which a leaving endpoint must get no new work.
+_ROWS_REST_S = 1.0
+_MEMBERS_REST_S = 2.0
+#: Seconds between two lines with the process's figures.
+_FIGURES_PERIOD_S = 10.0
 #: Seconds between two looks at idle connections and the log's buffer.
 _HOUSEKEEPING_S = 0.5
 #: Seconds that a stopping process goes on taking requests on open connections.
@@ -186,12 +192,14 @@
             settings.zone,
             reactor.seconds,
             self._make_pool,
-            self.book.loads,
+            lambda: self.peers.overlay.loads(),
             self._draw,
             _choice_rule(settings.mechanisms),
         )
         self.endpoints.on_pace_class = self._note_pace_class
-        self.holders = RankedHolders(self.book, settings.zone, reactor.seconds)
+        self.holders = RankedHolders(
+            self.book, settings.zone, reactor.seconds, settings.budget_holders
+        )
         self.accounts = PrepaidAccounts(
             reactor,
             store,
@@ -230,8 +238,9 @@
                 self._draw,
                 self._health_of(table),
                 on_answer,
+                FleetPace(self.peers.overlay, rest_s),
             )
-            for table, wait_s, listener, on_answer in self._feed_list(sources)
+            for table, wait_s, listener, on_answer, rest_s in self._feed_list(sources)
         ]
 
     @property
@@ -298,9 +307,10 @@
     def _feed_list(self, sources: SourcesBase):
         for table, wait_s, listener in sources.feeds(self.state):
             confirms = wait_s <= _CONFIGURATION_WAIT_S
-            yield table, wait_s, listener, self.state.confirm if confirms else None
+            on_answer = self.state.confirm if confirms else None
+            yield table, wait_s, listener, on_answer, _ROWS_REST_S
         members = _Members(self.book, self._note_unreadable)
-        yield MEMBERS_TABLE, _MEMBERS_WAIT_S, members, None
+        yield MEMBERS_TABLE, _MEMBERS_WAIT_S, members, None, _MEMBERS_REST_S
 
     def _health_of(self, table: str):
         def note(works: bool, cause: str = "") -> None:
@@ -339,6 +349,7 @@
         self.accounts.start()
         defer.ensureDeferred(self._announce())
         self._repeat(self._keep_house, _HOUSEKEEPING_S)
+        self._repeat(self._log_figures, _FIGURES_PERIOD_S)
 
     def _repeat(self, function, period_s: float) -> task.LoopingCall:
         repeating = task.LoopingCall(function)
@@ -381,7 +392,7 @@
         metrics = self._metrics
         metrics.open_requests.set(len(self.forwarder.open))
         metrics.lines_left_out.inc(self._log.take_left_out())
-        metrics.peers_live.set(self.book.live_count)
+        metrics.peers_live.set(self.peers.overlay.live_routers - 1)
         metrics.configuration_version.set(self.state.configuration_version)
         metrics.unconfirmed_seconds.set(min(1e6, self.state.unconfirmed_for_s()))
         request.answer(200, [(b"content-type", metrics.content_type)], metrics.text())
@@ -441,6 +452,18 @@
             record.pool.trim(now_s)
         self._log.flush()
 
+    def _log_figures(self) -> None:
+        """Write a line with what the store was asked, and how many peers are heard."""
+        overlay = self.peers.overlay
+        self._log.event(
+            "process.figures",
+            store_calls=self._metrics.calls_by_kind(),
+            open_requests=len(self.forwarder.open),
+            members=self.book.most_live,
+            live=overlay.live_routers,
+            tells_others=overlay.tells_others,
+        )
+
     # Reload and stop.
 
     def reload(self, settings: GatewaySettings) -> None:
--- a/turnward/gateway/settings.py
+++ b/turnward/gateway/settings.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from turnward.gateway.holders import HOLDERS
 from turnward.gateway.mechanisms import Mechanisms
 from turnward.settings import SettingsError, convert_checked, parse_address, read_toml
 
@@ -29,6 +30,8 @@
     budget_reserve_share : float
         Part of each workspace's prepaid tokens that is handed out slowly once all else is
         used up; see ``EndReserveRule``.
+    budget_holders : int
+        Routers that hold one workspace's prepaid tokens; all others ask one of them.
     mechanisms : Mechanisms
         Switches for experiments.
     """
@@ -51,6 +54,7 @@
     repeat_slack: float = 50.0
     log_lines_per_s: float = 100.0
     budget_reserve_share: float = 0.0
+    budget_holders: int = HOLDERS
     mechanisms: Mechanisms = Mechanisms()
 
     def faults(self) -> list[str]:
@@ -87,6 +91,8 @@
         if not 0 <= self.budget_reserve_share < 1:
             share = self.budget_reserve_share
             found.append(f"budget_reserve_share: expected 0 to below 1, found {share}")
+        if self.budget_holders < 1:
+            found.append(f"budget_holders: expected 1 or more, found {self.budget_holders}")
         return found
 
 
--- a/turnward/gateway/spending.py
+++ b/turnward/gateway/spending.py
@@ -10,7 +10,7 @@
 
 Time is the store's steady clock. The writer stamps a report with a time that
 is not later than the store's own, and the reader takes a time that is not
-earlier than the death, so the bound errs on the safe side only.
+earlier than its own start, and so than the death, so the bound errs on the safe side only.
 """
 
 from collections.abc import Callable
@@ -221,6 +221,7 @@
         self._make_promises = make_promises
         self._on_reported = on_reported
         self._log = log
+        self._started_s = reactor.seconds()
         self._version = 0
         self._number = 0
         self._busy = False
@@ -269,8 +270,11 @@
         if not self._enabled:
             self.ended = {}
             return
+        asked_s = self._reactor.seconds()
         table = await self._store.read_table(TABLE, self._node)
-        now_s = self._store.time_floor_s()
+        # The store's clock was not past this when it was asked, so this is not earlier than
+        # the start of this process, before which the others had ended.
+        now_s = self._store.time_floor_s() - (asked_s - self._started_s)
         ended = {}
         for row in table.rows:
             if row.key.key != self._key.key and not row.gone:
--- /dev/null
+++ b/turnward/gateway/tests/test_overlay.py
@@ -0,0 +1,197 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Routers of fleets of 7 to 300 know all others and their loads, at a flat cost."""
+
+import random
+from collections import Counter
+
+import msgspec
+import pytest
+from twisted.internet import task
+
+from turnward.gateway.overlay import MESH_LIMIT, FleetSummary, Overlay
+from turnward.gateway.peer_book import DIGEST_LAYOUT, Digest, EndpointLoad, PeerBook
+
+PERIOD_S = 0.25
+DELAY_S = 0.005
+ZONES = 5
+
+
+class Router:
+    """One router's book and overlay, and what it sends."""
+
+    def __init__(self, fleet, number):
+        self.fleet = fleet
+        self.address = f"10.{number % ZONES}.{number // 250}.{number % 250}:80"
+        self.zone = f"z{number % ZONES}"
+        self.endpoint = f"e-{number % 40}"
+        self.alive = True
+        self.sent = 0
+        self.received = 0
+        self.largest = 0
+        self.book = PeerBook(self.address, fleet.clock.seconds)
+        self.overlay = Overlay(self.book, self.zone, fleet.clock.seconds)
+
+    def digest(self):
+        loads = (EndpointLoad(self.endpoint, 1, 10),)
+        return Digest(DIGEST_LAYOUT, self.address, "i", self.address, self.zone, 4, 9, 0.5, loads)
+
+    def tick(self):
+        if not self.alive:
+            return
+        for address, message in self.overlay.outgoing(self.digest()):
+            self.sent += 1
+            self.largest = max(self.largest, len(msgspec.msgpack.encode(message)))
+            self.fleet.carry(self, address, message)
+
+    def hear(self, message):
+        if not self.alive:
+            return
+        self.received += 1
+        if isinstance(message, FleetSummary):
+            self.overlay.hear_summary(message)
+        else:
+            self.book.hear(message)
+            self.overlay.hear_digest(message)
+
+    def others_loads(self):
+        return sum(load.requests for load in self.overlay.loads().values())
+
+
+class Fleet:
+    """Routers that know each other from the members' table, on a lossy network."""
+
+    def __init__(self, size, loss=0.0):
+        self.clock = task.Clock()
+        self.draw = random.Random(size)
+        self.loss = loss
+        self.cut = lambda one, other: False
+        self.routers = [Router(self, number) for number in range(size)]
+        self.by_address = {router.address: router for router in self.routers}
+        for router in self.routers:
+            for other in self.routers:
+                router.book.add_member(other.address, other.zone)
+            self.clock.callLater(self.draw.random() * PERIOD_S, self.tick, router)
+
+    def tick(self, router):
+        self.clock.callLater(PERIOD_S * self.draw.uniform(0.85, 1.15), self.tick, router)
+        router.tick()
+
+    def carry(self, sender, address, message):
+        receiver = self.by_address[address]
+        if self.draw.random() >= self.loss and not self.cut(sender, receiver):
+            self.clock.callLater(DELAY_S, receiver.hear, message)
+
+    def run(self, seconds):
+        for _ in range(int(seconds / 0.05)):
+            self.clock.advance(0.05)
+
+    def alive(self):
+        return [router for router in self.routers if router.alive]
+
+
+@pytest.mark.parametrize("size", [7, 19, 86, 300])
+def test_every_router_sees_all_others_at_a_flat_cost(size):
+    fleet = Fleet(size)
+    fleet.run(2.0)
+    seen = [router.others_loads() for router in fleet.routers]
+    live = [router.overlay.live_routers for router in fleet.routers]
+    assert min(live) >= 0.98 * size
+    assert min(seen) >= 0.95 * (size - 1)
+    assert max(seen) <= size
+    for router in fleet.routers:
+        router.sent = router.received = 0
+    fleet.run(2.0)
+    mean = sum(router.sent for router in fleet.routers) / size / 2.0
+    most = max(router.sent + router.received for router in fleet.routers) / 2.0
+    assert mean <= 45
+    assert most <= 350
+    assert max(router.largest for router in fleet.routers) < 4_000
+
+
+def test_lost_datagrams_cost_little():
+    fleet = Fleet(86, loss=0.03)
+    fleet.run(6.0)
+    seen = [router.others_loads() for router in fleet.routers]
+    assert sum(seen) / len(seen) >= 0.93 * 85
+    assert min(seen) >= 0.5 * 85
+
+
+def test_dead_routers_are_left_out_and_their_members_find_other_aggregators():
+    fleet = Fleet(86)
+    fleet.run(2.0)
+    for router in fleet.draw.sample(fleet.routers, 30):
+        router.alive = False
+    fleet.run(4.5)
+    alive = fleet.alive()
+    live = [router.overlay.live_routers for router in alive]
+    assert max(live) <= len(alive)
+    assert sum(live) / len(live) >= 0.9 * len(alive)
+
+
+def test_each_side_of_a_cut_keeps_a_true_view_of_its_own():
+    fleet = Fleet(86)
+    fleet.run(2.0)
+    side = {router.address for router in fleet.draw.sample(fleet.routers, 26)}
+    fleet.cut = lambda one, other: (one.address in side) != (other.address in side)
+    fleet.run(6.0)
+    for router in fleet.routers:
+        size = len(side) if router.address in side else 86 - len(side)
+        assert router.overlay.live_routers <= size
+    means = Counter()
+    for router in fleet.routers:
+        means[router.address in side] += router.overlay.live_routers
+    assert means[True] / len(side) >= 0.75 * len(side)
+    assert means[False] / (86 - len(side)) >= 0.85 * (86 - len(side))
+
+
+def test_a_cut_one_way_hides_nobody_for_long_on_the_side_that_hears():
+    fleet = Fleet(86)
+    fleet.run(2.0)
+    deaf = {router.address for router in fleet.draw.sample(fleet.routers, 10)}
+    fleet.cut = lambda one, other: other.address in deaf and one.address not in deaf
+    fleet.run(6.0)
+    hearing = [router for router in fleet.routers if router.address not in deaf]
+    live = [router.overlay.live_routers for router in hearing]
+    assert sum(live) / len(live) >= 0.75 * 86
+
+
+def test_newest_configuration_and_who_has_it_reach_every_router():
+    fleet = Fleet(86)
+    fleet.run(2.0)
+    newest = fleet.routers[17]
+    old = newest.digest()
+    newest.digest = lambda: msgspec.structs.replace(
+        old, configuration_version=7, confirmed_age_s=0.1
+    )
+    fleet.run(1.5)
+    for router in fleet.routers:
+        total = router.overlay._own_total()
+        assert (total.configuration_version, total.configuration_from) == (7, newest.address)
+        assert total.confirmed_age_s == 0.1
+
+
+def test_small_fleets_tell_all_others():
+    fleet = Fleet(MESH_LIMIT)
+    assert fleet.routers[0].overlay.mesh
+    assert len(fleet.routers[0].overlay.outgoing(fleet.routers[0].digest())) == MESH_LIMIT - 1
+    assert not Fleet(MESH_LIMIT + 1).routers[0].overlay.mesh
+
+
+@pytest.mark.parametrize("size", [19, 195])
+def test_number_that_bounds_rules_counts_every_member(size):
+    fleet = Fleet(size, loss=0.2)
+    fleet.run(1.0)
+    assert {router.book.most_live for router in fleet.routers} == {size}
+
+
+def test_router_that_has_told_nothing_yet_or_stood_still_knows_of_no_loads():
+    fleet = Fleet(19)
+    for router in fleet.routers:
+        assert router.overlay.loads() == {}
+        assert router.overlay.live_routers == 1
+    fleet.run(2.0)
+    # A process that stands still hears and sends nothing.
+    fleet.clock.rightNow += 5.0
+    for router in fleet.routers:
+        assert router.overlay.loads() == {}
+        assert router.overlay.live_routers == 1
--- a/turnward/gateway/tests/test_prepaid.py
+++ b/turnward/gateway/tests/test_prepaid.py
@@ -463,6 +463,26 @@
     assert world.spent <= LIMIT - ungranted(world)
 
 
+def folded_after(away_s):
+    """Return what a successor folds that the store turns away at first."""
+    world = World()
+    world.spend(0, 30)
+    calm(world)
+    world.start(0)
+    for _ in range(int(away_s / 0.1)):
+        while world.stores[0].decide("refused"):
+            pass
+        world.step(("time", 0, 0.1))
+    calm(world, 2.0)
+    return world.routers[0]._log.of("prepaid.folded")[0]
+
+
+def test_successor_that_reaches_the_store_late_counts_no_spending_after_its_start():
+    at_once, late = folded_after(0.1), folded_after(8.0)
+    assert at_once["returned"] > 0
+    assert late["spent"] <= at_once["spent"] + 1
+
+
 def test_promise_lets_a_router_that_is_cut_off_spend_all_it_holds_in_time():
     world = World()
     world.spend(0, 20)
