--- a/turnward/gateway/holders.py
+++ b/turnward/gateway/holders.py
@@ -15,9 +15,9 @@
 
 __all__ = ["HOLDERS", "EveryRouterHolds", "HoldersBase", "RankedHolders"]
 
-#: Routers that hold one workspace's tokens; as many as the largest of the small deployments
-#: has, where this number is measured (decision 18).
-HOLDERS = 8
+#: Routers that hold one workspace's tokens: each strands a burst with a loss of power, and
+#: with two a workspace outlives one of them while the store is away; measured in decision 18.
+HOLDERS = 2
 #: Seconds without a new member after which the ranking is acted on.
 _SETTLED_S = 0.3
 #: Seconds for which a holder that did not answer is not asked again.
