A router that holds no tokens learns from its feeds that the store is back

Cause, found on reading the change again: after a cut such a router asks the store about no tokens, so its belief that the store is away stayed; with its holders dead it refused requests with 503 that the store could have served. Ruled out: a try of the store for each request, which would make each wait 0.3 s in a real outage.

--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -494,10 +494,22 @@
                 continue
             self._refuse_waiters(account, BudgetAnswer.UNREACHABLE)
 
+    def note_store_answers(self) -> None:
+        """Note that the store answers this router, though it was not asked about tokens.
+
+        A router that holds tokens learns it from its own calls; one that holds none makes
+        none until it has to.
+        """
+        if self._lost_contact and not any(map(self._holders.holds, self._accounts)):
+            self._regain_contact()
+
+    def _regain_contact(self) -> None:
+        self._lost_contact = False
+        self._log.event("prepaid.contact_regained")
+
     def _note_contact(self) -> None:
         if self._lost_contact:
-            self._lost_contact = False
-            self._log.event("prepaid.contact_regained")
+            self._regain_contact()
         for workspace, account in self._accounts.items():
             account.free_in_contact = self.ledger.free_tokens(workspace)
 
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -314,6 +314,8 @@
 
     def _health_of(self, table: str):
         def note(works: bool, cause: str = "") -> None:
+            if works:
+                self.accounts.note_store_answers()
             if self._feed_health.get(table) == works:
                 return
             self._feed_health[table] = works
--- a/turnward/gateway/tests/test_holders.py
+++ b/turnward/gateway/tests/test_holders.py
@@ -150,6 +150,24 @@
     assert decode_account(rig.rows.get(KEY_OF_ROW)).granted_tokens[rig.gateways[other].incarnation]
 
 
+def test_router_that_holds_none_learns_from_its_feeds_that_the_store_is_back():
+    rig = large_rig()
+    none = [
+        number for number, gateway in enumerate(rig.gateways) if not gateway.holders.holds("acme")
+    ]
+    for number, holder in enumerate(holds(rig)):
+        if holder:
+            rig.machines[number].kill()
+    for client in rig.clients:
+        client.faults.away = True
+    rig.network.advance(1.0)
+    assert ask(rig, none[0]).status == 503
+    for client in rig.clients:
+        client.faults.away = False
+    rig.network.advance(6.0)
+    assert ask(rig, none[0]).status == 200
+
+
 def test_routers_that_are_cut_off_from_the_store_are_served_by_holders():
     rig = large_rig()
     for client in rig.clients:
