Tokens stay where they are while members are being added

Cause, found on reading the change again: while members are added the ranking is not acted on, and then no router took itself for a holder: each asked others for its requests and handed its tokens back, to holders that did the same. Now who holds what follows from what is known, and tokens are taken ahead, or handed over, only once it is settled. The number of members is counted as they are added, not on each look.

--- a/turnward/gateway/holders.py
+++ b/turnward/gateway/holders.py
@@ -18,7 +18,7 @@
 #: Routers that hold one workspace's tokens: each strands a burst with a loss of power, and
 #: with two a workspace outlives one of them while the store is away; measured in decision 18.
 HOLDERS = 2
-#: Seconds without a new member after which the ranking is acted on.
+#: Seconds without a new member after which tokens are taken or handed over by the ranking.
 _SETTLED_S = 0.3
 #: Seconds for which a holder that did not answer is not asked again.
 _REST_S = 1.0
@@ -37,9 +37,14 @@
     def everyone(self) -> bool:
         """Whether each router holds tokens of every workspace."""
 
+    @property
+    @abstractmethod
+    def settled(self) -> bool:
+        """Whether the members are known well enough to act on a change of who holds what."""
+
     @abstractmethod
     def holds(self, workspace: str) -> bool:
-        """Tell whether this router holds tokens of a workspace."""
+        """Tell whether this router holds tokens of a workspace, by what is known now."""
 
     @abstractmethod
     def others(self, workspace: str) -> list[str]:
@@ -72,6 +77,11 @@
         """See ``HoldersBase.everyone``."""
         return True
 
+    @property
+    def settled(self) -> bool:
+        """See ``HoldersBase.settled``."""
+        return True
+
     def holds(self, workspace: str) -> bool:
         """See ``HoldersBase.holds``."""
         return True
@@ -123,14 +133,12 @@
         return self._book.most_live <= self._limit
 
     @property
-    def _settled(self) -> bool:
-        """Whether the members are known well enough to take tokens ahead of demand."""
+    def settled(self) -> bool:
+        """See ``HoldersBase.settled``."""
         return self._book.members_read and self._clock() - self._book.grown_s >= _SETTLED_S
 
     def holds(self, workspace: str) -> bool:
         """See ``HoldersBase.holds``."""
-        if not self._settled:
-            return False
         return self.everyone or self._book.own_address in self._ranking(workspace)
 
     def others(self, workspace: str) -> list[str]:
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -134,6 +134,7 @@
         self.own_address = own_address
         self._clock = clock
         self._peers: dict[str, Peer] = {}
+        self._member_count = 0
         self.membership_version = 0
         self.grown_s = clock()
         self.members_read = False
@@ -152,6 +153,7 @@
         peer.zone = zone
         if not peer.member:
             peer.member = True
+            self._member_count += 1
             self.membership_version += 1
             self.grown_s = self._clock()
 
@@ -186,7 +188,7 @@
     @property
     def most_live(self) -> int:
         """The most routers that may live, this one among them."""
-        return 1 + sum(peer.member for peer in self._peers.values())
+        return 1 + self._member_count
 
     @property
     def live_count(self) -> int:
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -171,7 +171,7 @@
             account.limit = (workspace.prepaid_tokens, version)
             if account.row is not None:
                 self._show_limit(workspace.name, account)
-            if self._holds(workspace.name):
+            if self._holds(workspace.name) and self._holders.settled:
                 self.work_on(workspace.name)
 
     def reserve(self, workspace: str, tokens: int, priority: int = 0, ahead_tokens: int = 0):
@@ -186,9 +186,14 @@
         return self._reserve_here(workspace, tokens, priority)
 
     def _holds(self, workspace: str) -> bool:
-        """Tell whether this router holds tokens of a workspace ahead of demand."""
+        """Tell whether this router holds tokens of a workspace; keep the ledger in step.
+
+        While members are being added, whoever held tokens goes on: they would be handed
+        to and fro otherwise.
+        """
         holds = self._holders.holds(workspace)
-        self.ledger.set_ahead(workspace, holds)
+        if self._holders.settled:
+            self.ledger.set_ahead(workspace, holds)
         return holds
 
     def _reserve_here(self, workspace: str, tokens: int, priority: int):
@@ -370,7 +375,9 @@
         self._serve_waiters(returned.workspace, account)
 
     def _may_hand_back(self, workspace: str, account: WorkspaceAccount, now_s: float) -> bool:
-        if self.holder_client is None or account.handing_back or account.waiters:
+        if self.holder_client is None or not self._holders.settled:
+            return False
+        if account.handing_back or account.waiters:
             return False
         return self.ledger.is_idle(workspace, _HAND_BACK_S, now_s)
 
@@ -454,7 +461,7 @@
     def _needs_work(self, workspace: str, account: WorkspaceAccount, now_s: float) -> bool:
         if account.unresolved is not None or account.waiters:
             return True
-        if account.row is None and self._holders.holds(workspace):
+        if account.row is None and self._holders.settled and self._holders.holds(workspace):
             return True
         if self._stopping:
             return self.ledger.free_tokens(workspace) > 0
@@ -906,4 +913,7 @@
         if account is None:
             reserve = EndReserve(self._end_rule, f"{self._incarnation}/{workspace}")
             account = self._accounts[workspace] = WorkspaceAccount(workspace, reserve)
+            # Nothing is taken ahead of demand before it is known who holds what.
+            self.ledger.set_ahead(workspace, False)
+            self._holds(workspace)
         return account
--- a/turnward/ledger/ledger.py
+++ b/turnward/ledger/ledger.py
@@ -169,8 +169,6 @@
 
     def set_ahead(self, budget: str, ahead: bool) -> None:
         """Say whether tokens of a budget are held ahead of demand; they are by default."""
-        if ahead and budget not in self._accounts:
-            return
         self._account(budget).ahead = ahead
 
     def is_idle(self, budget: str, idle_s: float, now_s: float) -> bool:
