Requests do not count on the same free tokens, and holders are asked in turn

Change: what is free is set aside for one request while a holder is asked for the rest; holders are asked in turn, as both then know the demand. Holders of the own zone go no longer first.

--- a/turnward/gateway/holders.py
+++ b/turnward/gateway/holders.py
@@ -7,6 +7,7 @@
 up to ``HOLDERS`` routers has no others: each holds tokens of every workspace.
 """
 
+import zlib
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
@@ -48,7 +49,7 @@
 
     @abstractmethod
     def others(self, workspace: str) -> list[str]:
-        """Return the addresses of the other holders that may answer, best first."""
+        """Return the addresses of the other holders that may answer, as they are to be asked."""
 
     @abstractmethod
     def note_silent(self, address: str) -> None:
@@ -104,22 +105,19 @@
     ----------
     book : PeerBook
         The members.
-    zone : str
-        This router's zone; holders there are asked first.
     clock : callable
         Steady clock in seconds.
     limit : int, optional
         How many routers hold one workspace's tokens.
     """
 
-    def __init__(self, book: PeerBook, zone: str, clock: Callable[[], float], limit: int = HOLDERS):
+    def __init__(self, book: PeerBook, clock: Callable[[], float], limit: int = HOLDERS):
         self._limit = limit
         self._book = book
-        self._zone = zone
         self._clock = clock
         self._ranked_version = -1
         self._ranked: dict[str, tuple[str, ...]] = {}
-        self._asked: dict[str, tuple[str, ...]] = {}
+        self._turn = zlib.crc32(book.own_address.encode())
         self._resting: dict[str, float] = {}
 
     @property
@@ -142,13 +140,19 @@
         return self.everyone or self._book.own_address in self._ranking(workspace)
 
     def others(self, workspace: str) -> list[str]:
-        """See ``HoldersBase.others``."""
+        """See ``HoldersBase.others``; each is the first in turn, so that all know the demand."""
         now_s = self._clock()
-        return [
+        own = self._book.own_address
+        known = [
             address
-            for address in self._asking_order(workspace)
-            if self._resting.get(address, 0.0) <= now_s
+            for address in self._ranking(workspace)
+            if address != own and self._resting.get(address, 0.0) <= now_s
         ]
+        if not known:
+            return []
+        self._turn += 1
+        first = self._turn % len(known)
+        return known[first:] + known[:first]
 
     def note_silent(self, address: str) -> None:
         """See ``HoldersBase.note_silent``."""
@@ -158,7 +162,6 @@
         if self._ranked_version != self._book.membership_version:
             self._ranked_version = self._book.membership_version
             self._ranked = {}
-            self._asked = {}
 
     def _ranking(self, workspace: str) -> tuple[str, ...]:
         self._forget_old_ranking()
@@ -169,20 +172,3 @@
             addresses.sort(key=lambda address: rendezvous_weight(workspace, address), reverse=True)
             ranking = self._ranked[workspace] = tuple(addresses[: self._limit])
         return ranking
-
-    def _asking_order(self, workspace: str) -> tuple[str, ...]:
-        """Return the other holders, those of the own zone first, spread over the routers."""
-        ranking = self._ranking(workspace)
-        order = self._asked.get(workspace)
-        if order is None:
-            own = self._book.own_address
-            others = [address for address in ranking if address != own]
-            others.sort(
-                key=lambda address: (self._is_far(address), rendezvous_weight(own, address))
-            )
-            order = self._asked[workspace] = tuple(others)
-        return order
-
-    def _is_far(self, address: str) -> bool:
-        peer = self._book.get(address)
-        return peer is None or peer.zone != self._zone
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -313,17 +313,32 @@
         self.ledger.clear_want(workspace)
         account = self._account(workspace)
         waiter = WaitingRequest(tokens)
-        least = tokens - max(0, self.ledger.free_tokens(workspace))
+        part = self._reserve_part(workspace)
+        least = tokens - (part.tokens if part is not None else 0)
         ask = LoanAsk(workspace, least, least + ahead_tokens, priority, for_request=True)
-        done = defer.ensureDeferred(self._borrow_for(account, waiter, ask))
+        done = defer.ensureDeferred(self._borrow_for(account, waiter, ask, part))
         done.addErrback(self._failed, workspace)
         return waiter.deferred
 
+    def _reserve_part(self, workspace: str) -> Reservation | None:
+        """Set aside what is free, so that no other request counts on it too."""
+        tokens = self._spendable_tokens(workspace)
+        return self._try_reserve(workspace, tokens, first_try=False) if tokens else None
+
     async def _borrow_for(
-        self, account: WorkspaceAccount, waiter: WaitingRequest, ask: LoanAsk
+        self,
+        account: WorkspaceAccount,
+        waiter: WaitingRequest,
+        ask: LoanAsk,
+        part: Reservation | None,
     ) -> None:
-        """Serve one request out of a holder's loan; without one it waits for the store."""
+        """Serve one request out of a holder's loan and the part that is set aside for it.
+
+        Without a loan it waits for the store.
+        """
         loan = await self.holder_client.borrow(ask)
+        if part is not None:
+            self.ledger.settle(part, 0)
         if loan.tokens > 0:
             account.borrowed_tokens += loan.tokens
             self.ledger.add(account.workspace, loan.tokens)
@@ -392,10 +407,10 @@
 
     async def _send_back(self, workspace: str) -> None:
         """Hand what is free to a holder; it counts as spent here before the message leaves."""
-        tokens = self._spendable_tokens(workspace)
-        reservation = self._try_reserve(workspace, tokens, first_try=False) if tokens else None
+        reservation = self._reserve_part(workspace)
         if reservation is None:
             return
+        tokens = reservation.tokens
         self.ledger.settle(reservation, tokens)
         became = await self.holder_client.hand_back(workspace, tokens)
         if became is HandBack.NOT_SENT:
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -197,9 +197,7 @@
             _choice_rule(settings.mechanisms),
         )
         self.endpoints.on_pace_class = self._note_pace_class
-        self.holders = RankedHolders(
-            self.book, settings.zone, reactor.seconds, settings.budget_holders
-        )
+        self.holders = RankedHolders(self.book, reactor.seconds, settings.budget_holders)
         self.accounts = PrepaidAccounts(
             reactor,
             store,
