Bursts of up to 24,000 tokens, now that two routers hold a workspace

Hypothesis: with two holders the sum of the bursts is a third of what six routers had, and in the first seconds of a cut requests are refused for it.

--- a/turnward/gateway/spending.py
+++ b/turnward/gateway/spending.py
@@ -75,7 +75,7 @@
     burst_s: float = 1.0
     burst_tokens: int = 3_000
     burst_share: float = 0.2
-    burst_limit_tokens: int = 12_000
+    burst_limit_tokens: int = 24_000
     pace: float = 1.0
     late_s: float = 4.0
     spread_s: float = 8.0
@@ -87,8 +87,8 @@
 
         Examples
         --------
-        >>> PromiseRule().for_limit(600_000, 6).burst_tokens
-        12000
+        >>> PromiseRule().for_limit(600_000, 2).burst_tokens
+        24000
         >>> PromiseRule().for_limit(600_000, 30).burst_tokens
         4000
         """
