--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -4,11 +4,21 @@
 No label names a request; pools and outcomes bound the number of series.
 """
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    disable_created_metrics,
+)
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
 __all__ = ["GatewayMetrics"]
 
+# When each series began is of no use here, and a third of the text: of a gateway with two pools
+# 7,961 bytes before, 5,469 without.
+disable_created_metrics()
+
 #: Upper bounds of the latency histograms, in seconds.
 _BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
 
@@ -20,6 +30,15 @@
 
     def __init__(self):
         self._registry = CollectorRegistry()
+        # What a process believes comes first: collectors that cut a long text keep its beginning.
+        self.open_requests = self._gauge("open_requests", "Requests under way.")
+        self.peers_live = self._gauge("peers_live", "Peers heard lately.")
+        self.configuration_version = self._gauge(
+            "configuration_version", "Version of the configuration in force."
+        )
+        self.unconfirmed_seconds = self._gauge(
+            "configuration_unconfirmed_seconds", "Since the configuration was known newest."
+        )
         self.requests = self._counter("requests", "Requests ended.", ["pool", "outcome"])
         self.attempts_failed = self._counter(
             "attempts_failed", "Sends that brought no answer to pass on.", ["pool", "how"]
@@ -30,14 +49,6 @@
         )
         self.store_calls = self._counter("store_calls", "Calls to the store.", ["call", "result"])
         self.lines_left_out = self._counter("log_lines_left_out", "Log lines left out.", [])
-        self.open_requests = self._gauge("open_requests", "Requests under way.")
-        self.peers_live = self._gauge("peers_live", "Peers heard lately.")
-        self.configuration_version = self._gauge(
-            "configuration_version", "Version of the configuration in force."
-        )
-        self.unconfirmed_seconds = self._gauge(
-            "configuration_unconfirmed_seconds", "Since the configuration was known newest."
-        )
 
     def calls_by_kind(self) -> dict[str, int]:
         """Return the calls to the store so far, by ``call/result``."""
--- a/turnward/http1/client.py
+++ b/turnward/http1/client.py
@@ -46,6 +46,11 @@
         """Whether a byte may have left."""
         return self.connection is not None
 
+    @property
+    def received_bytes(self) -> int:
+        """How much of the answer's body has come."""
+        return self._bytes
+
     def exchange_began(self, connection):
         self.connection = connection
         connection.send(self._request, last=True)
@@ -117,7 +122,8 @@
             return await call.reply.addTimeout(timeout_s, self._reactor)
         except (defer.TimeoutError, defer.CancelledError) as failure:
             kind = UnansweredError if call.sent else NotSentError
-            raise kind(f"no answer within {timeout_s} s") from failure
+            so_far = f", {call.received_bytes} bytes of it came" if call.received_bytes else ""
+            raise kind(f"no answer within {timeout_s} s{so_far}") from failure
 
     def close(self) -> None:
         """Close kept connections."""
