Calls whose answers have no bounded size are limited by pauses, not by the clock alone

A table's read was given up after 1.2 s, a peer's copy after 1.0 s, a feed's answer 1.2 s beyond its wait, however much had come, and asked for again from the start; 0.6 MB need a second of a link of 5 Mbit/s that carries nothing else. Every try took its share of the link all the same. Now the limit counts until an answer begins, and then between its pieces; 30 s bound what trickles. Writes and calls between routers for tokens keep their limits: their answers are a packet.

Ruled out: a longer limit by itself; it waits on dead connections as much as on slow ones.

--- a/turnward/http1/client.py
+++ b/turnward/http1/client.py
@@ -12,6 +12,9 @@
 
 #: Largest answer that is read, in bytes.
 _REPLY_LIMIT_BYTES = 64 * 1024 * 1024
+#: Seconds after which an answer is given up that still trickles in: 0.6 MB, the largest table
+#: read so far, in so long a time is a thirtieth of a narrow link (5 Mbit/s).
+_LONGEST_ANSWER_S = 30.0
 
 
 class HttpReply(msgspec.Struct, frozen=True):
@@ -81,6 +84,45 @@
             self.reply.errback(failure)
 
 
+class _TimeLimit:
+    """Gives a call up when its answer does not begin in time, or stops coming.
+
+    Parameters
+    ----------
+    reactor
+        Twisted's reactor.
+    call : _Call
+        The call.
+    timeout_s : float
+        Longest until the answer, or its first byte where a pause is allowed.
+    pause_s : float or None
+        Longest pause within an answer; None allows none beyond ``timeout_s``.
+    """
+
+    def __init__(self, reactor, call: _Call, timeout_s: float, pause_s: float | None):
+        self._reactor = reactor
+        self._call = call
+        self._pause_s = pause_s
+        self._seen_bytes = 0
+        self._ends_s = reactor.seconds() + timeout_s + _LONGEST_ANSWER_S
+        self._timer = reactor.callLater(timeout_s, self._look)
+
+    def _look(self) -> None:
+        """Wait on where bytes have come since the last look."""
+        received = self._call.received_bytes
+        comes = self._pause_s is not None and received > self._seen_bytes
+        if comes and self._reactor.seconds() < self._ends_s:
+            self._seen_bytes = received
+            self._timer = self._reactor.callLater(self._pause_s, self._look)
+        else:
+            self._call.reply.cancel()
+
+    def stop(self) -> None:
+        """Watch no more."""
+        if self._timer.active():
+            self._timer.cancel()
+
+
 class HttpCaller:
     """Calls one address.
 
@@ -100,16 +142,31 @@
         self._pool = OutboundPool(reactor, address, connect_timeout_s)
 
     async def call(
-        self, method: bytes, target: bytes, body: bytes = b"", timeout_s: float = 2.0
+        self,
+        method: bytes,
+        target: bytes,
+        body: bytes = b"",
+        timeout_s: float = 2.0,
+        pause_s: float | None = None,
     ) -> HttpReply:
         """Send a request and return the whole answer.
 
+        Parameters
+        ----------
+        timeout_s : float
+            Longest until the whole answer.
+        pause_s : float, optional
+            For answers whose size nothing bounds: ``timeout_s`` then counts until the first bytes,
+            and the answer goes on as long as more come in each such time. Given up by the
+            clock alone, 0.6 MB never arrive over a link of 5 Mbit/s in 1.2 s, however often they
+            are asked for; each try takes its share of the link all the same.
+
         Raises
         ------
         NotSentError
             Nothing was sent.
         UnansweredError
-            No whole answer came within ``timeout_s``; it may have been sent.
+            No whole answer came in time; it may have been sent.
         """
         headers = [(b"host", self._host)]
         if body or method in (b"POST", b"PUT"):
@@ -118,12 +175,15 @@
         call = _Call(method, encode_request_head(method, target, headers) + body)
         call.attempt = self._pool.start(call)
         self._pool.trim(self._reactor.seconds())
+        limit = _TimeLimit(self._reactor, call, timeout_s, pause_s)
         try:
-            return await call.reply.addTimeout(timeout_s, self._reactor)
-        except (defer.TimeoutError, defer.CancelledError) as failure:
+            return await call.reply
+        except defer.CancelledError as failure:
             kind = UnansweredError if call.sent else NotSentError
             so_far = f", {call.received_bytes} bytes of it came" if call.received_bytes else ""
             raise kind(f"no answer within {timeout_s} s{so_far}") from failure
+        finally:
+            limit.stop()
 
     def close(self) -> None:
         """Close kept connections."""
