Routers pass the configuration on packed

A peer's copy of 1,935 routes was 407 KB, two thirds of a second of a narrow link, fetched beside the store's own answer and from one peer by all: 22 to 28 MB left one router's link for three versions. Packed (zlib, level 1) it is 33 KB in 1.6 ms, made once a version. A path of its own, so that routers of two builds do not misread each other; they learn from the store meanwhile.

Ruled out: changes between versions instead of whole ones; 33 KB do not need them, and the base would have to be kept.

--- a/turnward/gateway/configuration.py
+++ b/turnward/gateway/configuration.py
@@ -2,6 +2,7 @@
 """What operators configure for the gateway, and the endpoints that stand behind it."""
 
 import random
+import zlib
 
 import msgspec
 
@@ -17,8 +18,15 @@
     "RouteTable",
     "WeightedPool",
     "Workspace",
+    "pack_configuration",
+    "unpack_configuration",
 ]
 
+#: Fast compression: of 1,935 routes 407 KB become 33 KB in 1.6 ms; the best takes twice that for 30 KB.
+_COMPRESSION = 1
+#: Largest configuration that is unpacked, in bytes.
+_UNPACKED_LIMIT_BYTES = 64 * 1024 * 1024
+
 
 class Repeat:
     """How often a request of a route may run; values of ``Route.repeat``."""
@@ -126,6 +134,32 @@
     limits: InboundLimits = msgspec.field(default_factory=InboundLimits)
 
 
+def pack_configuration(configuration: Configuration) -> bytes:
+    """Return a configuration as routers pass it on."""
+    return zlib.compress(msgspec.msgpack.encode(configuration), _COMPRESSION)
+
+
+def unpack_configuration(packed: bytes) -> Configuration:
+    """Return the configuration that ``pack_configuration`` packed.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        The bytes are no configuration.
+
+    Examples
+    --------
+    >>> unpack_configuration(pack_configuration(Configuration(version=7))).version
+    7
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        body = unpacker.decompress(packed, _UNPACKED_LIMIT_BYTES)
+    except zlib.error as failure:
+        raise msgspec.DecodeError(f"not compressed: {failure}") from failure
+    return msgspec.msgpack.decode(body, type=Configuration)
+
+
 class EndpointEntry(msgspec.Struct, frozen=True, kw_only=True):
     """An endpoint as it announced itself; a new start has a new ``endpoint_id``."""
 
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -13,7 +13,7 @@
 from twisted.internet import defer
 from twisted.internet.protocol import DatagramProtocol
 
-from turnward.gateway.configuration import Configuration
+from turnward.gateway.configuration import pack_configuration, unpack_configuration
 from turnward.gateway.loans import (
     LOANS_PATH,
     RETURNS_PATH,
@@ -37,7 +37,10 @@
 #: Seconds for which a router that was short keeps its peers telling what they can spare.
 _SHORT_LIFE_S = 1.5
 
-CONFIGURATION_PATH = b"/state/configuration"
+#: Seconds until a peer's state begins to come, and the longest pause in it.
+_STATE_TIMEOUT_S = 1.0
+
+CONFIGURATION_PATH = b"/state/configuration/packed"
 ENDPOINTS_PATH = b"/state/endpoints"
 
 
@@ -114,6 +117,8 @@
         self._log = log
         self._fetching: set[bytes] = set()
         self._wanted: dict[bytes, int] = {}
+        self._packed = b""
+        self._packed_version = 0
         self.overlay = Overlay(book, identity.zone, reactor.seconds)
         self._seen_live: set[str] = set()
         self._callers: dict[str, HttpCaller] = {}
@@ -232,7 +237,9 @@
         if not self._is_behind(path):
             return
         try:
-            reply = await self._caller(address).call(b"GET", path, timeout_s=1.0)
+            reply = await self._caller(address).call(
+                b"GET", path, timeout_s=_STATE_TIMEOUT_S, pause_s=_STATE_TIMEOUT_S
+            )
             if reply.status == 200:
                 adopt(reply.body, address)
         except (Http1Error, msgspec.DecodeError) as failure:
@@ -253,8 +260,7 @@
         return caller
 
     def _adopt_configuration(self, body: bytes, address: str) -> None:
-        configuration = msgspec.msgpack.decode(body, type=Configuration)
-        self._state.adopt_configuration(configuration, f"peer {address}")
+        self._state.adopt_configuration(unpack_configuration(body), f"peer {address}")
 
     def _adopt_endpoints(self, body: bytes, address: str) -> None:
         snapshot = msgspec.msgpack.decode(body, type=EndpointsSnapshot)
@@ -263,8 +269,7 @@
     def serve(self, request: InboundRequest) -> None:
         """Answer a peer's question for state."""
         if request.target == CONFIGURATION_PATH and self._state.routes is not None:
-            body = msgspec.msgpack.encode(self._state.routes.configuration)
-            request.answer(200, [], body)
+            request.answer(200, [], self._packed_configuration())
         elif request.target == ENDPOINTS_PATH and self._state.endpoints_version:
             request.answer(200, [], msgspec.msgpack.encode(self._state.snapshot()))
         elif request.target == LOANS_PATH:
@@ -274,6 +279,14 @@
         else:
             request.answer(404, [])
 
+    def _packed_configuration(self) -> bytes:
+        """Return the configuration in force as peers fetch it; packed once a version."""
+        version = self._state.configuration_version
+        if self._packed_version != version:
+            self._packed_version = version
+            self._packed = pack_configuration(self._state.routes.configuration)
+        return self._packed
+
     def _lend(self, request: InboundRequest, ask: LoanAsk) -> None:
         """Answer a peer that asks for tokens."""
         if not ask.for_request:
--- /dev/null
+++ b/turnward/gateway/tests/test_configuration.py
@@ -0,0 +1,49 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Configurations as routers pass them on."""
+
+import random
+import zlib
+
+import msgspec
+import pytest
+
+from turnward.gateway.configuration import (
+    Configuration,
+    Route,
+    WeightedPool,
+    pack_configuration,
+    unpack_configuration,
+)
+
+#: Routes with names of their own; 416 KB before they are packed.
+ROUTES = 2_000
+#: A sixth of a second of a link of 5 Mbit/s; 28 KB were measured.
+PACKED_LIMIT_BYTES = 100_000
+
+
+def large_configuration():
+    draw = random.Random(1)
+    letters = "abcdefghijklmnopqrstuvwxyz0123456789"
+    routes = tuple(
+        Route(
+            name=f"r-{''.join(draw.choices(letters, k=7))}",
+            host="shop.example",
+            path_prefix=f"/{''.join(draw.choices(letters, k=7))}/",
+            pools=(WeightedPool("service"),),
+        )
+        for _ in range(ROUTES)
+    )
+    return Configuration(version=3, routes=routes)
+
+
+def test_a_large_configuration_is_passed_on_in_few_bytes():
+    configuration = large_configuration()
+    packed = pack_configuration(configuration)
+    assert len(packed) < PACKED_LIMIT_BYTES < len(msgspec.msgpack.encode(configuration))
+    assert unpack_configuration(packed) == configuration
+
+
+@pytest.mark.parametrize("data", [b"", b"x", zlib.compress(b"x"), zlib.compress(b"")])
+def test_bytes_that_are_no_configuration_are_told_as_such(data):
+    with pytest.raises(msgspec.DecodeError):
+        unpack_configuration(data)
