Endpoints are passed on as the configuration is; a blind feed is tested; listeners of rows in one module

The same cause elsewhere: a copy of the endpoints is fetched by all from the one router that was answered last; 70 entries are small today, 3,200 are not. Packed, and from the own aggregator. packing.py holds what both need. The table is read again after a long blind time only where that holds when the store is asked (a test found that it stuck although others had told meanwhile). MembersListener moves from process.py to sources.py, beside the other two.

--- a/turnward/gateway/configuration.py
+++ b/turnward/gateway/configuration.py
@@ -2,7 +2,6 @@
 """What operators configure for the gateway, and the endpoints that stand behind it."""
 
 import random
-import zlib
 
 import msgspec
 
@@ -21,12 +20,6 @@
     "Workspace",
 ]
 
-#: Fast compression: of 1,935 routes 407 KB become 33 KB in 1.6 ms; level 6 takes twice as long
-#: for 30 KB.
-_COMPRESSION = 1
-#: Largest configuration that is unpacked, in bytes.
-_UNPACKED_LIMIT_BYTES = 64 * 1024 * 1024
-
 
 class Repeat:
     """How often a request of a route may run; values of ``Route.repeat``."""
@@ -146,32 +139,6 @@
     configuration: Configuration
     row_version: int = 0
 
-    def packed(self) -> bytes:
-        """Return it in few bytes."""
-        return zlib.compress(msgspec.msgpack.encode(self), _COMPRESSION)
-
-    @classmethod
-    def from_packed(cls, packed: bytes) -> "ConfigurationCopy":
-        """Return what was packed.
-
-        Raises
-        ------
-        msgspec.DecodeError
-            The bytes are no configuration.
-
-        Examples
-        --------
-        >>> copy = ConfigurationCopy(Configuration(version=7), 12)
-        >>> ConfigurationCopy.from_packed(copy.packed()) == copy
-        True
-        """
-        unpacker = zlib.decompressobj()
-        try:
-            body = unpacker.decompress(packed, _UNPACKED_LIMIT_BYTES)
-        except zlib.error as failure:
-            raise msgspec.DecodeError(f"not compressed: {failure}") from failure
-        return msgspec.msgpack.decode(body, type=cls)
-
 
 class EndpointEntry(msgspec.Struct, frozen=True, kw_only=True):
     """An endpoint as it announced itself; a new start has a new ``endpoint_id``."""
--- a/turnward/gateway/feeds.py
+++ b/turnward/gateway/feeds.py
@@ -241,9 +241,7 @@
 
     async def _step(self) -> None:
         newest_s = self._reactor.seconds()
-        if self._missed_much():
-            self._reread = True
-        if self._reread or self._listener.version == 0:
+        if self._reread or self._listener.version == 0 or self._missed_much():
             table = await self._store.read_table(self._table)
             self._reread = False
             self._changed = True
--- a/turnward/gateway/overlay.py
+++ b/turnward/gateway/overlay.py
@@ -273,7 +273,7 @@
                 yield heard.message.address, total
 
     def _as_known_here(self, total: FleetSummary) -> FleetSummary:
-        """Return a sum that tells of no configuration but the one in force at this router.
+        """Return a sum that tells of no configuration and endpoints but those known here.
 
         Members fetch what they are told of from their aggregator, 15 at most. Told who has it
         first, all routers of the fleet asked that one: 86 copies of 33 KB are 4.5 s of a
@@ -286,6 +286,8 @@
             configuration_version=own.configuration_version,
             configuration_from=own.address,
             confirmed_age_s=total.confirmed_age_s if newest else -1.0,
+            endpoints_version=own.endpoints_version,
+            endpoints_from=own.address,
         )
 
     def _note_asked(self, addresses: list[str]) -> None:
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -22,6 +22,7 @@
     LoanReturn,
 )
 from turnward.gateway.overlay import FleetSummary, Overlay
+from turnward.gateway.packing import PackedOnce, unpack
 from turnward.gateway.peer_book import DIGEST_LAYOUT, Digest, PeerBook
 from turnward.gateway.state import EndpointsSnapshot, FleetState
 from turnward.http1 import Http1Error, HttpCaller, InboundRequest
@@ -41,7 +42,7 @@
 _STATE_TIMEOUT_S = 1.0
 
 CONFIGURATION_PATH = b"/state/configuration/packed"
-ENDPOINTS_PATH = b"/state/endpoints"
+ENDPOINTS_PATH = b"/state/endpoints/packed"
 
 
 class PeerExchange(DatagramProtocol):
@@ -117,8 +118,8 @@
         self._log = log
         self._fetching: set[bytes] = set()
         self._wanted: dict[bytes, int] = {}
-        self._packed = b""
-        self._packed_version = 0
+        self._configuration = PackedOnce()
+        self._endpoints = PackedOnce()
         self.overlay = Overlay(book, identity.zone, reactor.seconds, identity.link_mbit_per_s)
         self._seen_live: set[str] = set()
         self._callers: dict[str, HttpCaller] = {}
@@ -260,19 +261,22 @@
         return caller
 
     def _adopt_configuration(self, body: bytes, address: str) -> None:
-        copy = ConfigurationCopy.from_packed(body)
+        copy = unpack(body, ConfigurationCopy)
         self._state.adopt_configuration(copy.configuration, f"peer {address}", copy.row_version)
 
     def _adopt_endpoints(self, body: bytes, address: str) -> None:
-        snapshot = msgspec.msgpack.decode(body, type=EndpointsSnapshot)
+        snapshot = unpack(body, EndpointsSnapshot)
         self._state.adopt_endpoints(snapshot, f"peer {address}")
 
     def serve(self, request: InboundRequest) -> None:
         """Answer a peer's question for state."""
         if request.target == CONFIGURATION_PATH and self._state.routes is not None:
-            request.answer(200, [], self._packed_configuration())
+            state = self._state
+            copy = ConfigurationCopy(state.routes.configuration, state.row_version)
+            request.answer(200, [], self._configuration.get(state.configuration_version, copy))
         elif request.target == ENDPOINTS_PATH and self._state.endpoints_version:
-            request.answer(200, [], msgspec.msgpack.encode(self._state.snapshot()))
+            snapshot = self._state.snapshot()
+            request.answer(200, [], self._endpoints.get(snapshot.version, snapshot))
         elif request.target == LOANS_PATH:
             _take_body(request, LoanAsk, self._lend)
         elif request.target == RETURNS_PATH:
@@ -280,15 +284,6 @@
         else:
             request.answer(404, [])
 
-    def _packed_configuration(self) -> bytes:
-        """Return the configuration in force as peers fetch it; packed once a version."""
-        version = self._state.configuration_version
-        if self._packed_version != version:
-            self._packed_version = version
-            copy = ConfigurationCopy(self._state.routes.configuration, self._state.row_version)
-            self._packed = copy.packed()
-        return self._packed
-
     def _lend(self, request: InboundRequest, ask: LoanAsk) -> None:
         """Answer a peer that asks for tokens."""
         if not ask.for_request:
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -19,7 +19,7 @@
 from turnward.gateway.lenders import HoldersAsLenders, PeersAsLenders
 from turnward.gateway.logs import GatewayLog
 from turnward.gateway.mechanisms import Mechanisms
-from turnward.gateway.members import MEMBERS_TABLE, Member, decode_member, encode_member
+from turnward.gateway.members import MEMBERS_TABLE, Member, encode_member
 from turnward.gateway.metrics import GatewayMetrics
 from turnward.gateway.pace import ObservedPace
 from turnward.gateway.peer_book import DIGEST_LAYOUT, Digest, PeerBook
@@ -27,6 +27,7 @@
 from turnward.gateway.prepaid import KEPT_BY_PRIORITY, PrepaidAccounts
 from turnward.gateway.retries import RepeatRule
 from turnward.gateway.settings import GatewaySettings
+from turnward.gateway.sources import MembersListener
 from turnward.gateway.state import FleetState
 from turnward.http1 import InboundFactory, InboundLimits, InboundRequest, OutboundPool
 from turnward.ledger import SizingRule
@@ -34,7 +35,6 @@
     RowChange,
     RowKey,
     RowStoreError,
-    TableChanges,
     VersionConflictError,
     VersionedStoreBase,
     VersionedTransaction,
@@ -103,35 +103,6 @@
         """Return table, wait in seconds and listener for each table to follow."""
 
 
-class _Members(FeedListenerBase):
-    """Learns peers' addresses from their rows."""
-
-    def __init__(self, book: PeerBook, note_unreadable):
-        self._book = book
-        self._note_unreadable = note_unreadable
-        self._version = 0
-
-    @property
-    def version(self):
-        return self._version
-
-    def table_read(self, table):
-        self.rows_changed(table)
-        self._book.members_read = True
-
-    def rows_changed(self, changes: TableChanges):
-        self._version = max(self._version, changes.version)
-        for row in changes.rows:
-            if row.gone:
-                continue
-            try:
-                member = decode_member(row.value)
-            except (msgspec.DecodeError, ValueError) as failure:
-                self._note_unreadable(row.key, failure)
-                continue
-            self._book.add_member(member.address, member.zone, member.link_mbit_per_s)
-
-
 class GatewayProcess:
     """One router of the fleet, as a gateway.
 
@@ -308,7 +279,7 @@
             confirms = wait_s <= _CONFIGURATION_WAIT_S
             on_answer = self.state.confirm if confirms else None
             yield table, wait_s, listener, on_answer, self._pace(confirms)
-        members = _Members(self.book, self._note_unreadable)
+        members = MembersListener(self.book, self._note_unreadable)
         pace = FleetPace(self.peers.overlay, _MEMBERS_REST_S)
         yield MEMBERS_TABLE, _MEMBERS_WAIT_S, members, None, pace
 
--- a/turnward/gateway/sources.py
+++ b/turnward/gateway/sources.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Takes rows of configuration and endpoints into the state, in whatever form they are written."""
+"""Takes rows into what a process believes, in whatever form they are written."""
 
 from collections.abc import Callable
 
@@ -7,10 +7,12 @@
 
 from turnward.gateway.configuration import Configuration, EndpointEntry
 from turnward.gateway.feeds import FeedListenerBase
+from turnward.gateway.members import decode_member
+from turnward.gateway.peer_book import PeerBook
 from turnward.gateway.state import EndpointsSnapshot, FleetState
-from turnward.rows import StoredRow, TableChanges
+from turnward.rows import RowKey, StoredRow, TableChanges
 
-__all__ = ["ConfigurationListener", "EndpointsListener"]
+__all__ = ["ConfigurationListener", "EndpointsListener", "MembersListener"]
 
 _UNREADABLE = (msgspec.DecodeError, ValueError)
 
@@ -96,3 +98,43 @@
                 self._state.note_unreadable(row.key, failure)
         snapshot = EndpointsSnapshot(changes.version, tuple(entries.values()))
         self._state.adopt_endpoints(snapshot, "store")
+
+
+class MembersListener(FeedListenerBase):
+    """Learns peers' addresses from their rows.
+
+    Parameters
+    ----------
+    book : PeerBook
+        Told of each member.
+    note_unreadable : callable
+        Told the key of a row that can't be read, and why.
+    """
+
+    def __init__(self, book: PeerBook, note_unreadable: Callable[[RowKey, Exception], None]):
+        self._book = book
+        self._note_unreadable = note_unreadable
+        self._version = 0
+
+    @property
+    def version(self) -> int:
+        """See ``FeedListenerBase.version``."""
+        return self._version
+
+    def table_read(self, table: TableChanges) -> None:
+        """See ``FeedListenerBase.table_read``."""
+        self.rows_changed(table)
+        self._book.members_read = True
+
+    def rows_changed(self, changes: TableChanges) -> None:
+        """See ``FeedListenerBase.rows_changed``."""
+        self._version = max(self._version, changes.version)
+        for row in changes.rows:
+            if row.gone:
+                continue
+            try:
+                member = decode_member(row.value)
+            except _UNREADABLE as failure:
+                self._note_unreadable(row.key, failure)
+                continue
+            self._book.add_member(member.address, member.zone, member.link_mbit_per_s)
--- /dev/null
+++ b/turnward/gateway/tests/test_feeds.py
@@ -0,0 +1,150 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""What a feed asks the store after an outage, and what it is spared by others' word."""
+
+import random
+
+import pytest
+from twisted.internet import task
+
+from turnward.gateway.feeds import FeedListenerBase, TableFeed, ToldPace
+from turnward.gateway.state import FleetState
+from turnward.rows import RowsUnavailableError, TableChanges
+
+STEP_S = 0.05
+WAIT_S = 1.0
+
+
+class Listener(FeedListenerBase):
+    """Knows a version."""
+
+    known = 0
+
+    @property
+    def version(self):
+        return self.known
+
+    def table_read(self, table):
+        self.known = table.version
+
+    rows_changed = table_read
+
+
+class Store:
+    """Notes what it is asked; answers after a moment, or fails while it is away."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.asked = []
+        self.answered = []
+        self.away = False
+        self.version = 5
+
+    async def read_table(self, table):
+        return await self._answer("table")
+
+    async def changes(self, table, after_version, wait_s):
+        return await self._answer(after_version)
+
+    async def _answer(self, what):
+        self.asked.append(what)
+        await task.deferLater(self.clock, STEP_S)
+        if self.away:
+            raise RowsUnavailableError("away")
+        self.answered.append(what)
+        return TableChanges((), self.version)
+
+
+class Overlay:
+    """One router's place in the exchange."""
+
+    mesh = False
+    tells_others = False
+
+
+class Rig:
+    """A feed on a fake clock."""
+
+    def __init__(self):
+        self.clock = task.Clock()
+        self.overlay = Overlay()
+        self.state = FleetState(self.clock.seconds)
+        self.store = Store(self.clock)
+        self.listener = Listener()
+        self.feed = TableFeed(
+            self.clock,
+            self.store,
+            "table",
+            self.listener,
+            WAIT_S,
+            random.Random(1),
+            lambda *_: None,
+            pace=ToldPace(self.overlay, 0.0, self.state),
+        )
+
+    def start(self):
+        self.feed.start()
+        self.run(1.0)
+        return self
+
+    def run(self, for_s):
+        for _ in range(round(for_s / STEP_S)):
+            self.clock.advance(STEP_S)
+
+
+@pytest.mark.parametrize(("away_s", "question"), [(2.0, 5), (8.0, "table")])
+def test_after_a_long_outage_the_table_is_read_instead_of_every_version_in_between(
+    away_s, question
+):
+    rig = Rig().start()
+    rig.store.away = True
+    rig.run(away_s)
+    rig.store.answered.clear()
+    rig.store.away = False
+    rig.run(2.0)
+    assert rig.store.answered[0] == question
+
+
+def test_after_a_long_outage_a_feed_goes_on_from_what_others_told():
+    rig = Rig().start()
+    rig.store.away = True
+    rig.run(8.0)
+    rig.listener.known = 9
+    rig.store.version = 9
+    rig.run(2.0)
+    rig.store.answered.clear()
+    rig.store.away = False
+    rig.run(2.0)
+    assert set(rig.store.answered) == {9}
+
+
+def test_a_feed_asks_nothing_while_others_confirm_what_is_known():
+    rig = Rig().start()
+    rig.state.confirm()
+    rig.run(0.3)
+    rig.store.asked.clear()
+    for _ in range(20):
+        rig.state.confirm()
+        rig.run(0.5)
+    assert not rig.store.asked
+    rig.run(3.0)
+    assert rig.store.asked
+
+
+def test_a_feed_asks_when_its_router_becomes_one_that_others_learn_from():
+    rig = Rig().start()
+    rig.state.confirm()
+    rig.run(0.3)
+    rig.store.asked.clear()
+    rig.overlay.tells_others = True
+    rig.run(0.5)
+    assert rig.store.asked
+
+
+def test_a_feed_stops_while_it_asks_nothing():
+    rig = Rig().start()
+    rig.state.confirm()
+    rig.run(0.3)
+    rig.feed.stop()
+    rig.store.asked.clear()
+    rig.run(5.0)
+    assert not rig.store.asked
--- a/turnward/gateway/tests/test_configuration.py
+++ b/turnward/gateway/tests/test_packing.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Configurations as routers pass them on."""
+"""State as routers pass it on."""
 
 import random
 import zlib
@@ -13,6 +13,7 @@
     Route,
     WeightedPool,
 )
+from turnward.gateway.packing import pack, unpack
 
 #: Routes with names of their own; 416 KB before they are packed.
 ROUTES = 2_000
@@ -37,12 +38,12 @@
 
 def test_a_large_configuration_is_passed_on_in_few_bytes():
     copy = ConfigurationCopy(large_configuration(), 5)
-    packed = copy.packed()
+    packed = pack(copy)
     assert len(packed) < PACKED_LIMIT_BYTES < len(msgspec.msgpack.encode(copy))
-    assert ConfigurationCopy.from_packed(packed) == copy
+    assert unpack(packed, ConfigurationCopy) == copy
 
 
 @pytest.mark.parametrize("data", [b"", b"x", zlib.compress(b"x"), zlib.compress(b"")])
 def test_bytes_that_are_no_configuration_are_told_as_such(data):
     with pytest.raises(msgspec.DecodeError):
-        ConfigurationCopy.from_packed(data)
+        unpack(data, ConfigurationCopy)
