--- a/turnward/gateway/feeds.py
+++ b/turnward/gateway/feeds.py
@@ -134,7 +134,6 @@
 
     def __init__(self, overlay: Overlay, rest_s: float, state: FleetState):
         super().__init__(overlay, rest_s)
-        self._overlay = overlay
         self._state = state
 
     def wait_s(self, usual_s: float) -> float:
--- a/turnward/gateway/overlay.py
+++ b/turnward/gateway/overlay.py
@@ -13,7 +13,6 @@
 """
 
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
 
 import msgspec
 
@@ -80,8 +79,14 @@
     loads: tuple[EndpointLoad, ...] = ()
 
 
-class _Placed(NamedTuple):
-    """A member as groups are formed of them; sorts by width, the widest first."""
+class _Placed(msgspec.Struct, frozen=True, order=True):
+    """A member as groups are formed of them; sorts by width, the widest first.
+
+    Attributes
+    ----------
+    narrowness : float
+        Less for a wider link: its width in Mbit/s below 0.
+    """
 
     narrowness: float
     address: str
@@ -102,7 +107,7 @@
     everywhere after 1.1 s in place of 1.9 s.
     """
 
-    def __init__(self, members: Iterable["_Placed"]):
+    def __init__(self, members: Iterable[_Placed]):
         by_zone: dict[str, list[_Placed]] = {}
         for member in sorted(members):
             by_zone.setdefault(member.zone, []).append(member)
@@ -114,7 +119,7 @@
             for index in range(count):
                 self._add(f"{zone}/{index}", placed[index::count])
 
-    def _add(self, name: str, placed: list["_Placed"]) -> None:
+    def _add(self, name: str, placed: list[_Placed]) -> None:
         number = len(self.groups)
 
         def rank(member: _Placed) -> tuple[float, int]:
--- a/turnward/http1/client.py
+++ b/turnward/http1/client.py
@@ -100,6 +100,9 @@
 class _TimeLimit:
     """Gives a call up when its answer does not begin in time, or stops coming.
 
+    It looks once a limit is over whether bytes came in that time, so what stops is given up after
+    two of them at the latest.
+
     Parameters
     ----------
     reactor
