--- a/turnward/gateway/feeds.py
+++ b/turnward/gateway/feeds.py
@@ -144,7 +144,9 @@
     @property
     def spared(self) -> bool:
         """See ``FeedPaceBase.spared``."""
-        return not self._overlay.tells_others and self._state.unconfirmed_for_s() < _TOLD_LIFE_S
+        if self._overlay.tells_others or not self._overlay.is_told:
+            return False
+        return self._state.unconfirmed_for_s() < _TOLD_LIFE_S
 
 
 class TableFeed:
--- a/turnward/gateway/overlay.py
+++ b/turnward/gateway/overlay.py
@@ -187,6 +187,15 @@
         """Whether other routers learn from this one what is new."""
         return self.mesh or self._is_aggregator()
 
+    @property
+    def is_told(self) -> bool:
+        """Whether an aggregator has told this router of the others lately.
+
+        A router whose aggregators died with a change asks the store 1 s sooner than its old
+        knowledge would have it: 1.9 s until in force instead of 2.9 s, of 3.0 s allowed.
+        """
+        return bool(self._fresh(self._totals))
+
     # What was told.
 
     def hear_digest(self, digest: Digest) -> None:
--- a/turnward/gateway/tests/test_feeds.py
+++ b/turnward/gateway/tests/test_feeds.py
@@ -59,6 +59,7 @@
 
     mesh = False
     tells_others = False
+    is_told = True
 
 
 class Rig:
@@ -140,6 +141,16 @@
     assert rig.store.asked
 
 
+def test_a_feed_asks_when_nobody_tells_its_router_anything():
+    rig = Rig().start()
+    rig.state.confirm()
+    rig.run(0.3)
+    rig.store.asked.clear()
+    rig.overlay.is_told = False
+    rig.run(0.5)
+    assert rig.store.asked
+
+
 def test_a_feed_stops_while_it_asks_nothing():
     rig = Rig().start()
     rig.state.confirm()
