--- a/turnward/gateway/tests/test_feeds.py
+++ b/turnward/gateway/tests/test_feeds.py
@@ -87,6 +87,13 @@
         self.run(1.0)
         return self
 
+    def confirmed_by_others(self):
+        """Let others confirm what is known; the question under way comes to its end."""
+        self.state.confirm()
+        self.run(0.3)
+        self.store.asked.clear()
+        return self
+
     def run(self, for_s):
         for _ in range(round(for_s / STEP_S)):
             self.clock.advance(STEP_S)
@@ -119,10 +126,7 @@
 
 
 def test_a_feed_asks_nothing_while_others_confirm_what_is_known():
-    rig = Rig().start()
-    rig.state.confirm()
-    rig.run(0.3)
-    rig.store.asked.clear()
+    rig = Rig().start().confirmed_by_others()
     for _ in range(20):
         rig.state.confirm()
         rig.run(0.5)
@@ -132,30 +136,21 @@
 
 
 def test_a_feed_asks_when_its_router_becomes_one_that_others_learn_from():
-    rig = Rig().start()
-    rig.state.confirm()
-    rig.run(0.3)
-    rig.store.asked.clear()
+    rig = Rig().start().confirmed_by_others()
     rig.overlay.tells_others = True
     rig.run(0.5)
     assert rig.store.asked
 
 
 def test_a_feed_asks_when_nobody_tells_its_router_anything():
-    rig = Rig().start()
-    rig.state.confirm()
-    rig.run(0.3)
-    rig.store.asked.clear()
+    rig = Rig().start().confirmed_by_others()
     rig.overlay.is_told = False
     rig.run(0.5)
     assert rig.store.asked
 
 
 def test_a_feed_stops_while_it_asks_nothing():
-    rig = Rig().start()
-    rig.state.confirm()
-    rig.run(0.3)
+    rig = Rig().start().confirmed_by_others()
     rig.feed.stop()
-    rig.store.asked.clear()
     rig.run(5.0)
     assert not rig.store.asked
--- a/turnward/gateway/tests/test_holder_schedules.py
+++ b/turnward/gateway/tests/test_holder_schedules.py
@@ -6,7 +6,6 @@
 """
 
 import itertools
-import random
 
 import msgspec
 import pytest
@@ -16,7 +15,15 @@
 from turnward.gateway.holders import EveryRouterHolds
 from turnward.gateway.loans import LOANS_PATH, LoanAsk, LoanReturn
 from turnward.gateway.prepaid import BudgetAnswer, PrepaidAccounts
-from turnward.gateway.tests.test_prepaid import ACTIONS, LIMIT, MORE_ACTIONS, World
+from turnward.gateway.tests.test_prepaid import (
+    ACTIONS,
+    LIMIT,
+    MORE_ACTIONS,
+    World,
+    is_caught,
+    play,
+    random_schedule,
+)
 from turnward.http1 import NotSentError, UnansweredError
 from turnward.ledger import Reservation
 
@@ -171,31 +178,32 @@
         self._account(returned.workspace).borrowed_tokens += returned.tokens
 
 
-def play(schedule, accounts_type=PrepaidAccounts, client_type=HolderClient):
-    world_type = type("World", (HolderWorld,), {"client_type": client_type})
-    world = world_type(accounts_type)
-    for action in schedule:
-        world.step(action)
-    return world
+SCHEDULE_ACTIONS = [
+    *MORE_ACTIONS,
+    *CALLS,
+    *CALLS,
+    ("call", "done"),
+    ("spend", 1, 6),
+    ("spend", 1, 13),
+]
 
 
-def random_schedule(seed, length=90):
-    draw = random.Random(seed)
-    actions = [*MORE_ACTIONS, *CALLS, *CALLS, ("call", "done"), ("spend", 1, 6), ("spend", 1, 13)]
-    return [draw.choice(actions) for _ in range(length)]
+def play_seed(seed, accounts_type=PrepaidAccounts, client_type=HolderClient):
+    world_type = type("World", (HolderWorld,), {"client_type": client_type})
+    return play(random_schedule(seed, SCHEDULE_ACTIONS), accounts_type, world_type)
 
 
 def test_every_short_schedule_keeps_the_limit():
     actions = [*(action for action in ACTIONS if action[0] != "loan"), *CALLS]
     prefix = [("calm", 0, 0.5), ("spend", 0, 6), ("spend", 1, 6)]
     for schedule in itertools.product(actions, repeat=3):
-        play(prefix + list(schedule))
+        play(prefix + list(schedule), world_type=HolderWorld)
 
 
 def test_random_schedules_keep_the_limit():
     spent = 0
     for seed in range(300):
-        spent += play(random_schedule(seed)).spent
+        spent += play_seed(seed).spent
     assert spent > 300 * LIMIT / 8
 
 
@@ -211,16 +219,9 @@
     ],
 )
 def test_random_schedules_catch_a_broken_variant(broken):
-    def fails(seed):
-        is_client = issubclass(broken, HolderClient)
-        variant = {"client_type": broken} if is_client else {"accounts_type": broken}
-        try:
-            play(random_schedule(seed), **variant)
-        except AssertionError:
-            return True
-        return False
-
-    assert any(fails(seed) for seed in range(2_000))
+    is_client = issubclass(broken, HolderClient)
+    variant = {"client_type": broken} if is_client else {"accounts_type": broken}
+    assert is_caught(lambda seed: play_seed(seed, **variant), seeds=2_000)
 
 
 def test_request_without_a_holder_that_answers_waits_for_the_store():
--- a/turnward/gateway/tests/test_prepaid.py
+++ b/turnward/gateway/tests/test_prepaid.py
@@ -398,16 +398,29 @@
         return self.ledger.committed_tokens(workspace) - 2 * borrowed
 
 
-def play(schedule, accounts_type=PrepaidAccounts):
-    world = World(accounts_type)
+def play(schedule, accounts_type=PrepaidAccounts, world_type=World):
+    world = world_type(accounts_type)
     for action in schedule:
         world.step(action)
     return world
 
 
-def random_schedule(seed, length=90):
+def random_schedule(seed, actions=MORE_ACTIONS, length=90):
     draw = random.Random(seed)
-    return [draw.choice(MORE_ACTIONS) for _ in range(length)]
+    return [draw.choice(actions) for _ in range(length)]
+
+
+def is_caught(play_seed, seeds):
+    """Tell whether the checks fail on one of the first seeds; a broken variant has to be caught."""
+
+    def fails(seed):
+        try:
+            play_seed(seed)
+        except AssertionError:
+            return True
+        return False
+
+    return any(fails(seed) for seed in range(seeds))
 
 
 def test_every_short_schedule_keeps_the_limit():
@@ -438,14 +451,7 @@
     ],
 )
 def test_random_schedules_catch_a_broken_account(broken):
-    def fails(seed):
-        try:
-            play(random_schedule(seed), broken)
-        except AssertionError:
-            return True
-        return False
-
-    assert any(fails(seed) for seed in range(3_000))
+    assert is_caught(lambda seed: play(random_schedule(seed), broken), seeds=3_000)
 
 
 def test_successor_gives_back_what_the_dead_router_cannot_have_spent():
