--- a/turnward/gateway/feeds.py
+++ b/turnward/gateway/feeds.py
@@ -157,7 +157,7 @@
 
     @property
     def reads_anew(self) -> bool:
-        """See ``FeedPaceBase.reads_anew``; the others get what has changed, if anything, from these."""
+        """See ``FeedPaceBase.reads_anew``; the others get copies of what has changed."""
         return self._overlay.tells_others and not self._overlay.mesh
 
 
