--- a/turnward/standins/network.py
+++ b/turnward/standins/network.py
@@ -6,6 +6,7 @@
 about a failure at a chosen moment and no socket, port or real time is used.
 """
 
+from abc import ABC, abstractmethod
 from bisect import insort
 from collections import deque
 
@@ -103,31 +104,37 @@
         return condition()
 
 
-class _Link:
-    """One direction of a machine's link: what it carries goes through one after another."""
+class _LinkBase(ABC):
+    """One direction of a machine's link."""
+
+    def __init__(self):
+        self.carried_bytes = 0
+
+    @abstractmethod
+    def carry(self, size_bytes: int, arrived, *args) -> None:
+        """Call ``arrived`` once as many bytes are through."""
+
+
+class _NarrowLink(_LinkBase):
+    """A link of a width: what it carries goes through one after another."""
 
     def __init__(self, clock, mbit_per_s: float):
+        super().__init__()
         self._clock = clock
         self._bytes_per_s = mbit_per_s * 1e6 / 8
         self._free_s = 0.0
-        self.carried_bytes = 0
 
-    def carry(self, size_bytes: int, arrived, *args) -> None:
-        """Call ``arrived`` once as many bytes are through."""
+    def carry(self, size_bytes, arrived, *args):
         now_s = self._clock.seconds()
         self._free_s = max(now_s, self._free_s) + size_bytes / self._bytes_per_s
         self.carried_bytes += size_bytes
         self._clock.callLater(self._free_s - now_s, arrived, *args)
 
 
-class _OpenLink(_Link):
+class _OpenLink(_LinkBase):
     """A link on which nothing takes time."""
 
-    def __init__(self):
-        self.carried_bytes = 0
-
-    def carry(self, size_bytes: int, arrived, *args) -> None:
-        """Call ``arrived`` now."""
+    def carry(self, size_bytes, arrived, *args):
         self.carried_bytes += size_bytes
         arrived(*args)
 
@@ -137,7 +144,7 @@
 
     Attributes
     ----------
-    up, down : _Link
+    up, down : _LinkBase
         What leaves the machine, and what reaches it.
     """
 
@@ -145,8 +152,8 @@
         self._network = network
         clock = network.clock
         self.narrow = link_mbit_per_s is not None
-        self.up = _Link(clock, link_mbit_per_s) if self.narrow else _OpenLink()
-        self.down = _Link(clock, link_mbit_per_s) if self.narrow else _OpenLink()
+        self.up = _NarrowLink(clock, link_mbit_per_s) if self.narrow else _OpenLink()
+        self.down = _NarrowLink(clock, link_mbit_per_s) if self.narrow else _OpenLink()
         self._calls: list = []
         self._frozen: list | None = None
         self.host = host
