Reading the change again: one name for an aggregator's pace, one way to spend late answers in schedules

ToldPace asked twice whether its router has members; the schedules of holders repeated how an answer that comes late is spent; the doc of a sum did not tell what members are told.

--- a/turnward/gateway/feeds.py
+++ b/turnward/gateway/feeds.py
@@ -145,8 +145,7 @@
 
     def wait_s(self, usual_s: float) -> float:
         """See ``FeedPaceBase.wait_s``; only an answer confirms what is known, also to others."""
-        told = self._overlay.tells_others and not self._overlay.mesh
-        return min(usual_s, _TELLING_WAIT_S) if told else usual_s
+        return min(usual_s, _TELLING_WAIT_S) if self._has_members else usual_s
 
     @property
     def spared(self) -> bool:
@@ -158,6 +157,11 @@
     @property
     def reads_anew(self) -> bool:
         """See ``FeedPaceBase.reads_anew``; the others get copies of what has changed."""
+        return self._has_members
+
+    @property
+    def _has_members(self) -> bool:
+        """Whether this router is an aggregator, and not one of a fleet where all tell all."""
         return self._overlay.tells_others and not self._overlay.mesh
 
 
--- a/turnward/gateway/overlay.py
+++ b/turnward/gateway/overlay.py
@@ -59,12 +59,13 @@
     routers : int
         How many routers the sum is over.
     configuration_version, configuration_from : int, str
-        The newest configuration among them, and the address of a router that has it.
+        The newest configuration among them, and the address of a router that has it; in a sum
+        for members, what the aggregator has itself.
     confirmed_age_s : float
         How long ago the store said that this configuration is the newest; below 0 when
         it never did.
     endpoints_version, endpoints_from : int, str
-        The newest view of the endpoints among them, and who has it.
+        The newest view of the endpoints among them, and who has it; as for the configuration.
     """
 
     layout: int
--- a/turnward/gateway/tests/test_holder_schedules.py
+++ b/turnward/gateway/tests/test_holder_schedules.py
@@ -105,10 +105,7 @@
     def spend(self, index, tokens):
         # Half of it is used: the rest is handed back.
         answer = self.routers[index].reserve("acme", tokens, 0, 2)
-        if isinstance(answer, defer.Deferred):
-            answer.addCallback(lambda late: self._spent(index, late))
-        else:
-            self._spent(index, answer)
+        self._spend_when_answered(index, answer)
 
     def _spent(self, index, answer):
         if isinstance(answer, Reservation):
--- a/turnward/gateway/tests/test_prepaid.py
+++ b/turnward/gateway/tests/test_prepaid.py
@@ -214,6 +214,9 @@
 
     def spend(self, index, tokens):
         answer = self.routers[index].reserve("acme", tokens)
+        self._spend_when_answered(index, answer)
+
+    def _spend_when_answered(self, index, answer):
         if isinstance(answer, defer.Deferred):
             answer.addCallback(lambda late: self._spent(index, late))
         else:
