Cold endpoints get what they bear, drained zones nothing

Cause: the time that an endpoint stays cold and the rate that a pool's cold endpoints bear were dropped at the boundary, and of the operators' rows only the configuration was followed.

Cold endpoints: the rate is dealt out by rendezvous hashing over all members, heard or not: as many routers as the endpoint bears requests a second send it one a second each. An endpoint counts as cold from when its id first shows, whatever its entry says, when the entry says so again, and when its zone's order is taken back.

Drained zones: each order is known with the store's version at which it was given or taken back; the newer of two words wins. All of them, a few bytes, stand in digests, sums and copies of the configuration, so no fetch is needed. A router is not complete before it knows the orders.

--- a/turnward/gateway/__init__.py
+++ b/turnward/gateway/__init__.py
@@ -9,6 +9,7 @@
     Repeat,
     Route,
     RouteTable,
+    WarmUpTraits,
     WeightedPool,
     Workspace,
 )
@@ -21,6 +22,7 @@
 from turnward.gateway.settings import GatewaySettings, load_gateway_settings
 from turnward.gateway.sources import ConfigurationListener, EndpointsListener
 from turnward.gateway.state import EndpointsSnapshot, FleetState
+from turnward.gateway.zone_orders import ZoneOrder, ZoneOrders
 
 __all__ = [
     "BoundedLineWriter",
@@ -43,8 +45,11 @@
     "RouteTable",
     "SourcesBase",
     "TableFeed",
+    "WarmUpTraits",
     "WeightedPool",
     "Workspace",
+    "ZoneOrder",
+    "ZoneOrders",
     "load_gateway_settings",
     "new_incarnation",
     "serve_gateway",
--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -15,9 +15,10 @@
 
 import msgspec
 
-from turnward.gateway.configuration import EndpointEntry, EngineTraits
+from turnward.gateway.configuration import EndpointEntry, EngineTraits, WarmUpTraits
 from turnward.gateway.pace import EventPace, ObservedPace, PaceClass, next_class, usual_pace
 from turnward.gateway.peer_book import EndpointLoad
+from turnward.gateway.warm_up import WarmUp, WarmUpShares
 from turnward.hashing import rendezvous_weight
 
 __all__ = [
@@ -60,6 +61,9 @@
 _REST_LIMIT_S = 4.0
 #: Failures in a row that make an endpoint rest, where single ones may be the request's fault.
 _FAILURES_TO_REST = 2
+#: Endpoints without an entry that are remembered, so that one whose entry only lapsed is as warm as
+#: it was when it is back: ten times the 45 to 90 of today's pools.
+_LEFT_LIMIT = 1_000
 
 
 class ChoiceRule(msgspec.Struct, frozen=True):
@@ -159,6 +163,8 @@
         How fast it is beside the others of its pool.
     lost : bool
         It failed and has not answered since.
+    warm_up : WarmUp
+        Whether it is cold.
     """
 
     __slots__ = (
@@ -173,9 +179,10 @@
         "prefill_tokens",
         "rest_until_s",
         "trial",
+        "warm_up",
     )
 
-    def __init__(self, entry: EndpointEntry, pool):
+    def __init__(self, entry: EndpointEntry, pool, warm_up: WarmUp):
         self.entry = entry
         self.pool = pool
         self.in_flight = 0
@@ -184,6 +191,7 @@
         self.rest_until_s = 0.0
         self.lost = False
         self.trial = False
+        self.warm_up = warm_up
         self.pace = EventPace()
         self.pace_class = PaceClass.USUAL
         self._parts: OrderedDict[int, float] = OrderedDict()
@@ -271,6 +279,10 @@
         Breaks ties.
     rule : ChoiceRule, optional
         What the choice takes into account.
+    warm_up_of : callable, optional
+        Returns how endpoints of a pool start, None where that makes no difference.
+    shares : WarmUpShares, optional
+        Deals out what cold endpoints bear; needed with ``warm_up_of``.
     """
 
     def __init__(
@@ -281,6 +293,8 @@
         peer_loads,
         draw: random.Random,
         rule: ChoiceRule | None = None,
+        warm_up_of: Callable[[str], WarmUpTraits | None] = lambda pool: None,
+        shares: WarmUpShares | None = None,
     ):
         self._rule = rule or ChoiceRule()
         self._draw = draw
@@ -291,6 +305,11 @@
         self._records: dict[str, EndpointRecord] = {}
         self._by_pool: dict[str, list[EndpointRecord]] = {}
         self._classified_s: dict[str, float] = {}
+        self._warm_up_of = warm_up_of
+        self._shares = shares
+        self._drained: frozenset[str] = frozenset()
+        self._entries_known = False
+        self._left: OrderedDict[str, WarmUp] = OrderedDict()
         #: Called with record, its pace and the usual one when a pace class has changed.
         self.on_pace_class: Callable[[EndpointRecord, ObservedPace, ObservedPace], None]
         self.on_pace_class = _told_nobody
@@ -300,17 +319,51 @@
         for endpoint_id, record in list(self._records.items()):
             entry = entries.get(endpoint_id)
             if entry is None or entry.address != record.entry.address:
-                record.pool.close()
-                del self._records[endpoint_id]
+                self._forget(record)
             else:
+                if entry.cold_left_s != record.entry.cold_left_s:
+                    record.warm_up.note_cold(entry.cold_left_s)
                 record.entry = entry
         for endpoint_id, entry in entries.items():
             if endpoint_id not in self._records:
-                self._records[endpoint_id] = EndpointRecord(entry, self._make_pool(entry.address))
+                self._add(entry)
+        self._entries_known = True
         self._by_pool = {}
         for record in self._records.values():
             self._by_pool.setdefault(record.entry.pool, []).append(record)
 
+    def _forget(self, record: EndpointRecord) -> None:
+        record.pool.close()
+        del self._records[record.endpoint_id]
+        self._left[record.endpoint_id] = record.warm_up
+        while len(self._left) > _LEFT_LIMIT:
+            self._left.popitem(last=False)
+
+    def _add(self, entry: EndpointEntry) -> None:
+        warm_up = self._left.pop(entry.endpoint_id, None)
+        if warm_up is None:
+            warm_up = WarmUp(self._clock)
+            if self._entries_known:
+                # It has just started, whether or not its entry says that it is cold.
+                warm_up.note_cold(self._cold_s(entry.pool))
+        warm_up.note_cold(entry.cold_left_s)
+        self._records[entry.endpoint_id] = EndpointRecord(
+            entry, self._make_pool(entry.address), warm_up
+        )
+
+    def _cold_s(self, pool: str) -> float:
+        """Return how long an endpoint of a pool is cold after a start."""
+        traits = self._warm_up_of(pool)
+        return traits.cold_s if traits is not None else 0.0
+
+    def set_drained_zones(self, zones: frozenset[str]) -> None:
+        """Send nothing new to these zones; endpoints of those taken back may be cold."""
+        for record in self._records.values():
+            zone = record.entry.zone
+            if zone in self._drained and zone not in zones:
+                record.warm_up.note_cold(self._cold_s(record.entry.pool))
+        self._drained = zones
+
     def all(self) -> list[EndpointRecord]:
         """Return every endpoint's record."""
         return list(self._records.values())
@@ -329,11 +382,43 @@
         return bool(self._candidates(pool, without))
 
     def _candidates(self, pool: str, without: set[str]) -> list[EndpointRecord]:
-        return [
+        found = [
             record
             for record in self._by_pool.get(pool, ())
-            if not record.entry.leaving and record.endpoint_id not in without
+            if not record.entry.leaving
+            and record.endpoint_id not in without
+            and record.entry.zone not in self._drained
         ]
+        traits = self._warm_up_of(pool)
+        if traits is None:
+            return found
+        return [record for record in found if self._is_warm_enough(record, traits)]
+
+    def _is_warm_enough(self, record: EndpointRecord, traits: WarmUpTraits) -> bool:
+        """Tell whether an endpoint that may be cold bears a request of this router now."""
+        if record.warm_up.settled(self._shares.members):
+            return True
+        allowance = self._shares.allowance(record.endpoint_id, traits.requests_per_s)
+        return record.warm_up.permits(allowance)
+
+    def cold_ids(self) -> list[str]:
+        """Return the ids of endpoints that are cold."""
+        return [
+            endpoint_id
+            for endpoint_id, record in self._records.items()
+            if record.warm_up.cold_for_s > 0
+        ]
+
+    def cold_for_s(self, pool: str) -> float:
+        """Return when the first endpoint of a pool that takes work is warm; 0 if one is."""
+        return min(
+            (
+                record.warm_up.cold_for_s
+                for record in self._by_pool.get(pool, ())
+                if not record.entry.leaving and record.entry.zone not in self._drained
+            ),
+            default=0.0,
+        )
 
     def choose(
         self,
@@ -361,6 +446,7 @@
             costs = self._engine_costs(pool, prompt, candidates, loads, now_s, pause_target_s)
         cost_ms, record = min(costs, key=lambda cost: cost[0] + self._draw.random() * _TIE_MS)
         kept = record.kept_tokens(prompt, now_s)
+        record.warm_up.note_sent()
         return EndpointChoice(record, round(cost_ms, 1), len(candidates), kept)
 
     def _engine_costs(self, pool, prompt: Prompt, candidates, loads, now_s, pause_target_s):
--- a/turnward/gateway/configuration.py
+++ b/turnward/gateway/configuration.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from turnward.gateway.zone_orders import ZoneOrder
 from turnward.http1 import InboundLimits
 
 __all__ = [
@@ -16,6 +17,7 @@
     "Repeat",
     "Route",
     "RouteTable",
+    "WarmUpTraits",
     "WeightedPool",
     "Workspace",
 ]
@@ -99,12 +101,37 @@
     event_tokens: int = 1
 
 
+class WarmUpTraits(msgspec.Struct, frozen=True, kw_only=True):
+    """How endpoints of a pool start.
+
+    Attributes
+    ----------
+    cold_s : float
+        How long an endpoint is cold after a start.
+    requests_per_s : float
+        Requests that a cold endpoint bears, from all routers together; well above that it
+        falls over.
+    """
+
+    cold_s: float = 0.0
+    requests_per_s: float = 0.0
+
+
 class EndpointPool(msgspec.Struct, frozen=True, kw_only=True):
-    """A pool of endpoints; ``engine`` is None for a plain service."""
+    """A pool of endpoints.
+
+    Attributes
+    ----------
+    engine : EngineTraits or None
+        None for a plain service.
+    warm_up : WarmUpTraits or None
+        None where a cold endpoint bears as much as any other.
+    """
 
     name: str
     connection_limit: int = 1_000
     engine: EngineTraits | None = None
+    warm_up: WarmUpTraits | None = None
 
 
 class Workspace(msgspec.Struct, frozen=True, kw_only=True):
@@ -134,14 +161,23 @@
     ----------
     row_version : int
         The store's version of the row that it came in: a feed can go on from there.
+    zone_orders : tuple of ZoneOrder
+        All orders up to that version: a feed that goes on from there brings no older ones.
     """
 
     configuration: Configuration
     row_version: int = 0
+    zone_orders: tuple[ZoneOrder, ...] = ()
 
 
 class EndpointEntry(msgspec.Struct, frozen=True, kw_only=True):
-    """An endpoint as it announced itself; a new start has a new ``endpoint_id``."""
+    """An endpoint as it announced itself; a new start has a new ``endpoint_id``.
+
+    Attributes
+    ----------
+    cold_left_s : float
+        How long it stays cold from when it said so.
+    """
 
     endpoint_id: str
     pool: str
@@ -149,6 +185,7 @@
     zone: str = ""
     slots: int = 1
     leaving: bool = False
+    cold_left_s: float = 0.0
 
 
 def _pause_targets_s(routes: tuple[Route, ...]) -> dict[str, float]:
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -316,7 +316,8 @@
             routes.pause_targets_s.get(self._pool),
         )
         if choice is None:
-            self._give_up(Reason.NO_ENDPOINT)
+            cold = forwarder.endpoints.cold_for_s(self._pool) > 0
+            self._give_up(Reason.ENDPOINTS_COLD if cold else Reason.NO_ENDPOINT)
             return
         record = choice.record
         self._tried.add(record.endpoint_id)
@@ -592,11 +593,19 @@
         """Answer a request that has not run and will not."""
         headers = []
         if status in PROMISES_NOT_RUN:
-            retry_s = self._forwarder.rules.retry_after_s
-            headers.append((b"retry-after", b"%g" % retry_s))
+            headers.append((b"retry-after", b"%g" % self._retry_after_s(reason)))
         self._answer_problem(status, reason, headers)
         self._end(Outcome.REFUSED, status, reason=reason, used_tokens=0)
 
+    def _retry_after_s(self, reason: Reason) -> float:
+        """Return when another try may be served."""
+        rules = self._forwarder.rules
+        if reason is not Reason.ENDPOINTS_COLD:
+            return rules.retry_after_s
+        # All are cold here; spread, or all callers would come when the first is warm.
+        cold_s = self._forwarder.endpoints.cold_for_s(self._pool)
+        return round(max(rules.retry_after_s, cold_s * self._forwarder.draw.uniform(0.5, 1.5)), 2)
+
     def _fail(self, status: int, reason: Reason) -> None:
         """Answer a request that may have run."""
         self._answer_problem(status, reason, [])
--- a/turnward/gateway/home.py
+++ b/turnward/gateway/home.py
@@ -43,6 +43,7 @@
 CONFIGURATION_TABLE = "configuration"
 ENDPOINTS_TABLE = "endpoints"
 CONFIGURATION_KEY = "all"
+ZONE_ORDER_PREFIX = "drained/"
 #: Seconds between two looks for changes.
 _POLL_S = 0.5
 _CONFIGURATION_WAIT_S = 2.0
@@ -139,7 +140,9 @@
 
     def feeds(self, state):
         """See ``SourcesBase.feeds``."""
-        configuration = ConfigurationListener(state, CONFIGURATION_KEY, _decode_configuration)
+        configuration = ConfigurationListener(
+            state, CONFIGURATION_KEY, ZONE_ORDER_PREFIX, _decode_configuration
+        )
         endpoints = EndpointsListener(state, _decode_endpoint)
         return [
             (CONFIGURATION_TABLE, _CONFIGURATION_WAIT_S, configuration),
--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -39,6 +39,9 @@
         self.unconfirmed_seconds = self._gauge(
             "configuration_unconfirmed_seconds", "Since the configuration was known newest."
         )
+        self.zones_drained = self._gauge(
+            "zones_drained", "Availability zones that get no new work by order."
+        )
         self.requests = self._counter("requests", "Requests ended.", ["pool", "outcome"])
         self.attempts_failed = self._counter(
             "attempts_failed", "Sends that brought no answer to pass on.", ["pool", "how"]
--- a/turnward/gateway/outcomes.py
+++ b/turnward/gateway/outcomes.py
@@ -34,6 +34,7 @@
     BUDGET_UNREACHABLE = "budget_unreachable"
     NO_ENDPOINT = "no_endpoint"
     ENDPOINTS_FULL = "endpoints_full"
+    ENDPOINTS_COLD = "endpoints_cold"
     TIME_LIMIT = "time_limit"
     ENDPOINT_LOST = "endpoint_lost"
     BAD_ANSWER = "bad_answer"
--- a/turnward/gateway/overlay.py
+++ b/turnward/gateway/overlay.py
@@ -23,6 +23,7 @@
     PeerBook,
     sum_loads,
 )
+from turnward.gateway.zone_orders import ZoneOrder
 from turnward.hashing import rendezvous_weight
 
 __all__ = ["ALL_GROUPS", "MESH_LIMIT", "FleetSummary", "Overlay"]
@@ -66,6 +67,8 @@
         it never did.
     endpoints_version, endpoints_from : int, str
         The newest view of the endpoints among them, and who has it; as for the configuration.
+    zone_orders : tuple of ZoneOrder or None
+        Which zones operators want drained, as the aggregator knows; None when it does not.
     """
 
     layout: int
@@ -78,6 +81,7 @@
     endpoints_version: int
     endpoints_from: str
     loads: tuple[EndpointLoad, ...] = ()
+    zone_orders: tuple[ZoneOrder, ...] | None = None
 
 
 class _Placed(msgspec.Struct, frozen=True, order=True):
@@ -176,6 +180,7 @@
         self._asked_since_s: dict[str, float] = {}
         self._silent_until_s: dict[str, float] = {}
         self._own_loads: tuple[EndpointLoad, ...] = ()
+        self._own_zone_orders: tuple[ZoneOrder, ...] | None = None
         self._period = 0
 
     @property
@@ -247,6 +252,7 @@
             return [(address, own) for address in self._book.addresses]
         self._regroup()
         self._own_loads = own.loads
+        self._own_zone_orders = own.zone_orders
         self._period += 1
         self._members[own.address] = _Heard(own, self._clock())
         messages: list[tuple[str, Digest | FleetSummary]] = [
@@ -400,6 +406,7 @@
             endpoints.endpoints_version,
             endpoints.address,
             sum_loads(digest.loads for digest in digests),
+            self._own_zone_orders,
         )
 
     def _total(self) -> FleetSummary:
@@ -425,6 +432,7 @@
             endpoints.endpoints_version,
             endpoints.endpoints_from,
             _largest(sum_loads(one.loads for one in sums)),
+            self._own_zone_orders,
         )
 
 
--- a/turnward/gateway/packing.py
+++ b/turnward/gateway/packing.py
@@ -2,6 +2,7 @@
 """State in few bytes, as routers pass it on to each other."""
 
 import zlib
+from collections.abc import Hashable
 from typing import TypeVar
 
 import msgspec
@@ -49,10 +50,10 @@
     __slots__ = ("_packed", "_version")
 
     def __init__(self):
-        self._version = 0
+        self._version: Hashable | None = None
         self._packed = b""
 
-    def get(self, version: int, state: msgspec.Struct) -> bytes:
+    def get(self, version: Hashable, state: msgspec.Struct) -> bytes:
         """Return the state packed; packed again only when the version is another."""
         if self._version != version:
             self._packed = pack(state)
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from turnward.gateway.loans import Spare
+from turnward.gateway.zone_orders import ZoneOrder
 
 __all__ = ["DIGEST_LAYOUT", "Digest", "EndpointLoad", "Peer", "PeerBook", "sum_loads"]
 
@@ -14,7 +15,7 @@
 #: Seconds after which a silent peer is no longer taken for live.
 _LIFE_S = 2.5
 #: Version of the digest's layout.
-DIGEST_LAYOUT = 4
+DIGEST_LAYOUT = 5
 
 
 class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -81,6 +82,8 @@
         What it can lend; told only while some router is short.
     link_mbit_per_s : float
         Width of its machine's link; 0 when its settings do not tell.
+    zone_orders : tuple of ZoneOrder or None
+        Which zones operators want drained; None when it does not know.
     """
 
     layout: int
@@ -96,6 +99,7 @@
     short: bool = False
     spare: tuple[Spare, ...] = ()
     link_mbit_per_s: float = 0.0
+    zone_orders: tuple[ZoneOrder, ...] | None = None
 
 
 class Peer:
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -162,6 +162,7 @@
             stopping=self.stopping,
             short=self._accounts.short,
             spare=tuple(self._accounts.spare()[:_SPARE_LIMIT]) if self._some_short() else (),
+            zone_orders=self._state.told_orders(),
         )
 
     def _some_short(self) -> bool:
@@ -170,6 +171,8 @@
 
     def hear(self, message: Digest | FleetSummary) -> None:
         """Take in what a peer tells, and fetch what it, or another, knows better."""
+        if message.address != self._book.own_address:
+            self._state.adopt_told_orders(message.zone_orders, f"peer {message.address}")
         if isinstance(message, Digest):
             self._hear_digest(message)
         elif message.address != self._book.own_address:
@@ -262,6 +265,8 @@
 
     def _adopt_configuration(self, body: bytes, address: str) -> None:
         copy = unpack(body, ConfigurationCopy)
+        # Orders first: with the configuration a router begins to serve.
+        self._state.adopt_told_orders(copy.zone_orders, f"peer {address}")
         self._state.adopt_configuration(copy.configuration, f"peer {address}", copy.row_version)
 
     def _adopt_endpoints(self, body: bytes, address: str) -> None:
@@ -270,12 +275,14 @@
 
     def serve(self, request: InboundRequest) -> None:
         """Answer a peer's question for state."""
-        if request.target == CONFIGURATION_PATH and self._state.routes is not None:
-            state = self._state
-            copy = ConfigurationCopy(state.routes.configuration, state.row_version)
-            request.answer(200, [], self._configuration.get(state.configuration_version, copy))
-        elif request.target == ENDPOINTS_PATH and self._state.endpoints_version:
-            snapshot = self._state.snapshot()
+        state = self._state
+        orders = state.told_orders()
+        if request.target == CONFIGURATION_PATH and state.routes and orders is not None:
+            copy = ConfigurationCopy(state.routes.configuration, state.row_version, orders)
+            packed = self._configuration.get((state.configuration_version, orders), copy)
+            request.answer(200, [], packed)
+        elif request.target == ENDPOINTS_PATH and state.endpoints_version:
+            snapshot = state.snapshot()
             request.answer(200, [], self._endpoints.get(snapshot.version, snapshot))
         elif request.target == LOANS_PATH:
             _take_body(request, LoanAsk, self._lend)
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -10,6 +10,7 @@
 from twisted.internet import defer, task
 
 from turnward.gateway.choice import ChoiceRule, EndpointBook, EndpointRecord
+from turnward.gateway.configuration import WarmUpTraits
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.end_reserve import EndReserveRule
 from turnward.gateway.feeds import FeedListenerBase, FeedPaceBase, FleetPace, TableFeed, ToldPace
@@ -29,6 +30,7 @@
 from turnward.gateway.settings import GatewaySettings
 from turnward.gateway.sources import MembersListener
 from turnward.gateway.state import FleetState
+from turnward.gateway.warm_up import WarmUpShares
 from turnward.http1 import InboundFactory, InboundLimits, InboundRequest, OutboundPool
 from turnward.ledger import SizingRule
 from turnward.rows import (
@@ -166,6 +168,8 @@
             lambda: self.peers.overlay.loads(),
             self._draw,
             _choice_rule(settings.mechanisms),
+            self._warm_up_of,
+            WarmUpShares(self.book),
         )
         self.endpoints.on_pace_class = self._note_pace_class
         self.holders = RankedHolders(self.book, reactor.seconds, settings.budget_holders)
@@ -256,6 +260,11 @@
         host, _, port = address.rpartition(":")
         return OutboundPool(self._reactor, (host, int(port)), _CONNECT_TIMEOUT_S, self._note_fault)
 
+    def _warm_up_of(self, pool: str) -> WarmUpTraits | None:
+        routes = self.state.routes
+        known = routes.pools.get(pool) if routes is not None else None
+        return known.warm_up if known is not None else None
+
     def _make_forwarder(self) -> Forwarder:
         settings = self._settings
         repeats = RepeatRule(settings.repeat_ratio, settings.repeat_window_s, settings.repeat_slack)
@@ -376,6 +385,7 @@
         metrics.peers_live.set(self.peers.overlay.live_routers - 1)
         metrics.configuration_version.set(self.state.configuration_version)
         metrics.unconfirmed_seconds.set(min(1e6, self.state.unconfirmed_for_s()))
+        metrics.zones_drained.set(len(self.state.zone_orders.drained))
         request.answer(200, [(b"content-type", metrics.content_type)], metrics.text())
 
     def _note_fault(self, failure: Exception) -> None:
@@ -406,25 +416,47 @@
         self._log.failure("row.unreadable", table=key.table, key=key.key, cause=str(cause))
 
     def _state_changed(self, what: str, source: str) -> None:
-        if what == "configuration":
-            configuration = self.state.routes.configuration
-            self.callers.limits = configuration.limits
-            self.accounts.set_limits(self.state.routes.workspaces, configuration.version)
-            self._log.event(
-                "configuration.adopted",
-                version=configuration.version,
-                source=source,
-                routes=len(configuration.routes),
-                workspaces=len(configuration.workspaces),
-            )
-            return
+        take_in = {
+            "configuration": self._configuration_changed,
+            "endpoints": self._endpoints_changed,
+            "zone_orders": self._zone_orders_changed,
+        }
+        take_in[what](source)
+
+    def _configuration_changed(self, source: str) -> None:
+        configuration = self.state.routes.configuration
+        self.callers.limits = configuration.limits
+        self.accounts.set_limits(self.state.routes.workspaces, configuration.version)
+        self._log.event(
+            "configuration.adopted",
+            version=configuration.version,
+            source=source,
+            routes=len(configuration.routes),
+            workspaces=len(configuration.workspaces),
+        )
+
+    def _endpoints_changed(self, source: str) -> None:
         self.endpoints.set_entries(self.state.endpoints)
+        entries = self.state.endpoints.values()
         self._log.event(
             "endpoints.adopted",
             version=self.state.endpoints_version,
             source=source,
-            endpoints=len(self.state.endpoints),
-            leaving=[entry.endpoint_id for entry in self.state.endpoints.values() if entry.leaving],
+            endpoints=len(entries),
+            leaving=[entry.endpoint_id for entry in entries if entry.leaving],
+            cold=self.endpoints.cold_ids(),
+        )
+
+    def _zone_orders_changed(self, source: str) -> None:
+        drained = self.state.zone_orders.drained
+        self.endpoints.set_drained_zones(drained)
+        endpoints = [entry for entry in self.state.endpoints.values() if entry.zone in drained]
+        self._log.event(
+            "zones.drained",
+            zones=sorted(drained),
+            source=source,
+            endpoints=len(endpoints),
+            orders=[msgspec.to_builtins(order) for order in self.state.zone_orders.all()],
         )
 
     def _keep_house(self) -> None:
@@ -443,6 +475,7 @@
             members=self.book.most_live,
             live=overlay.live_routers,
             tells_others=overlay.tells_others,
+            drained=sorted(self.state.zone_orders.drained),
         )
 
     # Reload and stop.
--- a/turnward/gateway/sources.py
+++ b/turnward/gateway/sources.py
@@ -10,6 +10,7 @@
 from turnward.gateway.members import decode_member
 from turnward.gateway.peer_book import PeerBook
 from turnward.gateway.state import EndpointsSnapshot, FleetState
+from turnward.gateway.zone_orders import ZoneOrder
 from turnward.rows import RowKey, StoredRow, TableChanges
 
 __all__ = ["ConfigurationListener", "EndpointsListener", "MembersListener"]
@@ -18,21 +19,30 @@
 
 
 class ConfigurationListener(FeedListenerBase):
-    """Follows the row that holds the configuration.
+    """Follows the row that holds the configuration, and those that order zones to be drained.
 
     Parameters
     ----------
     state : FleetState
-        Told of each version.
+        Told of each version and order.
     key : str
-        The row's key; other rows are passed over.
+        The configuration's key.
+    zone_order_prefix : str
+        Begins the key of an order; the zone's name follows. Rows of other keys are passed over.
     decode : callable
         Returns the configuration in a row's value; raises ``DecodeError`` or ``ValueError``.
     """
 
-    def __init__(self, state: FleetState, key: str, decode: Callable[[bytes], Configuration]):
+    def __init__(
+        self,
+        state: FleetState,
+        key: str,
+        zone_order_prefix: str,
+        decode: Callable[[bytes], Configuration],
+    ):
         self._state = state
         self._key = key
+        self._zone_order_prefix = zone_order_prefix
         self._decode = decode
         self._version = 0
 
@@ -42,11 +52,31 @@
         return max(self._version, self._state.row_version)
 
     def table_read(self, table: TableChanges) -> None:
-        """See ``FeedListenerBase.table_read``."""
-        self.rows_changed(table)
+        """See ``FeedListenerBase.table_read``; orders that are not there have ended."""
+        # Before the configuration, with which a router begins to serve.
+        self._state.adopt_standing_orders(self._orders_in(table), table.version, "store")
+        self._adopt_configuration(table)
 
     def rows_changed(self, changes: TableChanges) -> None:
         """See ``FeedListenerBase.rows_changed``."""
+        self._state.adopt_zone_orders(self._orders_in(changes), "store")
+        self._adopt_configuration(changes)
+
+    def _orders_in(self, changes: TableChanges) -> list[ZoneOrder]:
+        """Return the last word on each zone; a row is an order whatever its value says."""
+        orders: dict[str, ZoneOrder] = {}
+        for row in changes.rows:
+            prefix, zone = self._zone_order_prefix, row.key.key
+            if not zone.startswith(prefix):
+                continue
+            zone = zone[len(prefix) :]
+            if not zone:
+                self._state.note_unreadable(row.key, ValueError("an order names no zone"))
+                continue
+            orders[zone] = ZoneOrder(zone, row.version or changes.version, not row.gone)
+        return list(orders.values())
+
+    def _adopt_configuration(self, changes: TableChanges) -> None:
         self._version = max(self._version, changes.version)
         for row in changes.rows:
             if row.key.key != self._key or row.gone:
--- a/turnward/gateway/state.py
+++ b/turnward/gateway/state.py
@@ -1,11 +1,12 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """What a process believes of configuration and endpoints; neither ever goes back."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
 from turnward.gateway.configuration import Configuration, EndpointEntry, RouteTable
+from turnward.gateway.zone_orders import ZoneOrder, ZoneOrders
 from turnward.rows import RowKey
 
 __all__ = ["EndpointsSnapshot", "FleetState"]
@@ -35,6 +36,10 @@
         The store's version of the row that the configuration came in; 0 until known.
     confirmed_s : float or None
         When the configuration was last known to be the newest.
+    zone_orders : ZoneOrders
+        Which zones operators want drained.
+    zone_orders_known : bool
+        Whether these were read, or told by a router that knows them.
     """
 
     def __init__(self, clock: Callable[[], float]):
@@ -46,6 +51,8 @@
         self.endpoints: dict[str, EndpointEntry] = {}
         self.endpoints_version = 0
         self.confirmed_s: float | None = None
+        self.zone_orders = ZoneOrders()
+        self.zone_orders_known = False
 
     @property
     def configuration_version(self) -> int:
@@ -55,7 +62,7 @@
     @property
     def complete(self) -> bool:
         """Whether enough is known to serve."""
-        return self.routes is not None and self.endpoints_version > 0
+        return self.routes is not None and self.endpoints_version > 0 and self.zone_orders_known
 
     def listen(self, listener: Callable[[str, str], None]) -> None:
         """Call ``listener(what, source)`` after each change."""
@@ -83,6 +90,28 @@
         self._tell("configuration", source)
         return True
 
+    def adopt_zone_orders(self, orders: Iterable[ZoneOrder], source: str) -> None:
+        """Take in orders that are newer than known ones."""
+        if self.zone_orders.take_in(orders):
+            self._tell("zone_orders", source)
+
+    def adopt_standing_orders(self, orders: Iterable[ZoneOrder], version: int, source: str) -> None:
+        """Take in all orders that stood at a version of the store."""
+        self.zone_orders_known = True
+        if self.zone_orders.take_in_table(orders, version):
+            self._tell("zone_orders", source)
+
+    def adopt_told_orders(self, orders: tuple[ZoneOrder, ...] | None, source: str) -> None:
+        """Take in all orders that another router knows; None when it knows of none yet."""
+        if orders is None:
+            return
+        self.zone_orders_known = True
+        self.adopt_zone_orders(orders, source)
+
+    def told_orders(self) -> tuple[ZoneOrder, ...] | None:
+        """Return all orders as others are told of them; None while they are not known."""
+        return self.zone_orders.all() if self.zone_orders_known else None
+
     def adopt_endpoints(self, snapshot: EndpointsSnapshot, source: str) -> bool:
         """Take in all endpoints unless what is known is as new."""
         if snapshot.version <= self.endpoints_version:
--- a/turnward/gateway/tests/test_choice.py
+++ b/turnward/gateway/tests/test_choice.py
@@ -4,11 +4,13 @@
 import random
 from collections import Counter
 
+import msgspec
 import pytest
 
-from turnward.gateway import EndpointEntry, EngineTraits
+from turnward.gateway import EndpointEntry, EngineTraits, WarmUpTraits
 from turnward.gateway.choice import EndpointBook, Prompt, parse_prompt_parts
-from turnward.gateway.peer_book import EndpointLoad
+from turnward.gateway.peer_book import EndpointLoad, PeerBook
+from turnward.gateway.warm_up import WarmUpShares
 
 NO_PROMPT = Prompt()
 ENGINE = EngineTraits(slots=8, event_tokens=5)
@@ -151,3 +153,128 @@
     assert len(record._parts) <= 1_500
     assert record.kept_tokens(prompt(f"{4_999:x}"), world.now_s) == 5_000
     assert record.kept_tokens(prompt(f"{4_999:x}"), world.now_s + 60.0) == 0
+
+
+# Cold endpoints.
+
+COLD = WarmUpTraits(cold_s=3.0, requests_per_s=4.0)
+
+
+class ColdWorld(World):
+    """A fleet of eight routers, this one among the four that may send to any cold endpoint."""
+
+    def __init__(self, count=3, warm_up=COLD, rank=0, members_read=True, **fields):
+        super().__init__(count=0)
+        self.peers = PeerBook("10.1.0.0:1", lambda: self.now_s)
+        for number in range(1, 8):
+            self.peers.add_member(f"10.1.0.{number}:1", "z")
+        self.peers.members_read = members_read
+        shares = WarmUpShares(self.peers)
+        shares._rank = lambda endpoint_id: rank
+        self.book = EndpointBook(
+            "z",
+            lambda: self.now_s,
+            Pool,
+            lambda: self.loads,
+            random.Random(0),
+            warm_up_of=lambda pool: warm_up,
+            shares=shares,
+        )
+        self.entries = {}
+        for number in range(count):
+            self.add(number, **fields)
+        self.take_in()
+
+    def add(self, number, **fields):
+        self.entries[f"e-{number}"] = EndpointEntry(
+            endpoint_id=f"e-{number}",
+            pool="pool",
+            address=f"10.0.0.{number}:80",
+            zone=f"zone-{number}",
+            slots=8,
+            **fields,
+        )
+
+    def take_in(self):
+        self.book.set_entries(dict(self.entries))
+
+    def chosen(self, span_s=1.0, times=50):
+        """Return how often each endpoint is chosen in a span of time."""
+        chosen = Counter()
+        for _ in range(times):
+            record = self.choose()
+            if record is not None:
+                chosen[record.endpoint_id] += 1
+                record.in_flight += 1
+            self.now_s += span_s / times
+        for record in self.book.all():
+            record.in_flight = 0
+        return chosen
+
+
+def test_endpoints_known_from_the_start_are_warm():
+    assert all(times > 10 for times in ColdWorld().chosen().values())
+
+
+@pytest.mark.parametrize("told", [0.0, 3.0])
+def test_endpoint_that_starts_counts_as_cold_whether_or_not_it_says_so(told):
+    world = ColdWorld()
+    world.add(9, cold_left_s=told)
+    world.take_in()
+    assert world.chosen()["e-9"] == 1
+    world.now_s += 6.0
+    assert world.chosen()["e-9"] > 5
+
+
+def test_endpoint_that_says_at_the_start_that_it_is_cold_is_believed():
+    assert set(ColdWorld(cold_left_s=2.0).chosen().values()) == {1}
+
+
+def test_endpoint_that_turns_cold_again_is_believed():
+    world = ColdWorld()
+    world.entries["e-1"] = msgspec.structs.replace(world.entries["e-1"], cold_left_s=2.5)
+    world.take_in()
+    assert world.chosen()["e-1"] == 1
+
+
+def test_endpoint_whose_entry_lapsed_comes_back_as_warm_as_it_was():
+    world = ColdWorld()
+    kept = world.entries.pop("e-1")
+    world.take_in()
+    world.entries["e-1"] = kept
+    world.take_in()
+    assert world.chosen()["e-1"] > 5
+
+
+def test_endpoints_of_a_zone_taken_back_are_cold():
+    world = ColdWorld()
+    world.book.set_drained_zones(frozenset({"zone-1"}))
+    assert world.chosen()["e-1"] == 0
+    world.book.set_drained_zones(frozenset())
+    assert world.chosen()["e-1"] == 1
+    assert world.chosen()["e-2"] > 5
+
+
+@pytest.mark.parametrize("world", [ColdWorld(rank=4), ColdWorld(members_read=False)])
+def test_router_without_a_share_sends_a_cold_endpoint_nothing(world):
+    world.add(9)
+    world.take_in()
+    assert world.chosen()["e-9"] == 0
+
+
+def test_cold_endpoints_are_no_last_resort():
+    world = ColdWorld(rank=4)
+    world.add(9)
+    for number in range(3):
+        del world.entries[f"e-{number}"]
+    world.take_in()
+    assert world.choose() is None
+    assert not world.book.has_other("pool", set())
+    assert 2.9 <= world.book.cold_for_s("pool") <= 3.0
+
+
+def test_pool_that_tells_no_rate_knows_no_cold_endpoints():
+    world = ColdWorld(warm_up=None, rank=4)
+    world.add(9, cold_left_s=3.0)
+    world.take_in()
+    assert world.chosen()["e-9"] > 5
--- /dev/null
+++ b/turnward/gateway/zone_orders.py
@@ -0,0 +1,92 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Which availability zones operators want drained: their endpoints get nothing new.
+
+An order stands in the store until it is taken back. Each is known with the store's version at
+which it was given or taken back, and the newer of two words on a zone wins, whatever the way and
+the order in which they come. So orders need no fetch and no agreement: they are a few bytes, and
+travel whole in what routers tell each other. A zone on which an order was taken back stays
+known as such, so that no old word brings the order back.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+__all__ = ["ZoneOrder", "ZoneOrders"]
+
+#: Most zones of which orders are kept and passed on: more than the three regions with eight zones
+#: of the size to design for; 64 orders are 2 KB of a datagram.
+_ZONES_LIMIT = 64
+
+
+class ZoneOrder(msgspec.Struct, frozen=True, array_like=True):
+    """The last word known on an availability zone.
+
+    Attributes
+    ----------
+    version : int
+        The store's version at which it was given or taken back.
+    drained : bool
+        Whether the zone's endpoints are to get nothing new.
+    """
+
+    zone: str
+    version: int
+    drained: bool
+
+
+class ZoneOrders:
+    """The last words known on all zones.
+
+    Examples
+    --------
+    >>> orders = ZoneOrders()
+    >>> orders.take_in([ZoneOrder("a", 5, True), ZoneOrder("b", 6, True)])
+    True
+    >>> orders.take_in([ZoneOrder("a", 9, False), ZoneOrder("b", 4, False)])
+    True
+    >>> sorted(orders.drained)
+    ['b']
+    """
+
+    __slots__ = ("_by_zone", "drained")
+
+    def __init__(self):
+        self._by_zone: dict[str, ZoneOrder] = {}
+        self.drained: frozenset[str] = frozenset()
+
+    def take_in(self, orders: Iterable[ZoneOrder]) -> bool:
+        """Take in what is newer than known; True when other zones are drained than before."""
+        for order in orders:
+            known = self._by_zone.get(order.zone)
+            if known is None or order.version > known.version:
+                self._by_zone[order.zone] = order
+        self._forget_oldest_ends()
+        drained = frozenset(order.zone for order in self._by_zone.values() if order.drained)
+        changed = drained != self.drained
+        self.drained = drained
+        return changed
+
+    def take_in_table(self, standing: Iterable[ZoneOrder], version: int) -> bool:
+        """Take in all orders that stood at a version; those that did not stand had ended."""
+        standing = tuple(standing)
+        zones = {order.zone for order in standing}
+        ended = [
+            ZoneOrder(order.zone, version, drained=False)
+            for order in self._by_zone.values()
+            if order.drained and order.zone not in zones
+        ]
+        return self.take_in([*standing, *ended])
+
+    def all(self) -> tuple[ZoneOrder, ...]:
+        """Return the last word on each zone."""
+        return tuple(self._by_zone.values())
+
+    def _forget_oldest_ends(self) -> None:
+        """Keep orders that stand, and as many of the newest ends as the limit leaves room for."""
+        excess = len(self._by_zone) - _ZONES_LIMIT
+        if excess <= 0:
+            return
+        ended = [order for order in self._by_zone.values() if not order.drained]
+        for order in sorted(ended, key=lambda order: order.version)[:excess]:
+            del self._by_zone[order.zone]
