Prompts and endpoint records in modules of their own

Code moved, nothing changed: test_choice.py, test_pace.py, test_mechanisms.py and test_forwarding.py pass as before.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """One send of a request to one endpoint, and what its answer is worth."""
 
-from turnward.gateway.choice import EndpointRecord
+from turnward.gateway.endpoint_record import EndpointRecord
 from turnward.gateway.outcomes import PROMISES_NOT_RUN, Reason
 from turnward.gateway.streams import EventSplitter
 from turnward.http1 import (
--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -9,27 +9,20 @@
 """
 
 import random
-import zlib
 from collections import OrderedDict
 from collections.abc import Callable
 
 import msgspec
 
 from turnward.gateway.configuration import EndpointEntry, EngineTraits, WarmUpTraits
-from turnward.gateway.pace import EventPace, ObservedPace, PaceClass, next_class, usual_pace
+from turnward.gateway.endpoint_record import EndpointRecord
+from turnward.gateway.pace import ObservedPace, PaceClass, next_class, usual_pace
 from turnward.gateway.peer_book import EndpointLoad
+from turnward.gateway.prompts import Prompt
 from turnward.gateway.warm_up import WarmUp, WarmUpShares
 from turnward.hashing import rendezvous_weight
 
-__all__ = [
-    "ChoiceRule",
-    "EndpointBook",
-    "EndpointChoice",
-    "EndpointRecord",
-    "Prompt",
-    "PromptPart",
-    "parse_prompt_parts",
-]
+__all__ = ["ChoiceRule", "EndpointBook", "EndpointChoice"]
 
 #: Prompt tokens that an engine reads in a millisecond, until measured.
 _PREFILL_TOKENS_PER_MS = 50.0
@@ -52,15 +45,6 @@
 _CLASSIFY_PERIOD_S = 0.25
 #: What anything costs on an engine that crawls.
 _COST_OF_CRAWLING_MS = 200.0
-#: Prompt parts remembered by endpoint.
-_PARTS_LIMIT = 1_500
-#: Seconds after which a prompt part is no longer taken for kept.
-_PART_LIFE_S = 25.0
-#: Seconds an endpoint rests after failures in a row: the first, and at most.
-_REST_S = 0.5
-_REST_LIMIT_S = 4.0
-#: Failures in a row that make an endpoint rest, where single ones may be the request's fault.
-_FAILURES_TO_REST = 2
 #: Endpoints without an entry that are remembered, so that one whose entry only lapsed is as warm as
 #: it was when it is back: ten times the 45 to 90 of today's pools.
 _LEFT_LIMIT = 1_000
@@ -93,160 +77,6 @@
     weighs_pace: bool = True
 
 
-class PromptPart(msgspec.Struct, frozen=True):
-    """A part of a prompt, named by all parts up to it."""
-
-    path: int
-    tokens: int
-
-
-class Prompt(msgspec.Struct, frozen=True):
-    """What is known of a prompt.
-
-    Attributes
-    ----------
-    tokens : int
-        Of the whole prompt.
-    output_tokens : int
-        The most that may be made.
-    parts : tuple of PromptPart
-        In order; the last one is the request's own or its session's.
-    """
-
-    tokens: int = 0
-    output_tokens: int = 0
-    parts: tuple[PromptPart, ...] = ()
-
-    @property
-    def shared_tokens(self) -> int:
-        """Tokens of the parts that other prompts may have too: all but the last."""
-        return sum(part.tokens for part in self.parts[:-1])
-
-
-def parse_prompt_parts(text: str, limit: int = 64) -> tuple[PromptPart, ...]:
-    """Return the parts that ``ID:TOKENS,ID:TOKENS`` names; empty when it is not that.
-
-    Examples
-    --------
-    >>> [part.tokens for part in parse_prompt_parts("a1:800,b2:410")]
-    [800, 410]
-    >>> parse_prompt_parts("nonsense")
-    ()
-    """
-    parts = []
-    path = 0
-    for word in text.split(",")[:limit]:
-        name, _, tokens = word.strip().partition(":")
-        if not tokens.isdigit():
-            return ()
-        path = zlib.crc32(name.encode(), path)
-        parts.append(PromptPart(path, int(tokens)))
-    return tuple(parts)
-
-
-class EndpointRecord:
-    """One endpoint as this router sees it.
-
-    Attributes
-    ----------
-    in_flight : int
-        This router's own requests there.
-    prefill_tokens : int
-        Prompt tokens of own requests whose first event has not come.
-    failures : int
-        In a row.
-    rest_until_s : float
-        It gets no new work before, while others can take it.
-    pace : EventPace
-        How fast own streams go on there.
-    pace_class : PaceClass
-        How fast it is beside the others of its pool.
-    lost : bool
-        It failed and has not answered since.
-    warm_up : WarmUp
-        Whether it is cold.
-    """
-
-    __slots__ = (
-        "_parts",
-        "entry",
-        "failures",
-        "in_flight",
-        "lost",
-        "pace",
-        "pace_class",
-        "pool",
-        "prefill_tokens",
-        "rest_until_s",
-        "trial",
-        "warm_up",
-    )
-
-    def __init__(self, entry: EndpointEntry, pool, warm_up: WarmUp):
-        self.entry = entry
-        self.pool = pool
-        self.in_flight = 0
-        self.prefill_tokens = 0
-        self.failures = 0
-        self.rest_until_s = 0.0
-        self.lost = False
-        self.trial = False
-        self.warm_up = warm_up
-        self.pace = EventPace()
-        self.pace_class = PaceClass.USUAL
-        self._parts: OrderedDict[int, float] = OrderedDict()
-
-    @property
-    def endpoint_id(self) -> str:
-        """The endpoint's id."""
-        return self.entry.endpoint_id
-
-    def remember(self, prompt: Prompt, now_s: float) -> None:
-        """Note that the endpoint reads a prompt, and so keeps its parts."""
-        for part in prompt.parts:
-            self._parts[part.path] = now_s
-            self._parts.move_to_end(part.path)
-        while len(self._parts) > _PARTS_LIMIT:
-            self._parts.popitem(last=False)
-
-    def kept_tokens(self, prompt: Prompt, now_s: float) -> int:
-        """Return how many of a prompt's tokens own requests have read there."""
-        kept = 0
-        for part in prompt.parts:
-            seen_s = self._parts.get(part.path)
-            if seen_s is None or now_s - seen_s > _PART_LIFE_S:
-                break
-            kept += part.tokens
-        return kept
-
-    def succeeded(self) -> bool:
-        """Note an answer; True when the endpoint was taken for lost until now."""
-        regained, self.lost = self.lost, False
-        self.failures = 0
-        self.trial = False
-        return regained
-
-    def failed(self, now_s: float, certain: bool, spread: float = 1.0) -> bool:
-        """Note a failure; True when the endpoint is taken for lost from now on.
-
-        Parameters
-        ----------
-        certain : bool
-            Whether the endpoint can't be reached at all.
-        spread : float
-            Scales the rest, so that routers do not all try again at once.
-        """
-        self.failures += 1
-        self.trial = False
-        if not certain and self.failures < _FAILURES_TO_REST:
-            return False
-        rest_s = min(_REST_LIMIT_S, _REST_S * 2 ** min(self.failures - 1, 5))
-        self.rest_until_s = now_s + rest_s * spread
-        self.trial = True
-        newly_lost, self.lost = not self.lost, True
-        return newly_lost
-
-
 class EndpointChoice(msgspec.Struct, frozen=True):
     """The endpoint chosen, what it costs and among how many.
 
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -11,12 +11,14 @@
 from twisted.internet import defer
 
 from turnward.gateway.attempt import EndpointAttempt
-from turnward.gateway.choice import EndpointBook, EndpointRecord, Prompt, parse_prompt_parts
+from turnward.gateway.choice import EndpointBook
 from turnward.gateway.configuration import Route, Workspace
 from turnward.gateway.dialect import Dialect
+from turnward.gateway.endpoint_record import EndpointRecord
 from turnward.gateway.outcomes import PROMISES_NOT_RUN, NoRepeat, Outcome, Reason
 from turnward.gateway.prepaid import BudgetAnswer, PrepaidAccounts
 from turnward.gateway.progress import StreamProgress
+from turnward.gateway.prompts import Prompt, parse_prompt_parts
 from turnward.gateway.retries import RepeatAllowance, RepeatRule
 from turnward.gateway.state import FleetState
 from turnward.http1 import (
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -9,10 +9,11 @@
 import msgspec
 from twisted.internet import defer, task
 
-from turnward.gateway.choice import ChoiceRule, EndpointBook, EndpointRecord
+from turnward.gateway.choice import ChoiceRule, EndpointBook
 from turnward.gateway.configuration import WarmUpTraits
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.end_reserve import EndReserveRule
+from turnward.gateway.endpoint_record import EndpointRecord
 from turnward.gateway.feeds import FeedListenerBase, FeedPaceBase, FleetPace, TableFeed, ToldPace
 from turnward.gateway.forwarding import Forwarder, ForwardingRules
 from turnward.gateway.holder_client import HolderClient
--- a/turnward/gateway/tests/test_choice.py
+++ b/turnward/gateway/tests/test_choice.py
@@ -8,8 +8,9 @@
 import pytest
 
 from turnward.gateway import EndpointEntry, EngineTraits, WarmUpTraits
-from turnward.gateway.choice import EndpointBook, Prompt, parse_prompt_parts
+from turnward.gateway.choice import EndpointBook
 from turnward.gateway.peer_book import EndpointLoad, PeerBook
+from turnward.gateway.prompts import Prompt, parse_prompt_parts
 from turnward.gateway.warm_up import WarmUpShares
 
 NO_PROMPT = Prompt()
--- a/turnward/gateway/tests/test_mechanisms.py
+++ b/turnward/gateway/tests/test_mechanisms.py
@@ -7,8 +7,9 @@
 import pytest
 
 from turnward.gateway import EndpointEntry, EngineTraits, Repeat, Workspace, load_gateway_settings
-from turnward.gateway.choice import ChoiceRule, EndpointBook, Prompt, parse_prompt_parts
+from turnward.gateway.choice import ChoiceRule, EndpointBook
 from turnward.gateway.mechanisms import Mechanisms
+from turnward.gateway.prompts import Prompt, parse_prompt_parts
 from turnward.gateway.tests.rig import ENGINE_POOL, KEY, Rig, full, reset, stream, well
 from turnward.gateway.tests.test_settings import GOOD
 from turnward.settings import SettingsError
--- a/turnward/gateway/tests/test_pace.py
+++ b/turnward/gateway/tests/test_pace.py
@@ -6,10 +6,11 @@
 import pytest
 
 from turnward.gateway import Configuration, EndpointEntry, EngineTraits, Repeat, RouteTable
-from turnward.gateway.choice import EndpointBook, Prompt, parse_prompt_parts
+from turnward.gateway.choice import EndpointBook
 from turnward.gateway.mechanisms import Mechanisms
 from turnward.gateway.pace import EventPace, ObservedPace, PaceClass, next_class, usual_pace
 from turnward.gateway.peer_book import EndpointLoad
+from turnward.gateway.prompts import Prompt, parse_prompt_parts
 from turnward.gateway.tests.rig import ENGINE_POOL, Rig, answer_head, events
 
 ENGINE = EngineTraits(slots=64, event_tokens=3)
