Routers keep away from endpoints that others could not reach

Change: digests and sums tell for each endpoint how many routers lost it, had an answer lately, or were told at its address that it is not there any more. A 421 counts as certain and for good, as an id never comes back.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -182,7 +182,7 @@
         return header_value(headers, b"content-encoding") is None
 
     def _not_run(self, status: int) -> None:
-        self._finish(failed=status == 421)
+        self._finish(failed=status == 421, gone=status == 421)
         self._drop()
         reason = Reason.NO_ENDPOINT if status == 421 else Reason.ENDPOINTS_FULL
         self._owner.attempt_not_run(self, status, reason)
@@ -207,6 +207,7 @@
             owner.attempt_bad(self, Reason.BAD_ANSWER)
             return
         self._note_pace(events.count)
+        self.record.answered_s = self._owner.forwarder.reactor.seconds()
         self._first_event()
         owner.note_events(events.count, events.last_id)
         owner.answer_body(events.data)
@@ -262,11 +263,13 @@
         self.record.prefill_tokens -= self._prefill_tokens
         self._prefill_tokens = 0
 
-    def _finish(self, failed: bool) -> None:
+    def _finish(self, failed: bool, gone: bool = False) -> None:
         self._uncount()
         if failed:
-            self._note_failure(certain=False)
-        elif self.record.succeeded():
+            # Another process has the address: that is certain, and for good.
+            self.record.gone = self.record.gone or gone
+            self._note_failure(certain=gone)
+        elif self.record.succeeded(self._owner.forwarder.reactor.seconds()):
             self._owner.forwarder.log.event(
                 "endpoint.regained",
                 request=self._owner.request_id.decode("latin-1"),
--- a/turnward/gateway/endpoint_record.py
+++ b/turnward/gateway/endpoint_record.py
@@ -17,6 +17,9 @@
 #: Seconds an endpoint rests after failures in a row: the first, and at most.
 _REST_S = 0.5
 _REST_LIMIT_S = 4.0
+#: Seconds for which an answer shows that an endpoint is reached: a router sends each of 45 engines a
+#: request in 20 s, and 87 routers together four a second.
+_EVIDENCE_LIFE_S = 1.5
 #: Failures in a row that make an endpoint rest, where single ones may be the request's fault.
 _FAILURES_TO_REST = 2
 
@@ -40,14 +43,20 @@
         How fast it is beside the others of its pool.
     lost : bool
         It failed and has not answered since.
+    gone : bool
+        At its address it was said that it is not there any more.
+    answered_s : float
+        When it last answered this router.
     warm_up : WarmUp
         Whether it is cold.
     """
 
     __slots__ = (
         "_parts",
+        "answered_s",
         "entry",
         "failures",
+        "gone",
         "in_flight",
         "lost",
         "pace",
@@ -67,6 +76,8 @@
         self.failures = 0
         self.rest_until_s = 0.0
         self.lost = False
+        self.gone = False
+        self.answered_s = -1e9
         self.trial = False
         self.warm_up = warm_up
         self.pace = EventPace()
@@ -96,13 +107,18 @@
             kept += part.tokens
         return kept
 
-    def succeeded(self) -> bool:
+    def succeeded(self, now_s: float) -> bool:
         """Note an answer; True when the endpoint was taken for lost until now."""
         regained, self.lost = self.lost, False
+        self.answered_s = now_s
         self.failures = 0
         self.trial = False
         return regained
 
+    def answered_lately(self, now_s: float) -> bool:
+        """Tell whether it answered this router within what counts as evidence."""
+        return now_s - self.answered_s <= _EVIDENCE_LIFE_S
+
     def failed(self, now_s: float, certain: bool, spread: float = 1.0) -> bool:
         """Note a failure; True when the endpoint is taken for lost from now on.
 
--- a/turnward/gateway/overlay.py
+++ b/turnward/gateway/overlay.py
@@ -447,7 +447,8 @@
 
 
 def _largest(loads: tuple[EndpointLoad, ...]) -> tuple[EndpointLoad, ...]:
-    """Return the largest loads, as many as a sum may hold."""
+    """Return the largest loads, as many as a sum may hold; endpoints that failed come first."""
     if len(loads) <= _SUM_LIMIT:
         return loads
-    return tuple(sorted(loads, key=lambda load: -load.requests)[:_SUM_LIMIT])
+    ranked = sorted(loads, key=lambda load: (-load.gone, -load.lost, -load.requests))
+    return tuple(ranked[:_SUM_LIMIT])
