--- a/turnward/gateway/endpoint_record.py
+++ b/turnward/gateway/endpoint_record.py
@@ -17,8 +17,8 @@
 #: Seconds an endpoint rests after failures in a row: the first, and at most.
 _REST_S = 0.5
 _REST_LIMIT_S = 4.0
-#: Seconds for which an answer shows that an endpoint is reached: a router sends each of 45 engines a
-#: request in 20 s, and 87 routers together four a second.
+#: Seconds for which an answer shows that an endpoint is reached: one of 87 routers sends each of 45
+#: engines a request in 20 s, all together four a second.
 _EVIDENCE_LIFE_S = 1.5
 #: Failures in a row that make an endpoint rest, where single ones may be the request's fault.
 _FAILURES_TO_REST = 2
