Endpoints whose entries lapse together keep their work until they may be back

Cause: entries lapse while the store is away and are back within two seconds of its return; each router took them for gone at once, and refused what came until then. A quarter of a pool's entries, two at least, that go at once without having said that they leave count as lapsed for 1.8 s; single ones and those that leave are gone as before. The bound stays under the 2 s after which a server that has ended must get nothing.

Tests first in test_choice.py.

--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -48,6 +48,10 @@
 #: Routers that must have lost an endpoint before others keep away from it: one may be cut off
 #: itself.
 _LOST_TO_HEED = 2
+#: Entries of a pool that go at once, as a number and as a share, and are taken to have lapsed with
+#: the store: releases and scaling take single ones away.
+_LAPSED_LEAST = 2
+_LAPSED_SHARE = 0.25
 #: Endpoints without an entry that are remembered, so that one whose entry only lapsed is as warm as
 #: it was when it is back: ten times the 45 to 90 of today's pools.
 _LEFT_LIMIT = 1_000
@@ -152,11 +156,15 @@
 
     def set_entries(self, entries: dict[str, EndpointEntry]) -> None:
         """Take in all endpoints; what is known of those that stay is kept."""
+        spared = self._lapsed_together(entries)
         for endpoint_id, record in list(self._records.items()):
             entry = entries.get(endpoint_id)
-            if entry is None or entry.address != record.entry.address:
+            if entry is None and endpoint_id in spared:
+                record.lapse(self._clock())
+            elif entry is None or entry.address != record.entry.address:
                 self._forget(record)
             else:
+                record.lapsed_s = None
                 if entry.cold_left_s != record.entry.cold_left_s:
                     record.warm_up.note_cold(entry.cold_left_s)
                 record.entry = entry
@@ -168,6 +176,37 @@
         for record in self._records.values():
             self._by_pool.setdefault(record.entry.pool, []).append(record)
 
+    def _lapsed_together(self, entries: dict[str, EndpointEntry]) -> set[str]:
+        """Return the endpoints that keep their work for a while though their entries are gone.
+
+        Entries lapse while the store is away, and are back within two seconds of its return if
+        the endpoint lives. Many that go at once, without having said that they leave, tell of
+        that rather than of so many ends.
+        """
+        now_s = self._clock()
+        spared = set()
+        for records in self._by_pool.values():
+            missing = [
+                record
+                for record in records
+                if record.endpoint_id not in entries and not record.entry.leaving
+            ]
+            many = len(missing) >= max(_LAPSED_LEAST, _LAPSED_SHARE * len(records))
+            spared.update(
+                record.endpoint_id
+                for record in missing
+                if (many and record.lapsed_s is None) or record.may_be_back(now_s)
+            )
+        return spared
+
+    def drop_lapsed(self) -> None:
+        """Forget endpoints whose entries did not come back in time."""
+        now_s = self._clock()
+        for record in list(self._records.values()):
+            if record.lapsed_s is not None and not record.may_be_back(now_s):
+                self._forget(record)
+                self._by_pool[record.entry.pool].remove(record)
+
     def _forget(self, record: EndpointRecord) -> None:
         record.pool.close()
         del self._records[record.endpoint_id]
@@ -222,11 +261,13 @@
         return bool(self._candidates(pool, without))
 
     def _candidates(self, pool: str, without: set[str]) -> list[EndpointRecord]:
+        now_s = self._clock()
         found = [
             record
             for record in self._by_pool.get(pool, ())
             if not record.entry.leaving
             and record.endpoint_id not in without
+            and (record.lapsed_s is None or record.may_be_back(now_s))
             and record.entry.zone not in self._drained
         ]
         traits = self._warm_up_of(pool)
--- a/turnward/gateway/endpoint_record.py
+++ b/turnward/gateway/endpoint_record.py
@@ -17,6 +17,9 @@
 #: Seconds an endpoint rests after failures in a row: the first, and at most.
 _REST_S = 0.5
 _REST_LIMIT_S = 4.0
+#: Seconds for which an endpoint without an entry keeps its work when many lost theirs at once: they
+#: are back within two seconds, and one that had ended must get nothing after two.
+_LAPSE_S = 1.8
 #: Seconds for which an answer shows that an endpoint is reached: one of 87 routers sends each of 45
 #: engines a request in 20 s, all together four a second.
 _EVIDENCE_LIFE_S = 1.5
@@ -49,6 +52,8 @@
         When it last answered this router.
     warm_up : WarmUp
         Whether it is cold.
+    lapsed_s : float or None
+        When its entry went with many others; None while it has one.
     """
 
     __slots__ = (
@@ -58,6 +63,7 @@
         "failures",
         "gone",
         "in_flight",
+        "lapsed_s",
         "lost",
         "pace",
         "pace_class",
@@ -80,6 +86,7 @@
         self.answered_s = -1e9
         self.trial = False
         self.warm_up = warm_up
+        self.lapsed_s: float | None = None
         self.pace = EventPace()
         self.pace_class = PaceClass.USUAL
         self._parts: OrderedDict[int, float] = OrderedDict()
@@ -115,6 +122,15 @@
         self.trial = False
         return regained
 
+    def lapse(self, now_s: float) -> None:
+        """Note that its entry is gone; the first time counts."""
+        if self.lapsed_s is None:
+            self.lapsed_s = now_s
+
+    def may_be_back(self, now_s: float) -> bool:
+        """Tell whether its entry, gone with many others, may still come back."""
+        return self.lapsed_s is not None and now_s - self.lapsed_s < _LAPSE_S
+
     def answered_lately(self, now_s: float) -> bool:
         """Tell whether it answered this router within what counts as evidence."""
         return now_s - self.answered_s <= _EVIDENCE_LIFE_S
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -463,6 +463,7 @@
 
     def _keep_house(self) -> None:
         now_s = self._reactor.seconds()
+        self.endpoints.drop_lapsed()
         for record in self.endpoints.all():
             record.pool.trim(now_s)
         self._log.flush()
--- a/turnward/gateway/tests/test_choice.py
+++ b/turnward/gateway/tests/test_choice.py
@@ -218,6 +218,51 @@
     ]
 
 
+# Entries that lapse while the store is away.
+
+
+def without(world, *numbers):
+    """Take in all entries but some."""
+    kept = {name: entry for name, entry in world.entries.items() if int(name[2:]) not in numbers}
+    world.book.set_entries(kept)
+
+
+def test_endpoints_whose_entries_lapse_together_keep_their_work_until_they_are_back():
+    world = World(count=8)
+    without(world, *range(8))
+    assert len(ids_chosen(world, 60)) == 8
+    world.now_s += 1.0
+    without(world, *range(4))
+    assert len(ids_chosen(world, 60)) == 8
+    world.now_s += 0.7
+    world.book.set_entries(world.entries)
+    world.now_s += 60.0
+    assert len(ids_chosen(world, 60)) == 8
+
+
+def test_those_that_are_not_back_in_time_are_gone():
+    world = World(count=8)
+    without(world, 0, 1, 2)
+    world.now_s += 1.9
+    assert len(ids_chosen(world, 60)) == 5
+    world.book.drop_lapsed()
+    assert len(world.book.all()) == 5
+    without(world, 0, 1, 2)
+    assert len(ids_chosen(world, 60)) == 5
+
+
+def test_single_entry_that_goes_is_an_end():
+    world = World(count=8)
+    without(world, 0)
+    assert len(ids_chosen(world, 60)) == 7
+
+
+def test_endpoints_that_said_that_they_leave_have_left():
+    world = World(count=8, leaving=True)
+    without(world, 0, 1, 2)
+    assert len(world.book.all()) == 5
+
+
 # Cold endpoints.
 
 COLD = WarmUpTraits(cold_s=3.0, requests_per_s=4.0)
@@ -330,7 +375,7 @@
     world.add(9)
     for number in range(3):
         del world.entries[f"e-{number}"]
-    world.take_in()
+        world.take_in()
     assert world.choose() is None
     assert not world.book.has_other("pool", set())
     assert 2.9 <= world.book.cold_for_s("pool") <= 3.0
