--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -207,7 +207,6 @@
             owner.attempt_bad(self, Reason.BAD_ANSWER)
             return
         self._note_pace(events.count)
-        self.record.answered_s = self._owner.forwarder.reactor.seconds()
         self._first_event()
         owner.note_events(events.count, events.last_id)
         owner.answer_body(events.data)
@@ -269,7 +268,7 @@
             # Another process has the address: that is certain, and for good.
             self.record.gone = self.record.gone or gone
             self._note_failure(certain=gone)
-        elif self.record.succeeded(self._owner.forwarder.reactor.seconds()):
+        elif self.record.succeeded():
             self._owner.forwarder.log.event(
                 "endpoint.regained",
                 request=self._owner.request_id.decode("latin-1"),
--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -45,9 +45,6 @@
 _CLASSIFY_PERIOD_S = 0.25
 #: What anything costs on an engine that crawls.
 _COST_OF_CRAWLING_MS = 200.0
-#: Routers that must have lost an endpoint before others keep away from it: one may be cut off
-#: itself.
-_LOST_TO_HEED = 2
 #: Entries of a pool that go at once, as a number and as a share, and are taken to have lapsed with
 #: the store: releases and scaling take single ones away.
 _LAPSED_LEAST = 2
@@ -75,8 +72,6 @@
     weighs_pace : bool
         Whether long prompts keep away from engines that are slower than most, and short
         ones go there.
-    heeds_others : bool
-        Whether endpoints that others could not reach are left alone.
     """
 
     homes: int = 1
@@ -84,7 +79,6 @@
     zone_cost_ms: float = 2.0
     rests: bool = True
     weighs_pace: bool = True
-    heeds_others: bool = True
 
 
 class EndpointChoice(msgspec.Struct, frozen=True):
@@ -255,11 +249,7 @@
     def loads(self) -> list[EndpointLoad]:
         """Return what this router has in flight, for its peers."""
         now_s = self._clock()
-        return [
-            _load_of(record, now_s)
-            for record in sorted(self._records.values(), key=_by_news)
-            if record.in_flight or record.lost or record.answered_lately(now_s)
-        ]
+        return [_load_of(record, now_s) for record in self._records.values() if record.in_flight]
 
     def has_other(self, pool: str, without: set[str]) -> bool:
         """Tell whether an endpoint takes work besides those in ``without``."""
@@ -321,12 +311,11 @@
         """
         now_s = self._clock()
         candidates = self._candidates(pool, without)
-        loads = self._peer_loads()
         rested = [record for record in candidates if self._may_take(record, now_s)]
-        reached = [record for record in rested if not self._lost_to_others(record, loads)]
-        candidates = reached or rested or candidates
+        candidates = rested or candidates
         if not candidates:
             return None
+        loads = self._peer_loads()
         if traits is None:
             costs = [(self._service_cost_ms(record, loads), record) for record in candidates]
         else:
@@ -382,22 +371,6 @@
         # After a rest one request at a time tries whether the endpoint is back.
         return not (record.trial and record.in_flight)
 
-    def _lost_to_others(self, record: EndpointRecord, loads) -> bool:
-        """Tell whether others' word is enough to keep away from an endpoint.
-
-        Each router of 87 meets each of 45 engines once in 20 s, so each found for itself which
-        had crashed: 0.5 s for a connection that is not answered, six times in a row.
-        Word from several, or of one that was told so at the endpoint's address, while nobody
-        has had an answer, spares the others that. Those that lost it try again after their
-        rest, and their answer ends it for all.
-        """
-        told = loads.get(record.endpoint_id)
-        if told is None or not self._rule.heeds_others or record.answered_lately(self._clock()):
-            return False
-        if told.gone:
-            return True
-        return not record.lost and told.lost >= _LOST_TO_HEED and not told.answered
-
     def _service_cost_ms(self, record: EndpointRecord, loads) -> float:
         load = loads.get(record.endpoint_id)
         running = record.in_flight + (load.requests if load is not None else 0)
@@ -434,17 +407,9 @@
         record.prefill_tokens,
         round(pace.quiet_gap_ms, 1),
         round(pace.held_up_gap_ms, 1),
-        int(record.lost),
-        int(record.answered_lately(now_s)),
-        int(record.gone),
     )
 
 
-def _by_news(record: EndpointRecord) -> tuple[bool, bool, int]:
-    """Return what puts first what others must know: a digest holds only so many loads."""
-    return (not record.gone, not record.lost, -record.in_flight)
-
-
 def _fit_to_keep(prompt: Prompt, candidates: list[EndpointRecord]) -> list[EndpointRecord]:
     """Return the candidates among which the agreed home of a prompt is chosen."""
     if prompt.tokens < _LONG_PROMPT_TOKENS:
--- a/turnward/gateway/endpoint_record.py
+++ b/turnward/gateway/endpoint_record.py
@@ -21,9 +21,6 @@
 #: store: most are back by then, and one that had ended must get nothing after two, connecting
 #: included.
 _LAPSE_S = 1.4
-#: Seconds for which an answer shows that an endpoint is reached: one of 87 routers sends each of 45
-#: engines a request in 20 s, all together four a second.
-_EVIDENCE_LIFE_S = 1.5
 #: Failures in a row that make an endpoint rest, where single ones may be the request's fault.
 _FAILURES_TO_REST = 2
 
@@ -49,8 +46,6 @@
         It failed and has not answered since.
     gone : bool
         At its address it was said that it is not there any more.
-    answered_s : float
-        When it last answered this router.
     warm_up : WarmUp
         Whether it is cold.
     lapsed_s : float or None
@@ -59,7 +54,6 @@
 
     __slots__ = (
         "_parts",
-        "answered_s",
         "entry",
         "failures",
         "gone",
@@ -84,7 +78,6 @@
         self.rest_until_s = 0.0
         self.lost = False
         self.gone = False
-        self.answered_s = -1e9
         self.trial = False
         self.warm_up = warm_up
         self.lapsed_s: float | None = None
@@ -115,10 +108,9 @@
             kept += part.tokens
         return kept
 
-    def succeeded(self, now_s: float) -> bool:
+    def succeeded(self) -> bool:
         """Note an answer; True when the endpoint was taken for lost until now."""
         regained, self.lost = self.lost, False
-        self.answered_s = now_s
         self.failures = 0
         self.trial = False
         return regained
@@ -132,10 +124,6 @@
         """Tell whether its entry, gone with many others, may still come back."""
         return self.lapsed_s is not None and now_s - self.lapsed_s < _LAPSE_S
 
-    def answered_lately(self, now_s: float) -> bool:
-        """Tell whether it answered this router within what counts as evidence."""
-        return now_s - self.answered_s <= _EVIDENCE_LIFE_S
-
     def failed(self, now_s: float, certain: bool, spread: float = 1.0) -> bool:
         """Note a failure; True when the endpoint is taken for lost from now on.
 
--- a/turnward/gateway/mechanisms.py
+++ b/turnward/gateway/mechanisms.py
@@ -41,9 +41,6 @@
         all engines of a pool are taken for equally fast.
     looks_for_others : bool
         No repeat is used up where no other endpoint takes work. Naive: it is.
-    heeds_others : bool
-        Routers keep away from endpoints that others could not reach. Naive: each finds out by
-        its own requests.
     """
 
     loans: bool = True
@@ -56,7 +53,6 @@
     repeats: bool = True
     weighs_pace: bool = True
     looks_for_others: bool = True
-    heeds_others: bool = True
 
     def faults(self) -> list[str]:
         """Return what is wrong beyond types."""
--- a/turnward/gateway/overlay.py
+++ b/turnward/gateway/overlay.py
@@ -447,8 +447,7 @@
 
 
 def _largest(loads: tuple[EndpointLoad, ...]) -> tuple[EndpointLoad, ...]:
-    """Return the largest loads, as many as a sum may hold; endpoints that failed come first."""
+    """Return the largest loads, as many as a sum may hold."""
     if len(loads) <= _SUM_LIMIT:
         return loads
-    ranked = sorted(loads, key=lambda load: (-load.gone, -load.lost, -load.requests))
-    return tuple(ranked[:_SUM_LIMIT])
+    return tuple(sorted(loads, key=lambda load: -load.requests)[:_SUM_LIMIT])
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -27,12 +27,6 @@
         Between two events of a stream when nothing holds them up; 0: not known.
     held_up_gap_ms : float
         Between two events that a prompt holds up which is read there; 0: not known.
-    lost : int
-        Routers that could not reach it lately and have had no answer since.
-    answered : int
-        Routers that had an answer from it lately.
-    gone : int
-        Routers that were told at its address that it is not there any more.
     """
 
     endpoint_id: str
@@ -40,9 +34,6 @@
     prefill_tokens: int
     quiet_gap_ms: float = 0.0
     held_up_gap_ms: float = 0.0
-    lost: int = 0
-    answered: int = 0
-    gone: int = 0
 
     def with_another(self, other: "EndpointLoad") -> "EndpointLoad":
         """Return the sum of two routers' loads; the longer of their times between events.
@@ -59,9 +50,6 @@
             self.prefill_tokens + other.prefill_tokens,
             max(self.quiet_gap_ms, other.quiet_gap_ms),
             max(self.held_up_gap_ms, other.held_up_gap_ms),
-            self.lost + other.lost,
-            self.answered + other.answered,
-            self.gone + other.gone,
         )
 
     def without(self, other: "EndpointLoad") -> "EndpointLoad":
@@ -77,9 +65,6 @@
             self,
             requests=max(0, self.requests - other.requests),
             prefill_tokens=max(0, self.prefill_tokens - other.prefill_tokens),
-            lost=max(0, self.lost - other.lost),
-            answered=max(0, self.answered - other.answered),
-            gone=max(0, self.gone - other.gone),
         )
 
 
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -92,7 +92,6 @@
         reread_weight=mechanisms.reread_weight,
         rests=mechanisms.rests,
         weighs_pace=mechanisms.weighs_pace,
-        heeds_others=mechanisms.heeds_others,
     )
     if not mechanisms.agreed_homes:
         rule = msgspec.structs.replace(rule, homes=0)
--- a/turnward/gateway/tests/test_choice.py
+++ b/turnward/gateway/tests/test_choice.py
@@ -115,7 +115,7 @@
     assert world.choose() is failing
     failing.in_flight = 1
     assert world.choose().endpoint_id == "e-1"
-    failing.succeeded(world.now_s)
+    failing.succeeded()
     assert world.choose() is failing
 
 
@@ -156,68 +156,19 @@
     assert record.kept_tokens(prompt(f"{4_999:x}"), world.now_s + 60.0) == 0
 
 
-# Others' word on endpoints that can't be reached.
-
-
 def ids_chosen(world, times=20):
     return {world.choose().endpoint_id for _ in range(times)}
 
 
-def test_endpoint_that_several_others_lost_is_left_alone():
-    world = World(count=2)
-    world.loads = {"e-0": EndpointLoad("e-0", 0, 0, lost=2)}
-    assert ids_chosen(world) == {"e-1"}
-
-
-@pytest.mark.parametrize("told", [{"lost": 1}, {"lost": 30, "answered": 1}])
-def test_word_of_one_or_against_an_answer_is_not_enough(told):
-    world = World(count=2)
-    world.loads = {"e-0": EndpointLoad("e-0", 0, 0, **told)}
-    assert ids_chosen(world) == {"e-0", "e-1"}
-
-
-def test_own_answer_goes_before_others_word():
-    world = World(count=2)
-    world.loads = {"e-0": EndpointLoad("e-0", 0, 0, lost=9)}
-    world.book.get("e-0").succeeded(world.now_s)
-    assert ids_chosen(world) == {"e-0", "e-1"}
-
-
-def test_router_that_lost_it_itself_tries_again_after_its_rest():
-    world = World(count=2)
-    world.loads = {"e-0": EndpointLoad("e-0", 0, 0, lost=9)}
-    world.book.get("e-0").failed(world.now_s, certain=True)
-    assert ids_chosen(world) == {"e-1"}
-    world.now_s += 5.0
-    assert ids_chosen(world) == {"e-0", "e-1"}
-
-
-def test_endpoint_that_is_gone_from_its_address_is_left_alone_on_one_word():
-    world = World(count=2)
-    world.loads = {"e-0": EndpointLoad("e-0", 0, 0, gone=1)}
-    assert ids_chosen(world) == {"e-1"}
+def test_endpoint_that_is_gone_from_its_address_is_a_last_resort_for_good():
     world = World(count=2)
     world.book.get("e-0").gone = True
     world.now_s += 60.0
     assert ids_chosen(world) == {"e-1"}
-
-
-def test_endpoints_that_others_lost_are_used_when_there_is_no_other():
-    world = World(count=2)
-    world.loads = {f"e-{n}": EndpointLoad(f"e-{n}", 0, 0, lost=5) for n in range(2)}
+    world.book.get("e-1").gone = True
     assert ids_chosen(world) == {"e-0", "e-1"}
 
 
-def test_what_was_lost_or_answered_is_told_though_nothing_runs_there():
-    world = World(count=3)
-    world.book.get("e-0").failed(world.now_s, certain=True)
-    world.book.get("e-1").succeeded(world.now_s)
-    assert [(load.endpoint_id, load.lost, load.answered) for load in world.book.loads()] == [
-        ("e-0", 1, 0),
-        ("e-1", 0, 1),
-    ]
-
-
 # Entries that lapse while the store is away.
 
 
--- a/turnward/gateway/tests/test_forwarding.py
+++ b/turnward/gateway/tests/test_forwarding.py
@@ -677,3 +677,16 @@
     rig.network.advance(0.5)
     assert endpoint.requests == []
     assert (caller.status, reason(caller)) == (503, "time_limit")
+
+
+def test_endpoint_whose_address_has_another_process_is_met_once():
+    """One of 20 requests is refused; four when each took two to count, for a few seconds."""
+    rig = Rig(attempts=1)
+    endpoints = [rig.endpoint(well) for _ in range(2)]
+    rig.ready()
+    endpoints[0].endpoint_id = "another"
+    refused = 0
+    for _ in range(20):
+        refused += rig.ask().status != 200
+        rig.network.advance(0.5)
+    assert refused == 1
