--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := $(VENV)/bin
 SOURCES := $(shell find turnward -name '*.py' -o -name '*.toml' -o -name '*.capnp') pyproject.toml
 
-.PHONY: demo platform-demo soak test check dist bench capacity docs format clean
+.PHONY: demo platform-demo soak test check dist bench docs format clean
 
 $(VENV)/ready: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -37,14 +37,10 @@
 bench: $(VENV)/ready
 	$(BIN)/python -m tools.bench
 
-capacity: $(VENV)/ready
-	$(BIN)/python -m tools.capacity
-	$(BIN)/python -m tools.capacity_page
-
 docs: $(VENV)/ready
 	$(BIN)/python -m tools.settings_reference
 	$(BIN)/python -m tools.package_pages
-	$(BIN)/python -m tools.capacity_page
+	$(BIN)/python platform/tools/capacity_page.py
 
 check: $(VENV)/ready
 	$(BIN)/ruff format --check .
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -6,8 +6,6 @@
 
 import msgspec
 
-from tools.capacity import DATA
-from tools.capacity_page import BEFORE, PAGE, FullSize, render
 from tools.package_pages import PAGES as PACKAGE_PAGES
 from tools.package_pages import packages
 from tools.package_pages import render as render_package
@@ -24,12 +22,6 @@
     assert SETTINGS_PAGE.read_text() == render_settings()
 
 
-def test_capacity_page_is_made_from_its_data():
-    data = msgspec.json.decode(DATA.read_bytes())
-    before = msgspec.json.decode(BEFORE.read_bytes())
-    assert PAGE.read_text() == render(data, before, FullSize())
-
-
 def test_replay_gives_the_stated_outcomes_to_the_byte():
     stated = Path("docs/measurements/stated-outcomes.json").read_bytes()
     reports = {
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from tools.capacity_page import table
+from tools.markdown import table
 from turnward.budgets import GrantLedger, SizingRule
 from turnward.replay import (
     BUDGET_SCHEMES,
--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from tools.capacity_page import table
+from tools.markdown import table
 from turnward.settings import RouterSettings
 
 __all__ = ["main", "render"]
