--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -30,12 +30,15 @@
     header_value,
     header_values,
 )
+from turnward.ids import fingerprint
 from turnward.ledger import Reservation
 
 __all__ = ["Forwarder", "Forwarding", "ForwardingRules"]
 
 #: Bytes of a request's body kept for another send.
 _REPLAY_LIMIT_BYTES = 262_144
+#: Hexadecimal digits that tell contents apart: 64 bits.
+_CONTENT_DIGITS = 16
 #: Endpoints tried in vain, with nothing sent, before a request is refused.
 _ENDPOINTS_LIMIT = 6
 #: Least time left that is worth a send, in seconds.
@@ -143,6 +146,7 @@
         self._pool = ""
         self._prompt = Prompt()
         self._request_id = b""
+        self._content = ""
         self._deadline_s = 0.0
         self._reservation = None
         self._repeat_reservations: list[Reservation] = []
@@ -307,6 +311,7 @@
             return
         if not self._pool:
             self._pool = self._route.choose_pool(forwarder.draw)
+            self._content = self._read_content()
             forwarder.allowance(self._pool).note_request()
         routes = forwarder.state.routes
         pool = routes.pools.get(self._pool)
@@ -326,7 +331,9 @@
         forwarder.log.event(
             "attempt.chosen",
             request=self._request_id.decode("latin-1"),
+            content=self._content,
             route=self._route.name,
+            workspace=self._workspace.name if self._workspace is not None else "",
             pool=self._pool,
             endpoint=record.endpoint_id,
             cost_ms=choice.cost_ms,
@@ -340,6 +347,17 @@
         self._attempt = EndpointAttempt(self, record)
         self._attempt.start()
 
+    def _read_content(self) -> str:
+        """Return what tells the request's content from another's, whichever id it came under.
+
+        Of a body that is not kept whole, as much counts as is kept. Its length doesn't: the same
+        body may come with a length or in chunks.
+        """
+        request = self._request
+        caller = self._workspace.name.encode() if self._workspace is not None else b""
+        body = b"".join(self._body)[:_REPLAY_LIMIT_BYTES]
+        return fingerprint(request.method, request.target, caller, body)[:_CONTENT_DIGITS]
+
     def request_head(self, record: EndpointRecord) -> bytes:
         """Return the head for an endpoint, with the time that is left."""
         forwarder = self._forwarder
@@ -517,6 +535,7 @@
         self._forwarder.log.failure(
             "attempt.failed",
             request=self._request_id.decode("latin-1"),
+            content=self._content,
             route=self._route.name,
             pool=self._pool,
             endpoint=attempt.record.endpoint_id,
@@ -695,6 +714,7 @@
         write(
             "request.ended",
             request=self._request_id.decode("latin-1"),
+            content=self._content,
             route=route,
             workspace=self._workspace.name if self._workspace is not None else "",
             pool=self._pool,
