--- a/turnward/callers/chat.py
+++ b/turnward/callers/chat.py
@@ -11,7 +11,7 @@
 from turnward.callers.replies import StoredReply
 from turnward.callers.sse import END_MARK, EventSplitter
 from turnward.endpoints import EndpointError, NotRunError, RunState, RunUncertainError
-from turnward.ids import fingerprint
+from turnward.hashing import fingerprint
 from turnward.resources import Model, Workspace
 
 __all__ = ["ChatRequest", "ChatServer", "parse_chat"]
--- a/turnward/callers/services.py
+++ b/turnward/callers/services.py
@@ -14,7 +14,8 @@
     StoredAnswer,
 )
 from turnward.endpoints import NotRunError, RunUncertainError
-from turnward.ids import fingerprint, minted_s, new_id
+from turnward.hashing import fingerprint
+from turnward.ids import minted_s, new_id
 from turnward.resources import Pool, Workspace
 
 __all__ = ["ServiceRequest", "ServiceServer"]
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -21,6 +21,7 @@
 from turnward.gateway.prompts import Prompt, parse_prompt_parts
 from turnward.gateway.retries import RepeatAllowance, RepeatRule
 from turnward.gateway.state import FleetState
+from turnward.hashing import fingerprint
 from turnward.http1 import (
     ExchangeFailure,
     HeaderList,
@@ -30,7 +31,6 @@
     header_value,
     header_values,
 )
-from turnward.ids import fingerprint
 from turnward.ledger import Reservation
 
 __all__ = ["Forwarder", "Forwarding", "ForwardingRules"]
--- a/turnward/hashing.py
+++ b/turnward/hashing.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Rendezvous hashing.
+"""Rendezvous hashing, and fingerprints of content.
 
 References
 ----------
@@ -9,7 +9,16 @@
 
 import hashlib
 
-__all__ = ["rendezvous_weight"]
+__all__ = ["fingerprint", "rendezvous_weight"]
+
+
+def fingerprint(*parts: bytes) -> str:
+    """Return a digest that tells one request's content from another's."""
+    digest = hashlib.sha256()
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()[:32]
 
 
 def rendezvous_weight(key: str, node: str) -> int:
--- a/turnward/ids.py
+++ b/turnward/ids.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Ids and fingerprints.
+"""Ids of requests, and hashes of keys.
 
 References
 ----------
@@ -11,7 +11,7 @@
 
 import uuid6
 
-__all__ = ["fingerprint", "key_hash", "minted_s", "new_id"]
+__all__ = ["key_hash", "minted_s", "new_id"]
 
 _UUID7 = 7
 
@@ -40,15 +40,6 @@
     return (parsed.int >> 80) / 1000
 
 
-def fingerprint(*parts: bytes) -> str:
-    """Return a digest that tells one request's content from another's."""
-    digest = hashlib.sha256()
-    for part in parts:
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.hexdigest()[:32]
-
-
 def key_hash(key: str) -> str:
     """Return the SHA-256 of a bearer key in hexadecimal."""
     return hashlib.sha256(key.encode()).hexdigest()
