--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -27,6 +27,7 @@
 from turnward.gateway.peer_book import DIGEST_LAYOUT, Digest, PeerBook
 from turnward.gateway.peers import PeerTask
 from turnward.gateway.prepaid import KEPT_BY_PRIORITY, PrepaidAccounts
+from turnward.gateway.quarantine_rows import QuarantineRows
 from turnward.gateway.retries import RepeatRule
 from turnward.gateway.settings import GatewaySettings
 from turnward.gateway.sources import MembersListener
@@ -34,7 +35,7 @@
 from turnward.gateway.warm_up import WarmUpShares
 from turnward.http1 import InboundFactory, InboundLimits, InboundRequest, OutboundPool
 from turnward.ledger import SizingRule
-from turnward.quarantine import Quarantine
+from turnward.quarantine import Quarantine, QuarantineChange
 from turnward.rows import (
     RowChange,
     RowKey,
@@ -191,7 +192,10 @@
             reports=settings.mechanisms.spend_reports,
             holders=self.holders,
         )
-        self.quarantine = Quarantine(reactor.seconds, on_change=self._note_quarantine)
+        self.quarantine = Quarantine(reactor.seconds, on_change=self._quarantine_changed)
+        self._quarantine_rows = QuarantineRows(
+            reactor, store, self.quarantine, self._note_unreadable, self._draw
+        )
         self.peers = PeerTask(
             reactor,
             self._identity(),
@@ -345,6 +349,7 @@
             feed.start()
         self.peers.start()
         self.accounts.start()
+        self._quarantine_rows.start()
         defer.ensureDeferred(self._announce())
         self._repeat(self._keep_house, _HOUSEKEEPING_S)
         self._repeat(self._log_figures, _FIGURES_PERIOD_S)
@@ -407,17 +412,19 @@
             where=[f"{frame.filename.rpartition('/')[2]}:{frame.lineno}" for frame in where],
         )
 
-    def _note_quarantine(self, content: str, held: bool, endpoints: list[str]) -> None:
-        """Write a line on a content that is held back from now on, or no longer."""
-        if held:
+    def _quarantine_changed(self, change: QuarantineChange) -> None:
+        """Write a line, and a row, on a content that is held back from now on, or no longer."""
+        self._quarantine_rows.note_change(change)
+        if change.held:
             self._log.failure(
                 "content.held",
-                content=content,
-                endpoints=endpoints,
-                held_s=round(self.quarantine.held_for_s(content), 1),
+                content=change.content,
+                endpoints=change.endpoints,
+                own=change.own,
+                held_s=round(self.quarantine.held_for_s(change.content), 1),
             )
         else:
-            self._log.event("content.cleared", content=content)
+            self._log.event("content.cleared", content=change.content, own=change.own)
 
     def _note_refused(self, refusal) -> None:
         self._log.failure("request.malformed", status=refusal.status, reason=refusal.reason)
--- /dev/null
+++ b/turnward/gateway/quarantine_rows.py
@@ -0,0 +1,170 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Keeps in the store what is held back, so that it outlasts the death of all routers.
+
+Routers tell each other what they hold back, which needs no store. A row is written beside that by
+the router whose loss was the last one needed, and read by each router that starts: after all had
+died at once, a request that ends endpoints ended three more.
+"""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+from twisted.internet import defer, task
+
+from turnward.quarantine import LostRun, Quarantine, QuarantineChange, QuarantineWord
+from turnward.rows import (
+    RowChange,
+    RowKey,
+    RowStoreError,
+    StoredRow,
+    VersionConflictError,
+    VersionedStoreBase,
+    VersionedTransaction,
+)
+
+__all__ = ["QuarantineRow", "QuarantineRows"]
+
+QUARANTINE_TABLE = "quarantine"
+#: Seconds between two tries while the store is away; spread over the routers.
+_AGAIN_S = (0.3, 0.9)
+#: Most rows that are removed with one call.
+_REMOVALS_LIMIT = 50
+
+
+class QuarantineRow(msgspec.Struct, frozen=True):
+    """The row of a content.
+
+    Attributes
+    ----------
+    store_time_s : float
+        By the store's clock; the ages in ``lost`` are as of then.
+    """
+
+    store_time_s: float
+    lost: tuple[LostRun, ...]
+
+    def aged(self, store_time_s: float) -> tuple[LostRun, ...]:
+        """Return the losses with their ages as of a later time of the store's clock."""
+        passed_ms = max(0, round((store_time_s - self.store_time_s) * 1_000))
+        return tuple(
+            msgspec.structs.replace(
+                run,
+                sent_age_ms=run.sent_age_ms + passed_ms,
+                lost_age_ms=run.lost_age_ms + passed_ms,
+            )
+            for run in self.lost
+        )
+
+
+class QuarantineRows:
+    """Reads the rows at the start, and writes what this router's own losses made known.
+
+    Parameters
+    ----------
+    reactor
+        Twisted's reactor.
+    store : VersionedStoreBase
+        Holds the rows; one that tells no time keeps none, since ages could not be told.
+    quarantine : Quarantine
+        Takes in what the rows tell.
+    note_unreadable : callable
+        Told the key of a row that can't be read, and why.
+    draw : random.Random
+        Spreads tries over time.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        store: VersionedStoreBase,
+        quarantine: Quarantine,
+        note_unreadable: Callable[[RowKey, Exception], None],
+        draw: random.Random,
+    ):
+        self._reactor = reactor
+        self._store = store
+        self._quarantine = quarantine
+        self._note_unreadable = note_unreadable
+        self._draw = draw
+        #: Contents whose rows are to be written or removed, as the quarantine then knows them.
+        self._pending: list[str] = []
+        self._writing = False
+
+    def start(self) -> None:
+        """Read what earlier processes of any router have written."""
+        defer.ensureDeferred(self._read_until_done())
+
+    def note_change(self, change: QuarantineChange) -> None:
+        """Write or remove a content's row, if what happened here changed it."""
+        if not change.own or change.content in self._pending:
+            return
+        self._pending.append(change.content)
+        if not self._writing:
+            self._writing = True
+            defer.ensureDeferred(self._write_pending())
+
+    async def _pause(self) -> None:
+        await task.deferLater(self._reactor, self._draw.uniform(*_AGAIN_S))
+
+    async def _read_until_done(self) -> None:
+        while True:
+            try:
+                table = await self._store.read_table(QUARANTINE_TABLE)
+            except RowStoreError:
+                await self._pause()
+                continue
+            now_s = self._store.time_floor_s()
+            if now_s is not None:
+                await self._take_in(table.rows, now_s)
+            return
+
+    async def _take_in(self, rows: tuple[StoredRow, ...], store_time_s: float) -> None:
+        forgotten = []
+        for row in rows:
+            try:
+                lost = msgspec.json.decode(row.value, type=QuarantineRow).aged(store_time_s)
+            except (msgspec.DecodeError, ValueError) as failure:
+                self._note_unreadable(row.key, failure)
+                continue
+            if self._quarantine.remembers(lost):
+                self._quarantine.take_in(QuarantineWord(lost))
+            else:
+                forgotten.append(row.key)
+        if forgotten:
+            await self._remove(forgotten[:_REMOVALS_LIMIT])
+
+    async def _remove(self, keys: list[RowKey]) -> None:
+        try:
+            await self._store.transact(VersionedTransaction((), tuple(keys)))
+        except RowStoreError:
+            # The next router that starts finds them again.
+            return
+
+    async def _write_pending(self) -> None:
+        while self._pending:
+            try:
+                await self._write(self._pending[0])
+                del self._pending[0]
+            except RowStoreError:
+                await self._pause()
+        self._writing = False
+
+    async def _write(self, content: str) -> None:
+        """Bring a content's row in line with what is known here."""
+        key = RowKey(QUARANTINE_TABLE, "", content)
+        row = await self._store.read_row(key)
+        now_s = self._store.time_floor_s()
+        if now_s is None:
+            return
+        lost = self._quarantine.losses_of(content) if self._quarantine.holds(content) else ()
+        if lost:
+            value = msgspec.json.encode(QuarantineRow(now_s, lost))
+            change = RowChange(key, value, 0 if row.gone else row.version)
+            try:
+                await self._store.transact(VersionedTransaction((change,)))
+            except VersionConflictError:
+                # Another router has just written the same.
+                return
+        elif row.version and not row.gone:
+            await self._store.transact(VersionedTransaction((), (key,)))
--- a/turnward/gateway/tests/test_crashing_requests.py
+++ b/turnward/gateway/tests/test_crashing_requests.py
@@ -185,3 +185,63 @@
         play.rig.network.advance(0.1)
     assert all(knowing)
     assert play.now_s - play.third_crash_s(FATAL) <= KNOWN_S
+
+
+def kill_all(play):
+    """Kill all gateways at once, and start others in their places."""
+    rig = play.rig
+    count = len(rig.gateways)
+    for machine in rig.machines[-count:]:
+        machine.kill()
+    machines, rig.machines, rig.gateways, rig.logs = rig.machines[-count:], [], [], []
+    rig.network.advance(0.5)
+    for number, machine in enumerate(machines):
+        machine.restart()
+        rig.run_gateway(machine, f"node-{number + 1}")
+    assert rig.network.advance_until(lambda: all(gateway.ready for gateway in rig.gateways))
+
+
+def test_what_is_held_back_outlasts_the_death_of_all_routers():
+    play = CrashPlay(gateways=3, endpoints=6, crashing=(FATAL,))
+    hold_back(play)
+    for _ in range(2):
+        kill_all(play)
+        play.rig.network.advance(0.1)
+        for gateway in range(3):
+            assert play.ask(FATAL, gateway).status == 503
+    assert len(play.crashes) == 3
+
+
+def test_what_is_held_back_is_written_once_the_store_is_back():
+    play = CrashPlay(gateways=3, endpoints=6, crashing=(FATAL,))
+    for client in play.rig.clients:
+        client.faults.away = True
+    hold_back(play)
+    for client in play.rig.clients:
+        client.faults.away = False
+    play.rig.network.advance(3.0)
+    kill_all(play)
+    play.rig.network.advance(0.1)
+    assert play.ask(FATAL).status == 503
+
+
+def test_row_goes_when_the_content_is_answered_and_when_it_is_old():
+    play = CrashPlay(gateways=2, endpoints=6, crashing=(FATAL,))
+    hold_back(play)
+    assert len(play.rig.rows.table("quarantine", "")) == 1
+    for gateway in play.rig.gateways:
+        gateway.quarantine.note_served(play.rig.logs[0].of("content.held")[0]["content"])
+    play.rig.network.advance(1.0)
+    assert not play.rig.rows.table("quarantine", "")
+
+
+def test_unreadable_row_loses_only_itself():
+    play = CrashPlay(gateways=2, endpoints=6, crashing=(FATAL,))
+    hold_back(play)
+    play.rig.rows.put("quarantine", "bad", b"\xff\x00 nothing")
+    play.rig.rows.put("quarantine", "worse", b'{"lost": 3}')
+    kill_all(play)
+    play.rig.network.advance(0.1)
+    assert play.ask(FATAL).status == 503
+    unreadable = play.rig.logs[0].of("row.unreadable")
+    assert {line["key"] for line in unreadable} == {"bad", "worse"}
--- a/turnward/quarantine/messages.py
+++ b/turnward/quarantine/messages.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-__all__ = ["NO_WORD", "LostRun", "QuarantineWord", "ServedRun"]
+__all__ = ["NO_WORD", "LostRun", "QuarantineChange", "QuarantineWord", "ServedRun"]
 
 
 class LostRun(msgspec.Struct, frozen=True, array_like=True):
@@ -41,5 +41,22 @@
     served: tuple[ServedRun, ...] = ()
 
 
+class QuarantineChange(msgspec.Struct, frozen=True):
+    """A content that is held back from now on, or no longer.
+
+    Attributes
+    ----------
+    endpoints : tuple of str
+        The incarnations at which its runs were lost.
+    own : bool
+        Whether a run of this router brought it about; else another router told of it.
+    """
+
+    content: str
+    held: bool
+    endpoints: tuple[str, ...]
+    own: bool
+
+
 #: What a router tells that knows of nothing.
 NO_WORD = QuarantineWord()
--- a/turnward/quarantine/quarantine.py
+++ b/turnward/quarantine/quarantine.py
@@ -13,11 +13,17 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
-from turnward.quarantine.messages import NO_WORD, LostRun, QuarantineWord, ServedRun
+from turnward.quarantine.messages import (
+    NO_WORD,
+    LostRun,
+    QuarantineChange,
+    QuarantineWord,
+    ServedRun,
+)
 
 __all__ = ["Quarantine", "QuarantineRule"]
 
@@ -136,8 +142,7 @@
     rule : QuarantineRule
         When a content is held back.
     on_change : callable, optional
-        Called with a content, whether it is held back from now on, and the incarnations of
-        endpoints at which its runs were lost.
+        Called with a ``QuarantineChange`` when a content is held back or no longer.
 
     Examples
     --------
@@ -154,7 +159,7 @@
         self,
         clock: Callable[[], float],
         rule: QuarantineRule | None = None,
-        on_change: Callable[[str, bool, list[str]], None] | None = None,
+        on_change: Callable[[QuarantineChange], None] | None = None,
     ):
         self._clock = clock
         self._rule = rule or QuarantineRule()
@@ -167,12 +172,12 @@
 
     def note_lost(self, content: str, endpoint: str, sent_s: float) -> None:
         """Note that an endpoint closed the connection of a run before its answer was whole."""
-        self._take_loss(content, _Loss(endpoint, sent_s, self._clock()))
+        self._take_loss(content, _Loss(endpoint, sent_s, self._clock()), own=True)
 
     def note_served(self, content: str) -> None:
         """Note a whole answer: what was lost until now was not the content's doing."""
         if content in self._suspects:
-            self._take_answer(content, self._clock())
+            self._take_answer(content, self._clock(), own=True)
 
     def holds(self, content: str) -> bool:
         """Tell whether a content is to be sent to no endpoint now."""
@@ -190,6 +195,16 @@
         """How many contents are held back."""
         return sum(1 for content in self._held if self.holds(content))
 
+    def losses_of(self, content: str) -> tuple[LostRun, ...]:
+        """Return the losses that make others hold a content back."""
+        suspect = self._suspects.get(content)
+        losses = suspect.evidence() if suspect is not None else ()
+        return tuple(loss.told(content, self._clock()) for loss in losses)
+
+    def remembers(self, lost: Sequence[LostRun]) -> bool:
+        """Tell whether losses are young enough to be taken in."""
+        return min((run.lost_age_ms for run in lost), default=1e12) <= self._rule.memory_s * 1_000
+
     # What others tell.
 
     def word(self) -> QuarantineWord:
@@ -217,16 +232,16 @@
         now_s = self._clock()
         for run in word.served:
             if run.content in self._suspects:
-                self._take_answer(run.content, now_s - run.age_ms / 1_000)
+                self._take_answer(run.content, now_s - run.age_ms / 1_000, own=False)
         for run in word.lost:
             loss = _Loss(
                 run.endpoint, now_s - run.sent_age_ms / 1_000, now_s - run.lost_age_ms / 1_000
             )
-            self._take_loss(run.content, loss)
+            self._take_loss(run.content, loss, own=False)
 
     # Changes.
 
-    def _take_loss(self, content: str, loss: _Loss) -> None:
+    def _take_loss(self, content: str, loss: _Loss, own: bool) -> None:
         suspect = self._suspects.get(content)
         if suspect is None:
             suspect = self._suspects[content] = _Suspect()
@@ -237,21 +252,21 @@
         self._suspects.move_to_end(content)
         if not held and len(suspect.losses) >= self._rule.endpoints and suspect.sent_again:
             self._held.add(content)
-            self._tell(content, suspect, held=True)
+            self._tell(QuarantineChange(content, True, tuple(sorted(suspect.losses)), own))
         self._make_room()
 
-    def _take_answer(self, content: str, served_s: float) -> None:
+    def _take_answer(self, content: str, served_s: float, own: bool) -> None:
         suspect = self._suspects[content]
         if not suspect.clear(served_s):
             return
         suspect.told_s = self._clock()
         if content in self._held and len(suspect.losses) < self._rule.endpoints:
             self._held.discard(content)
-            self._tell(content, suspect, held=False)
+            self._tell(QuarantineChange(content, False, tuple(sorted(suspect.losses)), own))
 
-    def _tell(self, content: str, suspect: _Suspect, held: bool) -> None:
+    def _tell(self, change: QuarantineChange) -> None:
         if self._on_change is not None:
-            self._on_change(content, held, sorted(suspect.losses))
+            self._on_change(change)
 
     def _forget_old(self) -> None:
         since_s = self._clock() - self._rule.memory_s
--- a/turnward/quarantine/tests/test_quarantine.py
+++ b/turnward/quarantine/tests/test_quarantine.py
@@ -28,7 +28,7 @@
         self.clock = clock
         self.changes = []
         self.quarantine = Quarantine(
-            clock, rule, lambda content, held, endpoints: self.changes.append((content, held))
+            clock, rule, lambda change: self.changes.append((change.content, change.held))
         )
 
     def lose(self, endpoint, content="c", took_s=0.1):
