--- a/turnward/cli/serving.py
+++ b/turnward/cli/serving.py
@@ -14,6 +14,7 @@
 from turnward.rows import RowChange, RowKey, VersionedTransaction
 from turnward.settings import SettingsError, parse_address
 from turnward.standins import BatchSettings, EngineStandIn, PlatformStandIn, ServiceStandIn
+from turnward.steady_reactor import install_steady_reactor
 from turnward.store import HttpTable
 
 __all__ = [
@@ -31,8 +32,7 @@
 
 def serve_router(settings) -> None:
     """Run a router until it has left; SIGTERM begins the planned stop."""
-    from twisted.internet import reactor
-
+    reactor = install_steady_reactor()
     log = get_log("router")
     process = RouterProcess.from_config(settings, reactor)
 
--- a/turnward/events/__init__.py
+++ b/turnward/events/__init__.py
@@ -1,7 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Events, logs, metrics and clocks."""
 
-from turnward.events.clock import ClockBase, HybridClock, ManualClock, Stamp, SystemClock
+from turnward.clocks import ClockBase, ManualClock, SystemClock
+from turnward.events.clock import HybridClock, Stamp
 from turnward.events.logs import configure_logs, get_log
 from turnward.events.metrics import Metrics
 from turnward.events.timeline import Event, EventLog, matches, merge_events, render_event
--- a/turnward/events/clock.py
+++ b/turnward/events/clock.py
@@ -1,60 +1,16 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Clocks: a hybrid logical clock for events, and the base class of wall clocks.
+"""A hybrid logical clock for events.
 
 References
 ----------
 Kulkarni et al., "Logical Physical Clocks", OPODIS 2014.
 """
 
-import time
-from abc import ABC, abstractmethod
-
 import msgspec
 
-__all__ = ["ClockBase", "HybridClock", "ManualClock", "Stamp", "SystemClock"]
-
-
-class ClockBase(ABC):
-    """Source of time in seconds."""
-
-    @abstractmethod
-    def now_s(self) -> float:
-        """Return monotonic time in seconds."""
-
-    @abstractmethod
-    def wall_s(self) -> float:
-        """Return wall-clock time in seconds since 1970; it may jump."""
-
-
-class SystemClock(ClockBase):
-    """The machine's clocks."""
-
-    def now_s(self):
-        """See ``ClockBase.now_s``."""
-        return time.monotonic()
-
-    def wall_s(self):
-        """See ``ClockBase.wall_s``."""
-        return time.time()
-
-
-class ManualClock(ClockBase):
-    """A clock that stands still until it is moved."""
-
-    def __init__(self, start_s: float = 1_000.0):
-        self._now_s = start_s
-
-    def now_s(self):
-        """See ``ClockBase.now_s``."""
-        return self._now_s
-
-    def wall_s(self):
-        """See ``ClockBase.wall_s``."""
-        return self._now_s
+from turnward.clocks import ClockBase
 
-    def advance(self, seconds: float) -> None:
-        """Move the clock on."""
-        self._now_s += seconds
+__all__ = ["HybridClock", "Stamp"]
 
 
 class Stamp(msgspec.Struct, frozen=True, order=True):
--- a/turnward/gateway/serving.py
+++ b/turnward/gateway/serving.py
@@ -12,6 +12,7 @@
 from turnward.gateway.settings import GatewaySettings, load_gateway_settings
 from turnward.rows import VersionedStoreBase
 from turnward.settings import SettingsError, parse_address
+from turnward.steady_reactor import install_steady_reactor
 
 __all__ = ["serve_gateway"]
 
@@ -38,8 +39,7 @@
     sources : SourcesBase
         Where configuration and endpoints come from.
     """
-    from twisted.internet import reactor
-
+    reactor = install_steady_reactor()
     incarnation = new_incarnation(settings.node)
     writer = BoundedLineWriter(sys.stdout.fileno())
     log = GatewayLog(writer, reactor.seconds, incarnation, settings.log_lines_per_s)
