--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -57,8 +57,6 @@
         self.sent = False
         self.sent_s = 0.0
         self.reused = False
-        #: The start of the endpoint that gets the request.
-        self.incarnation = record.entry.incarnation
 
     def start(self) -> None:
         """Send."""
@@ -276,7 +274,7 @@
             self._owner.forwarder.log.event(
                 "endpoint.regained",
                 request=self._owner.request_id.decode("latin-1"),
-                endpoint=self.record.endpoint_id,
+                endpoint=self.record.incarnation,
             )
 
     def _note_failure(self, certain: bool) -> None:
@@ -287,7 +285,7 @@
             forwarder.log.failure(
                 "endpoint.lost",
                 request=self._owner.request_id.decode("latin-1"),
-                endpoint=record.endpoint_id,
+                endpoint=record.incarnation,
                 failures=record.failures,
                 unreachable=certain,
                 rest_s=round(record.rest_until_s - now_s, 3),
--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -108,7 +108,7 @@
     make_pool : callable
         Returns the connections to an ``IP:port``.
     peer_loads : callable
-        Returns by endpoint id what all peers have in flight.
+        Returns by endpoint's incarnation what all peers have in flight.
     draw : random.Random
         Breaks ties.
     rule : ChoiceRule, optional
@@ -151,22 +151,25 @@
     def set_entries(self, entries: dict[str, EndpointEntry], store_was_away: bool = False) -> None:
         """Take in all endpoints; what is known of those that stay is kept.
 
+        One that was born again under its id does not stay: its failures, its rest and the prompt
+        parts that it kept were its earlier process's.
+
         ``store_was_away`` tells that the store was not reached until just now.
         """
         spared = self._lapsed_together(entries, store_was_away)
-        for endpoint_id, record in list(self._records.items()):
-            entry = entries.get(endpoint_id)
-            if entry is None and endpoint_id in spared:
+        for record in list(self._records.values()):
+            entry = entries.get(record.endpoint_id)
+            if entry is None and record.incarnation in spared:
                 record.lapse(self._clock())
-            elif entry is None or entry.address != record.entry.address:
+            elif entry is None or not record.is_of(entry):
                 self._forget(record)
             else:
                 record.lapsed_s = None
                 if entry.cold_left_s != record.entry.cold_left_s:
                     record.warm_up.note_cold(entry.cold_left_s)
                 record.entry = entry
-        for endpoint_id, entry in entries.items():
-            if endpoint_id not in self._records:
+        for entry in entries.values():
+            if entry.incarnation not in self._records:
                 self._add(entry)
         self._entries_known = True
         self._by_pool = {}
@@ -192,7 +195,7 @@
                 _LAPSED_LEAST, _LAPSED_SHARE * len(records)
             )
             spared.update(
-                record.endpoint_id
+                record.incarnation
                 for record in missing
                 if (many and record.lapsed_s is None) or record.may_be_back(now_s)
             )
@@ -208,20 +211,20 @@
 
     def _forget(self, record: EndpointRecord) -> None:
         record.pool.close()
-        del self._records[record.endpoint_id]
-        self._left[record.endpoint_id] = record.warm_up
+        del self._records[record.incarnation]
+        self._left[record.incarnation] = record.warm_up
         while len(self._left) > _LEFT_LIMIT:
             self._left.popitem(last=False)
 
     def _add(self, entry: EndpointEntry) -> None:
-        warm_up = self._left.pop(entry.endpoint_id, None)
+        warm_up = self._left.pop(entry.incarnation, None)
         if warm_up is None:
             warm_up = WarmUp(self._clock)
             if self._entries_known:
                 # It has just started, whether or not its entry says that it is cold.
                 warm_up.note_cold(self._cold_s(entry.pool))
         warm_up.note_cold(entry.cold_left_s)
-        self._records[entry.endpoint_id] = EndpointRecord(
+        self._records[entry.incarnation] = EndpointRecord(
             entry, self._make_pool(entry.address), warm_up
         )
 
@@ -242,9 +245,9 @@
         """Return every endpoint's record."""
         return list(self._records.values())
 
-    def get(self, endpoint_id: str) -> EndpointRecord | None:
-        """Return an endpoint's record."""
-        return self._records.get(endpoint_id)
+    def get(self, incarnation: str) -> EndpointRecord | None:
+        """Return the record of one start of an endpoint."""
+        return self._records.get(incarnation)
 
     def loads(self) -> list[EndpointLoad]:
         """Return what this router has in flight, for its peers."""
@@ -261,7 +264,7 @@
             record
             for record in self._by_pool.get(pool, ())
             if not record.entry.leaving
-            and record.endpoint_id not in without
+            and record.incarnation not in without
             and (record.lapsed_s is None or record.may_be_back(now_s))
             and record.entry.zone not in self._drained
         ]
@@ -278,10 +281,10 @@
         return record.warm_up.permits(allowance)
 
     def cold_ids(self) -> list[str]:
-        """Return the ids of endpoints that are cold."""
+        """Return the incarnations of endpoints that are cold."""
         return [
-            endpoint_id
-            for endpoint_id, record in self._records.items()
+            incarnation
+            for incarnation, record in self._records.items()
             if record.warm_up.cold_for_s > 0
         ]
 
@@ -356,7 +359,7 @@
     @staticmethod
     def _observed_pace(record: EndpointRecord, loads, now_s: float) -> ObservedPace:
         own = record.pace.observed(now_s)
-        load = loads.get(record.endpoint_id)
+        load = loads.get(record.incarnation)
         if load is None:
             return own
         return ObservedPace(
@@ -372,14 +375,14 @@
         return not (record.trial and record.in_flight)
 
     def _service_cost_ms(self, record: EndpointRecord, loads) -> float:
-        load = loads.get(record.endpoint_id)
+        load = loads.get(record.incarnation)
         running = record.in_flight + (load.requests if load is not None else 0)
         waiting = max(0, running + 1 - record.entry.slots)
         cost_ms = running + waiting * _COST_OF_PLACE_MS / max(1, record.entry.slots)
         return cost_ms + self._zone_cost_ms(record)
 
     def _engine_cost_ms(self, record, prompt: Prompt, loads, homes, now_s: float) -> float:
-        load = loads.get(record.endpoint_id)
+        load = loads.get(record.incarnation)
         running = record.in_flight
         backlog = record.prefill_tokens
         if load is not None:
@@ -402,7 +405,7 @@
 def _load_of(record: EndpointRecord, now_s: float) -> EndpointLoad:
     pace = record.pace.observed(now_s)
     return EndpointLoad(
-        record.endpoint_id,
+        record.incarnation,
         record.in_flight,
         record.prefill_tokens,
         round(pace.quiet_gap_ms, 1),
--- a/turnward/gateway/endpoint_record.py
+++ b/turnward/gateway/endpoint_record.py
@@ -46,6 +46,8 @@
         It failed and has not answered since.
     gone : bool
         At its address it was said that it is not there any more.
+    incarnation : str
+        Names this start of the endpoint: what is known here ends with it.
     warm_up : WarmUp
         Whether it is cold.
     lapsed_s : float or None
@@ -58,6 +60,7 @@
         "failures",
         "gone",
         "in_flight",
+        "incarnation",
         "lapsed_s",
         "lost",
         "pace",
@@ -71,6 +74,7 @@
 
     def __init__(self, entry: EndpointEntry, pool, warm_up: WarmUp):
         self.entry = entry
+        self.incarnation = entry.incarnation
         self.pool = pool
         self.in_flight = 0
         self.prefill_tokens = 0
@@ -90,6 +94,10 @@
         """The endpoint's id."""
         return self.entry.endpoint_id
 
+    def is_of(self, entry: EndpointEntry) -> bool:
+        """Tell whether an entry is of the process that is known here."""
+        return entry.incarnation == self.incarnation and entry.address == self.entry.address
+
     def remember(self, prompt: Prompt, now_s: float) -> None:
         """Note that the endpoint reads a prompt, and so keeps its parts."""
         for part in prompt.parts:
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -338,7 +338,7 @@
             self._give_up(Reason.ENDPOINTS_COLD if cold else Reason.NO_ENDPOINT)
             return
         record = choice.record
-        self._tried.add(record.endpoint_id)
+        self._tried.add(record.incarnation)
         forwarder.log.event(
             "attempt.chosen",
             request=self._request_id.decode("latin-1"),
@@ -346,7 +346,7 @@
             route=self._route.name,
             workspace=self._workspace.name if self._workspace is not None else "",
             pool=self._pool,
-            endpoint=record.endpoint_id,
+            endpoint=record.incarnation,
             cost_ms=choice.cost_ms,
             candidates=choice.candidates,
             in_flight=record.in_flight,
@@ -441,7 +441,9 @@
             # It may be this content that ends the endpoints that run it: told to all routers,
             # since it comes again at any of them, under another id.
             forwarder = self._forwarder
-            forwarder.quarantine.note_lost(self._content, attempt.incarnation, attempt.sent_s)
+            forwarder.quarantine.note_lost(
+                self._content, attempt.record.incarnation, attempt.sent_s
+            )
         self._may_have_run = True
         self._end_attempt(attempt, "lost", cause=failure.cause, answered=failure.answered)
         if self._may_go_on(repeat=True, ran=True):
@@ -557,7 +559,7 @@
             content=self._content,
             route=self._route.name,
             pool=self._pool,
-            endpoint=attempt.record.endpoint_id,
+            endpoint=attempt.record.incarnation,
             how=how,
             sent=attempt.sent,
             reused=attempt.reused,
@@ -613,7 +615,7 @@
         if status < 300 and not self._may_have_run:
             used = self._prompt.tokens + self._progress.events * self._event_tokens()
         outcome = Outcome.SERVED if status < 400 else Outcome.ENDPOINT_ERROR
-        self._end(outcome, status, used_tokens=used, endpoint=attempt.record.endpoint_id)
+        self._end(outcome, status, used_tokens=used, endpoint=attempt.record.incarnation)
 
     def _event_tokens(self) -> int:
         pool = self._forwarder.state.routes.pools.get(self._pool)
--- a/turnward/gateway/overlay.py
+++ b/turnward/gateway/overlay.py
@@ -226,12 +226,12 @@
         total = self._own_total()
         if total is None:
             return {}
-        loads = {load.endpoint_id: load for load in total.loads}
+        loads = {load.endpoint: load for load in total.loads}
         for own in self._own_loads:
             # The sum holds what this router told of itself.
-            told = loads.get(own.endpoint_id)
+            told = loads.get(own.endpoint)
             if told is not None:
-                loads[own.endpoint_id] = told.without(own)
+                loads[own.endpoint] = told.without(own)
         return loads
 
     @property
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -24,13 +24,15 @@
 
     Attributes
     ----------
+    endpoint : str
+        The incarnation: load at an earlier start of an endpoint is none at the next.
     quiet_gap_ms : float
         Between two events of a stream when nothing holds them up; 0: not known.
     held_up_gap_ms : float
         Between two events that a prompt holds up which is read there; 0: not known.
     """
 
-    endpoint_id: str
+    endpoint: str
     requests: int
     prefill_tokens: int
     quiet_gap_ms: float = 0.0
@@ -46,7 +48,7 @@
         (3, 15, 30.0)
         """
         return EndpointLoad(
-            self.endpoint_id,
+            self.endpoint,
             self.requests + other.requests,
             self.prefill_tokens + other.prefill_tokens,
             max(self.quiet_gap_ms, other.quiet_gap_ms),
@@ -223,7 +225,7 @@
             for peer in self._peers.values()
             if peer.digest is not None and peer.heard_s >= since_s
         ]
-        return {load.endpoint_id: load for load in sum_loads(fresh)}
+        return {load.endpoint: load for load in sum_loads(fresh)}
 
 
 def sum_loads(many: Iterable[Iterable[EndpointLoad]]) -> tuple[EndpointLoad, ...]:
@@ -238,6 +240,6 @@
     totals: dict[str, EndpointLoad] = {}
     for loads in many:
         for load in loads:
-            before = totals.get(load.endpoint_id)
-            totals[load.endpoint_id] = load if before is None else before.with_another(load)
+            before = totals.get(load.endpoint)
+            totals[load.endpoint] = load if before is None else before.with_another(load)
     return tuple(totals.values())
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -434,7 +434,7 @@
     ) -> None:
         self._log.event(
             "endpoint.pace",
-            endpoint=record.endpoint_id,
+            endpoint=record.incarnation,
             pool=record.entry.pool,
             pace=record.pace_class.name.lower(),
             event_gap_ms=round(pace.quiet_gap_ms, 1),
@@ -474,7 +474,7 @@
             version=self.state.endpoints_version,
             source=source,
             endpoints=len(entries),
-            leaving=[entry.endpoint_id for entry in entries if entry.leaving],
+            leaving=[entry.incarnation for entry in entries if entry.leaving],
             cold=self.endpoints.cold_ids(),
         )
 
--- a/turnward/gateway/state.py
+++ b/turnward/gateway/state.py
@@ -116,7 +116,7 @@
         """Take in all endpoints unless what is known is as new."""
         if snapshot.version <= self.endpoints_version:
             return False
-        entries = {entry.endpoint_id: entry for entry in snapshot.entries}
+        entries = {entry.endpoint_id: self._newer(entry) for entry in snapshot.entries}
         changed = entries != self.endpoints
         self.endpoints = entries
         self.endpoints_version = snapshot.version
@@ -124,6 +124,16 @@
             self._tell("endpoints", source)
         return True
 
+    def _newer(self, entry: EndpointEntry) -> EndpointEntry:
+        """Return what is known of an endpoint, where an entry tells of an earlier start.
+
+        A write that the store took late puts an ended process's entry over that of the next.
+        """
+        known = self.endpoints.get(entry.endpoint_id)
+        if known is None or known.born_ms is None or entry.born_ms is None:
+            return entry
+        return known if entry.born_ms < known.born_ms else entry
+
     def snapshot(self) -> EndpointsSnapshot:
         """Return all endpoints as known."""
         return EndpointsSnapshot(self.endpoints_version, tuple(self.endpoints.values()))
--- /dev/null
+++ b/turnward/gateway/tests/test_endpoints_born_again.py
@@ -0,0 +1,123 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""An endpoint that starts again under the id that it had has nothing of before."""
+
+import msgspec
+import pytest
+
+from turnward.gateway import FleetState
+from turnward.gateway.peer_book import EndpointLoad
+from turnward.gateway.state import EndpointsSnapshot
+from turnward.gateway.tests.rig import Rig, reset, well
+from turnward.gateway.tests.test_choice import ENGINE, World, prompt
+
+
+def born(world, endpoint_id, born_ms, **changes):
+    """Let an endpoint's entry tell when it was born."""
+    entry = world.entries[endpoint_id]
+    world.entries[endpoint_id] = msgspec.structs.replace(entry, born_ms=born_ms, **changes)
+    world.book.set_entries(world.entries)
+    return world.book.get(world.entries[endpoint_id].incarnation)
+
+
+@pytest.fixture
+def world():
+    return World(count=2, born_ms=1_000)
+
+
+def test_nothing_that_was_learnt_is_left(world):
+    old = world.book.get("e-0@1000")
+    wanted = prompt("ab")
+    old.remember(wanted, world.now_s)
+    old.in_flight = 7
+    for _ in range(3):
+        old.failed(world.now_s, certain=True)
+    new = born(world, "e-0", 2_000)
+    assert new is not old
+    assert (new.in_flight, new.failures, new.lost, new.rest_until_s) == (0, 0, False, 0.0)
+    assert new.kept_tokens(wanted, world.now_s) == 0
+    assert old.pool.closed
+    assert world.choose(without={"e-1@1000"}) is new
+
+
+def test_another_address_with_another_birth_is_one_new_endpoint(world):
+    new = born(world, "e-0", 2_000, address="10.0.0.99:80")
+    assert new.entry.address == "10.0.0.99:80"
+    assert len(world.book.all()) == 2
+
+
+def test_entry_that_changes_otherwise_keeps_what_was_learnt(world):
+    old = world.book.get("e-0@1000")
+    assert born(world, "e-0", 1_000, slots=9) is old
+
+
+def test_peers_load_at_an_earlier_start_does_not_count(world):
+    born(world, "e-0", 2_000)
+    world.loads = {"e-0@1000": EndpointLoad("e-0@1000", 30, 90_000)}
+    chosen = {world.choose(prompt("ab"), ENGINE, {"e-1@1000"}).incarnation for _ in range(5)}
+    assert chosen == {"e-0@2000"}
+    assert not world.book.loads()
+
+
+def test_late_end_of_a_run_at_an_earlier_start_changes_nothing(world):
+    old = world.book.get("e-0@1000")
+    old.in_flight = 1
+    new = born(world, "e-0", 2_000)
+    old.in_flight -= 1
+    old.failed(world.now_s, certain=True)
+    assert (new.in_flight, new.failures) == (0, 0)
+
+
+def test_reborn_endpoint_is_not_spared_as_one_whose_entry_lapsed(world):
+    world.entries = {
+        endpoint_id: msgspec.structs.replace(entry, born_ms=2_000)
+        for endpoint_id, entry in world.entries.items()
+    }
+    world.book.set_entries(world.entries, store_was_away=True)
+    assert {record.incarnation for record in world.book.all()} == {"e-0@2000", "e-1@2000"}
+
+
+def test_row_of_an_earlier_start_that_comes_late_changes_nothing():
+    state = FleetState(lambda: 0.0)
+    world = World(count=1)
+    entries = [
+        msgspec.structs.replace(world.entries["e-0"], born_ms=born_ms) for born_ms in (2_000, 1_000)
+    ]
+    for version, entry in enumerate(entries, start=1):
+        state.adopt_endpoints(EndpointsSnapshot(version, (entry,)), "store")
+    assert state.endpoints["e-0"].born_ms == 2_000
+    assert state.endpoints_version == 2
+
+
+def test_entry_without_a_birth_after_one_with_it_is_another_start(world):
+    """Whoever writes it does not know when the process started: nothing of before is trusted."""
+    assert born(world, "e-0", None) is not None
+    assert world.book.get("e-0@1000") is None
+
+
+def test_endpoint_that_is_back_under_its_id_gets_work_at_once():
+    rig = Rig(attempts=1)
+    endpoint = rig.endpoint(reset, announce=False)
+    other = rig.endpoint(well)
+    rig.announce(endpoint, born_ms=1_000)
+    rig.ready()
+    for _ in range(8):
+        rig.ask(path=b"/a/%d" % rig._ids)
+    # It rests for up to four seconds by now.
+    assert rig.logs[0].of("endpoint.lost")
+    endpoint.behave = well
+    rig.announce(endpoint, born_ms=2_000)
+    rig.network.advance(0.2)
+    before = len(endpoint.requests)
+    for _ in range(6):
+        assert rig.ask().status == 200
+    assert len(endpoint.requests) > before
+    assert other.requests
+
+
+def test_lines_name_the_start_of_an_endpoint():
+    rig = Rig(attempts=1)
+    endpoint = rig.endpoint(well, announce=False)
+    rig.announce(endpoint, born_ms=1_000)
+    rig.ready()
+    rig.ask()
+    assert rig.logs[0].of("attempt.chosen")[0]["endpoint"] == "e-1@1000"
--- a/turnward/gateway/tests/test_pace.py
+++ b/turnward/gateway/tests/test_pace.py
@@ -101,7 +101,7 @@
     for record in seen.book.all():
         pace = record.pace.observed(seen.now_s)
         unseen.told[record.endpoint_id] = EndpointLoad(
-            record.endpoint_id, 0, 0, pace.quiet_gap_ms, pace.held_up_gap_ms
+            record.incarnation, 0, 0, pace.quiet_gap_ms, pace.held_up_gap_ms
         )
     assert seen.shares(long_prompts()) == unseen.shares(long_prompts())
 
