--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -42,6 +42,12 @@
         self.zones_drained = self._gauge(
             "zones_drained", "Availability zones that get no new work by order."
         )
+        self.rows_refused = Gauge(
+            "turnward_rows_refused",
+            "Rows of the store that can't be read.",
+            ["table", "reason"],
+            registry=self._registry,
+        )
         self.contents_held = self._gauge(
             "contents_held", "Contents held back, since their runs ended endpoints."
         )
@@ -68,6 +74,12 @@
             if sample.name.endswith("_total")
         }
 
+    def tell_refused_rows(self, counts: dict[tuple[str, str], int]) -> None:
+        """Set how many rows stand refused, by table and reason."""
+        self.rows_refused.clear()
+        for (table, reason), count in counts.items():
+            self.rows_refused.labels(table, reason).set(count)
+
     def text(self) -> bytes:
         """Return all figures in the text form."""
         return generate_latest(self._registry)
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -28,6 +28,7 @@
 from turnward.gateway.peers import PeerTask
 from turnward.gateway.prepaid import KEPT_BY_PRIORITY, PrepaidAccounts
 from turnward.gateway.quarantine_rows import QuarantineRows
+from turnward.gateway.refused_rows import RefusedRow
 from turnward.gateway.retries import RepeatRule
 from turnward.gateway.settings import GatewaySettings
 from turnward.gateway.sources import MembersListener
@@ -164,7 +165,7 @@
         self.incarnation = incarnation
         self.state = FleetState(reactor.seconds)
         self.state.listen(self._state_changed)
-        self.state.on_unreadable = self._note_unreadable
+        self.state.refused_rows.on_refused = self._note_unreadable
         self.book = PeerBook(self.peers_address, reactor.seconds)
         self._add_seeds()
         self.endpoints = EndpointBook(
@@ -194,7 +195,7 @@
         )
         self.quarantine = Quarantine(reactor.seconds, on_change=self._quarantine_changed)
         self._quarantine_rows = QuarantineRows(
-            reactor, store, self.quarantine, self._note_unreadable, self._draw
+            reactor, store, self.quarantine, self.state.refused_rows, self._draw
         )
         self.peers = PeerTask(
             reactor,
@@ -300,7 +301,7 @@
             confirms = wait_s <= _CONFIGURATION_WAIT_S
             on_answer = self.state.confirm if confirms else None
             yield table, wait_s, listener, on_answer, self._pace(confirms)
-        members = MembersListener(self.book, self._note_unreadable)
+        members = MembersListener(self.book, self.state.refused_rows)
         pace = FleetPace(self.peers.overlay, _MEMBERS_REST_S)
         yield MEMBERS_TABLE, _MEMBERS_WAIT_S, members, None, pace
 
@@ -401,6 +402,7 @@
         metrics.configuration_version.set(self.state.configuration_version)
         metrics.unconfirmed_seconds.set(min(1e6, self.state.unconfirmed_for_s()))
         metrics.zones_drained.set(len(self.state.zone_orders.drained))
+        metrics.tell_refused_rows(self.state.refused_rows.counts())
         metrics.contents_held.set(self.quarantine.held_count)
         request.answer(200, [(b"content-type", metrics.content_type)], metrics.text())
 
@@ -442,8 +444,15 @@
             usual_held_up_ms=round(usual.held_up_gap_ms, 1),
         )
 
-    def _note_unreadable(self, key: RowKey, cause: Exception) -> None:
-        self._log.failure("row.unreadable", table=key.table, key=key.key, cause=str(cause))
+    def _note_unreadable(self, row: RefusedRow) -> None:
+        self._log.failure(
+            "row.unreadable",
+            table=row.key.table,
+            key=row.key.key,
+            version=row.version,
+            reason=row.reason,
+            cause=row.cause,
+        )
 
     def _state_changed(self, what: str, source: str) -> None:
         take_in = {
--- a/turnward/gateway/quarantine_rows.py
+++ b/turnward/gateway/quarantine_rows.py
@@ -7,11 +7,11 @@
 """
 
 import random
-from collections.abc import Callable
 
 import msgspec
 from twisted.internet import defer, task
 
+from turnward.gateway.refused_rows import UNREADABLE, RefusedRows
 from turnward.quarantine import LostRun, Quarantine, QuarantineChange, QuarantineWord
 from turnward.rows import (
     RowChange,
@@ -68,8 +68,8 @@
         Holds the rows; one that tells no time keeps none, since ages could not be told.
     quarantine : Quarantine
         Takes in what the rows tell.
-    note_unreadable : callable
-        Told the key of a row that can't be read, and why.
+    refused_rows : RefusedRows
+        Told of rows that can't be read.
     draw : random.Random
         Spreads tries over time.
     """
@@ -79,13 +79,13 @@
         reactor,
         store: VersionedStoreBase,
         quarantine: Quarantine,
-        note_unreadable: Callable[[RowKey, Exception], None],
+        refused_rows: RefusedRows,
         draw: random.Random,
     ):
         self._reactor = reactor
         self._store = store
         self._quarantine = quarantine
-        self._note_unreadable = note_unreadable
+        self._refused_rows = refused_rows
         self._draw = draw
         #: Contents whose rows are to be written or removed, as the quarantine then knows them.
         self._pending: list[str] = []
@@ -124,8 +124,8 @@
         for row in rows:
             try:
                 lost = msgspec.json.decode(row.value, type=QuarantineRow).aged(store_time_s)
-            except (msgspec.DecodeError, ValueError) as failure:
-                self._note_unreadable(row.key, failure)
+            except UNREADABLE as failure:
+                self._refused_rows.refuse(row, failure)
                 continue
             if self._quarantine.remembers(lost):
                 self._quarantine.take_in(QuarantineWord(lost))
--- a/turnward/gateway/sources.py
+++ b/turnward/gateway/sources.py
@@ -3,20 +3,17 @@
 
 from collections.abc import Callable
 
-import msgspec
-
 from turnward.gateway.configuration import Configuration, EndpointEntry
 from turnward.gateway.feeds import FeedListenerBase
 from turnward.gateway.members import decode_member
 from turnward.gateway.peer_book import PeerBook
+from turnward.gateway.refused_rows import UNREADABLE, RefusedRows
 from turnward.gateway.state import EndpointsSnapshot, FleetState
 from turnward.gateway.zone_orders import ZoneOrder
-from turnward.rows import RowKey, StoredRow, TableChanges
+from turnward.rows import StoredRow, TableChanges
 
 __all__ = ["ConfigurationListener", "EndpointsListener", "MembersListener"]
 
-_UNREADABLE = (msgspec.DecodeError, ValueError)
-
 
 class ConfigurationListener(FeedListenerBase):
     """Follows the row that holds the configuration, and those that order zones to be drained.
@@ -71,7 +68,7 @@
                 continue
             zone = zone[len(prefix) :]
             if not zone:
-                self._state.note_unreadable(row.key, ValueError("an order names no zone"))
+                self._state.refused_rows.refuse(row, ValueError("an order names no zone"))
                 continue
             orders[zone] = ZoneOrder(zone, row.version or changes.version, not row.gone)
         return list(orders.values())
@@ -83,9 +80,10 @@
                 continue
             try:
                 configuration = self._decode(row.value)
-            except _UNREADABLE as failure:
-                self._state.note_unreadable(row.key, failure)
+            except UNREADABLE as failure:
+                self._state.refused_rows.refuse(row, failure)
                 continue
+            self._state.refused_rows.accept(row.key)
             self._state.adopt_configuration(configuration, "store", row.version)
 
 
@@ -120,15 +118,30 @@
     def _adopt(self, entries: dict[str, EndpointEntry], changes: TableChanges) -> None:
         for row in changes.rows:
             entries.pop(row.key.key, None)
-            if row.gone:
-                continue
-            try:
-                entries[row.key.key] = self._decode(row)
-            except _UNREADABLE as failure:
-                self._state.note_unreadable(row.key, failure)
+            entry = self._read(row)
+            if entry is not None:
+                entries[row.key.key] = entry
         snapshot = EndpointsSnapshot(changes.version, tuple(entries.values()))
         self._state.adopt_endpoints(snapshot, "store")
 
+    def _read(self, row: StoredRow) -> EndpointEntry | None:
+        """Return the entry in a row, None when it is gone or can't be read.
+
+        Another writer may have put it there, over a good one too: it names no endpoint until its
+        own process writes it anew, at the next heartbeat.
+        """
+        refused_rows = self._state.refused_rows
+        if row.gone:
+            refused_rows.accept(row.key)
+            return None
+        try:
+            entry = self._decode(row)
+        except UNREADABLE as failure:
+            refused_rows.refuse(row, failure)
+            return None
+        refused_rows.accept(row.key)
+        return entry
+
 
 class MembersListener(FeedListenerBase):
     """Learns peers' addresses from their rows.
@@ -137,13 +150,13 @@
     ----------
     book : PeerBook
         Told of each member.
-    note_unreadable : callable
-        Told the key of a row that can't be read, and why.
+    refused_rows : RefusedRows
+        Told of rows that can't be read.
     """
 
-    def __init__(self, book: PeerBook, note_unreadable: Callable[[RowKey, Exception], None]):
+    def __init__(self, book: PeerBook, refused_rows: RefusedRows):
         self._book = book
-        self._note_unreadable = note_unreadable
+        self._refused_rows = refused_rows
         self._version = 0
 
     @property
@@ -164,7 +177,8 @@
                 continue
             try:
                 member = decode_member(row.value)
-            except _UNREADABLE as failure:
-                self._note_unreadable(row.key, failure)
+            except UNREADABLE as failure:
+                self._refused_rows.refuse(row, failure)
                 continue
+            self._refused_rows.accept(row.key)
             self._book.add_member(member.address, member.zone, member.link_mbit_per_s)
--- a/turnward/gateway/state.py
+++ b/turnward/gateway/state.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from turnward.gateway.configuration import Configuration, EndpointEntry, RouteTable
+from turnward.gateway.refused_rows import RefusedRows
 from turnward.gateway.zone_orders import ZoneOrder, ZoneOrders
-from turnward.rows import RowKey
 
 __all__ = ["EndpointsSnapshot", "FleetState"]
 
@@ -30,8 +30,8 @@
         Entries by endpoint id.
     endpoints_version : int
         The store's version that ``endpoints`` is as of; 0 until known.
-    on_unreadable : callable or None
-        Told the key of a row that can't be read, and why.
+    refused_rows : RefusedRows
+        Rows that could not be read.
     row_version : int
         The store's version of the row that the configuration came in; 0 until known.
     confirmed_s : float or None
@@ -45,7 +45,7 @@
     def __init__(self, clock: Callable[[], float]):
         self._clock = clock
         self._listeners: list[Callable[[str, str], None]] = []
-        self.on_unreadable: Callable[[RowKey, Exception], None] | None = None
+        self.refused_rows = RefusedRows()
         self.routes: RouteTable | None = None
         self.row_version = 0
         self.endpoints: dict[str, EndpointEntry] = {}
@@ -138,11 +138,6 @@
         """Return all endpoints as known."""
         return EndpointsSnapshot(self.endpoints_version, tuple(self.endpoints.values()))
 
-    def note_unreadable(self, key: RowKey, cause: Exception) -> None:
-        """Tell that a row could not be read; what is known stays."""
-        if self.on_unreadable is not None:
-            self.on_unreadable(key, cause)
-
     def _tell(self, what: str, source: str) -> None:
         for listener in self._listeners:
             listener(what, source)
--- a/turnward/gateway/tests/test_zone_orders.py
+++ b/turnward/gateway/tests/test_zone_orders.py
@@ -142,7 +142,7 @@
 def listener():
     state = FleetState(lambda: 0.0)
     told = []
-    state.on_unreadable = lambda key, cause: told.append(key.key)
+    state.refused_rows.on_refused = lambda row: told.append(row.key.key)
     decode = msgspec.json.Decoder(Configuration).decode
     return state, told, ConfigurationListener(state, "all", "drained/", decode)
 
