--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -249,6 +249,10 @@
         """Return the record of one start of an endpoint."""
         return self._records.get(incarnation)
 
+    def standing(self) -> set[str]:
+        """Return the incarnations of the endpoints that have an entry."""
+        return {record.incarnation for record in self._records.values() if record.lapsed_s is None}
+
     def loads(self) -> list[EndpointLoad]:
         """Return what this router has in flight, for its peers."""
         now_s = self._clock()
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -36,7 +36,7 @@
 from turnward.gateway.warm_up import WarmUpShares
 from turnward.http1 import InboundFactory, InboundLimits, InboundRequest, OutboundPool
 from turnward.ledger import SizingRule
-from turnward.quarantine import Quarantine, QuarantineChange
+from turnward.quarantine import Quarantine, QuarantineChange, QuarantineRule
 from turnward.rows import (
     RowChange,
     RowKey,
@@ -70,6 +70,8 @@
 _LAST_WORDS_S = 0.1
 #: Seconds after a call to the store that failed in which entries that go are taken to have lapsed.
 _LAPSES_KNOWN_S = 2.5
+#: Age of the last confirmation of the configuration above which contact with the store was lost.
+_CONTACT_LOST_S = 3.0
 #: Connect timeout towards endpoints, in seconds.
 _CONNECT_TIMEOUT_S = 0.5
 #: How far ahead prepaid tokens are taken; see ``docs/decisions``.
@@ -158,6 +160,7 @@
         self._ports: list = []
         self._feed_health: dict[str, bool] = {}
         self._store_away_s = -1e9
+        self._contact_since_s = reactor.seconds()
         self._stopping = False
         self._stop_began_s = 0.0
         self._waiting_for_end: task.LoopingCall | None = None
@@ -193,7 +196,11 @@
             reports=settings.mechanisms.spend_reports,
             holders=self.holders,
         )
-        self.quarantine = Quarantine(reactor.seconds, on_change=self._quarantine_changed)
+        self.quarantine = Quarantine(
+            reactor.seconds,
+            QuarantineRule.from_heartbeat(settings.endpoint_heartbeat_ms / 1_000),
+            self._quarantine_changed,
+        )
         self._quarantine_rows = QuarantineRows(
             reactor, store, self.quarantine, self.state.refused_rows, self._draw
         )
@@ -501,6 +508,9 @@
 
     def _keep_house(self) -> None:
         now_s = self._reactor.seconds()
+        if self.state.unconfirmed_for_s() > _CONTACT_LOST_S:
+            self._contact_since_s = now_s
+        self.quarantine.note_standing(self.endpoints.standing(), self._contact_since_s)
         self.endpoints.drop_lapsed()
         for record in self.endpoints.all():
             record.pool.trim(now_s)
--- a/turnward/gateway/quarantine_rows.py
+++ b/turnward/gateway/quarantine_rows.py
@@ -89,6 +89,8 @@
         self._draw = draw
         #: Contents whose rows are to be written or removed, as the quarantine then knows them.
         self._pending: list[str] = []
+        #: Contents of which this router has written a row; it removes them too.
+        self._written: set[str] = set()
         self._writing = False
 
     def start(self) -> None:
@@ -97,7 +99,8 @@
 
     def note_change(self, change: QuarantineChange) -> None:
         """Write or remove a content's row, if what happened here changed it."""
-        if not change.own or change.content in self._pending:
+        concerns = change.content in self._written or (change.own and change.held)
+        if not concerns or change.content in self._pending:
             return
         self._pending.append(change.content)
         if not self._writing:
@@ -161,10 +164,13 @@
         if lost:
             value = msgspec.json.encode(QuarantineRow(now_s, lost))
             change = RowChange(key, value, 0 if row.gone else row.version)
+            self._written.add(content)
             try:
                 await self._store.transact(VersionedTransaction((change,)))
             except VersionConflictError:
                 # Another router has just written the same.
                 return
-        elif row.version and not row.gone:
+            return
+        self._written.discard(content)
+        if row.version and not row.gone:
             await self._store.transact(VersionedTransaction((), (key,)))
--- a/turnward/gateway/settings.py
+++ b/turnward/gateway/settings.py
@@ -57,6 +57,7 @@
     repeat_slack: float = 50.0
     log_lines_per_s: float = 100.0
     link_mbit_per_s: float = 0.0
+    endpoint_heartbeat_ms: float = 1_200.0
     budget_reserve_share: float = 0.0
     budget_holders: int = HOLDERS
     mechanisms: Mechanisms = Mechanisms()
@@ -84,7 +85,12 @@
         ]
         found += [
             f"{key}: expected more than 0, found {getattr(self, key)}"
-            for key in ("stop_limit_s", "configuration_in_force_s", "repeat_window_s")
+            for key in (
+                "stop_limit_s",
+                "configuration_in_force_s",
+                "repeat_window_s",
+                "endpoint_heartbeat_ms",
+            )
             if not 0 < getattr(self, key) < math.inf
         ]
         found += [
--- a/turnward/gateway/tests/test_crashing_requests.py
+++ b/turnward/gateway/tests/test_crashing_requests.py
@@ -245,3 +245,33 @@
     assert play.ask(FATAL).status == 503
     unreadable = play.rig.logs[0].of("row.unreadable")
     assert {line["key"] for line in unreadable} == {"bad", "worse"}
+
+
+def test_network_that_resets_everything_for_a_while_holds_nothing_back_for_long():
+    """All sends of the only content there is are lost for three seconds, at endpoints that live."""
+    play = CrashPlay(gateways=3, endpoints=6, crashing=())
+    for _ in range(60):
+        for number in range(3):
+            play.send(b"asked by all", number)
+        play.rig.network.advance(0.05)
+        for falling in play.endpoints:
+            for connection in list(falling.endpoint.machine.connections):
+                connection.abortConnection()
+    assert play.ask(b"asked by all").status == 503
+    play.rig.network.advance(13.0)
+    assert all(play.ask(b"asked by all", number).status == 200 for number in range(3))
+
+
+def test_endpoints_that_ended_are_not_taken_for_living_while_the_store_is_away():
+    play = CrashPlay(gateways=3, endpoints=6, crashing=(FATAL,))
+    hold_back(play)
+    for client in play.rig.clients:
+        client.faults.away = True
+    play.rig.network.advance(25.0)
+    assert play.ask(FATAL).status == 503
+    for client in play.rig.clients:
+        client.faults.away = False
+    play.rig.network.advance(25.0)
+    for gateway in range(3):
+        assert play.ask(FATAL, gateway).status == 503
+    assert len(play.crashes) == 3
--- a/turnward/quarantine/quarantine.py
+++ b/turnward/quarantine/quarantine.py
@@ -6,6 +6,10 @@
 once its runs were lost at several incarnations of endpoints, at least one of them sent after
 another had been lost, and none was answered since:
 
+A loss counts no longer once its endpoint is known to have outlived it: the same incarnation still
+stands in the store when the entry of an ended process would be gone. Else a network that resets
+all connections for some seconds would hold back, for minutes, what many ask for.
+
 - several, because an engine takes up to 48 requests down with it, and each of these is lost once;
 - sent again, because one reset of many connections loses many runs of a content that is much
   asked for at the same moment;
@@ -14,6 +18,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
+from collections.abc import Set as AbstractSet
 
 import msgspec
 
@@ -30,6 +35,11 @@
 #: Seconds within which two words on a content and an endpoint are taken for the same loss: ages
 #: leave out the time on the way, 0.3 s at most over two levels of aggregators.
 _SAME_LOSS_S = 1.0
+#: Heartbeats that an ended process misses before its entry goes.
+_HEARTBEATS_MISSED = 3
+#: Seconds, with a margin of three times, in which routers learn that an entry has gone: feeds rest
+#: for 1 s, and two levels of aggregators pass it on.
+_NEWS_OF_ENDS_S = 6.4
 #: Losses kept of one content; the first ones and the last tell most.
 _LOSSES_LIMIT = 8
 #: Losses told of one content: three make others hold it back.
@@ -54,6 +64,9 @@
         holds it back for as long again.
     memory_s : float
         Seconds after which a loss is forgotten.
+    outlived_s : float
+        Seconds after a loss, in unbroken contact with the store, after which an endpoint that
+        still stands there did not end then.
     contents : int
         Most contents that are remembered; each takes under 1 KB.
     """
@@ -61,8 +74,14 @@
     endpoints: int = 3
     hold_s: float = 600.0
     memory_s: float = 3_600.0
+    outlived_s: float = 10.0
     contents: int = 1_024
 
+    @classmethod
+    def from_heartbeat(cls, heartbeat_s: float) -> "QuarantineRule":
+        """Return the rule for endpoints that write their entries that often."""
+        return cls(outlived_s=_HEARTBEATS_MISSED * heartbeat_s + _NEWS_OF_ENDS_S)
+
 
 class _Loss(msgspec.Struct, frozen=True):
     """One lost run, by the own clock."""
@@ -80,10 +99,12 @@
 class _Suspect:
     """What is known of one content."""
 
-    __slots__ = ("last_lost_s", "losses", "served_s", "learnt_s")
+    __slots__ = ("last_lost_s", "learnt_s", "losses", "outlived", "served_s")
 
     def __init__(self):
         self.losses: dict[str, _Loss] = {}
+        #: Incarnations that outlived a loss, with when that was lost.
+        self.outlived: dict[str, float] = {}
         self.last_lost_s = float("-inf")
         self.served_s = float("-inf")
         self.learnt_s = float("-inf")
@@ -91,7 +112,8 @@
     def add(self, loss: _Loss) -> bool:
         """Take in a loss; True when it was not known."""
         known = self.losses.get(loss.endpoint)
-        if loss.lost_s <= self.served_s:
+        outlived_s = self.outlived.get(loss.endpoint, float("-inf")) + _SAME_LOSS_S
+        if loss.lost_s <= max(self.served_s, outlived_s):
             return False
         if known is not None and loss.lost_s < known.lost_s + _SAME_LOSS_S:
             if loss.lost_s < known.lost_s:
@@ -118,6 +140,20 @@
         }
         return True
 
+    def drop_outlived(self, standing: AbstractSet[str], before_s: float) -> bool:
+        """Drop the losses before a moment at endpoints that still stand; False if there is none."""
+        outlived = [
+            loss
+            for loss in self.losses.values()
+            if loss.lost_s <= before_s and loss.endpoint in standing
+        ]
+        for loss in outlived:
+            del self.losses[loss.endpoint]
+            self.outlived[loss.endpoint] = loss.lost_s
+        while len(self.outlived) > _LOSSES_LIMIT:
+            del self.outlived[next(iter(self.outlived))]
+        return bool(outlived)
+
     @property
     def sent_again(self) -> bool:
         """Whether a run that was lost had been sent after another was lost."""
@@ -179,6 +215,15 @@
         if content in self._suspects:
             self._take_answer(content, self._clock(), own=True)
 
+    def note_standing(self, standing: AbstractSet[str], contact_since_s: float) -> None:
+        """Note which incarnations stand in the store, in contact with it since a moment."""
+        before_s = self._clock() - self._rule.outlived_s
+        if contact_since_s > before_s:
+            return
+        for content, suspect in self._suspects.items():
+            if suspect.drop_outlived(standing, before_s):
+                self._free(content, suspect, own=True)
+
     def holds(self, content: str) -> bool:
         """Tell whether a content is to be sent to no endpoint now."""
         return self.held_for_s(content) > 0
@@ -282,6 +327,10 @@
             return
         suspect.learnt_s = self._clock()
         self._suspects.move_to_end(content)
+        self._free(content, suspect, own)
+
+    def _free(self, content: str, suspect: _Suspect, own: bool) -> None:
+        """Hold a content back no longer where too little is left against it."""
         if content in self._held and len(suspect.losses) < self._rule.endpoints:
             self._held.discard(content)
             self._tell(QuarantineChange(content, False, tuple(sorted(suspect.losses)), own))
--- a/turnward/quarantine/tests/test_quarantine.py
+++ b/turnward/quarantine/tests/test_quarantine.py
@@ -197,3 +197,50 @@
     for content in ("c0", "c1", "c2"):
         held = {router.quarantine.holds(content) for router in routers}
         assert len(held) == 1, (content, held)
+
+
+def outlive(router, *endpoints, contact_s=1_000.0):
+    """Let the router see that endpoints stand in the store."""
+    router.quarantine.note_standing(set(endpoints), router.clock.now_s - contact_s)
+
+
+def test_losses_at_endpoints_that_live_on_hold_nothing_back(clock):
+    router = Router(clock)
+    router.lose_at("a", "b", "d")
+    clock.now_s += RULE.outlived_s - 1
+    outlive(router, "a", "b", "d")
+    assert router.quarantine.holds("c")
+    clock.now_s += 1.5
+    outlive(router, "a", "b", "d")
+    assert not router.quarantine.holds("c")
+    assert router.changes == [("c", True), ("c", False)]
+
+
+def test_losses_at_endpoints_that_ended_stay(clock):
+    router = Router(clock)
+    router.lose_at("a@1", "b@1", "d@1", "e@1")
+    for _ in range(20):
+        clock.now_s += RULE.outlived_s
+        # One lives on; the others are born again, or gone.
+        outlive(router, "a@1", "b@2", "d@2")
+    assert router.quarantine.holds("c")
+
+
+def test_entries_tell_nothing_that_were_read_before_an_outage_of_the_store(clock):
+    router = Router(clock)
+    router.lose_at("a", "b", "d")
+    clock.now_s += 60.0
+    outlive(router, "a", "b", "d", contact_s=2.0)
+    assert router.quarantine.holds("c")
+
+
+def test_what_was_refuted_is_not_believed_again_and_a_later_end_is(clock):
+    one, two = Router(clock), Router(clock)
+    one.lose_at("a", "b", "d")
+    one.tell(two)
+    clock.now_s += RULE.outlived_s + 1
+    outlive(one, "a", "b", "d")
+    two.tell(one)
+    assert not one.quarantine.holds("c")
+    one.lose_at("a", "b", "d")
+    assert one.quarantine.holds("c")
