--- a/turnward/gateway/tests/test_crashing_requests.py
+++ b/turnward/gateway/tests/test_crashing_requests.py
@@ -18,6 +18,8 @@
 engine ended 0.17 s after its start with this request alone in flight, which rules out load.
 """
 
+import random
+
 import pytest
 
 from turnward.gateway import Workspace
@@ -275,3 +277,65 @@
     for gateway in range(3):
         assert play.ask(FATAL, gateway).status == 503
     assert len(play.crashes) == 3
+
+
+def trouble(play, draw, kind):
+    """Bring about a trouble of the routers, and return what ends it."""
+    rig = play.rig
+    count = len(rig.gateways)
+    chosen = draw.sample(range(count), max(1, count // 4))
+    if kind == "frozen":
+        for number in chosen:
+            rig.machines[number].freeze()
+        return lambda: [rig.machines[number].wake() for number in chosen]
+    if kind == "apart":
+        hosts = {rig.machines[number].host for number in chosen}
+        others = {machine.host for machine in rig.machines} - hosts
+        pairs = [(one, other) for one in hosts for other in others]
+        for pair in pairs:
+            rig.network.cut(*pair)
+        return lambda: [rig.network.heal(*pair) for pair in pairs]
+    if kind == "restarted":
+        for number in chosen:
+            machine = rig.machines[number]
+            machine.kill()
+            machine.restart()
+            kept = rig.gateways, rig.machines, rig.logs
+            rig.gateways, rig.machines, rig.logs = [], [], []
+            replaced = rig.run_gateway(machine, f"node-{number + 1}")
+            rig.gateways, rig.machines, rig.logs = kept
+            rig.gateways[number] = replaced
+    if kind == "store":
+        for client in rig.clients:
+            client.faults.away = True
+        return lambda: [setattr(client.faults, "away", False) for client in rig.clients]
+    return lambda: None
+
+
+@pytest.mark.parametrize("size", [7, 24])
+@pytest.mark.parametrize("seed", range(4))
+def test_random_troubles_of_routers_let_few_sends_through(size, seed):
+    """Frozen and woken, cut off from each other, restarted, without the store, one after another.
+
+    In a cut each side bears three ends; a router that starts or wakes may send before it hears.
+    """
+    draw = random.Random(seed)
+    play = CrashPlay(gateways=size, endpoints=12, crashing=(FATAL,))
+    play.rig.network.advance(4.0)
+    ending = None
+    troubled = 0
+    for turn in range(60):
+        if turn % 10 == 2:
+            kind = draw.choice(("frozen", "apart", "restarted", "store"))
+            troubled += max(1, size // 4) if kind in ("frozen", "restarted") else 0
+            troubled += 3 if kind == "apart" else 0
+            ending = trouble(play, draw, kind)
+        play.send(FATAL, draw.randrange(size))
+        play.send(b"harmless %d" % turn, draw.randrange(size))
+        play.rig.network.advance(0.4)
+        if turn % 10 == 8:
+            ending()
+    late = play.sends_after(FATAL, play.third_crash_s(FATAL) + KNOWN_S)
+    assert late <= SENDS_LIMIT + troubled, (late, troubled)
+    play.rig.network.advance(3.0)
+    assert all(play.ask(FATAL, number).status == 503 for number in range(size))
