--- a/turnward/http.py
+++ b/turnward/http.py
@@ -29,6 +29,9 @@
 #: Failures that prove that no byte of the request has left this process.
 _NOT_SENT = (
     error.ConnectError,
+    # The request's own limit passed first. Not told as an error of the platform it ended routers
+    # that were starting.
+    error.ConnectingCancelledError,
     error.ConnectionRefusedError,
     error.TimeoutError,
     error.DNSLookupError,
