--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -11,16 +11,20 @@
 import random
 from collections import OrderedDict
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 
 from turnward.gateway.configuration import EndpointEntry, EngineTraits, WarmUpTraits
+from turnward.gateway.dialect import Dialect
 from turnward.gateway.endpoint_record import EndpointRecord
+from turnward.gateway.endpoint_word import EndpointWord, read_word
 from turnward.gateway.pace import ObservedPace, PaceClass, next_class, usual_pace
 from turnward.gateway.peer_book import EndpointLoad
 from turnward.gateway.prompts import Prompt
 from turnward.gateway.warm_up import WarmUp, WarmUpShares
 from turnward.hashing import rendezvous_weight
+from turnward.http1 import HeaderList
 
 __all__ = ["ChoiceRule", "EndpointBook", "EndpointChoice"]
 
@@ -117,6 +121,8 @@
         Returns how endpoints of a pool start, None where that makes no difference.
     shares : WarmUpShares, optional
         Deals out what cold endpoints bear; needed with ``warm_up_of``.
+    dialect : Dialect, optional
+        Names on the wire of what endpoints say of themselves.
     """
 
     def __init__(
@@ -129,6 +135,7 @@
         rule: ChoiceRule | None = None,
         warm_up_of: Callable[[str], WarmUpTraits | None] = lambda pool: None,
         shares: WarmUpShares | None = None,
+        dialect: Dialect | None = None,
     ):
         self._rule = rule or ChoiceRule()
         self._draw = draw
@@ -147,6 +154,11 @@
         #: Called with record, its pace and the usual one when a pace class has changed.
         self.on_pace_class: Callable[[EndpointRecord, ObservedPace, ObservedPace], None]
         self.on_pace_class = _told_nobody
+        self._dialect = dialect or Dialect()
+        #: Called with record, word and the answer's headers when an endpoint says something of
+        #: itself.
+        self.on_word: Callable[[EndpointRecord, EndpointWord, HeaderList], None]
+        self.on_word = _told_nobody
 
     def set_entries(self, entries: dict[str, EndpointEntry], store_was_away: bool = False) -> None:
         """Take in all endpoints; what is known of those that stay is kept.
@@ -224,9 +236,15 @@
                 # It has just started, whether or not its entry says that it is cold.
                 warm_up.note_cold(self._cold_s(entry.pool))
         warm_up.note_cold(entry.cold_left_s)
-        self._records[entry.incarnation] = EndpointRecord(
-            entry, self._make_pool(entry.address), warm_up
-        )
+        pool = self._make_pool(entry.address)
+        record = self._records[entry.incarnation] = EndpointRecord(entry, pool, warm_up)
+        pool.on_head = partial(self._head_received, record)
+
+    def _head_received(self, record: EndpointRecord, status: int, headers: HeaderList) -> None:
+        """Take in what an endpoint says of itself in the head of any answer."""
+        word = read_word(status, headers, self._dialect)
+        if word is not None:
+            self.on_word(record, word, headers)
 
     def _cold_s(self, pool: str) -> float:
         """Return how long an endpoint of a pool is cold after a start."""
@@ -434,8 +452,8 @@
     return _COST_OF_SHORT_BESIDE_LONG_MS if pace_class is PaceClass.USUAL else 0.0
 
 
-def _told_nobody(record: EndpointRecord, pace: ObservedPace, usual: ObservedPace) -> None:
-    """Stand in where nobody wants to know of changed classes."""
+def _told_nobody(record: EndpointRecord, *what) -> None:
+    """Stand in where nobody wants to know of changes."""
 
 
 def _homes(prompt: Prompt, candidates: list[EndpointRecord], count: int) -> set[str]:
--- a/turnward/gateway/dialect.py
+++ b/turnward/gateway/dialect.py
@@ -25,6 +25,8 @@
         On an answer: the endpoint did not run the request.
     answer_seal : bytes
         On an answer: an endpoint made it.
+    leaving : bytes
+        On an answer, with the value 1: the endpoint ends soon and takes no new work.
     last_event_id : bytes
         The last event that the sender has; the stream goes on behind it.
     token_count : bytes
@@ -46,6 +48,7 @@
     expected_endpoint: bytes = b"expected-endpoint"
     not_run: bytes = b"not-run"
     answer_seal: bytes = b"answer-seal"
+    leaving: bytes = b"endpoint-leaving"
     last_event_id: bytes = b"last-event-id"
     token_count: bytes = b"token-count"
     prompt_parts: bytes = b"prompt-parts"
--- /dev/null
+++ b/turnward/gateway/endpoint_word.py
@@ -0,0 +1,95 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""What an endpoint says of itself beside an answer: that it leaves, or wants rest."""
+
+import re
+from datetime import datetime
+from email.utils import parsedate_to_datetime
+
+import msgspec
+
+from turnward.gateway.dialect import Dialect
+from turnward.http1 import HeaderList, header_values
+
+__all__ = ["EndpointWord", "parse_rest_s", "read_word"]
+
+#: Statuses whose ``Retry-After`` tells for how long the endpoint wants nothing (RFC 9110, 10.2.3;
+#: RFC 6585, 4).
+_REST_STATUSES = frozenset((429, 503))
+#: The answerer is not the endpoint that was meant: what it says is not the endpoint's word.
+_OTHER_ENDPOINT = 421
+#: Longest rest that is granted, in seconds: a faulty value would else lose an endpoint for days.
+_REST_LIMIT_S = 3_600.0
+#: Delays in whole seconds by the standard, with a fraction by the users' pages.
+_SECONDS = re.compile(rb"\d{1,12}(?:\.\d{1,12})?")
+
+
+class EndpointWord(msgspec.Struct, frozen=True):
+    """What one answer says of the endpoint.
+
+    Attributes
+    ----------
+    leaves : bool
+        It ends soon and takes no new work.
+    rest_s : float
+        For how long it wants nothing from this router; 0 when it does not ask for that.
+    """
+
+    leaves: bool = False
+    rest_s: float = 0.0
+
+
+def read_word(status: int, headers: HeaderList, dialect: Dialect) -> EndpointWord | None:
+    """Return what an answer's head says of its endpoint, None when it says nothing.
+
+    Examples
+    --------
+    >>> read_word(503, [(b"retry-after", b"1.5")], Dialect()).rest_s
+    1.5
+    >>> read_word(200, [(b"retry-after", b"1.5")], Dialect()) is None
+    True
+    """
+    if status == _OTHER_ENDPOINT:
+        return None
+    said = header_values(headers, dialect.leaving)
+    leaves = any(value.strip() == b"1" for value in said)
+    rest_s = parse_rest_s(headers) if status in _REST_STATUSES else 0.0
+    if not leaves and not rest_s:
+        return None
+    return EndpointWord(leaves, rest_s)
+
+
+def parse_rest_s(headers: HeaderList) -> float:
+    """Return the seconds that ``Retry-After`` asks for; 0 when it is missing or unreadable.
+
+    Of several the longest counts. A date counts from the answer's own ``Date``, never from a clock
+    of this machine.
+
+    Examples
+    --------
+    >>> parse_rest_s([(b"retry-after", b"2"), (b"retry-after", b"0.5")])
+    2.0
+    >>> parse_rest_s([(b"retry-after", b"-3")])
+    0.0
+    """
+    dates = header_values(headers, b"date")
+    answered = _parse_date(dates[0]) if len(dates) == 1 else None
+    values = header_values(headers, b"retry-after")
+    return max((_value_s(value.strip(), answered) for value in values), default=0.0)
+
+
+def _value_s(value: bytes, answered: datetime | None) -> float:
+    if _SECONDS.fullmatch(value):
+        return min(_REST_LIMIT_S, float(value))
+    until = _parse_date(value)
+    if until is None or answered is None:
+        return 0.0
+    return min(_REST_LIMIT_S, max(0.0, (until - answered).total_seconds()))
+
+
+def _parse_date(value: bytes) -> datetime | None:
+    try:
+        found = parsedate_to_datetime(value.decode("ascii"))
+    except (ValueError, TypeError, IndexError, OverflowError):
+        return None
+    # A date whose zone is unknown ("-0000") can't be compared with one whose zone is known.
+    return found if found.tzinfo is not None else None
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -14,6 +14,7 @@
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.end_reserve import EndReserveRule
 from turnward.gateway.endpoint_record import EndpointRecord
+from turnward.gateway.endpoint_word import EndpointWord
 from turnward.gateway.feeds import FeedListenerBase, FeedPaceBase, FleetPace, TableFeed, ToldPace
 from turnward.gateway.forwarding import Forwarder, ForwardingRules
 from turnward.gateway.holder_client import HolderClient
@@ -34,7 +35,14 @@
 from turnward.gateway.sources import MembersListener
 from turnward.gateway.state import FleetState
 from turnward.gateway.warm_up import WarmUpShares
-from turnward.http1 import InboundFactory, InboundLimits, InboundRequest, OutboundPool
+from turnward.http1 import (
+    HeaderList,
+    InboundFactory,
+    InboundLimits,
+    InboundRequest,
+    OutboundPool,
+    header_value,
+)
 from turnward.ledger import SizingRule
 from turnward.quarantine import Quarantine, QuarantineChange, QuarantineRule
 from turnward.rows import (
@@ -180,8 +188,10 @@
             _choice_rule(settings.mechanisms),
             self._warm_up_of,
             WarmUpShares(self.book),
+            dialect,
         )
         self.endpoints.on_pace_class = self._note_pace_class
+        self.endpoints.on_word = self._note_word
         self.holders = RankedHolders(self.book, reactor.seconds, settings.budget_holders)
         self.accounts = PrepaidAccounts(
             reactor,
@@ -451,6 +461,20 @@
             usual_held_up_ms=round(usual.held_up_gap_ms, 1),
         )
 
+    def _note_word(
+        self, record: EndpointRecord, word: EndpointWord, answer_headers: HeaderList
+    ) -> None:
+        request_id = header_value(answer_headers, self._dialect.request_id) or b""
+        self._log.failure(
+            "endpoint.said",
+            request=request_id.decode("latin-1"),
+            endpoint=record.incarnation,
+            pool=record.entry.pool,
+            leaves=word.leaves,
+            rest_s=round(word.rest_s, 3),
+            endpoints=self.state.endpoints_version,
+        )
+
     def _note_unreadable(self, row: RefusedRow) -> None:
         self._log.failure(
             "row.unreadable",
--- /dev/null
+++ b/turnward/gateway/tests/test_endpoint_word.py
@@ -0,0 +1,71 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""What is read of an answer's head about its endpoint."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from turnward.gateway import Dialect
+from turnward.gateway.endpoint_word import EndpointWord, parse_rest_s, read_word
+
+DIALECT = Dialect()
+LEAVING = DIALECT.leaving
+ANSWERED = (b"date", b"Thu, 03 Dec 2026 10:00:00 GMT")
+
+
+@pytest.mark.parametrize(
+    ("values", "rest_s"),
+    [
+        ([], 0.0),
+        ([b"3"], 3.0),
+        ([b" 0.25 "], 0.25),
+        ([b"0"], 0.0),
+        ([b"1", b"4", b"2"], 4.0),
+        ([b"4", b"no"], 4.0),
+        ([b"99999999"], 3_600.0),
+        ([b"-1"], 0.0),
+        ([b"1e3"], 0.0),
+        ([b"inf"], 0.0),
+        ([b"nan"], 0.0),
+        ([b"3 s"], 0.0),
+        ([b""], 0.0),
+        ([b"Thu, 03 Dec 2026 10:00:04 GMT"], 4.0),
+        ([b"Thu, 03 Dec 2026 09:00:00 GMT"], 0.0),
+        ([b"Fri, 03 Dec 2027 10:00:04 GMT"], 3_600.0),
+        ([b"Thu, 03 Dec 2026 10:00:04 -0000"], 0.0),
+        ([b"Thu, 99 Dec 2026 10:00:04 GMT"], 0.0),
+    ],
+)
+def test_rest_that_an_answer_asks_for(values, rest_s):
+    headers = [ANSWERED, *((b"retry-after", value) for value in values)]
+    assert parse_rest_s(headers) == rest_s
+
+
+def test_date_is_counted_from_the_answers_own_and_from_nothing_else():
+    assert parse_rest_s([(b"retry-after", b"Thu, 03 Dec 2026 10:00:04 GMT")]) == 0.0
+
+
+@given(st.lists(st.binary(max_size=40), max_size=3), st.binary(max_size=40))
+def test_no_value_raises_or_asks_for_longer_than_the_limit(values, date):
+    headers = [(b"date", date), *((b"retry-after", value) for value in values)]
+    assert 0.0 <= parse_rest_s(headers) <= 3_600.0
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "word"),
+    [
+        (200, [], None),
+        (200, [(LEAVING, b"1")], EndpointWord(leaves=True)),
+        (100, [(LEAVING, b"1")], EndpointWord(leaves=True)),
+        (500, [(LEAVING, b" 1 ")], EndpointWord(leaves=True)),
+        (200, [(LEAVING, b"0")], None),
+        (503, [(b"retry-after", b"2")], EndpointWord(rest_s=2.0)),
+        (429, [(b"retry-after", b"2")], EndpointWord(rest_s=2.0)),
+        (503, [(b"retry-after", b"2"), (LEAVING, b"1")], EndpointWord(True, 2.0)),
+        (200, [(b"retry-after", b"2")], None),
+        # Another process answers there: what it says is not the endpoint's word.
+        (421, [(b"retry-after", b"2"), (LEAVING, b"1")], None),
+    ],
+)
+def test_word_of_an_answer(status, headers, word):
+    assert read_word(status, headers, DIALECT) == word
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -10,6 +10,7 @@
 import socket
 from abc import ABC, abstractmethod
 from collections import deque
+from collections.abc import Callable
 from enum import StrEnum
 
 import httptools
@@ -277,6 +278,7 @@
     def on_headers_complete(self):
         """Give the head to the exchange, unless it is an earlier one's."""
         status = self._parser.get_status_code()
+        self._pool.on_head(status, self._headers)
         if self._exchange is None or self._complete or 100 <= status < 200:
             return
         match = self._exchange.match(status, self._headers)
@@ -385,6 +387,12 @@
         Limit for opening a connection.
     on_fault : callable, optional
         Told the exception of an exchange's method that failed.
+
+    Attributes
+    ----------
+    on_head : callable
+        Called with status and headers of each answer that the far side begins, whichever exchange
+        it belongs to: late and foreign ones and those between (1xx) among them.
     """
 
     def __init__(
@@ -398,6 +406,7 @@
         self._closed = False
         self.pending: dict[OutboundConnection, _Connecting] = {}
         self.open_count = 0
+        self.on_head: Callable[[int, HeaderList], None] = _heeded_by_nobody
 
     @property
     def idle_count(self) -> int:
@@ -493,6 +502,10 @@
             self._idle.remove(connection)
 
 
+def _heeded_by_nobody(status: int, headers: HeaderList) -> None:
+    """Stand in where nobody reads the heads of answers besides their exchanges."""
+
+
 class Attempt:
     """A handle on an exchange under way, to give it up."""
 
