--- /dev/null
+++ b/turnward/gateway/tests/word_plays.py
@@ -0,0 +1,123 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Endpoints that say in their answers that they leave or want rest, on the network in memory."""
+
+import msgspec
+
+from turnward.gateway.tests.rig import DIALECT, Rig, answer_head, answered
+
+__all__ = ["SpeakingEndpoint", "WordPlay"]
+
+#: Seconds after a word within which sends may still arrive that were on their way.
+ON_ITS_WAY_S = 0.5
+#: Seconds for which a request runs.
+RUN_S = 0.05
+
+
+class Send(msgspec.Struct, frozen=True):
+    """A request that reached an endpoint, and from which router."""
+
+    time_s: float
+    router: str
+
+
+class SpeakingEndpoint:
+    """An endpoint whose answers tell what it wants.
+
+    Attributes
+    ----------
+    leaves : bool
+        Whether its answers say that it leaves.
+    rest_s : float
+        What it asks for as it turns requests away; 0: it runs them.
+    sends : list of Send
+        What reached it.
+    left_s, rests : dict
+        By router: when it was first told that the endpoint leaves; from when until when it was
+        asked for rest.
+    """
+
+    def __init__(self, play: "WordPlay", zone: str = "z"):
+        self._play = play
+        self.leaves = False
+        self.rest_s = 0.0
+        self.sends: list[Send] = []
+        self.left_s: dict[str, float] = {}
+        self.rests: dict[str, list[tuple[float, float]]] = {}
+        self.endpoint = play.rig.endpoint(self._take, announce=False)
+        play.rig.announce(self.endpoint, zone=zone)
+
+    def _take(self, endpoint, request) -> None:
+        now_s = self._play.now_s
+        router = request._connection.transport.getPeer().host
+        self.sends.append(Send(now_s, router))
+        if self.rest_s:
+            self.rests.setdefault(router, []).append((now_s, now_s + self.rest_s))
+            head = [(DIALECT.not_run, b"1"), (b"retry-after", b"%g" % self.rest_s), *self._word()]
+            request.answer(503, head)
+            return
+        endpoint.machine.callLater(RUN_S, self._answer, request, router)
+
+    def _answer(self, request, router: str) -> None:
+        if request.gone:
+            return
+        if self.leaves:
+            self.left_s.setdefault(router, self._play.now_s)
+        request.answer(200, [*answer_head(request), *self._word()], b"fine")
+
+    def _word(self):
+        return [(DIALECT.leaving, b"1")] if self.leaves else []
+
+    def late_sends(self) -> int:
+        """Count sends of routers that had been told a while before that it leaves."""
+        return sum(
+            send.time_s > self.left_s.get(send.router, 1e9) + ON_ITS_WAY_S for send in self.sends
+        )
+
+    def most_in_a_rest(self) -> int:
+        """Return the most sends of one router in one rest, those on their way left out."""
+        return max(
+            (
+                sum(
+                    send.router == router and since_s + ON_ITS_WAY_S < send.time_s < until_s
+                    for send in self.sends
+                )
+                for router, rests in self.rests.items()
+                for since_s, until_s in rests
+            ),
+            default=0,
+        )
+
+
+class WordPlay:
+    """A fleet before endpoints that speak.
+
+    Parameters
+    ----------
+    gateways, endpoints : int
+        How many.
+    fields
+        Of the route.
+    """
+
+    def __init__(self, gateways: int, endpoints: int, **fields):
+        self.rig = Rig(**fields)
+        self.endpoints = [SpeakingEndpoint(self) for _ in range(endpoints)]
+        self.callers: list = []
+        self.rig.ready(gateways)
+        self.rig.network.advance(0.3)
+
+    @property
+    def now_s(self) -> float:
+        """The network's time."""
+        return self.rig.network.clock.seconds()
+
+    def ask_for(self, seconds: float, pause_s: float = 0.1) -> None:
+        """Send a request after each pause, to one gateway after the other."""
+        for number in range(round(seconds / pause_s)):
+            self.callers.append(self.rig.send(number % len(self.rig.gateways)))
+            self.rig.network.advance(pause_s)
+
+    def statuses(self) -> list[int]:
+        """Wait for all answers and return their statuses."""
+        self.rig.network.advance_until(lambda: all(answered(one) for one in self.callers), 10.0)
+        return [caller.status for caller in self.callers]
