What an endpoint says in its answers binds the router that hears it

While the store was silent an engine that left was sent requests for seconds after its answers had said so; a wish for rest was read nowhere, and being turned away counted as health, so engines that ran nothing were the least loaded and drew the most.

It is read from the head of every answer, whoever it belongs to, and asked by the choice (first sends, repeats, resumed streams, requests that waited) and once more when a connection has been opened. Where all of a pool rest, callers are refused at once with the time at which it opens. What was said outlasts an entry that lapses with the store and comes back.

The same cause elsewhere: an endpoint whose address answered as another one was a last resort at once; it is sent nothing for 10 s now, or until its entry changes, and is a last resort after. Its test asked for a last resort at once, which sends to what is known to fail; it asks for nothing in that time and for the last resort after, and a second one for nothing where all are gone.

Ruled out: a cost in the choice (sends to what rests under load), reading by the request under way (misses answers that are late, foreign or given up), waiting for the end of a rest.

Three variants without a part of it are found by each play.

--- a/turnward/events/story.py
+++ b/turnward/events/story.py
@@ -22,6 +22,7 @@
         "process.reloaded",
         "configuration.adopted",
         "endpoints.adopted",
+        "endpoint.said",
         "store.lost",
         "store.regained",
         "peer.lost",
--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -99,6 +99,13 @@
             connection.drop()
             owner.time_over()
             return
+        hold = self.record.availability.hold(owner.forwarder.reactor.seconds())
+        if hold is not None:
+            # Said while the connection was being opened: what was chosen before is not sent.
+            self._uncount()
+            connection.drop()
+            owner.attempt_held(self, hold)
+            return
         self.sent = True
         self.sent_s = owner.forwarder.reactor.seconds()
         self.reused = connection.exchanges > 1
@@ -267,10 +274,11 @@
     def _finish(self, failed: bool, gone: bool = False) -> None:
         self._uncount()
         if failed:
-            # Another process has the address: that is certain, and for good.
-            self.record.gone = self.record.gone or gone
+            # Another process has the address: that is certain.
+            if gone:
+                self.record.availability.note_gone(self._owner.forwarder.reactor.seconds())
             self._note_failure(certain=gone)
-        elif self.record.succeeded():
+        elif self.record.availability.succeeded():
             self._owner.forwarder.log.event(
                 "endpoint.regained",
                 request=self._owner.request_id.decode("latin-1"),
@@ -281,14 +289,15 @@
         forwarder = self._owner.forwarder
         now_s = forwarder.reactor.seconds()
         record = self.record
-        if record.failed(now_s, certain, forwarder.draw.uniform(0.8, 1.2)):
+        availability = record.availability
+        if availability.failed(now_s, certain, forwarder.draw.uniform(0.8, 1.2)):
             forwarder.log.failure(
                 "endpoint.lost",
                 request=self._owner.request_id.decode("latin-1"),
                 endpoint=record.incarnation,
-                failures=record.failures,
+                failures=availability.failures,
                 unreachable=certain,
-                rest_s=round(record.rest_until_s - now_s, 3),
+                rest_s=round(availability.doubted_for_s(now_s), 3),
             )
 
     def _uncount(self) -> None:
--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -8,17 +8,19 @@
 hashing, so that all routers guess alike.
 """
 
+import math
 import random
 from collections import OrderedDict
 from collections.abc import Callable
-from functools import partial
 
 import msgspec
 
+from turnward.gateway.availability import Hold
 from turnward.gateway.configuration import EndpointEntry, EngineTraits, WarmUpTraits
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.endpoint_record import EndpointRecord
-from turnward.gateway.endpoint_word import EndpointWord, read_word
+from turnward.gateway.endpoint_word import read_word
+from turnward.gateway.outcomes import Reason
 from turnward.gateway.pace import ObservedPace, PaceClass, next_class, usual_pace
 from turnward.gateway.peer_book import EndpointLoad
 from turnward.gateway.prompts import Prompt
@@ -26,7 +28,7 @@
 from turnward.hashing import rendezvous_weight
 from turnward.http1 import HeaderList
 
-__all__ = ["ChoiceRule", "EndpointBook", "EndpointChoice"]
+__all__ = ["ChoiceRule", "EndpointBook", "EndpointChoice", "PoolShortage"]
 
 #: Prompt tokens that an engine reads in a millisecond, until measured.
 _PREFILL_TOKENS_PER_MS = 50.0
@@ -53,8 +55,12 @@
 #: the store: releases and scaling take single ones away.
 _LAPSED_LEAST = 2
 _LAPSED_SHARE = 0.25
+#: Most by which a rest that an endpoint asked for is lengthened, each router by its own draw: else
+#: all of them would come back in the same moment.
+_REST_SPREAD = 1.25
 #: Endpoints without an entry that are remembered, so that one whose entry only lapsed is as warm as
-#: it was when it is back: ten times the 45 to 90 of today's pools.
+#: it was when it is back, and what it said of itself holds on: ten times the 45 to 90 of today's
+#: pools.
 _LEFT_LIMIT = 1_000
 
 
@@ -100,6 +106,16 @@
     kept_tokens: int
 
 
+class PoolShortage(msgspec.Struct, frozen=True):
+    """Why no endpoint of a pool takes work, and when the first one does; inf if none will."""
+
+    reason: Reason
+    opens_in_s: float
+
+
+_NEVER = PoolShortage(Reason.NO_ENDPOINT, math.inf)
+
+
 class EndpointBook:
     """The endpoints known, and the choice among them.
 
@@ -110,7 +126,7 @@
     clock : callable
         Steady clock in seconds.
     make_pool : callable
-        Returns the connections to an ``IP:port``.
+        Returns the connections to an ``IP:port``, whose answers' heads go to the second argument.
     peer_loads : callable
         Returns by endpoint's incarnation what all peers have in flight.
     draw : random.Random
@@ -150,14 +166,14 @@
         self._shares = shares
         self._drained: frozenset[str] = frozenset()
         self._entries_known = False
-        self._left: OrderedDict[str, WarmUp] = OrderedDict()
+        self._left: OrderedDict[str, EndpointRecord] = OrderedDict()
         #: Called with record, its pace and the usual one when a pace class has changed.
         self.on_pace_class: Callable[[EndpointRecord, ObservedPace, ObservedPace], None]
         self.on_pace_class = _told_nobody
         self._dialect = dialect or Dialect()
-        #: Called with record, word and the answer's headers when an endpoint says something of
-        #: itself.
-        self.on_word: Callable[[EndpointRecord, EndpointWord, HeaderList], None]
+        #: Called with record, hold and the answer's headers when an answer says that its endpoint
+        #: is to be sent nothing.
+        self.on_word: Callable[[EndpointRecord, Hold, HeaderList], None]
         self.on_word = _told_nobody
 
     def set_entries(self, entries: dict[str, EndpointEntry], store_was_away: bool = False) -> None:
@@ -177,6 +193,8 @@
                 self._forget(record)
             else:
                 record.lapsed_s = None
+                if entry != record.entry:
+                    record.availability.take_entry(entry.leaving)
                 if entry.cold_left_s != record.entry.cold_left_s:
                     record.warm_up.note_cold(entry.cold_left_s)
                 record.entry = entry
@@ -201,7 +219,7 @@
             missing = [
                 record
                 for record in records
-                if record.endpoint_id not in entries and not record.entry.leaving
+                if record.endpoint_id not in entries and not record.availability.leaves
             ]
             many = store_was_away and len(missing) >= max(
                 _LAPSED_LEAST, _LAPSED_SHARE * len(records)
@@ -224,27 +242,35 @@
     def _forget(self, record: EndpointRecord) -> None:
         record.pool.close()
         del self._records[record.incarnation]
-        self._left[record.incarnation] = record.warm_up
+        self._left[record.incarnation] = record
         while len(self._left) > _LEFT_LIMIT:
             self._left.popitem(last=False)
 
     def _add(self, entry: EndpointEntry) -> None:
-        warm_up = self._left.pop(entry.incarnation, None)
+        left = self._left.pop(entry.incarnation, None)
+        warm_up = left.warm_up if left is not None else None
         if warm_up is None:
             warm_up = WarmUp(self._clock)
             if self._entries_known:
                 # It has just started, whether or not its entry says that it is cold.
                 warm_up.note_cold(self._cold_s(entry.pool))
         warm_up.note_cold(entry.cold_left_s)
-        pool = self._make_pool(entry.address)
-        record = self._records[entry.incarnation] = EndpointRecord(entry, pool, warm_up)
-        pool.on_head = partial(self._head_received, record)
+        record = EndpointRecord(entry, self._make_pool, warm_up, self._head_received)
+        self._records[entry.incarnation] = record
+        if left is not None and left.is_of(entry):
+            # What it said holds on, though its entry lapsed with the store meanwhile.
+            record.availability = left.availability
+            record.availability.entry_leaves = entry.leaving
 
     def _head_received(self, record: EndpointRecord, status: int, headers: HeaderList) -> None:
         """Take in what an endpoint says of itself in the head of any answer."""
         word = read_word(status, headers, self._dialect)
-        if word is not None:
-            self.on_word(record, word, headers)
+        if word is None:
+            return
+        spread = self._draw.uniform(1.0, _REST_SPREAD)
+        news = record.availability.heed(word, self._clock(), spread)
+        if news is not None:
+            self.on_word(record, news, headers)
 
     def _cold_s(self, pool: str) -> float:
         """Return how long an endpoint of a pool is cold after a start."""
@@ -285,16 +311,21 @@
         found = [
             record
             for record in self._by_pool.get(pool, ())
-            if not record.entry.leaving
+            if record.availability.hold(now_s) is None
             and record.incarnation not in without
-            and (record.lapsed_s is None or record.may_be_back(now_s))
-            and record.entry.zone not in self._drained
+            and self._stands(record, now_s)
         ]
         traits = self._warm_up_of(pool)
         if traits is None:
             return found
         return [record for record in found if self._is_warm_enough(record, traits)]
 
+    def _stands(self, record: EndpointRecord, now_s: float) -> bool:
+        """Tell whether an endpoint has an entry and its zone gets work."""
+        if record.entry.zone in self._drained:
+            return False
+        return record.lapsed_s is None or record.may_be_back(now_s)
+
     def _is_warm_enough(self, record: EndpointRecord, traits: WarmUpTraits) -> bool:
         """Tell whether an endpoint that may be cold bears a request of this router now."""
         if record.warm_up.settled(self._shares.members):
@@ -310,16 +341,26 @@
             if record.warm_up.cold_for_s > 0
         ]
 
-    def cold_for_s(self, pool: str) -> float:
-        """Return when the first endpoint of a pool that takes work is warm; 0 if one is."""
-        return min(
-            (
-                record.warm_up.cold_for_s
-                for record in self._by_pool.get(pool, ())
-                if not record.entry.leaving and record.entry.zone not in self._drained
-            ),
-            default=0.0,
-        )
+    def shortage(self, pool: str) -> PoolShortage | None:
+        """Return why no endpoint of a pool takes work, None if one does."""
+        now_s = self._clock()
+        waits = [
+            self._wait_for(record, now_s)
+            for record in self._by_pool.get(pool, ())
+            if self._stands(record, now_s)
+            and record.availability.hold(now_s) not in (Hold.GONE, Hold.LEAVES)
+        ]
+        first = min(waits, key=lambda wait: wait.opens_in_s, default=_NEVER)
+        return first if first.opens_in_s > 0 else None
+
+    @staticmethod
+    def _wait_for(record: EndpointRecord, now_s: float) -> PoolShortage:
+        """Return how long an endpoint takes no work, and why."""
+        rests_for_s = record.availability.rests_for_s(now_s)
+        cold_for_s = record.warm_up.cold_for_s
+        if rests_for_s >= cold_for_s:
+            return PoolShortage(Reason.ENDPOINTS_RESTING, rests_for_s)
+        return PoolShortage(Reason.ENDPOINTS_COLD, cold_for_s)
 
     def choose(
         self,
@@ -336,8 +377,8 @@
         """
         now_s = self._clock()
         candidates = self._candidates(pool, without)
-        rested = [record for record in candidates if self._may_take(record, now_s)]
-        candidates = rested or candidates
+        trusted = [record for record in candidates if self._is_trusted(record, now_s)]
+        candidates = trusted or candidates
         if not candidates:
             return None
         loads = self._peer_loads()
@@ -388,13 +429,8 @@
             max(own.quiet_gap_ms, load.quiet_gap_ms), max(own.held_up_gap_ms, load.held_up_gap_ms)
         )
 
-    def _may_take(self, record: EndpointRecord, now_s: float) -> bool:
-        if not self._rule.rests:
-            return True
-        if record.gone or now_s < record.rest_until_s:
-            return False
-        # After a rest one request at a time tries whether the endpoint is back.
-        return not (record.trial and record.in_flight)
+    def _is_trusted(self, record: EndpointRecord, now_s: float) -> bool:
+        return not self._rule.rests or record.availability.is_trusted(now_s, record.in_flight)
 
     def _service_cost_ms(self, record: EndpointRecord, loads) -> float:
         load = loads.get(record.incarnation)
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -5,12 +5,14 @@
 was sent, or the endpoint said so itself.
 """
 
+import math
 from collections.abc import Callable
 
 import msgspec
 from twisted.internet import defer
 
 from turnward.gateway.attempt import EndpointAttempt
+from turnward.gateway.availability import Hold
 from turnward.gateway.choice import EndpointBook
 from turnward.gateway.configuration import Route, Workspace
 from turnward.gateway.dialect import Dialect
@@ -45,6 +47,11 @@
 _CONTENT_DIGITS = 16
 #: Endpoints tried in vain, with nothing sent, before a request is refused.
 _ENDPOINTS_LIMIT = 6
+#: Why a request has no endpoint; told more exactly where the whole pool takes no work.
+_ENDPOINT_REASONS = frozenset((Reason.NO_ENDPOINT, Reason.ENDPOINTS_FULL))
+#: By what callers' time to come back is scaled when none of a pool takes work. Cold endpoints bear
+#: some requests before they are warm; those that rest want none before.
+_RETRY_SPREAD = {Reason.ENDPOINTS_COLD: (0.5, 1.5), Reason.ENDPOINTS_RESTING: (1.0, 1.5)}
 #: Least time left that is worth a send, in seconds.
 _LEAST_SEND_S = 0.02
 
@@ -334,8 +341,7 @@
             routes.pause_targets_s.get(self._pool),
         )
         if choice is None:
-            cold = forwarder.endpoints.cold_for_s(self._pool) > 0
-            self._give_up(Reason.ENDPOINTS_COLD if cold else Reason.NO_ENDPOINT)
+            self._give_up(Reason.NO_ENDPOINT)
             return
         record = choice.record
         self._tried.add(record.incarnation)
@@ -428,14 +434,22 @@
         else:
             self._give_up(reason)
 
+    def attempt_held(self, attempt: "EndpointAttempt", hold: Hold) -> None:
+        """Note that an endpoint said, before anything was sent, that it is to be sent nothing."""
+        self._attempt_unsent(attempt, "held", hold=hold)
+
+    def _attempt_unsent(self, attempt: "EndpointAttempt", how: str, **fields) -> None:
+        """Go on elsewhere after an attempt of which no byte left."""
+        self._end_attempt(attempt, how, **fields)
+        if self._may_go_on(repeat=False, ran=False):
+            self._dispatch()
+        else:
+            self._give_up(Reason.NO_ENDPOINT)
+
     def attempt_failed(self, attempt: "EndpointAttempt", failure: ExchangeFailure) -> None:
         """Note that an attempt ended without a whole answer."""
         if not failure.sent:
-            self._end_attempt(attempt, "unreachable", cause=failure.cause)
-            if self._may_go_on(repeat=False, ran=False):
-                self._dispatch()
-            else:
-                self._give_up(Reason.NO_ENDPOINT)
+            self._attempt_unsent(attempt, "unreachable", cause=failure.cause)
             return
         if failure.cause in _ENDED_WITH_CONNECTION:
             # It may be this content that ends the endpoints that run it: told to all routers,
@@ -630,7 +644,14 @@
             else:
                 self._fail(502, reason)
         else:
-            self._refuse(503, reason)
+            self._refuse(503, self._shortage_or(reason))
+
+    def _shortage_or(self, reason: Reason) -> Reason:
+        """Return why the whole pool takes no work; the reason given if some endpoint does."""
+        if reason not in _ENDPOINT_REASONS:
+            return reason
+        shortage = self._forwarder.endpoints.shortage(self._pool)
+        return shortage.reason if shortage is not None else reason
 
     def _refuse(self, status: int, reason: Reason) -> None:
         """Answer a request that has not run and will not."""
@@ -650,11 +671,13 @@
         rules = self._forwarder.rules
         if reason is Reason.ENDS_ENDPOINTS:
             return round(self._forwarder.quarantine.held_for_s(self._content), 1)
-        if reason is not Reason.ENDPOINTS_COLD:
+        spread = _RETRY_SPREAD.get(reason)
+        shortage = self._forwarder.endpoints.shortage(self._pool) if spread is not None else None
+        if shortage is None or shortage.reason is not reason:
             return rules.retry_after_s
-        # All are cold here; spread, or all callers would come when the first is warm.
-        cold_s = self._forwarder.endpoints.cold_for_s(self._pool)
-        return round(max(rules.retry_after_s, cold_s * self._forwarder.draw.uniform(0.5, 1.5)), 2)
+        # Spread, or all callers would come when the first endpoint opens.
+        opens_in_s = shortage.opens_in_s * self._forwarder.draw.uniform(*spread)
+        return math.ceil(100 * max(rules.retry_after_s, opens_in_s)) / 100
 
     def _fail(self, status: int, reason: Reason) -> None:
         """Answer a request that may have run."""
--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -58,6 +58,9 @@
         self.requests_held = self._counter(
             "requests_held", "Requests refused, since their content is held back.", ["pool"]
         )
+        self.endpoint_words = self._counter(
+            "endpoint_words", "Times endpoints newly asked to be sent nothing.", ["pool", "hold"]
+        )
         self.request_seconds = self._histogram("request_seconds", "From head to end.", ["pool"])
         self.first_event_seconds = self._histogram(
             "first_event_seconds", "From head to the first event.", ["pool"]
--- a/turnward/gateway/outcomes.py
+++ b/turnward/gateway/outcomes.py
@@ -35,6 +35,7 @@
     NO_ENDPOINT = "no_endpoint"
     ENDPOINTS_FULL = "endpoints_full"
     ENDPOINTS_COLD = "endpoints_cold"
+    ENDPOINTS_RESTING = "endpoints_resting"
     ENDS_ENDPOINTS = "ends_endpoints"
     TIME_LIMIT = "time_limit"
     ENDPOINT_LOST = "endpoint_lost"
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -9,12 +9,12 @@
 import msgspec
 from twisted.internet import defer, task
 
+from turnward.gateway.availability import Hold
 from turnward.gateway.choice import ChoiceRule, EndpointBook
 from turnward.gateway.configuration import WarmUpTraits
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.end_reserve import EndReserveRule
 from turnward.gateway.endpoint_record import EndpointRecord
-from turnward.gateway.endpoint_word import EndpointWord
 from turnward.gateway.feeds import FeedListenerBase, FeedPaceBase, FleetPace, TableFeed, ToldPace
 from turnward.gateway.forwarding import Forwarder, ForwardingRules
 from turnward.gateway.holder_client import HolderClient
@@ -285,9 +285,11 @@
             host, _, _ = seed.rpartition(":")
             self.book.add(f"{host}:{self._settings.peers_port}")
 
-    def _make_pool(self, address: str) -> OutboundPool:
+    def _make_pool(self, address: str, on_head) -> OutboundPool:
         host, _, port = address.rpartition(":")
-        return OutboundPool(self._reactor, (host, int(port)), _CONNECT_TIMEOUT_S, self._note_fault)
+        return OutboundPool(
+            self._reactor, (host, int(port)), _CONNECT_TIMEOUT_S, self._note_fault, on_head
+        )
 
     def _warm_up_of(self, pool: str) -> WarmUpTraits | None:
         routes = self.state.routes
@@ -461,17 +463,16 @@
             usual_held_up_ms=round(usual.held_up_gap_ms, 1),
         )
 
-    def _note_word(
-        self, record: EndpointRecord, word: EndpointWord, answer_headers: HeaderList
-    ) -> None:
+    def _note_word(self, record: EndpointRecord, hold: Hold, answer_headers: HeaderList) -> None:
+        self._metrics.endpoint_words.labels(record.entry.pool, hold).inc()
         request_id = header_value(answer_headers, self._dialect.request_id) or b""
         self._log.failure(
             "endpoint.said",
             request=request_id.decode("latin-1"),
             endpoint=record.incarnation,
             pool=record.entry.pool,
-            leaves=word.leaves,
-            rest_s=round(word.rest_s, 3),
+            hold=hold,
+            rest_s=round(record.availability.rests_for_s(self._reactor.seconds()), 3),
             endpoints=self.state.endpoints_version,
         )
 
--- /dev/null
+++ b/turnward/gateway/tests/test_availability.py
@@ -0,0 +1,161 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""What one endpoint's words do, in whatever order they come, and what ends them."""
+
+from itertools import permutations
+
+import msgspec
+import pytest
+
+from turnward.gateway.availability import Availability, Hold
+from turnward.gateway.dialect import Dialect
+from turnward.gateway.endpoint_word import EndpointWord
+from turnward.gateway.outcomes import Reason
+from turnward.gateway.tests.test_choice import World, without
+
+DIALECT = Dialect()
+LEAVING = [(DIALECT.leaving, b"1")]
+LEAVES = EndpointWord(leaves=True)
+
+
+def rest(seconds):
+    return [(b"retry-after", b"%g" % seconds)]
+
+
+@pytest.fixture
+def world():
+    """Four endpoints that tell when they were born."""
+    return World(born_ms=1_000)
+
+
+def speak(world, name, status, headers):
+    """Have an endpoint begin an answer."""
+    world.book.get(f"{name}@1000").pool.on_head(status, headers)
+
+
+def chosen(world, times=40):
+    return {choice.endpoint_id for choice in (world.choose() for _ in range(times)) if choice}
+
+
+def test_strongest_word_holds_in_whatever_order_words_come():
+    words = [
+        lambda one: one.heed(LEAVES, 0.0),
+        lambda one: one.heed(EndpointWord(rest_s=5.0), 0.0),
+        lambda one: one.succeeded(),
+        lambda one: one.take_entry(leaves=False),
+    ]
+    for order in permutations(words):
+        availability = Availability()
+        for word in order:
+            word(availability)
+        assert availability.hold(1.0) is Hold.LEAVES
+        availability.note_gone(1.0)
+        assert availability.hold(2.0) is Hold.GONE
+
+
+def test_shorter_wish_and_an_answer_do_not_shorten_a_rest():
+    availability = Availability()
+    availability.heed(EndpointWord(rest_s=4.0), 0.0)
+    availability.heed(EndpointWord(rest_s=0.5), 1.0)
+    availability.succeeded()
+    assert availability.hold(3.9) is Hold.RESTS
+    assert availability.hold(4.0) is None
+
+
+def test_word_is_news_once():
+    availability = Availability()
+    assert availability.heed(EndpointWord(rest_s=3.0), 0.0) is Hold.RESTS
+    assert availability.heed(EndpointWord(rest_s=3.0), 0.2) is None
+    assert availability.heed(EndpointWord(rest_s=3.0), 1.0) is Hold.RESTS
+    assert availability.heed(LEAVES, 1.0) is Hold.LEAVES
+    assert availability.heed(LEAVES, 2.0) is None
+
+
+@pytest.mark.parametrize("status", [100, 200, 429, 500, 503])
+def test_leaving_is_believed_in_any_answer_and_outlasts_every_entry(world, status):
+    speak(world, "e-0", status, LEAVING)
+    assert chosen(world) == {"e-1", "e-2", "e-3"}
+    changed = msgspec.structs.replace(world.entries["e-0"], cold_left_s=1.0)
+    world.book.set_entries({**world.entries, "e-0": changed})
+    world.now_s += 60.0
+    assert "e-0" not in chosen(world)
+
+
+def test_leaving_outlasts_an_entry_that_lapses_with_the_store_and_comes_back(world):
+    speak(world, "e-0", 200, LEAVING)
+    without(world, 0)
+    world.now_s += 2.0
+    world.book.set_entries(world.entries)
+    assert "e-0" not in chosen(world)
+
+
+def test_rest_outlasts_an_entry_that_lapses_with_the_store_and_comes_back(world):
+    speak(world, "e-0", 503, rest(5.0))
+    without(world, 0)
+    world.now_s += 2.0
+    world.book.set_entries(world.entries)
+    assert "e-0" not in chosen(world)
+    world.now_s += 5.0
+    assert "e-0" in chosen(world)
+
+
+def test_next_start_under_the_id_takes_work(world):
+    old = world.book.get("e-0@1000").pool
+    speak(world, "e-0", 503, [*LEAVING, *rest(60.0)])
+    entries = {**world.entries, "e-0": msgspec.structs.replace(world.entries["e-0"], born_ms=2_000)}
+    world.book.set_entries(entries)
+    assert "e-0" in chosen(world)
+    # A word of the earlier process that comes late is its own.
+    old.on_head(200, LEAVING)
+    assert "e-0" in chosen(world)
+
+
+def test_next_endpoint_at_an_address_takes_work(world):
+    speak(world, "e-0", 200, LEAVING)
+    newcomer = msgspec.structs.replace(world.entries["e-0"], endpoint_id="e-9", born_ms=2_000)
+    world.book.set_entries({**world.entries, "e-9": newcomer})
+    assert "e-9" in chosen(world)
+    assert "e-0" not in chosen(world)
+
+
+def test_what_another_process_at_the_address_says_is_not_the_endpoints_word(world):
+    speak(world, "e-0", 421, [*LEAVING, *rest(60.0)])
+    assert chosen(world) == {"e-0", "e-1", "e-2", "e-3"}
+
+
+def test_gone_ends_with_a_changed_entry(world):
+    world.book.get("e-0@1000").availability.note_gone(world.now_s)
+    assert "e-0" not in chosen(world)
+    changed = msgspec.structs.replace(world.entries["e-0"], slots=9)
+    world.book.set_entries({**world.entries, "e-0": changed})
+    assert "e-0" in chosen(world)
+
+
+def test_endpoint_that_rests_is_no_last_resort_and_the_pool_tells_when_it_opens(world):
+    for number, seconds in enumerate((3.0, 2.0, 5.0, 4.0)):
+        speak(world, f"e-{number}", 503, rest(seconds))
+    assert world.choose() is None
+    assert not world.book.has_other("pool", set())
+    shortage = world.book.shortage("pool")
+    assert shortage.reason is Reason.ENDPOINTS_RESTING
+    assert 2.0 <= shortage.opens_in_s <= 2.0 * 1.25
+    world.now_s += 2.0 * 1.25
+    assert chosen(world) == {"e-1"}
+    assert world.book.shortage("pool") is None
+
+
+def test_pool_whose_endpoints_all_leave_has_no_endpoint(world):
+    for number in range(4):
+        speak(world, f"e-{number}", 200, LEAVING)
+    assert world.choose() is None
+    assert world.book.shortage("pool").reason is Reason.NO_ENDPOINT
+
+
+def test_routers_come_back_from_a_rest_one_after_the_other():
+    ends = set()
+    for seed in range(20):
+        world = World(seed=seed, born_ms=1_000)
+        speak(world, "e-0", 503, rest(4.0))
+        ends.add(round(world.book.get("e-0@1000").availability.rests_for_s(0.0), 1))
+    assert min(ends) >= 4.0
+    assert max(ends) <= 5.0
+    assert len(ends) >= 6
--- a/turnward/gateway/tests/test_choice.py
+++ b/turnward/gateway/tests/test_choice.py
@@ -9,6 +9,7 @@
 
 from turnward.gateway import EndpointEntry, EngineTraits, WarmUpTraits
 from turnward.gateway.choice import EndpointBook
+from turnward.gateway.outcomes import Reason
 from turnward.gateway.peer_book import EndpointLoad, PeerBook
 from turnward.gateway.prompts import Prompt, parse_prompt_parts
 from turnward.gateway.warm_up import WarmUpShares
@@ -20,7 +21,8 @@
 class Pool:
     """Connections that are never opened."""
 
-    def __init__(self, address):
+    def __init__(self, address, on_head):
+        self.on_head = on_head
         self.closed = False
 
     def close(self):
@@ -108,21 +110,21 @@
     world = World(count=2)
     failing = world.book.get("e-0")
     for _ in range(1 if certain else 2):
-        failing.failed(world.now_s, certain)
+        failing.availability.failed(world.now_s, certain)
     assert {world.choose().endpoint_id for _ in range(10)} == {"e-1"}
     world.now_s += 5.0
     world.book.get("e-1").in_flight = 5
     assert world.choose() is failing
     failing.in_flight = 1
     assert world.choose().endpoint_id == "e-1"
-    failing.succeeded()
+    failing.availability.succeeded()
     assert world.choose() is failing
 
 
 def test_resting_endpoints_are_used_when_there_is_no_other():
     world = World(count=2)
     for record in world.book.all():
-        record.failed(world.now_s, certain=True)
+        record.availability.failed(world.now_s, certain=True)
     assert world.choose() is not None
 
 
@@ -160,15 +162,27 @@
     return {world.choose().endpoint_id for _ in range(times)}
 
 
-def test_endpoint_that_is_gone_from_its_address_is_a_last_resort_for_good():
+def test_endpoint_that_is_gone_from_its_address_gets_nothing_and_then_is_a_last_resort_for_good():
     world = World(count=2)
-    world.book.get("e-0").gone = True
+    world.book.get("e-0").availability.note_gone(world.now_s)
     world.now_s += 60.0
     assert ids_chosen(world) == {"e-1"}
-    world.book.get("e-1").gone = True
+    world.book.get("e-1").availability.note_gone(world.now_s)
+    assert ids_chosen(world) == {"e-0"}
+    world.now_s += 9.0
+    assert ids_chosen(world) == {"e-0"}
+    world.now_s += 2.0
     assert ids_chosen(world) == {"e-0", "e-1"}
 
 
+def test_nothing_is_chosen_where_all_are_known_to_be_gone():
+    world = World(count=2)
+    for record in world.book.all():
+        record.availability.note_gone(world.now_s)
+    assert world.choose() is None
+    assert world.book.shortage("pool").reason is Reason.NO_ENDPOINT
+
+
 # Entries that lapse while the store is away.
 
 
@@ -335,7 +349,9 @@
         world.take_in()
     assert world.choose() is None
     assert not world.book.has_other("pool", set())
-    assert 2.9 <= world.book.cold_for_s("pool") <= 3.0
+    shortage = world.book.shortage("pool")
+    assert shortage.reason is Reason.ENDPOINTS_COLD
+    assert 2.9 <= shortage.opens_in_s <= 3.0
 
 
 def test_pool_that_tells_no_rate_knows_no_cold_endpoints():
--- a/turnward/gateway/tests/test_endpoints_born_again.py
+++ b/turnward/gateway/tests/test_endpoints_born_again.py
@@ -30,10 +30,11 @@
     old.remember(wanted, world.now_s)
     old.in_flight = 7
     for _ in range(3):
-        old.failed(world.now_s, certain=True)
+        old.availability.failed(world.now_s, certain=True)
     new = born(world, "e-0", 2_000)
     assert new is not old
-    assert (new.in_flight, new.failures, new.lost, new.rest_until_s) == (0, 0, False, 0.0)
+    assert (new.in_flight, new.availability.failures, new.availability.lost) == (0, 0, False)
+    assert new.availability.doubted_for_s(world.now_s) == 0.0
     assert new.kept_tokens(wanted, world.now_s) == 0
     assert old.pool.closed
     assert world.choose(without={"e-1@1000"}) is new
@@ -63,8 +64,8 @@
     old.in_flight = 1
     new = born(world, "e-0", 2_000)
     old.in_flight -= 1
-    old.failed(world.now_s, certain=True)
-    assert (new.in_flight, new.failures) == (0, 0)
+    old.availability.failed(world.now_s, certain=True)
+    assert (new.in_flight, new.availability.failures) == (0, 0)
 
 
 def test_reborn_endpoint_is_not_spared_as_one_whose_entry_lapsed(world):
--- a/turnward/gateway/tests/test_mechanisms.py
+++ b/turnward/gateway/tests/test_mechanisms.py
@@ -83,7 +83,9 @@
 
 
 def book(rule, seed=0):
-    found = EndpointBook("z", lambda: 0.0, lambda address: None, dict, random.Random(seed), rule)
+    found = EndpointBook(
+        "z", lambda: 0.0, lambda address, on_head: None, dict, random.Random(seed), rule
+    )
     entries = [
         EndpointEntry(endpoint_id=f"e-{n}", pool="pool", address=f"10.0.0.{n}:80", zone=zone)
         for n, zone in enumerate(("z", "z", "other"))
@@ -126,7 +128,7 @@
 def test_without_rests_a_failed_endpoint_is_chosen_as_before():
     def chosen(rule):
         routers = book(rule)
-        routers.get("e-0").failed(0.0, certain=True)
+        routers.get("e-0").availability.failed(0.0, certain=True)
         return {routers.choose("pool", Prompt(), None, set()).record.endpoint_id for _ in range(40)}
 
     assert "e-0" not in chosen(ChoiceRule())
--- a/turnward/gateway/tests/test_pace.py
+++ b/turnward/gateway/tests/test_pace.py
@@ -30,7 +30,11 @@
         self.gaps_ms = gaps_ms
         self.told = {}
         self.book = EndpointBook(
-            "z", lambda: self.now_s, lambda address: None, lambda: self.told, random.Random(seed)
+            "z",
+            lambda: self.now_s,
+            lambda address, on_head: None,
+            lambda: self.told,
+            random.Random(seed),
         )
         entries = [
             EndpointEntry(endpoint_id=f"e-{n}", pool="pool", address=f"10.0.0.{n}:80", slots=64)
--- a/turnward/gateway/tests/test_words_of_endpoints.py
+++ b/turnward/gateway/tests/test_words_of_endpoints.py
@@ -13,7 +13,26 @@
 The first two tests bring both about with nothing else wrong: no load, and no fault but one.
 """
 
+import pytest
+
+from turnward.gateway import Repeat
+from turnward.gateway.availability import Availability, Hold
+from turnward.gateway.endpoint_word import EndpointWord
+from turnward.gateway.tests.rig import (
+    DIALECT,
+    ENGINE_POOL,
+    Rig,
+    answer_head,
+    answered,
+    dechunk,
+    events,
+    raw,
+    stream,
+    well,
+)
+from turnward.gateway.tests.test_forwarding import reason
 from turnward.gateway.tests.word_plays import WordPlay
+from turnward.http1 import OutboundPool
 
 
 def test_endpoint_that_says_that_it_leaves_is_sent_nothing_more():
@@ -32,3 +51,233 @@
     play.ask_for(7.0, pause_s=0.05)
     assert all(resting.rests for resting in play.endpoints[:2])
     assert max(resting.most_in_a_rest() for resting in play.endpoints[:2]) <= 1
+
+
+def leaving_head(request):
+    return [*answer_head(request), (DIALECT.leaving, b"1")]
+
+
+def leaving_stream(endpoint, request):
+    """Begin a stream whose head tells that the endpoint leaves, and go on for ever."""
+    request.start(200, [*leaving_head(request), (b"content-type", b"text/event-stream")], None)
+    request.write(events(1, 1))
+
+
+def leaving_cut(endpoint, request):
+    """Cut an answer off whose head tells that the endpoint leaves."""
+    request.start(200, leaving_head(request), 100)
+    request.write(b"half")
+    endpoint.machine.callLater(0.02, request.abort)
+
+
+def leaving_error(endpoint, request):
+    request.answer(500, leaving_head(request), b"broken")
+
+
+def leaving_refusal(endpoint, request):
+    request.answer(503, [(DIALECT.not_run, b"1"), (DIALECT.leaving, b"1")])
+
+
+def leaving_without_an_id(endpoint, request):
+    request.answer(200, [(DIALECT.leaving, b"1")], b"whose")
+
+
+#: An answer that comes between, before any that counts.
+INFORMATIONAL = b"HTTP/1.1 103 Early Hints\r\nEndpoint-Leaving: 1\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "behave",
+    [
+        leaving_stream,
+        leaving_cut,
+        leaving_error,
+        leaving_refusal,
+        leaving_without_an_id,
+        raw(INFORMATIONAL),
+    ],
+)
+def test_word_in_any_kind_of_answer_counts_at_once(behave):
+    rig = Rig(time_limit_s=1.0)
+    speaking = rig.endpoint(behave)
+    rig.ready()
+    rig.send()
+    rig.network.advance(0.1)
+    assert len(speaking.requests) == 1
+    for _ in range(5):
+        assert rig.ask().status == 503
+    assert len(speaking.requests) == 1
+
+
+def test_word_to_a_request_that_was_given_up_counts():
+    rig = Rig(attempts=1)
+    answers = [leaving_stream, well]
+    speaking = rig.endpoint(lambda endpoint, request: answers.pop(0)(endpoint, request))
+    rig.ready()
+    caller = rig.send()
+    rig.network.advance(0.1)
+    caller.transport.abortConnection()
+    rig.network.advance(0.1)
+    assert rig.ask().status == 503
+    assert len(speaking.requests) == 1
+
+
+@pytest.mark.parametrize("word", [EndpointWord(leaves=True), EndpointWord(rest_s=2.0)])
+def test_request_that_waits_for_a_connection_is_not_sent_after_the_word(word):
+    rig = Rig()
+    speaking = rig.endpoint(well)
+    rig.ready()
+    record = rig.gateways[0].endpoints.get("e-1")
+    caller = rig.connect()
+    caller.transport.write(rig.request_bytes())
+    rig.network.advance_until(lambda: record.in_flight == 1)
+    assert not speaking.requests
+    record.availability.heed(word, rig.network.clock.seconds())
+    rig.network.advance_until(lambda: answered(caller))
+    assert caller.status == 503
+    assert not speaking.requests
+    failed = rig.logs[0].of("attempt.failed")[0]
+    assert (failed["how"], failed["sent"]) == ("held", False)
+    assert record.in_flight == 0
+
+
+@pytest.mark.parametrize("word", [EndpointWord(leaves=True), EndpointWord(rest_s=2.0)])
+def test_broken_stream_goes_on_where_nobody_has_spoken_meanwhile(word):
+    rig = Rig(pools=(ENGINE_POOL,), repeat=Repeat.STREAM, resumable=True, attempts=3)
+    for _ in range(3):
+        rig.endpoint(stream(6, upto=2, then=lambda endpoint, request: None))
+    rig.ready()
+    caller = rig.send()
+    rig.network.advance(0.2)
+    (first,) = (endpoint for endpoint in rig.endpoints if endpoint.requests)
+    speaking, free = (endpoint for endpoint in rig.endpoints if endpoint is not first)
+    now_s = rig.network.clock.seconds()
+    rig.gateways[0].endpoints.get(speaking.endpoint_id).availability.heed(word, now_s)
+    free.behave = stream(6)
+    first.requests[0].abort()
+    rig.network.advance_until(lambda: answered(caller))
+    assert dechunk(caller.body) == (events(1, 6), True)
+    assert not speaking.requests
+
+
+def test_request_whose_body_comes_slowly_goes_where_nobody_has_spoken_meanwhile():
+    rig = Rig()
+    speaking, other = rig.endpoint(leaving_error), rig.endpoint(well)
+    rig.ready()
+    slow = rig.connect()
+    whole = rig.request_bytes(method=b"POST", body=b"x" * 100)
+    slow.transport.write(whole[:-50])
+    while not speaking.requests:
+        rig.ask()
+    slow.transport.write(whole[-50:])
+    rig.network.advance_until(lambda: answered(slow))
+    assert slow.status == 200
+    assert len(speaking.requests) == 1
+    assert len(other.requests) >= 2
+
+
+def test_callers_are_told_at_once_when_a_pool_that_rests_opens():
+    play = WordPlay(gateways=1, endpoints=2)
+    for endpoint in play.endpoints:
+        endpoint.rest_s = 3.0
+    play.ask_for(0.5)
+    sends = sum(len(endpoint.sends) for endpoint in play.endpoints)
+    began_s = play.now_s
+    refused = play.rig.ask()
+    assert play.now_s - began_s < 0.05
+    assert refused.status == 503
+    assert reason(refused) == "endpoints_resting"
+    # The rests began up to half a second ago, and are lengthened by up to a quarter.
+    assert 2.4 <= float(refused.header(b"retry-after")) <= 1.5 * 1.25 * 3.0
+    assert sum(len(endpoint.sends) for endpoint in play.endpoints) == sends
+    for endpoint in play.endpoints:
+        endpoint.rest_s = 0.0
+    play.rig.network.advance(float(refused.header(b"retry-after")))
+    assert play.rig.ask().status == 200
+
+
+def test_lines_tell_which_word_counts_and_whose_answer_said_it():
+    play = WordPlay(gateways=1, endpoints=3)
+    play.endpoints[0].leaves = True
+    play.endpoints[1].rest_s = 2.0
+    play.ask_for(1.0)
+    said = {line["endpoint"]: line for line in play.rig.logs[0].of("endpoint.said")}
+    assert said["e-1"]["hold"] == "leaves"
+    assert said["e-1"]["request"].startswith("id-")
+    assert said["e-2"]["hold"] == "rests"
+    assert 2.0 <= said["e-2"]["rest_s"] <= 2.5
+
+
+# Versions without a part of it, each of which a play above finds.
+
+
+def entries_only(monkeypatch):
+    monkeypatch.setattr(Availability, "heed", lambda *_, **__: None)
+
+
+def forgets_with_the_next_entry(monkeypatch):
+    take = Availability.take_entry
+
+    def forget(self, leaves):
+        self._leaves = False
+        self._rest_until_s = 0.0
+        take(self, leaves)
+
+    monkeypatch.setattr(Availability, "take_entry", forget)
+
+
+def rest_as_a_wish(monkeypatch):
+    hold = Availability.hold
+
+    def without_rest(self, now_s):
+        found = hold(self, now_s)
+        return None if found is Hold.RESTS else found
+
+    monkeypatch.setattr(Availability, "hold", without_rest)
+
+
+def known_by_own_requests_only(monkeypatch):
+    """Listens to answers that end a request, as a caller of a library would."""
+    monkeypatch.setattr(OutboundPool, "note_head", lambda *_: None)
+
+
+@pytest.mark.parametrize(
+    "break_it", [entries_only, forgets_with_the_next_entry, known_by_own_requests_only]
+)
+def test_play_of_leaving_finds_a_version_that_is_broken(monkeypatch, break_it):
+    break_it(monkeypatch)
+    assert play_leaving_beside_changed_entries().late_sends() > 0
+
+
+@pytest.mark.parametrize("break_it", [entries_only, forgets_with_the_next_entry, rest_as_a_wish])
+def test_play_of_rest_finds_a_version_that_is_broken(monkeypatch, break_it):
+    break_it(monkeypatch)
+    assert play_rest_of_all_beside_changed_entries() > 1
+
+
+def test_words_hold_beside_changed_entries():
+    assert play_leaving_beside_changed_entries().late_sends() == 0
+    assert play_rest_of_all_beside_changed_entries() <= 1
+
+
+def play_leaving_beside_changed_entries():
+    """Play an endpoint that leaves, and entries that change every half second."""
+    play = WordPlay(gateways=2, endpoints=3)
+    speaking = play.endpoints[0]
+    speaking.leaves = True
+    for change in range(8):
+        play.rig.announce(speaking.endpoint, zone="z", slots=5 + change)
+        play.ask_for(0.5, pause_s=0.05)
+    return speaking
+
+
+def play_rest_of_all_beside_changed_entries():
+    """Return the most sends in a rest where all endpoints want one, and entries change."""
+    play = WordPlay(gateways=2, endpoints=2)
+    for endpoint in play.endpoints:
+        endpoint.rest_s = 3.0
+    for change in range(8):
+        for endpoint in play.endpoints:
+            play.rig.announce(endpoint.endpoint, zone="z", slots=5 + change)
+        play.ask_for(0.5, pause_s=0.05)
+    return max(endpoint.most_in_a_rest() for endpoint in play.endpoints)
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -278,7 +278,7 @@
     def on_headers_complete(self):
         """Give the head to the exchange, unless it is an earlier one's."""
         status = self._parser.get_status_code()
-        self._pool.on_head(status, self._headers)
+        self._pool.note_head(status, self._headers)
         if self._exchange is None or self._complete or 100 <= status < 200:
             return
         match = self._exchange.match(status, self._headers)
@@ -387,26 +387,28 @@
         Limit for opening a connection.
     on_fault : callable, optional
         Told the exception of an exchange's method that failed.
-
-    Attributes
-    ----------
-    on_head : callable
+    on_head : callable, optional
         Called with status and headers of each answer that the far side begins, whichever exchange
         it belongs to: late and foreign ones and those between (1xx) among them.
     """
 
     def __init__(
-        self, reactor, address: tuple[str, int], connect_timeout_s: float = 1.0, on_fault=None
+        self,
+        reactor,
+        address: tuple[str, int],
+        connect_timeout_s: float = 1.0,
+        on_fault=None,
+        on_head: Callable[[int, HeaderList], None] | None = None,
     ):
         self._reactor = reactor
         self._address = address
         self._on_fault = on_fault
+        self._on_head = on_head
         self._connect_timeout_s = connect_timeout_s
         self._idle: deque[OutboundConnection] = deque()
         self._closed = False
         self.pending: dict[OutboundConnection, _Connecting] = {}
         self.open_count = 0
-        self.on_head: Callable[[int, HeaderList], None] = _heeded_by_nobody
 
     @property
     def idle_count(self) -> int:
@@ -438,6 +440,11 @@
         if self._on_fault is not None:
             self._on_fault(failure)
 
+    def note_head(self, status: int, headers: HeaderList) -> None:
+        """Report the head of an answer."""
+        if self._on_head is not None:
+            self._on_head(status, headers)
+
     def close(self) -> None:
         """Close idle connections; busy ones close after their exchange."""
         self._closed = True
@@ -502,10 +509,6 @@
             self._idle.remove(connection)
 
 
-def _heeded_by_nobody(status: int, headers: HeaderList) -> None:
-    """Stand in where nobody reads the heads of answers besides their exchanges."""
-
-
 class Attempt:
     """A handle on an exchange under way, to give it up."""
 
