Routers tell each other which endpoints leave or want rest; the others put them last

By an endpoint's answers each router learns for itself, at the cost of a request that is turned away: one a router and rest.

News reaches all once and dies out. The digest's layout is 6 now: routers of another layout are not heard, as before. Weighed and not taken: rows in the store (a write a word, nothing in an outage), words that bind others (the rest was asked of one router, and the endpoint may serve the rest).

--- a/turnward/events/story.py
+++ b/turnward/events/story.py
@@ -23,6 +23,7 @@
         "configuration.adopted",
         "endpoints.adopted",
         "endpoint.said",
+        "endpoint.told_of",
         "store.lost",
         "store.regained",
         "peer.lost",
--- a/turnward/gateway/availability.py
+++ b/turnward/gateway/availability.py
@@ -1,9 +1,10 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Whether one start of an endpoint takes work, by its own word and by what this router guesses.
 
-Its own word binds: an endpoint that leaves, that wants rest, or whose address answers as another
-one, is sent nothing, whatever else is left. Guesses after failures only put it last. No weaker
-word ends a stronger one, in whatever order they come:
+Its own word to this router binds: an endpoint that leaves, that wants rest, or whose address
+answers as another one, is sent nothing, whatever else is left. Guesses after failures, and what it
+said to other routers, only put it last. No weaker word ends a stronger one, in whatever order they
+come:
 
 - *leaves*, by an answer, lasts as long as this start: an entry that says otherwise may have been
   written before, and two clocks can't tell. By the entry alone it ends with the entry's next
@@ -30,6 +31,9 @@
 #: Seconds for which the word binds that another process has the address: three heartbeats of the
 #: users' endpoints (1.2 s) without one, and the 6.4 s in which routers learn that an entry is gone.
 _GONE_S = 10.0
+#: Seconds for which an endpoint is put last of which another router tells that it leaves: planned
+#: ends take some seconds, and one that serves on for longer is asked itself.
+_ADVICE_S = 60.0
 #: Seconds by which a wish for rest must last longer than the one before to be told as news: those
 #: that were under way when it came are turned away at about the same time.
 _NEWS_S = 0.5
@@ -65,6 +69,7 @@
     """
 
     __slots__ = (
+        "_advised_until_s",
         "_doubted_until_s",
         "_gone_s",
         "_leaves",
@@ -82,6 +87,7 @@
         self._leaves = False
         self._gone_s: float | None = None
         self._rest_until_s = 0.0
+        self._advised_until_s = 0.0
         self._doubted_until_s = 0.0
         self._trial = False
 
@@ -135,12 +141,17 @@
     # What this router guesses.
 
     def is_trusted(self, now_s: float, in_flight: int) -> bool:
-        """Tell whether it need not be put last: it has not just failed."""
-        if self._gone_s is not None or now_s < self._doubted_until_s:
+        """Tell whether it need not be put last: it has not just failed, and none advises so."""
+        if self._gone_s is not None or now_s < max(self._doubted_until_s, self._advised_until_s):
             return False
         # After a while one request at a time tries whether the endpoint is back.
         return not (self._trial and in_flight)
 
+    def take_advice(self, leaves: bool, rest_s: float, now_s: float) -> None:
+        """Take in what the endpoint said to another router."""
+        lasts_s = _ADVICE_S if leaves else rest_s
+        self._advised_until_s = max(self._advised_until_s, now_s + lasts_s)
+
     def doubted_for_s(self, now_s: float) -> float:
         """Return for how long it is put last after failures."""
         return max(0.0, self._doubted_until_s - now_s)
--- a/turnward/gateway/overlay.py
+++ b/turnward/gateway/overlay.py
@@ -23,6 +23,7 @@
     PeerBook,
     sum_loads,
 )
+from turnward.gateway.word_news import ToldWord
 from turnward.gateway.zone_orders import ZoneOrder
 from turnward.hashing import rendezvous_weight
 from turnward.quarantine import NO_WORD, QuarantineWord
@@ -72,6 +73,8 @@
         Which zones operators want drained, as the aggregator knows; None when it does not.
     quarantine : QuarantineWord
         Runs that were lost with their endpoints, as far as the aggregator knows.
+    words : tuple of ToldWord
+        Which endpoints leave or want rest, as the aggregator was told lately.
     """
 
     layout: int
@@ -86,6 +89,7 @@
     loads: tuple[EndpointLoad, ...] = ()
     zone_orders: tuple[ZoneOrder, ...] | None = None
     quarantine: QuarantineWord = NO_WORD
+    words: tuple[ToldWord, ...] = ()
 
 
 class _Placed(msgspec.Struct, frozen=True, order=True):
@@ -185,7 +189,8 @@
         self._silent_until_s: dict[str, float] = {}
         self._own_loads: tuple[EndpointLoad, ...] = ()
         self._own_zone_orders: tuple[ZoneOrder, ...] | None = None
-        self._own_word = NO_WORD
+        self._own_quarantine = NO_WORD
+        self._own_words: tuple[ToldWord, ...] = ()
         self._period = 0
 
     @property
@@ -258,7 +263,8 @@
         self._regroup()
         self._own_loads = own.loads
         self._own_zone_orders = own.zone_orders
-        self._own_word = own.quarantine
+        self._own_quarantine = own.quarantine
+        self._own_words = own.words
         self._period += 1
         self._members[own.address] = _Heard(own, self._clock())
         messages: list[tuple[str, Digest | FleetSummary]] = [
@@ -413,7 +419,8 @@
             endpoints.address,
             sum_loads(digest.loads for digest in digests),
             self._own_zone_orders,
-            self._own_word,
+            self._own_quarantine,
+            self._own_words,
         )
 
     def _total(self) -> FleetSummary:
@@ -440,7 +447,8 @@
             endpoints.endpoints_from,
             _largest(sum_loads(one.loads for one in sums)),
             self._own_zone_orders,
-            self._own_word,
+            self._own_quarantine,
+            self._own_words,
         )
 
 
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from turnward.gateway.loans import Spare
+from turnward.gateway.word_news import ToldWord
 from turnward.gateway.zone_orders import ZoneOrder
 from turnward.quarantine import NO_WORD, QuarantineWord
 
@@ -16,7 +17,7 @@
 #: Seconds after which a silent peer is no longer taken for live.
 _LIFE_S = 2.5
 #: Version of the digest's layout.
-DIGEST_LAYOUT = 5
+DIGEST_LAYOUT = 6
 
 
 class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -89,6 +90,8 @@
         Which zones operators want drained; None when it does not know.
     quarantine : QuarantineWord
         Runs that were lost with their endpoints, as far as it knows.
+    words : tuple of ToldWord
+        Which endpoints leave or want rest, as it was told lately.
     """
 
     layout: int
@@ -106,6 +109,7 @@
     link_mbit_per_s: float = 0.0
     zone_orders: tuple[ZoneOrder, ...] | None = None
     quarantine: QuarantineWord = NO_WORD
+    words: tuple[ToldWord, ...] = ()
 
 
 class Peer:
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -25,6 +25,7 @@
 from turnward.gateway.packing import PackedOnce, unpack
 from turnward.gateway.peer_book import DIGEST_LAYOUT, Digest, PeerBook
 from turnward.gateway.state import EndpointsSnapshot, FleetState
+from turnward.gateway.word_news import WordNews
 from turnward.http1 import Http1Error, HttpCaller, InboundRequest
 from turnward.quarantine import Quarantine
 
@@ -94,6 +95,8 @@
         Tells whether tokens are short here and what can be spared, and lends.
     quarantine : Quarantine
         What it suspects is told, and it takes in what others suspect.
+    word_news : WordNews
+        What endpoints said here is told, and it takes in what they said to others.
     log : GatewayLog
         Told of what is fetched.
     draw : random.Random
@@ -109,12 +112,14 @@
         loads,
         accounts,
         quarantine: Quarantine,
+        word_news: WordNews,
         log,
         draw: random.Random,
     ):
         self._draw = draw
         self._accounts = accounts
         self._quarantine = quarantine
+        self._word_news = word_news
         self._reactor = reactor
         self._identity = identity
         self._state = state
@@ -169,6 +174,7 @@
             spare=tuple(self._accounts.spare()[:_SPARE_LIMIT]) if self._some_short() else (),
             zone_orders=self._state.told_orders(),
             quarantine=self._quarantine.word(),
+            words=self._word_news.words(),
         )
 
     def _some_short(self) -> bool:
@@ -180,6 +186,7 @@
         if message.address != self._book.own_address:
             self._state.adopt_told_orders(message.zone_orders, f"peer {message.address}")
             self._quarantine.take_in(message.quarantine)
+            self._word_news.take_in(message.words)
         if isinstance(message, Digest):
             self._hear_digest(message)
         elif message.address != self._book.own_address:
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -35,6 +35,7 @@
 from turnward.gateway.sources import MembersListener
 from turnward.gateway.state import FleetState
 from turnward.gateway.warm_up import WarmUpShares
+from turnward.gateway.word_news import ToldWord, WordNews
 from turnward.http1 import (
     HeaderList,
     InboundFactory,
@@ -192,6 +193,7 @@
         )
         self.endpoints.on_pace_class = self._note_pace_class
         self.endpoints.on_word = self._note_word
+        self._word_news = WordNews(reactor.seconds, self._note_told_word)
         self.holders = RankedHolders(self.book, reactor.seconds, settings.budget_holders)
         self.accounts = PrepaidAccounts(
             reactor,
@@ -222,6 +224,7 @@
             self.endpoints.loads,
             self.accounts,
             self.quarantine,
+            self._word_news,
             log,
             self._draw,
         )
@@ -464,6 +467,10 @@
         )
 
     def _note_word(self, record: EndpointRecord, hold: Hold, answer_headers: HeaderList) -> None:
+        """Tell of what an endpoint said in an answer."""
+        availability = record.availability
+        rest_s = availability.rests_for_s(self._reactor.seconds())
+        self._word_news.note(record.incarnation, availability.leaves, rest_s)
         self._metrics.endpoint_words.labels(record.entry.pool, hold).inc()
         request_id = header_value(answer_headers, self._dialect.request_id) or b""
         self._log.failure(
@@ -472,10 +479,25 @@
             endpoint=record.incarnation,
             pool=record.entry.pool,
             hold=hold,
-            rest_s=round(record.availability.rests_for_s(self._reactor.seconds()), 3),
+            rest_s=round(rest_s, 3),
             endpoints=self.state.endpoints_version,
         )
 
+    def _note_told_word(self, word: ToldWord) -> None:
+        """Put an endpoint last of which another router tells that it leaves or wants rest."""
+        record = self.endpoints.get(word.endpoint)
+        if record is None:
+            return
+        rest_s = word.rest_left_ms / 1_000
+        record.availability.take_advice(word.leaves, rest_s, self._reactor.seconds())
+        self._log.event(
+            "endpoint.told_of",
+            endpoint=word.endpoint,
+            pool=record.entry.pool,
+            leaves=word.leaves,
+            rest_s=round(rest_s, 3),
+        )
+
     def _note_unreadable(self, row: RefusedRow) -> None:
         self._log.failure(
             "row.unreadable",
--- /dev/null
+++ b/turnward/gateway/tests/test_word_news.py
@@ -0,0 +1,105 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""What endpoints said to one router, told to others: news that dies out, and advice only."""
+
+import msgspec
+import pytest
+
+from turnward.gateway.tests.rig import DIALECT, Rig, answer_head, well
+from turnward.gateway.tests.word_plays import WordPlay
+from turnward.gateway.word_news import ToldWord, WordNews
+
+#: Seconds in which word is with all routers.
+KNOWN_S = 1.0
+
+
+class Fleet:
+    """Routers that tell each other all they may, four times a second."""
+
+    def __init__(self, count):
+        self.now_s = 0.0
+        self.told = []
+        self.routers = [WordNews(lambda: self.now_s, self.told.append) for _ in range(count)]
+
+    def run(self, seconds):
+        for _ in range(round(seconds * 4)):
+            self.now_s += 0.25
+            messages = [router.words() for router in self.routers]
+            for router in self.routers:
+                for words in messages:
+                    # On their way messages grow older than they tell.
+                    router.take_in(words)
+
+
+@pytest.mark.parametrize("rest_s", [0.0, 2.0])
+def test_news_reaches_all_once_and_dies_out(rest_s):
+    fleet = Fleet(5)
+    fleet.routers[0].note("e", leaves=not rest_s, rest_s=rest_s)
+    fleet.run(0.5)
+    assert len(fleet.told) == 4
+    fleet.run(30.0)
+    assert len(fleet.told) == 4
+    assert not any(router.words() for router in fleet.routers)
+
+
+def test_longer_rest_and_leaving_after_a_rest_are_news():
+    fleet = Fleet(2)
+    fleet.routers[0].note("e", leaves=False, rest_s=2.0)
+    fleet.run(0.5)
+    fleet.routers[0].note("e", leaves=False, rest_s=4.0)
+    fleet.run(0.5)
+    fleet.routers[0].note("e", leaves=True, rest_s=0.0)
+    fleet.run(0.5)
+    assert [(word.leaves, word.rest_left_ms > 0) for word in fleet.told] == [
+        (False, True),
+        (False, True),
+        (True, True),
+    ]
+
+
+def test_message_is_bounded():
+    fleet = Fleet(1)
+    for number in range(2_000):
+        fleet.routers[0].note(f"endpoint-{number}@1791507413292", leaves=True, rest_s=0.0)
+    words = fleet.routers[0].words()
+    assert len(words) == 32
+    assert len(msgspec.msgpack.encode(words)) < 1_300
+    assert len(fleet.routers[0]._known) == 1_000
+
+
+@pytest.mark.parametrize("size", [3, 7, 24])
+def test_other_routers_spare_an_endpoint_that_wants_rest(size):
+    play = WordPlay(gateways=size, endpoints=6)
+    resting = play.endpoints[0]
+    resting.rest_s = 5.0
+    while not resting.sends:
+        play.ask_for(0.1, pause_s=0.02)
+    play.rig.network.advance(KNOWN_S)
+    sends = len(resting.sends)
+    play.ask_for(2.0, pause_s=0.02)
+    assert len(resting.sends) == sends
+    assert set(play.statuses()) == {200}
+
+
+def test_word_to_another_router_never_binds():
+    rig = Rig()
+
+    def leaving(endpoint, request):
+        request.answer(200, [*answer_head(request), (DIALECT.leaving, b"1")], b"fine")
+
+    endpoint = rig.endpoint(leaving)
+    rig.ready(2)
+    rig.network.advance(0.5)
+    assert rig.ask(0).status == 200
+    rig.network.advance(KNOWN_S)
+    assert rig.logs[1].of("endpoint.told_of")[0]["leaves"]
+    endpoint.behave = well
+    assert rig.ask(0).status == 503
+    assert rig.ask(1).status == 200
+
+
+def test_word_on_an_endpoint_that_is_not_known_changes_nothing():
+    rig = Rig()
+    rig.endpoint(well)
+    rig.ready()
+    rig.gateways[0]._word_news.take_in([ToldWord("nobody@1", True, 5_000)])
+    assert rig.ask().status == 200
