Beyond capacity, refuse at the entry; what turned a request away is put last for a while

Cause, of the incident's class and of the overload beside it: being turned away counted as health, so an endpoint that runs nothing is the least loaded and draws the most; and nothing admitted by load, so that a queue of 5 s stood where answers are to begin within 0.8 s.

--- /dev/null
+++ b/turnward/admission/tests/test_rule.py
@@ -0,0 +1,66 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Bounds of admission: by urgency, and never at an idle endpoint; how long overload lasts on."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from turnward.admission import AdmissionRule, OverloadSpell
+
+RULE = AdmissionRule()
+TARGET_S = 0.8
+#: Times that queues may show, in milliseconds.
+TIMES_MS = st.floats(0.0, 1e6)
+
+
+def bound_ms(rank):
+    """Return the longest queue that a request bears."""
+    return 1e6 - RULE.excess_ms(1e6, TARGET_S, rank)
+
+
+@given(target_s=st.floats(0.001, 100.0), rank=st.integers(0, 12))
+def test_request_is_never_refused_where_nothing_is_queued(target_s, rank):
+    assert RULE.excess_ms(0.0, target_s, rank) == 0.0
+
+
+@given(queue_ms=TIMES_MS, more_ms=TIMES_MS, rank=st.integers(0, 11))
+def test_more_queue_and_less_urgency_never_let_in_what_was_refused(queue_ms, more_ms, rank):
+    before = RULE.excess_ms(queue_ms, TARGET_S, rank)
+    assert RULE.excess_ms(queue_ms + more_ms, TARGET_S, rank) >= before
+    assert RULE.excess_ms(queue_ms, TARGET_S, rank + 1) >= before
+
+
+def test_less_urgent_requests_leave_room_for_urgent_ones():
+    assert [bound_ms(rank) for rank in range(4)] == pytest.approx([560.0, 400.0, 280.0, 280.0])
+
+
+def test_without_shares_everything_is_let_in():
+    assert AdmissionRule(shares=()).excess_ms(1e9, TARGET_S, 0) == 0.0
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+def test_spell_lasts_on_for_half_of_its_age_up_to_a_limit():
+    clock = Clock()
+    spell = OverloadSpell(clock)
+    for _ in range(40):
+        told_s = spell.note_refused()
+        assert told_s == pytest.approx(min(4.0, (clock.now_s - 100.0) / 2))
+        clock.now_s += 0.5
+    assert told_s == 4.0
+
+
+def test_pause_without_refusals_ends_a_spell():
+    clock = Clock()
+    spell = OverloadSpell(clock)
+    spell.note_refused()
+    clock.now_s += 0.9
+    assert spell.note_refused() > 0.0
+    clock.now_s += 1.1
+    assert spell.note_refused() == 0.0
--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -175,6 +175,7 @@
             self._drop()
             owner.attempt_bad(self, Reason.BAD_ANSWER)
             return
+        self.record.availability.accepted(self.sent_s)
         if owner.head_sent:
             return
         if self._splitter is None or status != 200:
@@ -196,6 +197,10 @@
 
     def _not_run(self, status: int) -> None:
         self._finish(failed=status == 421, gone=status == 421)
+        if status != 421:
+            forwarder = self._owner.forwarder
+            spread = forwarder.draw.uniform(0.8, 1.2)
+            self.record.availability.turned_away(forwarder.reactor.seconds(), spread)
         self._drop()
         reason = Reason.NO_ENDPOINT if status == 421 else Reason.ENDPOINTS_FULL
         self._owner.attempt_not_run(self, status, reason)
--- a/turnward/gateway/availability.py
+++ b/turnward/gateway/availability.py
@@ -26,6 +26,9 @@
 #: Seconds an endpoint is put last after failures in a row: the first, and at most.
 _DOUBT_S = 0.5
 _DOUBT_LIMIT_S = 4.0
+#: Seconds an endpoint is put last after it turned requests away: the first, and at most.
+_TURNED_AWAY_S = 0.25
+_TURNED_AWAY_LIMIT_S = 2.0
 #: Failures in a row that put an endpoint last, where single ones may be the request's fault.
 _FAILURES_TO_DOUBT = 2
 #: Seconds for which the word binds that another process has the address: three heartbeats of the
@@ -75,6 +78,8 @@
         "_leaves",
         "_rest_until_s",
         "_trial",
+        "_turned_away",
+        "_turned_away_s",
         "entry_leaves",
         "failures",
         "lost",
@@ -90,6 +95,8 @@
         self._advised_until_s = 0.0
         self._doubted_until_s = 0.0
         self._trial = False
+        self._turned_away = 0
+        self._turned_away_s = 0.0
 
     # Its own word.
 
@@ -147,6 +154,21 @@
         # After a while one request at a time tries whether the endpoint is back.
         return not (self._trial and in_flight)
 
+    def turned_away(self, now_s: float, spread: float = 1.0) -> None:
+        """Note that it turned a request away: it may well do so with the next.
+
+        What turns all away has the most free places, and would draw the most.
+        """
+        self._turned_away += 1
+        self._turned_away_s = now_s
+        doubt_s = min(_TURNED_AWAY_LIMIT_S, _TURNED_AWAY_S * 2 ** min(self._turned_away - 1, 5))
+        self._doubted_until_s = max(self._doubted_until_s, now_s + doubt_s * spread)
+
+    def accepted(self, sent_s: float) -> None:
+        """Note that it runs a request; what was sent before it turned one away tells nothing."""
+        if sent_s > self._turned_away_s:
+            self._turned_away = 0
+
     def take_advice(self, leaves: bool, rest_s: float, now_s: float) -> None:
         """Take in what the endpoint said to another router."""
         lasts_s = _ADVICE_S if leaves else rest_s
--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -98,12 +98,15 @@
     ----------
     kept_tokens : int
         Tokens of the prompt that own requests have read there lately.
+    queue_ms : float
+        How long an engine will read what is queued there, as far as is known; 0 on plain services.
     """
 
     record: EndpointRecord
     cost_ms: float
     candidates: int
     kept_tokens: int
+    queue_ms: float = 0.0
 
 
 class PoolShortage(msgspec.Struct, frozen=True):
@@ -389,7 +392,20 @@
         cost_ms, record = min(costs, key=lambda cost: cost[0] + self._draw.random() * _TIE_MS)
         kept = record.kept_tokens(prompt, now_s)
         record.warm_up.note_sent()
-        return EndpointChoice(record, round(cost_ms, 1), len(candidates), kept)
+        chosen = EndpointChoice(record, round(cost_ms, 1), len(candidates), kept)
+        if traits is None:
+            return chosen
+        queue_ms = _queue_ms(record, loads.get(record.incarnation))
+        return msgspec.structs.replace(chosen, queue_ms=round(queue_ms, 1))
+
+    def shortest_queue_ms(self, pool: str, without: set[str]) -> float:
+        """Return for how long the least loaded engine that takes work reads what is queued there.
+
+        The engine that is chosen may have a longer queue, since it keeps parts of the prompt.
+        """
+        loads = self._peer_loads()
+        candidates = self._candidates(pool, without)
+        return min((_queue_ms(one, loads.get(one.incarnation)) for one in candidates), default=0.0)
 
     def _engine_costs(self, pool, prompt: Prompt, candidates, loads, now_s, pause_target_s):
         """Return the cost of each candidate engine with its record."""
@@ -471,6 +487,14 @@
     )
 
 
+def _queue_ms(record: EndpointRecord, load: EndpointLoad | None) -> float:
+    """Return how long an engine will read what this router and its peers have sent there."""
+    backlog = record.prefill_tokens + (load.prefill_tokens if load is not None else 0)
+    running = record.in_flight + (load.requests if load is not None else 0)
+    over = max(0, running + 1 - record.entry.slots)
+    return backlog / _PREFILL_TOKENS_PER_MS + over * _COST_OF_PLACE_MS
+
+
 def _fit_to_keep(prompt: Prompt, candidates: list[EndpointRecord]) -> list[EndpointRecord]:
     """Return the candidates among which the agreed home of a prompt is chosen."""
     if prompt.tokens < _LONG_PROMPT_TOKENS:
--- a/turnward/gateway/configuration.py
+++ b/turnward/gateway/configuration.py
@@ -207,6 +207,27 @@
     return targets_s
 
 
+def _shortest_targets_s(routes: tuple[Route, ...]) -> dict[str, float]:
+    """Return by pool the shortest target of its routes."""
+    targets_s: dict[str, float] = {}
+    for route in routes:
+        for weighted in route.pools:
+            targets_s[weighted.pool] = min(
+                targets_s.get(weighted.pool, route.target_s), route.target_s
+            )
+    return targets_s
+
+
+def _most_urgent(routes: tuple[Route, ...]) -> dict[str, int]:
+    """Return by pool the most urgent priority of its routes."""
+    priorities: dict[str, int] = {}
+    for route in routes:
+        for weighted in route.pools:
+            known = priorities.get(weighted.pool, route.priority)
+            priorities[weighted.pool] = min(known, route.priority)
+    return priorities
+
+
 class RouteTable:
     """Finds the route of a request and the workspace of a key.
 
@@ -240,6 +261,8 @@
         self.pools = {pool.name: pool for pool in configuration.pools}
         self.workspaces = {workspace.name: workspace for workspace in configuration.workspaces}
         self.pause_targets_s = _pause_targets_s(configuration.routes)
+        self.targets_s = _shortest_targets_s(configuration.routes)
+        self.most_urgent = _most_urgent(configuration.routes)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, or None."""
--- a/turnward/gateway/mechanisms.py
+++ b/turnward/gateway/mechanisms.py
@@ -41,6 +41,8 @@
         all engines of a pool are taken for equally fast.
     looks_for_others : bool
         No repeat is used up where no other endpoint takes work. Naive: it is.
+    admission : bool
+        A request is refused at once where engines have too long a queue for it. Naive: it queues.
     """
 
     loans: bool = True
@@ -53,6 +55,7 @@
     repeats: bool = True
     weighs_pace: bool = True
     looks_for_others: bool = True
+    admission: bool = True
 
     def faults(self) -> list[str]:
         """Return what is wrong beyond types."""
--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -58,6 +58,9 @@
         self.requests_held = self._counter(
             "requests_held", "Requests refused, since their content is held back.", ["pool"]
         )
+        self.requests_overloaded = self._counter(
+            "requests_overloaded", "Requests refused, since all queues are too long.", ["pool"]
+        )
         self.endpoint_words = self._counter(
             "endpoint_words", "Times endpoints newly asked to be sent nothing.", ["pool", "hold"]
         )
--- a/turnward/gateway/outcomes.py
+++ b/turnward/gateway/outcomes.py
@@ -36,6 +36,7 @@
     ENDPOINTS_FULL = "endpoints_full"
     ENDPOINTS_COLD = "endpoints_cold"
     ENDPOINTS_RESTING = "endpoints_resting"
+    OVERLOADED = "overloaded"
     ENDS_ENDPOINTS = "ends_endpoints"
     TIME_LIMIT = "time_limit"
     ENDPOINT_LOST = "endpoint_lost"
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -9,6 +9,7 @@
 import msgspec
 from twisted.internet import defer, task
 
+from turnward.admission import AdmissionRule
 from turnward.gateway.availability import Hold
 from turnward.gateway.choice import ChoiceRule, EndpointBook
 from turnward.gateway.configuration import WarmUpTraits
@@ -304,10 +305,16 @@
         repeats = RepeatRule(settings.repeat_ratio, settings.repeat_window_s, settings.repeat_slack)
         if not settings.mechanisms.repeats:
             repeats = RepeatRule(0.0, settings.repeat_window_s, 0.0)
+        admission = AdmissionRule() if settings.mechanisms.admission else AdmissionRule(shares=())
+        rules = ForwardingRules(
+            repeats=repeats,
+            looks_for_others=settings.mechanisms.looks_for_others,
+            admission=admission,
+        )
         return Forwarder(
             self._reactor,
             self._dialect,
-            ForwardingRules(repeats=repeats, looks_for_others=settings.mechanisms.looks_for_others),
+            rules,
             self.state,
             self.endpoints,
             self.accounts,
--- a/turnward/gateway/tests/test_words_of_endpoints.py
+++ b/turnward/gateway/tests/test_words_of_endpoints.py
@@ -208,6 +208,32 @@
     assert 2.0 <= said["e-2"]["rest_s"] <= 2.5
 
 
+def test_endpoint_that_turns_all_away_without_a_word_is_tried_seldom():
+    play = WordPlay(gateways=2, endpoints=6)
+    busy = play.endpoints[0]
+    busy.sheds = True
+    play.ask_for(6.0, pause_s=0.02)
+    # A router tries it after 0.25, 0.5, 1 and each 2 s more, a fifth sooner at the most.
+    assert len(busy.sends) <= 2 * 7
+    busy.sheds = False
+    play.rig.network.advance(2.5)
+    before = len(busy.sends)
+    play.ask_for(2.0, pause_s=0.02)
+    assert len(busy.sends) - before >= 10
+    assert set(play.statuses()) == {200}
+
+
+def test_pool_that_turns_all_away_without_a_word_is_tried_all_the_same():
+    play = WordPlay(gateways=1, endpoints=2)
+    for endpoint in play.endpoints:
+        endpoint.sheds = True
+    play.ask_for(0.5, pause_s=0.1)
+    assert set(play.statuses()) == {503}
+    for endpoint in play.endpoints:
+        endpoint.sheds = False
+    assert play.rig.ask().status == 200
+
+
 # Versions without a part of it, each of which a play above finds.
 
 
--- a/turnward/gateway/tests/word_plays.py
+++ b/turnward/gateway/tests/word_plays.py
@@ -29,6 +29,8 @@
         Whether its answers say that it leaves.
     rest_s : float
         What it asks for as it turns requests away; 0: it runs them.
+    sheds : bool
+        Whether it turns requests away without asking for rest.
     sends : list of Send
         What reached it.
     left_s, rests : dict
@@ -40,6 +42,7 @@
         self._play = play
         self.leaves = False
         self.rest_s = 0.0
+        self.sheds = False
         self.sends: list[Send] = []
         self.left_s: dict[str, float] = {}
         self.rests: dict[str, list[tuple[float, float]]] = {}
@@ -55,6 +58,9 @@
             head = [(DIALECT.not_run, b"1"), (b"retry-after", b"%g" % self.rest_s), *self._word()]
             request.answer(503, head)
             return
+        if self.sheds:
+            request.answer(503, [(DIALECT.not_run, b"1")])
+            return
         endpoint.machine.callLater(RUN_S, self._answer, request, router)
 
     def _answer(self, request, router: str) -> None:
