--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from turnward.gateway.availability import Hold
+from turnward.gateway.availability import Availability, Hold
 from turnward.gateway.configuration import EndpointEntry, EngineTraits, WarmUpTraits
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.endpoint_record import EndpointRecord
@@ -109,6 +109,19 @@
     queue_ms: float = 0.0
 
 
+class _LeftEndpoint(msgspec.Struct, frozen=True):
+    """What is kept of an endpoint whose entry went, in case it comes back."""
+
+    address: str
+    warm_up: WarmUp
+    availability: Availability
+
+    @classmethod
+    def from_record(cls, record: EndpointRecord) -> "_LeftEndpoint":
+        """Return what is kept of a record."""
+        return cls(record.entry.address, record.warm_up, record.availability)
+
+
 class PoolShortage(msgspec.Struct, frozen=True):
     """Why no endpoint of a pool takes work, and when the first one does; inf if none will."""
 
@@ -169,7 +182,7 @@
         self._shares = shares
         self._drained: frozenset[str] = frozenset()
         self._entries_known = False
-        self._left: OrderedDict[str, EndpointRecord] = OrderedDict()
+        self._left: OrderedDict[str, _LeftEndpoint] = OrderedDict()
         #: Called with record, its pace and the usual one when a pace class has changed.
         self.on_pace_class: Callable[[EndpointRecord, ObservedPace, ObservedPace], None]
         self.on_pace_class = _told_nobody
@@ -245,7 +258,7 @@
     def _forget(self, record: EndpointRecord) -> None:
         record.pool.close()
         del self._records[record.incarnation]
-        self._left[record.incarnation] = record
+        self._left[record.incarnation] = _LeftEndpoint.from_record(record)
         while len(self._left) > _LEFT_LIMIT:
             self._left.popitem(last=False)
 
@@ -260,7 +273,7 @@
         warm_up.note_cold(entry.cold_left_s)
         record = EndpointRecord(entry, self._make_pool, warm_up, self._head_received)
         self._records[entry.incarnation] = record
-        if left is not None and left.is_of(entry):
+        if left is not None and left.address == entry.address:
             # What it said holds on, though its entry lapsed with the store meanwhile.
             record.availability = left.availability
             record.availability.entry_leaves = entry.leaving
@@ -398,13 +411,13 @@
         queue_ms = _queue_ms(record, loads.get(record.incarnation))
         return msgspec.structs.replace(chosen, queue_ms=round(queue_ms, 1))
 
-    def shortest_queue_ms(self, pool: str, without: set[str]) -> float:
+    def shortest_queue_ms(self, pool: str) -> float:
         """Return for how long the least loaded engine that takes work reads what is queued there.
 
         The engine that is chosen may have a longer queue, since it keeps parts of the prompt.
         """
         loads = self._peer_loads()
-        candidates = self._candidates(pool, without)
+        candidates = self._candidates(pool, set())
         return min((_queue_ms(one, loads.get(one.incarnation)) for one in candidates), default=0.0)
 
     def _engine_costs(self, pool, prompt: Prompt, candidates, loads, now_s, pause_target_s):
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -5,13 +5,12 @@
 was sent, or the endpoint said so itself.
 """
 
-import math
 from collections.abc import Callable
 
 import msgspec
 from twisted.internet import defer
 
-from turnward.admission import AdmissionRule, OverloadSpell
+from turnward.admission import AdmissionRule
 from turnward.gateway.attempt import EndpointAttempt
 from turnward.gateway.availability import Hold
 from turnward.gateway.choice import EndpointBook, EndpointChoice
@@ -19,10 +18,12 @@
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.endpoint_record import EndpointRecord
 from turnward.gateway.outcomes import PROMISES_NOT_RUN, NoRepeat, Outcome, Reason
+from turnward.gateway.pool_entry import PoolEntry
 from turnward.gateway.prepaid import BudgetAnswer, PrepaidAccounts
 from turnward.gateway.progress import StreamProgress
 from turnward.gateway.prompts import Prompt, parse_prompt_parts
 from turnward.gateway.retries import RepeatAllowance, RepeatRule
+from turnward.gateway.return_times import ReturnTimes
 from turnward.gateway.state import FleetState
 from turnward.hashing import fingerprint
 from turnward.http1 import (
@@ -50,14 +51,6 @@
 _ENDPOINTS_LIMIT = 6
 #: Why a request has no endpoint; told more exactly where the whole pool takes no work.
 _ENDPOINT_REASONS = frozenset((Reason.NO_ENDPOINT, Reason.ENDPOINTS_FULL))
-#: By what callers' time to come back is scaled when a pool refuses. Cold endpoints bear some
-#: requests before they are warm; others bear none before they open.
-_RETRY_SPREAD = {
-    Reason.ENDPOINTS_COLD: (0.5, 1.5),
-    Reason.ENDPOINTS_FULL: (1.0, 1.5),
-    Reason.ENDPOINTS_RESTING: (1.0, 1.5),
-    Reason.OVERLOADED: (1.0, 1.5),
-}
 #: Least time left that is worth a send, in seconds.
 _LEAST_SEND_S = 0.02
 
@@ -142,7 +135,8 @@
         self.refusing = False
         self.open: set[Forwarding] = set()
         self._allowances: dict[str, RepeatAllowance] = {}
-        self._spells: dict[str, OverloadSpell] = {}
+        self.entry = PoolEntry(rules.admission, state, endpoints)
+        self.return_times = ReturnTimes(reactor.seconds, endpoints, draw, rules.retry_after_s)
 
     def handle(self, request: InboundRequest) -> None:
         """Take a request."""
@@ -157,10 +151,6 @@
         for run in record.abandoned.take(self.reactor.seconds()):
             self.quarantine.note_lost(run.content, record.incarnation, run.sent_s)
 
-    def spell(self, pool: str) -> OverloadSpell:
-        """Return the spell of overload of a pool."""
-        return self._spells.setdefault(pool, OverloadSpell(self.reactor.seconds))
-
     def allowance(self, pool: str) -> RepeatAllowance:
         """Return this router's part of the budget of repeats towards a pool."""
         allowance = self._allowances.get(pool)
@@ -366,9 +356,11 @@
             self._give_up(Reason.NO_ENDPOINT)
             return
         record = choice.record
-        if not self._tried and self._waits_too_long(choice):
-            self._refuse_overload(choice)
-            return
+        if not self._tried:
+            excess_s = forwarder.entry.excess_s(self._pool, self.priority, choice)
+            if excess_s:
+                self._refuse_overload(choice, excess_s)
+                return
         self._tried.add(record.incarnation)
         forwarder.log.event(
             "attempt.chosen",
@@ -390,21 +382,6 @@
         self._attempt = EndpointAttempt(self, record)
         self._attempt.start()
 
-    def _waits_too_long(self, choice: EndpointChoice) -> bool:
-        """Tell whether all endpoints have too long a queue for this request."""
-        if not self._excess_ms(choice.queue_ms):
-            return False
-        shortest_ms = self._forwarder.endpoints.shortest_queue_ms(self._pool, self._tried)
-        self._excess_s = self._excess_ms(shortest_ms) / 1_000
-        return self._excess_s > 0
-
-    def _excess_ms(self, queue_ms: float) -> float:
-        """Return by how much a queue is too long for this request's urgency."""
-        routes = self._forwarder.state.routes
-        target_s = routes.targets_s.get(self._pool, self._route.target_s)
-        rank = max(0, self.priority - routes.most_urgent.get(self._pool, 0))
-        return self._forwarder.rules.admission.excess_ms(queue_ms, target_s, rank)
-
     def _read_content(self) -> str:
         """Return what tells the request's content from another's, whichever id it came under.
 
@@ -709,39 +686,19 @@
         self._forwarder.metrics.requests_held.labels(self._pool).inc()
         self._refuse(503, Reason.ENDS_ENDPOINTS)
 
-    def _refuse_overload(self, choice: EndpointChoice) -> None:
+    def _refuse_overload(self, choice: EndpointChoice, excess_s: float) -> None:
         """Refuse a request for which all endpoints have too long a queue."""
+        self._excess_s = excess_s
         self._forwarder.metrics.requests_overloaded.labels(self._pool).inc()
-        self._refuse(
-            503,
-            Reason.OVERLOADED,
-            queue_ms=choice.queue_ms,
-            over_ms=round(self._excess_s * 1_000, 1),
-        )
+        over_ms = round(excess_s * 1_000, 1)
+        self._refuse(503, Reason.OVERLOADED, queue_ms=choice.queue_ms, over_ms=over_ms)
 
     def _retry_after_s(self, reason: Reason) -> float:
         """Return when another try may be served."""
         forwarder = self._forwarder
-        least_s = forwarder.rules.retry_after_s
         if reason is Reason.ENDS_ENDPOINTS:
             return round(forwarder.quarantine.held_for_s(self._content), 1)
-        spread = _RETRY_SPREAD.get(reason)
-        if spread is None:
-            return least_s
-        # Spread, or all callers would come back at the same moment.
-        wait_s = self._pressure_s(reason) * forwarder.draw.uniform(*spread)
-        return math.ceil(100 * max(least_s, wait_s)) / 100
-
-    def _pressure_s(self, reason: Reason) -> float:
-        """Return for how long the pool is likely to refuse requests such as this one."""
-        forwarder = self._forwarder
-        shortage = forwarder.endpoints.shortage(self._pool)
-        opens_in_s = shortage.opens_in_s if shortage is not None else 0.0
-        if reason is Reason.ENDPOINTS_COLD:
-            return opens_in_s
-        goes_on_s = forwarder.spell(self._pool).note_refused()
-        known_s = opens_in_s if math.isfinite(opens_in_s) else 0.0
-        return max(known_s, self._excess_s, goes_on_s)
+        return forwarder.return_times.retry_after_s(reason, self._pool, self._excess_s)
 
     def _fail(self, status: int, reason: Reason) -> None:
         """Answer a request that may have run."""
--- /dev/null
+++ b/turnward/gateway/pool_entry.py
@@ -0,0 +1,43 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Whether a request is let in to a pool, by its urgency and the queues there."""
+
+from turnward.admission import AdmissionRule
+from turnward.gateway.choice import EndpointBook, EndpointChoice
+from turnward.gateway.state import FleetState
+
+__all__ = ["PoolEntry"]
+
+
+class PoolEntry:
+    """Asks the rule of admission with what is known of a pool.
+
+    Parameters
+    ----------
+    rule : AdmissionRule
+        Bounds of queues.
+    state : FleetState
+        The configuration: targets and priorities of routes.
+    endpoints : EndpointBook
+        The queues.
+    """
+
+    def __init__(self, rule: AdmissionRule, state: FleetState, endpoints: EndpointBook):
+        self._rule = rule
+        self._state = state
+        self._endpoints = endpoints
+
+    def excess_s(self, pool: str, priority: int, choice: EndpointChoice) -> float:
+        """Return by how much all queues of a pool are too long for a request; 0 lets it in.
+
+        Only where the queue at the chosen endpoint is too long are the others looked at.
+        """
+        if not self._excess_ms(pool, priority, choice.queue_ms):
+            return 0.0
+        shortest_ms = self._endpoints.shortest_queue_ms(pool)
+        return self._excess_ms(pool, priority, shortest_ms) / 1_000
+
+    def _excess_ms(self, pool: str, priority: int, queue_ms: float) -> float:
+        routes = self._state.routes
+        target_s = routes.targets_s.get(pool, 0.0)
+        rank = max(0, priority - routes.most_urgent.get(pool, 0))
+        return self._rule.excess_ms(queue_ms, target_s, rank) if target_s else 0.0
