--- a/turnward/gateway/tests/test_words_of_endpoints.py
+++ b/turnward/gateway/tests/test_words_of_endpoints.py
@@ -13,6 +13,8 @@
 The first two tests bring both about with nothing else wrong: no load, and no fault but one.
 """
 
+import random
+
 import pytest
 
 from turnward.gateway import Repeat
@@ -30,6 +32,7 @@
     stream,
     well,
 )
+from turnward.gateway.tests.test_crashing_requests import trouble
 from turnward.gateway.tests.test_forwarding import reason
 from turnward.gateway.tests.word_plays import WordPlay
 from turnward.http1 import OutboundPool
@@ -234,6 +237,70 @@
     assert play.rig.ask().status == 200
 
 
+class Troubled:
+    """Endpoints that leave, rest, shed work and change, beside troubles of the routers.
+
+    Parameters
+    ----------
+    size : int
+        How many routers.
+    seed : int
+        Draws what happens.
+    """
+
+    def __init__(self, size, seed):
+        self.draw = random.Random(seed)
+        self.play = WordPlay(gateways=size, endpoints=8)
+        self.ending = None
+
+    def run(self, turns):
+        for turn in range(turns):
+            if turn % 10 == 2:
+                self._trouble_routers()
+            self._change_an_endpoint(turn)
+            self.play.ask_for(0.2, pause_s=0.02)
+            if turn % 10 == 8:
+                self.ending()
+        return self.play.endpoints
+
+    def _trouble_routers(self):
+        rig = self.play.rig
+        kind = self.draw.choice(("frozen", "apart", "restarted", "store"))
+        before = list(rig.gateways)
+        self.ending = trouble(self.play, self.draw, kind)
+        for machine, old, new in zip(rig.machines, before, rig.gateways, strict=True):
+            if old is not new:
+                self.play.note_restart(machine.host)
+
+    def _change_an_endpoint(self, turn):
+        working = [one for one in self.play.endpoints if not one.leaves]
+        one = self.draw.choice(working)
+        kinds = ("leave", "leave", "rest", "rest", "shed", "entry", "gone", "back")
+        what = self.draw.choice(kinds)
+        rows = self.play.rig.rows
+        if what == "leave" and len(working) > 4:
+            one.leaves = True
+            self.play.add_endpoint()
+        elif what == "rest":
+            one.rest_s = self.draw.choice((0.0, 0.7, 3.0))
+        elif what == "shed":
+            one.sheds = not one.sheds
+        elif what == "gone":
+            rows.remove("endpoints", one.endpoint.endpoint_id)
+        elif what in ("entry", "back"):
+            for known in self.play.endpoints if what == "back" else [one]:
+                self.play.rig.announce(known.endpoint, zone="z", slots=4 + turn)
+
+
+@pytest.mark.parametrize("size", [3, 7, 14])
+@pytest.mark.parametrize("seed", range(3))
+def test_words_hold_beside_random_troubles(size, seed):
+    endpoints = Troubled(size, seed).run(60)
+    assert sum(bool(one.left_s) for one in endpoints) >= 2
+    assert sum(one.late_sends() for one in endpoints) == 0
+    assert max(one.most_in_a_rest() for one in endpoints) <= 1
+
+
 # Versions without a part of it, each of which a play above finds.
 
 
