Lines tell which rate an endpoint names in its answers; nothing acts on it yet

The header is read from every answer's head, as the words on leaving and rest are; of several values the least counts, one that can't be read counts as none. endpoint.limited is written when the rate is another than before.

--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -191,6 +191,9 @@
         #: is to be sent nothing.
         self.on_word: Callable[[EndpointRecord, Hold, HeaderList], None]
         self.on_word = _told_nobody
+        #: Called with record and the answer's headers when an answer names another rate limit.
+        self.on_rate_limit: Callable[[EndpointRecord, HeaderList], None]
+        self.on_rate_limit = _told_nobody
 
     def set_entries(self, entries: dict[str, EndpointEntry], store_was_away: bool = False) -> None:
         """Take in all endpoints; what is known of those that stay is kept.
@@ -287,6 +290,8 @@
         news = record.availability.heed(word, self._clock(), spread)
         if news is not None:
             self.on_word(record, news, headers)
+        if word.limit_per_s is not None and record.rate_limit.name(word.limit_per_s):
+            self.on_rate_limit(record, headers)
 
     def _cold_s(self, pool: str) -> float:
         """Return how long an endpoint of a pool is cold after a start."""
--- a/turnward/gateway/dialect.py
+++ b/turnward/gateway/dialect.py
@@ -27,6 +27,9 @@
         On an answer: an endpoint made it.
     leaving : bytes
         On an answer, with the value 1: the endpoint ends soon and takes no new work.
+    limit : bytes
+        On an answer: the requests a second, a decimal number, that the endpoint takes from all
+        routers together, for as long as its answers say so.
     last_event_id : bytes
         The last event that the sender has; the stream goes on behind it.
     token_count : bytes
@@ -49,6 +52,7 @@
     not_run: bytes = b"not-run"
     answer_seal: bytes = b"answer-seal"
     leaving: bytes = b"endpoint-leaving"
+    limit: bytes = b"endpoint-limit"
     last_event_id: bytes = b"last-event-id"
     token_count: bytes = b"token-count"
     prompt_parts: bytes = b"prompt-parts"
--- a/turnward/gateway/endpoint_record.py
+++ b/turnward/gateway/endpoint_record.py
@@ -10,6 +10,7 @@
 from turnward.gateway.configuration import EndpointEntry
 from turnward.gateway.pace import EventPace, PaceClass
 from turnward.gateway.prompts import Prompt
+from turnward.gateway.rate_limit import RateLimit
 from turnward.gateway.warm_up import WarmUp
 from turnward.http1 import HeaderList
 
@@ -53,6 +54,8 @@
         Names this start of the endpoint: what is known here ends with it.
     warm_up : WarmUp
         Whether it is cold.
+    rate_limit : RateLimit
+        What it says that it bears.
     lapsed_s : float or None
         When its entry went with many others; None while it has one.
     """
@@ -69,6 +72,7 @@
         "pace_class",
         "pool",
         "prefill_tokens",
+        "rate_limit",
         "warm_up",
     )
 
@@ -87,6 +91,7 @@
         self.availability = Availability(entry.leaving)
         self.abandoned = AbandonedRuns()
         self.warm_up = warm_up
+        self.rate_limit = RateLimit()
         self.lapsed_s: float | None = None
         self.pace = EventPace()
         self.pace_class = PaceClass.USUAL
--- a/turnward/gateway/endpoint_word.py
+++ b/turnward/gateway/endpoint_word.py
@@ -1,7 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""What an endpoint says of itself beside an answer: that it leaves, or wants rest."""
+"""What an endpoint says of itself beside an answer: that it leaves, wants rest, bears a rate."""
 
 import re
+from collections.abc import Iterable
 from datetime import datetime
 from email.utils import parsedate_to_datetime
 
@@ -10,7 +11,7 @@
 from turnward.gateway.dialect import Dialect
 from turnward.http1 import HeaderList, header_values
 
-__all__ = ["EndpointWord", "parse_rest_s", "read_word"]
+__all__ = ["EndpointWord", "parse_limit_per_s", "parse_rest_s", "read_word"]
 
 #: Statuses whose ``Retry-After`` tells for how long the endpoint wants nothing (RFC 9110, 10.2.3;
 #: RFC 6585, 4).
@@ -19,8 +20,8 @@
 _OTHER_ENDPOINT = 421
 #: Longest rest that is granted, in seconds: a faulty value would else lose an endpoint for days.
 _REST_LIMIT_S = 3_600.0
-#: Delays in whole seconds by the standard, with a fraction by the users' pages.
-_SECONDS = re.compile(rb"\d{1,12}(?:\.\d{1,12})?")
+#: Delays in whole seconds by the standard, with a fraction by the users' pages; rates likewise.
+_DECIMAL = re.compile(rb"\d{1,12}(?:\.\d{1,12})?")
 
 
 class EndpointWord(msgspec.Struct, frozen=True):
@@ -32,10 +33,16 @@
         It ends soon and takes no new work.
     rest_s : float
         For how long it wants nothing from this router; 0 when it does not ask for that.
+    limit_per_s : float or None
+        The requests a second that it takes from all routers together; None when it names no limit.
     """
 
     leaves: bool = False
     rest_s: float = 0.0
+    limit_per_s: float | None = None
+
+
+_NO_WORD = EndpointWord()
 
 
 def read_word(status: int, headers: HeaderList, dialect: Dialect) -> EndpointWord | None:
@@ -53,9 +60,24 @@
     said = header_values(headers, dialect.leaving)
     leaves = any(value.strip() == b"1" for value in said)
     rest_s = parse_rest_s(headers) if status in _REST_STATUSES else 0.0
-    if not leaves and not rest_s:
-        return None
-    return EndpointWord(leaves, rest_s)
+    word = EndpointWord(leaves, rest_s, parse_limit_per_s(header_values(headers, dialect.limit)))
+    return None if word == _NO_WORD else word
+
+
+def parse_limit_per_s(values: Iterable[bytes]) -> float | None:
+    """Return the requests a second that a header's values name, the least of several.
+
+    None when there is none, or none that can be read.
+
+    Examples
+    --------
+    >>> parse_limit_per_s([b"1.5", b" 4 "])
+    1.5
+    >>> parse_limit_per_s([b"-1"]) is None
+    True
+    """
+    stripped = (value.strip() for value in values)
+    return min((float(value) for value in stripped if _DECIMAL.fullmatch(value)), default=None)
 
 
 def parse_rest_s(headers: HeaderList) -> float:
@@ -78,7 +100,7 @@
 
 
 def _value_s(value: bytes, answered: datetime | None) -> float:
-    if _SECONDS.fullmatch(value):
+    if _DECIMAL.fullmatch(value):
         return min(_REST_LIMIT_S, float(value))
     until = _parse_date(value)
     if until is None or answered is None:
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -194,6 +194,7 @@
         )
         self.endpoints.on_pace_class = self._note_pace_class
         self.endpoints.on_word = self._note_word
+        self.endpoints.on_rate_limit = self._note_rate_limit
         self._word_news = WordNews(reactor.seconds, self._note_told_word)
         self.holders = RankedHolders(self.book, reactor.seconds, settings.budget_holders)
         self.accounts = PrepaidAccounts(
@@ -490,6 +491,18 @@
             endpoints=self.state.endpoints_version,
         )
 
+    def _note_rate_limit(self, record: EndpointRecord, answer_headers: HeaderList) -> None:
+        """Tell of a rate that an endpoint named in an answer."""
+        request_id = header_value(answer_headers, self._dialect.request_id) or b""
+        self._log.failure(
+            "endpoint.limited",
+            request=request_id.decode("latin-1"),
+            endpoint=record.incarnation,
+            pool=record.entry.pool,
+            limit_per_s=record.rate_limit.per_s,
+            endpoints=self.state.endpoints_version,
+        )
+
     def _note_told_word(self, word: ToldWord) -> None:
         """Put an endpoint last of which another router tells that it leaves or wants rest."""
         record = self.endpoints.get(word.endpoint)
--- a/turnward/gateway/tests/test_endpoint_word.py
+++ b/turnward/gateway/tests/test_endpoint_word.py
@@ -6,10 +6,16 @@
 from hypothesis import strategies as st
 
 from turnward.gateway import Dialect
-from turnward.gateway.endpoint_word import EndpointWord, parse_rest_s, read_word
+from turnward.gateway.endpoint_word import (
+    EndpointWord,
+    parse_limit_per_s,
+    parse_rest_s,
+    read_word,
+)
 
 DIALECT = Dialect()
 LEAVING = DIALECT.leaving
+LIMIT = DIALECT.limit
 ANSWERED = (b"date", b"Thu, 03 Dec 2026 10:00:00 GMT")
 
 
@@ -45,6 +51,35 @@
     assert parse_rest_s([(b"retry-after", b"Thu, 03 Dec 2026 10:00:04 GMT")]) == 0.0
 
 
+@pytest.mark.parametrize(
+    ("values", "limit_per_s"),
+    [
+        ([], None),
+        ([b"3"], 3.0),
+        ([b" 0.25 "], 0.25),
+        ([b"0"], 0.0),
+        ([b"4", b"1.5"], 1.5),
+        ([b"no", b"4"], 4.0),
+        ([b"999999999999"], 999_999_999_999.0),
+        ([b"-1"], None),
+        ([b"1e3"], None),
+        ([b"inf"], None),
+        ([b"nan"], None),
+        ([b"1,5"], None),
+        ([b".5"], None),
+        ([b""], None),
+    ],
+)
+def test_limit_that_an_answer_names(values, limit_per_s):
+    assert parse_limit_per_s(values) == limit_per_s
+
+
+@given(st.lists(st.binary(max_size=40), max_size=3))
+def test_no_value_raises_or_names_a_limit_below_zero(values):
+    found = parse_limit_per_s(values)
+    assert found is None or found >= 0.0
+
+
 @given(st.lists(st.binary(max_size=40), max_size=3), st.binary(max_size=40))
 def test_no_value_raises_or_asks_for_longer_than_the_limit(values, date):
     headers = [(b"date", date), *((b"retry-after", value) for value in values)]
@@ -63,6 +98,10 @@
         (429, [(b"retry-after", b"2")], EndpointWord(rest_s=2.0)),
         (503, [(b"retry-after", b"2"), (LEAVING, b"1")], EndpointWord(True, 2.0)),
         (200, [(b"retry-after", b"2")], None),
+        (200, [(LIMIT, b"1.5")], EndpointWord(limit_per_s=1.5)),
+        (503, [(LIMIT, b"0")], EndpointWord(limit_per_s=0.0)),
+        (200, [(LIMIT, b"-1")], None),
+        (421, [(LIMIT, b"1.5")], None),
         # Another process answers there: what it says is not the endpoint's word.
         (421, [(b"retry-after", b"2"), (LEAVING, b"1")], None),
     ],
--- a/turnward/gateway/tests/test_words_of_endpoints.py
+++ b/turnward/gateway/tests/test_words_of_endpoints.py
@@ -211,6 +211,18 @@
     assert 2.0 <= said["e-2"]["rest_s"] <= 2.5
 
 
+def test_lines_tell_which_rate_an_endpoint_names_once():
+    play = WordPlay(gateways=1, endpoints=2)
+    named = play.endpoints[0]
+    for per_s in (40.0, 20.0):
+        named.limit_per_s = per_s
+        play.ask_for(2.0, pause_s=0.02)
+    lines = play.rig.logs[0].of("endpoint.limited")
+    assert [line["limit_per_s"] for line in lines] == [40.0, 20.0]
+    assert {line["endpoint"] for line in lines} == {named.endpoint.endpoint_id}
+    assert lines[0]["request"].startswith("id-")
+
+
 def test_endpoint_that_turns_all_away_without_a_word_is_tried_seldom():
     play = WordPlay(gateways=2, endpoints=6)
     busy = play.endpoints[0]
--- a/turnward/gateway/tests/warm_up_plays.py
+++ b/turnward/gateway/tests/warm_up_plays.py
@@ -15,6 +15,7 @@
 
 from turnward.gateway.configuration import WarmUpTraits
 from turnward.gateway.peer_book import PeerBook
+from turnward.gateway.tests.word_plays import most_within
 from turnward.gateway.warm_up import Allowance, WarmUp, WarmUpShares
 from turnward.hashing import rendezvous_weight
 
@@ -253,16 +254,6 @@
         return Outcome(most, served, step)
 
 
-def most_within(times: list[float], span_s: float) -> int:
-    """Return the most of sorted times that lie in a sliding span."""
-    most = first = 0
-    for last, time_s in enumerate(times):
-        while time_s - times[first] >= span_s:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 def stated_limit(play: Play) -> float:
     """Return the most requests in a sliding second: the rate, and what newcomers and delays add.
 
--- a/turnward/gateway/tests/word_plays.py
+++ b/turnward/gateway/tests/word_plays.py
@@ -7,7 +7,7 @@
 
 from turnward.gateway.tests.rig import DIALECT, Rig, answer_head, answered
 
-__all__ = ["SpeakingEndpoint", "WordPlay"]
+__all__ = ["SpeakingEndpoint", "WordPlay", "most_within"]
 
 #: Seconds after a word within which sends may still arrive that were on their way.
 ON_ITS_WAY_S = 0.5
@@ -33,11 +33,13 @@
         What it asks for as it turns requests away; 0: it runs them.
     sheds : bool
         Whether it turns requests away without asking for rest.
+    limit_per_s : float or None
+        The rate that its answers name; None: they name none.
     sends : list of Send
         What reached it.
-    left_s, rests : dict
+    left_s, rests, limited_s : dict
         By process of a router: when it was first told that the endpoint leaves; from when until
-        when it was asked for rest.
+        when it was asked for rest; when it was first told of a limit.
     """
 
     def __init__(self, play: "WordPlay", zone: str = "z"):
@@ -45,9 +47,11 @@
         self.leaves = False
         self.rest_s = 0.0
         self.sheds = False
+        self.limit_per_s: float | None = None
         self.sends: list[Send] = []
         self.left_s: dict[str, float] = {}
         self.rests: dict[str, list[tuple[float, float]]] = {}
+        self.limited_s: dict[str, float] = {}
         self.endpoint = play.rig.endpoint(self._take, announce=False)
         play.rig.announce(self.endpoint, zone=zone)
 
@@ -70,10 +74,15 @@
             return
         if self.leaves:
             self.left_s.setdefault(router, self._play.now_s)
+        if self.limit_per_s is not None:
+            self.limited_s.setdefault(router, self._play.now_s)
         request.answer(200, [*answer_head(request), *self._word()], b"fine")
 
     def _word(self):
-        return [(DIALECT.leaving, b"1")] if self.leaves else []
+        word = [(DIALECT.leaving, b"1")] if self.leaves else []
+        if self.limit_per_s is not None:
+            word.append((DIALECT.limit, b"%g" % self.limit_per_s))
+        return word
 
     def late_sends(self) -> int:
         """Count sends of routers that had been told a while before that it leaves."""
@@ -95,6 +104,25 @@
             default=0,
         )
 
+    def most_told_in(self, span_s: float) -> int:
+        """Return the most sends in a sliding span of routers told of its limit a while before."""
+        times = [
+            send.time_s
+            for send in self.sends
+            if send.time_s > self.limited_s.get(send.router, 1e9) + ON_ITS_WAY_S
+        ]
+        return most_within(times, span_s)
+
+
+def most_within(times: list[float], span_s: float) -> int:
+    """Return the most of sorted times that lie in a sliding span."""
+    most = first = 0
+    for last, time_s in enumerate(times):
+        while time_s - times[first] >= span_s:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
 
 class WordPlay:
     """A fleet before endpoints that speak.
