A rate that an endpoint names is dealt out among routers and kept to

What callers saw: nothing; engines in need that named a rate went on getting as much as the others (39 and 35 requests in 8 s, beside 37 to 43). Cause: nothing read that word; and a rate from all routers together is known to none alone. Ruled out: read, and kept to by each router for itself (one router alone sent six in a second); requests chosen before the word (choices over eight seconds after it). Mend: a few members, by rendezvous over all of them, hold a part each, one request in an interval; others send nothing. Asked by the choice and again right before the first byte. The word travels with age and witness, so that all routers know it, and know when it is lifted.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -52,6 +52,7 @@
         self._splitter = EventSplitter() if owner.streams else None
         self._prefill_tokens = 0
         self._counted = False
+        self._opening = False
         self._event_s: float | None = None
         self.record = record
         self.method = owner.method
@@ -69,6 +70,8 @@
         kept = record.kept_tokens(owner.prompt, now_s)
         self._prefill_tokens = max(0, owner.prompt.tokens - kept)
         record.in_flight += 1
+        record.opening += 1
+        self._opening = True
         record.prefill_tokens += self._prefill_tokens
         self._counted = True
         handle = record.pool.start(self, _FRESH_S if owner.must_run_once else None)
@@ -105,7 +108,8 @@
             connection.drop()
             owner.time_over()
             return
-        hold = self.record.availability.hold(owner.forwarder.reactor.seconds())
+        self._opened()
+        hold = owner.forwarder.endpoints.claim_send(self.record)
         if hold is not None:
             # Said while the connection was being opened: what was chosen before is not sent.
             self._uncount()
@@ -178,6 +182,8 @@
             owner.attempt_bad(self, Reason.BAD_ANSWER)
             return
         self.record.availability.accepted(self.sent_s)
+        if status < 300:
+            owner.forwarder.endpoints.note_answer(self.record, self.sent_s, headers)
         if owner.head_sent:
             return
         if self._splitter is None or status != 200:
@@ -312,7 +318,13 @@
                 rest_s=round(availability.doubted_for_s(now_s), 3),
             )
 
+    def _opened(self) -> None:
+        if self._opening:
+            self._opening = False
+            self.record.opening -= 1
+
     def _uncount(self) -> None:
+        self._opened()
         if self._counted:
             self._counted = False
             self.record.in_flight -= 1
--- a/turnward/gateway/availability.py
+++ b/turnward/gateway/availability.py
@@ -50,6 +50,7 @@
     GONE = "gone"
     LEAVES = "leaves"
     RESTS = "rests"
+    LIMITED = "limited"
 
 
 class Availability:
--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -24,9 +24,10 @@
 from turnward.gateway.pace import ObservedPace, PaceClass, next_class, usual_pace
 from turnward.gateway.peer_book import EndpointLoad
 from turnward.gateway.prompts import Prompt
+from turnward.gateway.rate_limits import RateLimits
 from turnward.gateway.warm_up import WarmUp, WarmUpShares
 from turnward.hashing import rendezvous_weight
-from turnward.http1 import HeaderList
+from turnward.http1 import HeaderList, header_values
 
 __all__ = ["ChoiceRule", "EndpointBook", "EndpointChoice", "PoolShortage"]
 
@@ -155,6 +156,8 @@
         Deals out what cold endpoints bear; needed with ``warm_up_of``.
     dialect : Dialect, optional
         Names on the wire of what endpoints say of themselves.
+    limits : RateLimits, optional
+        This router's part of the rates that endpoints name; without it they are not kept to.
     """
 
     def __init__(
@@ -168,6 +171,7 @@
         warm_up_of: Callable[[str], WarmUpTraits | None] = lambda pool: None,
         shares: WarmUpShares | None = None,
         dialect: Dialect | None = None,
+        limits: RateLimits | None = None,
     ):
         self._rule = rule or ChoiceRule()
         self._draw = draw
@@ -180,6 +184,7 @@
         self._classified_s: dict[str, float] = {}
         self._warm_up_of = warm_up_of
         self._shares = shares
+        self._limits = limits
         self._drained: frozenset[str] = frozenset()
         self._entries_known = False
         self._left: OrderedDict[str, _LeftEndpoint] = OrderedDict()
@@ -191,8 +196,9 @@
         #: is to be sent nothing.
         self.on_word: Callable[[EndpointRecord, Hold, HeaderList], None]
         self.on_word = _told_nobody
-        #: Called with record and the answer's headers when an answer names another rate limit.
-        self.on_rate_limit: Callable[[EndpointRecord, HeaderList], None]
+        #: Called with record, limit and the answer's headers when an answer names another rate
+        #: limit, or none (None) any more.
+        self.on_rate_limit: Callable[[EndpointRecord, float | None, HeaderList], None]
         self.on_rate_limit = _told_nobody
 
     def set_entries(self, entries: dict[str, EndpointEntry], store_was_away: bool = False) -> None:
@@ -290,8 +296,34 @@
         news = record.availability.heed(word, self._clock(), spread)
         if news is not None:
             self.on_word(record, news, headers)
-        if word.limit_per_s is not None and record.rate_limit.name(word.limit_per_s):
-            self.on_rate_limit(record, headers)
+        if word.limit_per_s is None or self._limits is None:
+            return
+        if self._limits.name(record.incarnation, word.limit_per_s):
+            self.on_rate_limit(record, word.limit_per_s, headers)
+
+    def note_answer(self, record: EndpointRecord, sent_s: float, headers: HeaderList) -> None:
+        """Take in the head of a success; one that names no rate limit may lift it.
+
+        Failures lift none: they may be made before the endpoint has its say.
+        """
+        if self._limits is None or header_values(headers, self._dialect.limit):
+            return
+        if self._limits.name_none(record.incarnation, sent_s):
+            self.on_rate_limit(record, None, headers)
+
+    def claim_send(self, record: EndpointRecord) -> Hold | None:
+        """Note that a request is about to leave; return why it must not, None if it may.
+
+        Asked right before the first byte: while a connection was being opened, the endpoint may
+        have spoken, and others of this router's requests may have left.
+        """
+        hold = record.availability.hold(self._clock())
+        if hold is not None or self._limits is None:
+            return hold
+        if self._limits.opens_in_s(record.incarnation) > 0:
+            return Hold.LIMITED
+        self._limits.note_sent(record.incarnation)
+        return None
 
     def _cold_s(self, pool: str) -> float:
         """Return how long an endpoint of a pool is cold after a start."""
@@ -335,6 +367,7 @@
             if record.availability.hold(now_s) is None
             and record.incarnation not in without
             and self._stands(record, now_s)
+            and self._is_within_limit(record)
         ]
         traits = self._warm_up_of(pool)
         if traits is None:
@@ -347,6 +380,12 @@
             return False
         return record.lapsed_s is None or record.may_be_back(now_s)
 
+    def _is_within_limit(self, record: EndpointRecord) -> bool:
+        """Tell whether a rate limit that the endpoint names lets this router send a request."""
+        if self._limits is None or not self._limits.is_limited(record.incarnation):
+            return True
+        return not record.opening and self._limits.opens_in_s(record.incarnation) <= 0
+
     def _is_warm_enough(self, record: EndpointRecord, traits: WarmUpTraits) -> bool:
         """Tell whether an endpoint that may be cold bears a request of this router now."""
         if record.warm_up.settled(self._shares.members):
@@ -374,14 +413,16 @@
         first = min(waits, key=lambda wait: wait.opens_in_s, default=_NEVER)
         return first if first.opens_in_s > 0 else None
 
-    @staticmethod
-    def _wait_for(record: EndpointRecord, now_s: float) -> PoolShortage:
+    def _wait_for(self, record: EndpointRecord, now_s: float) -> PoolShortage:
         """Return how long an endpoint takes no work, and why."""
-        rests_for_s = record.availability.rests_for_s(now_s)
-        cold_for_s = record.warm_up.cold_for_s
-        if rests_for_s >= cold_for_s:
-            return PoolShortage(Reason.ENDPOINTS_RESTING, rests_for_s)
-        return PoolShortage(Reason.ENDPOINTS_COLD, cold_for_s)
+        limited = self._limits is not None and not self._is_within_limit(record)
+        limited_for_s = self._limits.callers_wait_s(record.incarnation) if limited else 0.0
+        waits = (
+            PoolShortage(Reason.ENDPOINTS_RESTING, record.availability.rests_for_s(now_s)),
+            PoolShortage(Reason.ENDPOINTS_COLD, record.warm_up.cold_for_s),
+            PoolShortage(Reason.ENDPOINTS_LIMITED, limited_for_s),
+        )
+        return max(waits, key=lambda wait: wait.opens_in_s)
 
     def choose(
         self,
--- a/turnward/gateway/endpoint_record.py
+++ b/turnward/gateway/endpoint_record.py
@@ -10,7 +10,6 @@
 from turnward.gateway.configuration import EndpointEntry
 from turnward.gateway.pace import EventPace, PaceClass
 from turnward.gateway.prompts import Prompt
-from turnward.gateway.rate_limit import RateLimit
 from turnward.gateway.warm_up import WarmUp
 from turnward.http1 import HeaderList
 
@@ -40,6 +39,8 @@
     ----------
     in_flight : int
         This router's own requests there.
+    opening : int
+        Own requests there that wait for a connection.
     prefill_tokens : int
         Prompt tokens of own requests whose first event has not come.
     availability : Availability
@@ -54,8 +55,6 @@
         Names this start of the endpoint: what is known here ends with it.
     warm_up : WarmUp
         Whether it is cold.
-    rate_limit : RateLimit
-        What it says that it bears.
     lapsed_s : float or None
         When its entry went with many others; None while it has one.
     """
@@ -68,11 +67,11 @@
         "in_flight",
         "incarnation",
         "lapsed_s",
+        "opening",
         "pace",
         "pace_class",
         "pool",
         "prefill_tokens",
-        "rate_limit",
         "warm_up",
     )
 
@@ -87,11 +86,11 @@
         self.incarnation = entry.incarnation
         self.pool = make_pool(entry.address, partial(on_head, self))
         self.in_flight = 0
+        self.opening = 0
         self.prefill_tokens = 0
         self.availability = Availability(entry.leaving)
         self.abandoned = AbandonedRuns()
         self.warm_up = warm_up
-        self.rate_limit = RateLimit()
         self.lapsed_s: float | None = None
         self.pace = EventPace()
         self.pace_class = PaceClass.USUAL
--- /dev/null
+++ b/turnward/gateway/member_ranks.py
@@ -0,0 +1,47 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""In which order the members of the fleet come for a key, the same at all routers."""
+
+from turnward.gateway.peer_book import PeerBook
+from turnward.hashing import rendezvous_weight
+
+__all__ = ["MemberRanks"]
+
+
+class MemberRanks:
+    """This router's rank among the members, by rendezvous hashing, for each key.
+
+    Routers that know the same members agree without a word; a member that is silent keeps its
+    rank, so that a cut gives nobody a better one.
+
+    Parameters
+    ----------
+    book : PeerBook
+        The members of the fleet.
+    """
+
+    def __init__(self, book: PeerBook):
+        self._book = book
+        self._ranked_version = -1
+        self._ranks: dict[str, int] = {}
+
+    @property
+    def members(self) -> int:
+        """How many routers may exist."""
+        return self._book.most_live
+
+    @property
+    def known(self) -> bool:
+        """Whether the members' table was read, so that ranks mean something."""
+        return self._book.members_read
+
+    def of(self, key: str) -> int:
+        """Return how many members come before this router for a key."""
+        if self._ranked_version != self._book.membership_version:
+            self._ranked_version = self._book.membership_version
+            self._ranks = {}
+        rank = self._ranks.get(key)
+        if rank is None:
+            own = rendezvous_weight(key, self._book.own_address)
+            rank = sum(rendezvous_weight(key, peer.address) > own for peer in self._book.members)
+            self._ranks[key] = rank
+        return rank
--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -48,6 +48,9 @@
             ["table", "reason"],
             registry=self._registry,
         )
+        self.endpoints_limited = self._gauge(
+            "endpoints_limited", "Endpoints that name a rate limit."
+        )
         self.contents_held = self._gauge(
             "contents_held", "Contents held back, since their runs ended endpoints."
         )
--- a/turnward/gateway/outcomes.py
+++ b/turnward/gateway/outcomes.py
@@ -36,6 +36,7 @@
     ENDPOINTS_FULL = "endpoints_full"
     ENDPOINTS_COLD = "endpoints_cold"
     ENDPOINTS_RESTING = "endpoints_resting"
+    ENDPOINTS_LIMITED = "endpoints_limited"
     OVERLOADED = "overloaded"
     ENDS_ENDPOINTS = "ends_endpoints"
     TIME_LIMIT = "time_limit"
--- a/turnward/gateway/overlay.py
+++ b/turnward/gateway/overlay.py
@@ -23,6 +23,7 @@
     PeerBook,
     sum_loads,
 )
+from turnward.gateway.rate_limit import ToldLimit
 from turnward.gateway.word_news import ToldWord
 from turnward.gateway.zone_orders import ZoneOrder
 from turnward.hashing import rendezvous_weight
@@ -75,6 +76,8 @@
         Runs that were lost with their endpoints, as far as the aggregator knows.
     words : tuple of ToldWord
         Which endpoints leave or want rest, as the aggregator was told lately.
+    limits : tuple of ToldLimit
+        The rates that endpoints named lately, as far as the aggregator knows.
     """
 
     layout: int
@@ -90,6 +93,7 @@
     zone_orders: tuple[ZoneOrder, ...] | None = None
     quarantine: QuarantineWord = NO_WORD
     words: tuple[ToldWord, ...] = ()
+    limits: tuple[ToldLimit, ...] = ()
 
 
 class _Placed(msgspec.Struct, frozen=True, order=True):
@@ -187,10 +191,8 @@
         self._totals: dict[str, _Heard] = {}
         self._asked_since_s: dict[str, float] = {}
         self._silent_until_s: dict[str, float] = {}
-        self._own_loads: tuple[EndpointLoad, ...] = ()
-        self._own_zone_orders: tuple[ZoneOrder, ...] | None = None
-        self._own_quarantine = NO_WORD
-        self._own_words: tuple[ToldWord, ...] = ()
+        #: What this router told of itself last.
+        self._own: Digest | None = None
         self._period = 0
 
     @property
@@ -232,7 +234,7 @@
         if total is None:
             return {}
         loads = {load.endpoint: load for load in total.loads}
-        for own in self._own_loads:
+        for own in self._own.loads if self._own is not None else ():
             # The sum holds what this router told of itself.
             told = loads.get(own.endpoint)
             if told is not None:
@@ -250,7 +252,7 @@
     def _own_total(self) -> FleetSummary | None:
         """Return the sum over all routers that counts most of them."""
         known = [heard.message for heard in self._fresh(self._totals)]
-        if self._is_aggregator() and self._fresh(self._members):
+        if self._own is not None and self._is_aggregator() and self._fresh(self._members):
             known.append(self._total())
         return max(known, key=lambda total: total.routers, default=None)
 
@@ -261,10 +263,7 @@
         if self.mesh:
             return [(address, own) for address in self._book.addresses]
         self._regroup()
-        self._own_loads = own.loads
-        self._own_zone_orders = own.zone_orders
-        self._own_quarantine = own.quarantine
-        self._own_words = own.words
+        self._own = own
         self._period += 1
         self._members[own.address] = _Heard(own, self._clock())
         messages: list[tuple[str, Digest | FleetSummary]] = [
@@ -418,9 +417,10 @@
             endpoints.endpoints_version,
             endpoints.address,
             sum_loads(digest.loads for digest in digests),
-            self._own_zone_orders,
-            self._own_quarantine,
-            self._own_words,
+            self._own.zone_orders,
+            self._own.quarantine,
+            self._own.words,
+            self._own.limits,
         )
 
     def _total(self) -> FleetSummary:
@@ -446,9 +446,10 @@
             endpoints.endpoints_version,
             endpoints.endpoints_from,
             _largest(sum_loads(one.loads for one in sums)),
-            self._own_zone_orders,
-            self._own_quarantine,
-            self._own_words,
+            self._own.zone_orders,
+            self._own.quarantine,
+            self._own.words,
+            self._own.limits,
         )
 
 
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from turnward.gateway.loans import Spare
+from turnward.gateway.rate_limit import ToldLimit
 from turnward.gateway.word_news import ToldWord
 from turnward.gateway.zone_orders import ZoneOrder
 from turnward.quarantine import NO_WORD, QuarantineWord
@@ -92,6 +93,8 @@
         Runs that were lost with their endpoints, as far as it knows.
     words : tuple of ToldWord
         Which endpoints leave or want rest, as it was told lately.
+    limits : tuple of ToldLimit
+        The rates that endpoints named lately, as far as it knows.
     """
 
     layout: int
@@ -110,6 +113,7 @@
     zone_orders: tuple[ZoneOrder, ...] | None = None
     quarantine: QuarantineWord = NO_WORD
     words: tuple[ToldWord, ...] = ()
+    limits: tuple[ToldLimit, ...] = ()
 
 
 class Peer:
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -24,6 +24,7 @@
 from turnward.gateway.overlay import FleetSummary, Overlay
 from turnward.gateway.packing import PackedOnce, unpack
 from turnward.gateway.peer_book import DIGEST_LAYOUT, Digest, PeerBook
+from turnward.gateway.rate_limits import RateLimits
 from turnward.gateway.state import EndpointsSnapshot, FleetState
 from turnward.gateway.word_news import WordNews
 from turnward.http1 import Http1Error, HttpCaller, InboundRequest
@@ -97,6 +98,8 @@
         What it suspects is told, and it takes in what others suspect.
     word_news : WordNews
         What endpoints said here is told, and it takes in what they said to others.
+    limits : RateLimits
+        The rates that endpoints named here are told, and it takes in what they named to others.
     log : GatewayLog
         Told of what is fetched.
     draw : random.Random
@@ -113,6 +116,7 @@
         accounts,
         quarantine: Quarantine,
         word_news: WordNews,
+        limits: RateLimits,
         log,
         draw: random.Random,
     ):
@@ -120,6 +124,7 @@
         self._accounts = accounts
         self._quarantine = quarantine
         self._word_news = word_news
+        self._limits = limits
         self._reactor = reactor
         self._identity = identity
         self._state = state
@@ -175,6 +180,7 @@
             zone_orders=self._state.told_orders(),
             quarantine=self._quarantine.word(),
             words=self._word_news.words(),
+            limits=self._limits.told(),
         )
 
     def _some_short(self) -> bool:
@@ -187,6 +193,7 @@
             self._state.adopt_told_orders(message.zone_orders, f"peer {message.address}")
             self._quarantine.take_in(message.quarantine)
             self._word_news.take_in(message.words)
+            self._limits.take_in(message.limits)
         if isinstance(message, Digest):
             self._hear_digest(message)
         elif message.address != self._book.own_address:
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -23,6 +23,7 @@
 from turnward.gateway.lenders import HoldersAsLenders, PeersAsLenders
 from turnward.gateway.logs import GatewayLog
 from turnward.gateway.mechanisms import Mechanisms
+from turnward.gateway.member_ranks import MemberRanks
 from turnward.gateway.members import MEMBERS_TABLE, Member, encode_member
 from turnward.gateway.metrics import GatewayMetrics
 from turnward.gateway.pace import ObservedPace
@@ -30,6 +31,7 @@
 from turnward.gateway.peers import PeerTask
 from turnward.gateway.prepaid import KEPT_BY_PRIORITY, PrepaidAccounts
 from turnward.gateway.quarantine_rows import QuarantineRows
+from turnward.gateway.rate_limits import RateLimits
 from turnward.gateway.refused_rows import RefusedRow
 from turnward.gateway.retries import RepeatRule
 from turnward.gateway.settings import GatewaySettings
@@ -181,6 +183,9 @@
         self.state.refused_rows.on_refused = self._note_unreadable
         self.book = PeerBook(self.peers_address, reactor.seconds)
         self._add_seeds()
+        ranks = MemberRanks(self.book)
+        self._limits = RateLimits(reactor.seconds, ranks, self.incarnation)
+        self._limits.on_told = self._note_told_limit
         self.endpoints = EndpointBook(
             settings.zone,
             reactor.seconds,
@@ -189,8 +194,9 @@
             self._draw,
             _choice_rule(settings.mechanisms),
             self._warm_up_of,
-            WarmUpShares(self.book),
+            WarmUpShares(ranks),
             dialect,
+            self._limits,
         )
         self.endpoints.on_pace_class = self._note_pace_class
         self.endpoints.on_word = self._note_word
@@ -227,6 +233,7 @@
             self.accounts,
             self.quarantine,
             self._word_news,
+            self._limits,
             log,
             self._draw,
         )
@@ -434,6 +441,7 @@
         metrics.zones_drained.set(len(self.state.zone_orders.drained))
         metrics.tell_refused_rows(self.state.refused_rows.counts())
         metrics.contents_held.set(self.quarantine.held_count)
+        metrics.endpoints_limited.set(self._limits.limited_count)
         request.answer(200, [(b"content-type", metrics.content_type)], metrics.text())
 
     def _note_fault(self, failure: Exception) -> None:
@@ -491,18 +499,24 @@
             endpoints=self.state.endpoints_version,
         )
 
-    def _note_rate_limit(self, record: EndpointRecord, answer_headers: HeaderList) -> None:
-        """Tell of a rate that an endpoint named in an answer."""
+    def _note_rate_limit(
+        self, record: EndpointRecord, per_s: float | None, answer_headers: HeaderList
+    ) -> None:
+        """Tell of a rate that an endpoint named in an answer, or names no more."""
         request_id = header_value(answer_headers, self._dialect.request_id) or b""
         self._log.failure(
             "endpoint.limited",
             request=request_id.decode("latin-1"),
             endpoint=record.incarnation,
             pool=record.entry.pool,
-            limit_per_s=record.rate_limit.per_s,
+            limit_per_s=per_s,
             endpoints=self.state.endpoints_version,
         )
 
+    def _note_told_limit(self, incarnation: str, per_s: float | None) -> None:
+        """Tell of a rate that an endpoint named to another router, or names no more."""
+        self._log.event("endpoint.told_limit", endpoint=incarnation, limit_per_s=per_s)
+
     def _note_told_word(self, word: ToldWord) -> None:
         """Put an endpoint last of which another router tells that it leaves or wants rest."""
         record = self.endpoints.get(word.endpoint)
--- a/turnward/gateway/tests/test_choice.py
+++ b/turnward/gateway/tests/test_choice.py
@@ -9,6 +9,7 @@
 
 from turnward.gateway import EndpointEntry, EngineTraits, WarmUpTraits
 from turnward.gateway.choice import EndpointBook
+from turnward.gateway.member_ranks import MemberRanks
 from turnward.gateway.outcomes import Reason
 from turnward.gateway.peer_book import EndpointLoad, PeerBook
 from turnward.gateway.prompts import Prompt, parse_prompt_parts
@@ -248,8 +249,8 @@
         for number in range(1, 8):
             self.peers.add_member(f"10.1.0.{number}:1", "z")
         self.peers.members_read = members_read
-        shares = WarmUpShares(self.peers)
-        shares._rank = lambda endpoint_id: rank
+        ranks = MemberRanks(self.peers)
+        ranks.of = lambda endpoint_id: rank
         self.book = EndpointBook(
             "z",
             lambda: self.now_s,
@@ -257,7 +258,7 @@
             lambda: self.loads,
             random.Random(0),
             warm_up_of=lambda pool: warm_up,
-            shares=shares,
+            shares=WarmUpShares(ranks),
         )
         self.entries = {}
         for number in range(count):
--- a/turnward/gateway/tests/warm_up_plays.py
+++ b/turnward/gateway/tests/warm_up_plays.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from turnward.gateway.configuration import WarmUpTraits
+from turnward.gateway.member_ranks import MemberRanks
 from turnward.gateway.peer_book import PeerBook
 from turnward.gateway.tests.word_plays import most_within
 from turnward.gateway.warm_up import Allowance, WarmUp, WarmUpShares
@@ -89,7 +90,7 @@
 
     def __init__(self, *args):
         super().__init__(*args)
-        self.shares = WarmUpShares(self.book)
+        self.shares = WarmUpShares(MemberRanks(self.book))
         self.warm_ups = {endpoint: WarmUp(self.clock) for endpoint in self.fleet.endpoints}
         for warm_up in self.warm_ups.values():
             warm_up.note_cold(self.play.cold_s)
--- a/turnward/gateway/warm_up.py
+++ b/turnward/gateway/warm_up.py
@@ -20,8 +20,7 @@
 
 import msgspec
 
-from turnward.gateway.peer_book import PeerBook
-from turnward.hashing import rendezvous_weight
+from turnward.gateway.member_ranks import MemberRanks
 
 __all__ = ["Allowance", "WarmUp", "WarmUpShares"]
 
@@ -54,43 +53,28 @@
 
     Parameters
     ----------
-    book : PeerBook
-        The members of the fleet.
+    ranks : MemberRanks
+        The members of the fleet in the order in which they hold parts.
     """
 
-    def __init__(self, book: PeerBook):
-        self._book = book
-        self._ranked_version = -1
-        self._ranks: dict[str, int] = {}
+    def __init__(self, ranks: MemberRanks):
+        self._ranks = ranks
 
     @property
     def members(self) -> int:
         """How many routers may exist."""
-        return self._book.most_live
+        return self._ranks.members
 
     def allowance(self, endpoint_id: str, requests_per_s: float) -> Allowance:
         """Return this router's part of a rate."""
         chosen = max(1, min(self.members, int(requests_per_s)))
-        rank = self._rank(endpoint_id)
-        if rank >= chosen or not self._book.members_read:
+        rank = self._ranks.of(endpoint_id)
+        if rank >= chosen or not self._ranks.known:
             return Allowance(float("inf"), rank, chosen)
         # Whole requests a second for each, so that no sliding second holds more than the rate.
         each_per_s = max(1, int(requests_per_s) // chosen)
         return Allowance(1.0 / min(each_per_s, requests_per_s), rank, chosen)
 
-    def _rank(self, endpoint_id: str) -> int:
-        if self._ranked_version != self._book.membership_version:
-            self._ranked_version = self._book.membership_version
-            self._ranks = {}
-        rank = self._ranks.get(endpoint_id)
-        if rank is None:
-            own = rendezvous_weight(endpoint_id, self._book.own_address)
-            rank = sum(
-                rendezvous_weight(endpoint_id, peer.address) > own for peer in self._book.members
-            )
-            self._ranks[endpoint_id] = rank
-        return rank
-
 
 class WarmUp:
     """How far one endpoint has warmed up, as this router knows.
