What only ran beside a request that ends engines is held back no more, or on trial

What callers saw: with one request that ends three engines, what all others asked for was refused for ten minutes as well, though it had been answered before. Cause: three losses, one of them sent again, and no answer since, is also what a content that many ask for meets beside it; held back, it could not be answered any more. Ruled out: more losses (a popular content is at all ends); forgiving by time (a deadly one would end three engines each time). Mend: losses of a content that was answered before count only where nothing that was never answered explains them; where that can't be told, one router tries it, an answer clears it and a further loss proves it. What is sure is held at once. Why it holds: nothing is freed but by an answer or by another's guilt; each content costs at most one trial, by one router at a time.

--- a/turnward/events/story.py
+++ b/turnward/events/story.py
@@ -39,7 +39,7 @@
 #: Changes of one workspace's tokens; shown where the request's workspace is known.
 TOKENS = frozenset(("prepaid.taken", "prepaid.returned", "prepaid.lent", "prepaid.borrowed"))
 #: What tells why a content is held back; shown of all processes, since all of them hold it back.
-CONTENTS = frozenset(("attempt.failed", "content.held", "content.cleared"))
+CONTENTS = frozenset(("attempt.failed", "content.held", "content.tried", "content.cleared"))
 
 _PREFIX = re.compile(r"^\s*(-?\d+(?:\.\d+)?)?[^{]*$")
 
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -37,7 +37,7 @@
     header_values,
 )
 from turnward.ledger import Reservation
-from turnward.quarantine import Quarantine
+from turnward.quarantine import Quarantine, Verdict
 
 __all__ = ["Forwarder", "Forwarding", "ForwardingRules"]
 
@@ -187,6 +187,7 @@
         self._tried: set[str] = set()
         self._may_have_run = False
         self._excess_s = 0.0
+        self._on_trial = False
         self._progress = StreamProgress()
         self._over = False
 
@@ -339,8 +340,7 @@
         if not self._pool:
             self._pool = self._route.choose_pool(forwarder.draw)
             self._content = self._read_content()
-            if forwarder.quarantine.holds(self._content):
-                self._hold_back()
+            if self._is_held_back():
                 return
             forwarder.allowance(self._pool).note_request()
         routes = forwarder.state.routes
@@ -504,7 +504,7 @@
 
     def retry_error(self, attempt: "EndpointAttempt", status: int) -> bool:
         """Send an errored request elsewhere; False when that is not allowed any more."""
-        self._forwarder.quarantine.note_served(self._content)
+        self._forwarder.quarantine.note_served(self._content, success=False)
         if not self._may_go_on(repeat=True, ran=True):
             return False
         self._may_have_run = True
@@ -643,7 +643,7 @@
         """End a whole answer."""
         self._attempt = None
         attempt.over = True
-        self._forwarder.quarantine.note_served(self._content)
+        self._forwarder.quarantine.note_served(self._content, success=status < 400)
         self._request.finish()
         used = None
         if status < 300 and not self._may_have_run:
@@ -681,10 +681,25 @@
         self._answer_problem(status, reason, headers)
         self._end(Outcome.REFUSED, status, reason=reason, used_tokens=0, **fields)
 
-    def _hold_back(self) -> None:
-        """Refuse a request whose content ends the endpoints that run it."""
-        self._forwarder.metrics.requests_held.labels(self._pool).inc()
-        self._refuse(503, Reason.ENDS_ENDPOINTS)
+    def _is_held_back(self) -> bool:
+        """Refuse a request whose content ends, or may end, the endpoints that run it."""
+        quarantine = self._forwarder.quarantine
+        if not quarantine.holds(self._content):
+            return False
+        self._on_trial = quarantine.begin_trial(self._content)
+        if self._on_trial:
+            self._forwarder.log.failure(
+                "content.tried",
+                request=self._request_id.decode("latin-1"),
+                content=self._content,
+                pool=self._pool,
+            )
+            return False
+        sure = quarantine.verdict(self._content) is Verdict.SURE
+        reason = Reason.ENDS_ENDPOINTS if sure else Reason.MAY_END_ENDPOINTS
+        self._forwarder.metrics.requests_held.labels(self._pool, reason).inc()
+        self._refuse(503, reason)
+        return True
 
     def _refuse_overload(self, choice: EndpointChoice, excess_s: float) -> None:
         """Refuse a request for which all endpoints have too long a queue."""
@@ -696,7 +711,7 @@
     def _retry_after_s(self, reason: Reason) -> float:
         """Return when another try may be served."""
         forwarder = self._forwarder
-        if reason is Reason.ENDS_ENDPOINTS:
+        if reason in (Reason.ENDS_ENDPOINTS, Reason.MAY_END_ENDPOINTS):
             return round(forwarder.quarantine.held_for_s(self._content), 1)
         return forwarder.return_times.retry_after_s(reason, self._pool, self._excess_s)
 
@@ -774,6 +789,8 @@
         self._over = True
         forwarder = self._forwarder
         forwarder.open.discard(self)
+        if self._on_trial:
+            forwarder.quarantine.end_trial(self._content)
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         tokens = self._settle(used_tokens)
--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -59,7 +59,9 @@
             "attempts_failed", "Sends that brought no answer to pass on.", ["pool", "how"]
         )
         self.requests_held = self._counter(
-            "requests_held", "Requests refused, since their content is held back.", ["pool"]
+            "requests_held",
+            "Requests refused, since their content is held back.",
+            ["pool", "reason"],
         )
         self.requests_overloaded = self._counter(
             "requests_overloaded", "Requests refused, since all queues are too long.", ["pool"]
--- a/turnward/gateway/outcomes.py
+++ b/turnward/gateway/outcomes.py
@@ -39,6 +39,7 @@
     ENDPOINTS_LIMITED = "endpoints_limited"
     OVERLOADED = "overloaded"
     ENDS_ENDPOINTS = "ends_endpoints"
+    MAY_END_ENDPOINTS = "may_end_endpoints"
     TIME_LIMIT = "time_limit"
     ENDPOINT_LOST = "endpoint_lost"
     BAD_ANSWER = "bad_answer"
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -220,6 +220,7 @@
             reactor.seconds,
             QuarantineRule.from_heartbeat(settings.endpoint_heartbeat_ms / 1_000),
             self._quarantine_changed,
+            ranks.of,
         )
         self._quarantine_rows = QuarantineRows(
             reactor, store, self.quarantine, self.state.refused_rows, self._draw
@@ -459,6 +460,7 @@
             self._log.failure(
                 "content.held",
                 content=change.content,
+                verdict=change.verdict,
                 endpoints=change.endpoints,
                 own=change.own,
                 held_s=round(self.quarantine.held_for_s(change.content), 1),
--- a/turnward/gateway/quarantine_rows.py
+++ b/turnward/gateway/quarantine_rows.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Keeps in the store what is held back, so that it outlasts the death of all routers.
+"""Keeps in the store what is held back for sure, so that it outlasts the death of all routers.
 
 Routers tell each other what they hold back, which needs no store. A row is written beside that by
 the router whose loss was the last one needed, and read by each router that starts: after all had
@@ -12,7 +12,7 @@
 from twisted.internet import defer, task
 
 from turnward.gateway.refused_rows import UNREADABLE, RefusedRows
-from turnward.quarantine import LostRun, Quarantine, QuarantineChange, QuarantineWord
+from turnward.quarantine import LostRun, Quarantine, QuarantineChange, QuarantineWord, Verdict
 from turnward.rows import (
     RowChange,
     RowKey,
@@ -99,7 +99,9 @@
 
     def note_change(self, change: QuarantineChange) -> None:
         """Write or remove a content's row, if what happened here changed it."""
-        concerns = change.content in self._written or (change.own and change.held)
+        concerns = change.content in self._written or (
+            change.own and change.verdict is Verdict.SURE
+        )
         if not concerns or change.content in self._pending:
             return
         self._pending.append(change.content)
@@ -160,7 +162,8 @@
         now_s = self._store.time_floor_s()
         if now_s is None:
             return
-        lost = self._quarantine.losses_of(content) if self._quarantine.holds(content) else ()
+        sure = self._quarantine.verdict(content) is Verdict.SURE
+        lost = self._quarantine.losses_of(content) if sure else ()
         if lost:
             value = msgspec.json.encode(QuarantineRow(now_s, lost))
             change = RowChange(key, value, 0 if row.gone else row.version)
--- a/turnward/gateway/tests/test_innocent_requests.py
+++ b/turnward/gateway/tests/test_innocent_requests.py
@@ -14,10 +14,12 @@
 
 import pytest
 
-from turnward.gateway.tests.crash_plays import CrashPlay
+from turnward.gateway.tests.crash_plays import BACK_S, CrashPlay
 
 FATAL = b"what no engine bears"
 POPULAR = b"what all ask for"
+#: Reasons of refusals of what ends endpoints, or may do so.
+HELD_BACK = (b"ends_endpoints", b"may_end_endpoints")
 #: Longest that a harmless request may be refused for what another did, in seconds.
 INNOCENT_S = 2.0
 #: Time in which word of an end is to be everywhere, and sends of what ends engines after that.
@@ -70,7 +72,23 @@
 
     def refused_s(self):
         """Return when harmless requests were sent that were refused for what another did."""
-        return [time_s for time_s, caller in self.asked if b"ends_endpoints" in caller.received]
+        return [
+            time_s
+            for time_s, caller in self.asked
+            if any(reason in caller.received for reason in HELD_BACK)
+        ]
+
+    def longest_refused_s(self):
+        """Return the longest time for which all harmless requests were refused on end."""
+        refused_s = set(self.refused_s())
+        longest_s, since_s = 0.0, None
+        for time_s, _ in self.asked:
+            if time_s not in refused_s:
+                since_s = None
+                continue
+            since_s = time_s if since_s is None else since_s
+            longest_s = max(longest_s, time_s - since_s)
+        return longest_s
 
     def late_sends(self):
         """Return the most sends of a body that ends engines that came too late."""
@@ -90,7 +108,59 @@
         newsroom.end_engines()
         newsroom.ask_for(6.0)
     newsroom.play.rig.network.advance(5.0)
-    refused_s = newsroom.refused_s()
-    assert max(refused_s, default=0.0) - min(refused_s, default=0.0) <= INNOCENT_S
+    assert newsroom.longest_refused_s() <= INNOCENT_S
     assert newsroom.late_sends() <= SENDS_LIMIT
     assert newsroom.play.ask(POPULAR).status == 200
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("gateways", [3, 7])
+def test_popular_request_that_was_never_answered_is_cleared_by_a_trial(seed, gateways):
+    """It is asked for by all for the first time while engines end beside it."""
+    newsroom = Newsroom(seed, gateways)
+    newsroom.end_engines()
+    newsroom.ask_for(8.0)
+    newsroom.play.rig.network.advance(5.0)
+    assert newsroom.longest_refused_s() <= INNOCENT_S + BACK_S
+    assert newsroom.late_sends() <= SENDS_LIMIT
+    assert newsroom.play.ask(POPULAR).status == 200
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_several_that_end_engines_are_held_back_and_what_ran_beside_them_is_not(seed):
+    newsroom = Newsroom(seed, gateways=4, endpoints=6, fatal=(b"one", b"two", b"three"))
+    newsroom.ask_for(3.0)
+    for _ in range(3):
+        newsroom.end_engines()
+        newsroom.ask_for(6.0)
+    newsroom.play.rig.network.advance(5.0)
+    assert newsroom.longest_refused_s() <= INNOCENT_S
+    assert newsroom.late_sends() <= SENDS_LIMIT
+    assert newsroom.play.ask(POPULAR).status == 200
+
+
+def test_request_that_turns_deadly_is_held_back_after_a_trial():
+    """Answered by all engines at first; from a release on it ends each that runs it."""
+    newsroom = Newsroom(seed=1, gateways=4, endpoints=6, fatal=())
+    newsroom.ask_for(3.0)
+    play = newsroom.play
+    play.rig.network.advance(2.0)
+    play.crashing = (POPULAR,)
+    newsroom.ask_for(20.0, pause_s=0.5)
+    assert play.sends_after(POPULAR, play.third_crash_s(POPULAR) + KNOWN_S) <= SENDS_LIMIT
+    assert play.ask(POPULAR).status == 503
+
+
+def test_lines_tell_a_trial_from_a_proof():
+    newsroom = Newsroom(seed=1, gateways=2, endpoints=6, fatal=())
+    newsroom.ask_for(3.0)
+    play = newsroom.play
+    play.rig.network.advance(2.0)
+    play.crashing = (POPULAR,)
+    newsroom.ask_for(12.0, pause_s=0.5)
+    lines = [line for log in play.rig.logs for line in log.lines]
+    told = [line["verdict"] for line in lines if line["event"] == "content.held"]
+    assert set(told) == {"on_trial", "sure"}
+    assert any(line["event"] == "content.tried" for line in lines)
+    refusals = {line["reason"] for line in lines if line.get("outcome") == "refused"}
+    assert {"ends_endpoints", "may_end_endpoints"} <= refusals
--- a/turnward/quarantine/__init__.py
+++ b/turnward/quarantine/__init__.py
@@ -7,6 +7,7 @@
     QuarantineChange,
     QuarantineWord,
     ServedRun,
+    Verdict,
 )
 from turnward.quarantine.quarantine import Quarantine, QuarantineRule
 
@@ -18,4 +19,5 @@
     "QuarantineRule",
     "QuarantineWord",
     "ServedRun",
+    "Verdict",
 ]
--- a/turnward/quarantine/messages.py
+++ b/turnward/quarantine/messages.py
@@ -5,9 +5,19 @@
 of two words on the same run the one that puts it earlier counts.
 """
 
+from enum import StrEnum
+
 import msgspec
 
-__all__ = ["NO_WORD", "LostRun", "QuarantineChange", "QuarantineWord", "ServedRun"]
+__all__ = ["NO_WORD", "LostRun", "QuarantineChange", "QuarantineWord", "ServedRun", "Verdict"]
+
+
+class Verdict(StrEnum):
+    """What is done with a content."""
+
+    FREE = "free"
+    ON_TRIAL = "on_trial"
+    SURE = "sure"
 
 
 class LostRun(msgspec.Struct, frozen=True, array_like=True):
@@ -42,10 +52,12 @@
 
 
 class QuarantineChange(msgspec.Struct, frozen=True):
-    """A content that is held back from now on, or no longer.
+    """A content that is held back from now on, on trial or for sure, or no longer.
 
     Attributes
     ----------
+    verdict : Verdict
+        What is done with it from now on.
     endpoints : tuple of str
         The incarnations at which its runs were lost.
     own : bool
@@ -53,10 +65,15 @@
     """
 
     content: str
-    held: bool
+    verdict: Verdict
     endpoints: tuple[str, ...]
     own: bool
 
+    @property
+    def held(self) -> bool:
+        """Whether it is held back, on trial or for sure."""
+        return self.verdict is not Verdict.FREE
+
 
 #: What a router tells that knows of nothing.
 NO_WORD = QuarantineWord()
--- a/turnward/quarantine/quarantine.py
+++ b/turnward/quarantine/quarantine.py
@@ -11,13 +11,26 @@
   asked for at the same moment;
 - none answered, because what ends each endpoint that runs it is never answered.
 
+That is also seen of a harmless content that many ask for when another ends engines beside it, one
+right after the other. So two kinds of evidence that it may be innocent are weighed:
+
+- it was answered before. Its losses then count only where no suspicious content that was never
+  answered was lost beside it, nor one that was at two engines, and it is held back on trial only;
+- others that are as suspicious were lost wherever it was: not all of them need be guilty.
+
+On trial means that all routers refuse it but one, which sends it once; the next in rank does so
+a while later if nothing is heard. What was lost together has the same router, which tries one
+content at a time, so that none is lost beside another again. An answer clears a content everywhere;
+a further loss proves it, and clears those whose losses it explains.
+
 A loss counts no longer once its endpoint is known to have outlived it: the same incarnation still
 stands in the store when the entry of an ended process would be gone. Else a network that resets
 all connections for some seconds would hold back, for minutes, what many ask for.
 """
 
+import itertools
 from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from collections.abc import Set as AbstractSet
 
 import msgspec
@@ -28,6 +41,7 @@
     QuarantineChange,
     QuarantineWord,
     ServedRun,
+    Verdict,
 )
 
 __all__ = ["Quarantine", "QuarantineRule"]
@@ -37,18 +51,30 @@
 _SAME_LOSS_S = 1.0
 #: Heartbeats that an ended process misses before its entry goes.
 _HEARTBEATS_MISSED = 3
+#: Common losses from which on a content that is not suspicious itself may be what ended engines.
+_EXPLAINS_LEAST = 2
+#: Seconds after the last loss at which a trial opens: all routers know of all losses then.
+_TRIAL_OPENS_S = 0.6
+#: Seconds by which each next router in rank begins later.
+_TRIAL_STAGGER_S = 1.0
+#: Longest that a trial keeps others from being begun by the same router.
+_TRIAL_LASTS_S = 5.0
+#: Seconds between the last loss and a send by which that is known to be a trial.
+_TRIAL_GAP_S = 0.5
+#: Contents remembered that were answered.
+_ANSWERED_LIMIT = 4_096
 #: Seconds, with a wide margin, in which routers learn that an entry has gone: feeds rest for 1 s,
 #: and two levels of aggregators pass it on.
 _NEWS_OF_ENDS_S = 6.4
-#: Losses kept of one content; the first ones and the last tell most.
+#: Losses after which a further one may be that of a trial.
+_TRIED_AFTER = 3
+#: Losses kept, and told, of one content; the first ones and the last tell most.
 _LOSSES_LIMIT = 8
-#: Losses told of one content: three make others hold it back.
-_TOLD_LOSSES = 3
 #: Seconds for which a content is told after something was learnt of it: word was everywhere after
 #: 0.5 s at 86 routers, so that most of it may be lost on the way.
 _NEWS_S = 5.0
 #: Most contents told for that: an engine that ends takes up to 48 requests with it. 1.6 KB where
-#: each was lost once, 4.9 KB where three times.
+#: each was lost once, 4.9 KB where three times, 13 KB where eight times.
 _NEWS_LIMIT = 32
 
 
@@ -99,9 +125,17 @@
 class _Suspect:
     """What is known of one content."""
 
-    __slots__ = ("last_lost_s", "learnt_s", "losses", "outlived", "served_s")
+    __slots__ = (
+        "last_lost_s",
+        "learnt_s",
+        "losses",
+        "outlived",
+        "served_s",
+        "verdict",
+    )
 
     def __init__(self):
+        self.verdict = Verdict.FREE
         self.losses: dict[str, _Loss] = {}
         #: Incarnations that outlived a loss, with when that was lost.
         self.outlived: dict[str, float] = {}
@@ -127,18 +161,39 @@
 
     def _make_room(self) -> None:
         if len(self.losses) > _LOSSES_LIMIT:
-            by_end = sorted(self.losses.values(), key=lambda loss: loss.lost_s)
-            del self.losses[by_end[_LOSSES_LIMIT // 2].endpoint]
+            del self.losses[self.by_end()[_LOSSES_LIMIT // 2].endpoint]
 
     def clear(self, served_s: float) -> bool:
-        """Drop the losses up to an answer; False when there is none."""
-        if all(loss.lost_s > served_s for loss in self.losses.values()):
-            return False
-        self.served_s = served_s
-        self.losses = {
-            endpoint: loss for endpoint, loss in self.losses.items() if loss.lost_s > served_s
+        """Drop the losses up to an answer; False when that tells nothing new."""
+        first_answer = not self.answered
+        self.served_s = max(self.served_s, served_s)
+        kept = {endpoint: loss for endpoint, loss in self.losses.items() if loss.lost_s > served_s}
+        cleared = len(kept) < len(self.losses)
+        self.losses = kept
+        return cleared or first_answer
+
+    @property
+    def answered(self) -> bool:
+        """Whether an answer to it is known."""
+        return self.served_s > float("-inf")
+
+    def common(self, other: "_Suspect") -> set[str]:
+        """Return the endpoints under whose ends both were lost."""
+        return {
+            endpoint
+            for endpoint, loss in self.losses.items()
+            if endpoint in other.losses
+            and abs(other.losses[endpoint].lost_s - loss.lost_s) <= _SAME_LOSS_S
         }
-        return True
+
+    @property
+    def was_tried(self) -> bool:
+        """Whether it was lost once more when it was sent long after all other losses."""
+        by_end = self.by_end()
+        return any(
+            later.sent_s >= before.lost_s + _TRIAL_GAP_S
+            for before, later in itertools.pairwise(by_end[_TRIED_AFTER - 1 :])
+        )
 
     def drop_outlived(self, standing: AbstractSet[str], before_s: float) -> bool:
         """Drop the losses before a moment at endpoints that still stand; False if there is none."""
@@ -160,11 +215,9 @@
         first_lost_s = min(loss.lost_s for loss in self.losses.values())
         return max(loss.sent_s for loss in self.losses.values()) >= first_lost_s
 
-    def evidence(self) -> list[_Loss]:
-        """Return the losses that tell most: the first, and those that were sent last."""
-        by_end = sorted(self.losses.values(), key=lambda loss: loss.lost_s)
-        last_sent = sorted(by_end[1:], key=lambda loss: loss.sent_s, reverse=True)
-        return [*by_end[:1], *last_sent[: _TOLD_LOSSES - 1]]
+    def by_end(self) -> list[_Loss]:
+        """Return the losses in the order in which they happened."""
+        return sorted(self.losses.values(), key=lambda loss: loss.lost_s)
 
 
 class Quarantine:
@@ -177,7 +230,9 @@
     rule : QuarantineRule
         When a content is held back.
     on_change : callable, optional
-        Called with a ``QuarantineChange`` when a content is held back or no longer.
+        Called with a ``QuarantineChange`` when a content is held back, proved or let go.
+    rank_of : callable, optional
+        Returns how many routers come before this one in trying what was lost at an endpoint.
 
     Examples
     --------
@@ -195,45 +250,97 @@
         clock: Callable[[], float],
         rule: QuarantineRule | None = None,
         on_change: Callable[[QuarantineChange], None] | None = None,
+        rank_of: Callable[[str], int] = lambda endpoint: 0,
     ):
+        self._rank_of = rank_of
         self._clock = clock
         self._rule = rule or QuarantineRule()
         self._on_change = on_change
         #: In the order in which something was last learnt of them.
         self._suspects: OrderedDict[str, _Suspect] = OrderedDict()
+        #: Those with losses enough to be judged, and those of them that are held back.
+        self._judged: set[str] = set()
         self._held: set[str] = set()
+        #: When contents were answered here, in that order.
+        self._answered: OrderedDict[str, float] = OrderedDict()
+        #: The content that this router sends on trial, and until when it tries no other.
+        self._tried = ""
+        self._tries_until_s = float("-inf")
         self._turn = 0
 
     # What happens here.
 
     def note_lost(self, content: str, endpoint: str, sent_s: float) -> None:
         """Note that an endpoint closed the connection of a run before its answer was whole."""
+        self.end_trial(content)
         self._take_loss(content, _Loss(endpoint, sent_s, self._clock()), own=True)
 
-    def note_served(self, content: str) -> None:
-        """Note a whole answer: what was lost until now was not the content's doing."""
+    def note_served(self, content: str, success: bool = True) -> None:
+        """Note a whole answer: what was lost until now was not the content's doing.
+
+        A success is remembered for losses that come later; an error may not have run it.
+        """
+        self.end_trial(content)
+        if success:
+            self._remember_answer(content)
         if content in self._suspects:
             self._take_answer(content, self._clock(), own=True)
 
+    def _remember_answer(self, content: str) -> None:
+        self._answered[content] = self._clock()
+        self._answered.move_to_end(content)
+        if len(self._answered) > _ANSWERED_LIMIT:
+            self._answered.popitem(last=False)
+
     def note_standing(self, standing: AbstractSet[str], contact_since_s: float) -> None:
         """Note which incarnations stand in the store, in contact with it since a moment."""
         before_s = self._clock() - self._rule.outlived_s
         if contact_since_s > before_s:
             return
-        for content, suspect in self._suspects.items():
-            if suspect.drop_outlived(standing, before_s):
-                self._free(content, suspect, own=True)
+        dropped = [suspect.drop_outlived(standing, before_s) for suspect in self._suspects.values()]
+        if any(dropped):
+            self._judge(own=True)
 
     def holds(self, content: str) -> bool:
         """Tell whether a content is to be sent to no endpoint now."""
         return self.held_for_s(content) > 0
 
     def held_for_s(self, content: str) -> float:
-        """Return for how long a content is held back; 0 if it isn't."""
-        if content not in self._held:
+        """Return for how long a content is held back; 0 if it isn't.
+
+        On trial, the time until that can have ended, over and over.
+        """
+        verdict = self.verdict(content)
+        if verdict is Verdict.FREE:
             return 0.0
-        until_s = self._suspects[content].last_lost_s + self._rule.hold_s
-        return max(0.0, until_s - self._clock())
+        suspect, now_s = self._suspects[content], self._clock()
+        if verdict is Verdict.ON_TRIAL:
+            opens_in_s = max(0.0, suspect.last_lost_s + _TRIAL_OPENS_S - now_s)
+            return opens_in_s + _TRIAL_STAGGER_S
+        return max(0.0, suspect.last_lost_s + self._rule.hold_s - now_s)
+
+    def verdict(self, content: str) -> Verdict:
+        """Return what is done with a content now."""
+        return self._suspects[content].verdict if content in self._held else Verdict.FREE
+
+    def begin_trial(self, content: str) -> bool:
+        """Tell whether this router sends a content that is on trial now, and note that it does."""
+        if self.verdict(content) is not Verdict.ON_TRIAL:
+            return False
+        suspect, now_s = self._suspects[content], self._clock()
+        rank = self._rank_of(suspect.by_end()[0].endpoint)
+        opens_s = suspect.last_lost_s + _TRIAL_OPENS_S + rank * _TRIAL_STAGGER_S
+        if now_s < max(opens_s, self._tries_until_s):
+            return False
+        self._tried = content
+        self._tries_until_s = now_s + _TRIAL_LASTS_S
+        return True
+
+    def end_trial(self, content: str) -> None:
+        """Note that the trial of a content is over, whatever it showed."""
+        if content == self._tried:
+            self._tried = ""
+            self._tries_until_s = float("-inf")
 
     @property
     def held_count(self) -> int:
@@ -243,7 +350,7 @@
     def losses_of(self, content: str) -> tuple[LostRun, ...]:
         """Return the losses that make others hold a content back."""
         suspect = self._suspects.get(content)
-        losses = suspect.evidence() if suspect is not None else ()
+        losses = suspect.by_end() if suspect is not None else ()
         return tuple(loss.told(content, self._clock()) for loss in losses)
 
     def remembers(self, lost: Sequence[LostRun]) -> bool:
@@ -271,7 +378,7 @@
         served: list[ServedRun] = []
         for content in contents:
             suspect = self._suspects[content]
-            lost.extend(loss.told(content, now_s) for loss in suspect.evidence())
+            lost.extend(loss.told(content, now_s) for loss in suspect.by_end())
             if suspect.served_s > float("-inf"):
                 served.append(ServedRun(content, _age_ms(now_s, suspect.served_s)))
         return QuarantineWord(tuple(lost), tuple(served))
@@ -310,30 +417,90 @@
     def _take_loss(self, content: str, loss: _Loss, own: bool) -> None:
         suspect = self._suspects.get(content)
         if suspect is None:
-            suspect = self._suspects[content] = _Suspect()
-        held = self.holds(content)
+            suspect = self._suspects[content] = self._new_suspect(content)
+        lapsed = content in self._held and not self.holds(content)
         if not suspect.add(loss):
             return
         suspect.learnt_s = self._clock()
         self._suspects.move_to_end(content)
-        if not held and len(suspect.losses) >= self._rule.endpoints and suspect.sent_again:
-            self._held.add(content)
-            self._tell(QuarantineChange(content, True, tuple(sorted(suspect.losses)), own))
+        if lapsed:
+            # Its hold was over, and it has ended another.
+            self._held.discard(content)
+            suspect.verdict = Verdict.FREE
+        if len(suspect.losses) >= self._rule.endpoints:
+            self._judged.add(content)
+        self._judge(own)
         self._make_room()
 
+    def _new_suspect(self, content: str) -> _Suspect:
+        suspect = _Suspect()
+        if content in self._answered:
+            # Others have to hear of that, also where it refutes what they tell.
+            suspect.served_s = self._answered[content]
+            suspect.learnt_s = self._clock()
+        return suspect
+
     def _take_answer(self, content: str, served_s: float, own: bool) -> None:
         suspect = self._suspects[content]
         if not suspect.clear(served_s):
             return
         suspect.learnt_s = self._clock()
         self._suspects.move_to_end(content)
-        self._free(content, suspect, own)
+        self._judge(own)
 
-    def _free(self, content: str, suspect: _Suspect, own: bool) -> None:
-        """Hold a content back no longer where too little is left against it."""
-        if content in self._held and len(suspect.losses) < self._rule.endpoints:
+    def _judge(self, own: bool) -> None:
+        """Bring all verdicts up to date: what is learnt of one content may clear another."""
+        for content in list(self._judged):
+            suspect = self._suspects[content]
+            verdict = self._weigh(content, suspect)
+            if len(suspect.losses) < self._rule.endpoints:
+                self._judged.discard(content)
+            if verdict is not suspect.verdict:
+                self._change(content, suspect, verdict, own)
+
+    def _change(self, content: str, suspect: _Suspect, verdict: Verdict, own: bool) -> None:
+        suspect.verdict = verdict
+        if verdict is Verdict.FREE:
             self._held.discard(content)
-            self._tell(QuarantineChange(content, False, tuple(sorted(suspect.losses)), own))
+        else:
+            self._held.add(content)
+        self._tell(QuarantineChange(content, verdict, tuple(sorted(suspect.losses)), own))
+
+    def _weigh(self, content: str, suspect: _Suspect) -> Verdict:
+        """Return what the evidence of a content, and of those lost beside it, asks for."""
+        if not self._is_suspicious(suspect):
+            return Verdict.FREE
+        if suspect.was_tried:
+            return Verdict.SURE
+        others = [
+            other
+            for name, other in self._suspects.items()
+            if name != content and not other.answered and other.losses
+        ]
+        if self._is_excused(suspect, others):
+            return Verdict.FREE
+        explained = _explained(suspect, filter(self._is_suspicious, others))
+        if suspect.answered or self._too_few(suspect, explained):
+            return Verdict.ON_TRIAL
+        return Verdict.SURE
+
+    def _is_excused(self, suspect: _Suspect, others: list[_Suspect]) -> bool:
+        """Tell whether others that were never answered explain what a content lost."""
+        if not suspect.answered:
+            return self._too_few(suspect, _explained(suspect, (o for o in others if o.was_tried)))
+        explained = _explained(suspect, filter(self._is_suspicious, others))
+        # One that is not suspicious yet counts if it was sent again to where this one was.
+        single = max((suspect.common(other) for other in others), key=len, default=frozenset())
+        if len(single) >= _EXPLAINS_LEAST:
+            explained |= single
+        return self._too_few(suspect, explained)
+
+    def _too_few(self, suspect: _Suspect, explained: AbstractSet[str]) -> bool:
+        """Tell whether too few losses of a content are left without an explanation."""
+        return len(suspect.losses) - len(explained) < self._rule.endpoints
+
+    def _is_suspicious(self, suspect: _Suspect) -> bool:
+        return len(suspect.losses) >= self._rule.endpoints and suspect.sent_again
 
     def _tell(self, change: QuarantineChange) -> None:
         if self._on_change is not None:
@@ -359,6 +526,12 @@
     def _forget(self, content: str) -> None:
         del self._suspects[content]
         self._held.discard(content)
+        self._judged.discard(content)
+
+
+def _explained(suspect: _Suspect, others: Iterable[_Suspect]) -> set[str]:
+    """Return the endpoints under whose ends a content was lost beside one of the others."""
+    return set().union(*(suspect.common(other) for other in others))
 
 
 def _age_ms(now_s: float, then_s: float) -> int:
--- a/turnward/quarantine/tests/test_quarantine.py
+++ b/turnward/quarantine/tests/test_quarantine.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from turnward.quarantine import NO_WORD, Quarantine, QuarantineRule, QuarantineWord
+from turnward.quarantine import NO_WORD, Quarantine, QuarantineRule, QuarantineWord, Verdict
 
 RULE = QuarantineRule()
 
@@ -244,3 +244,128 @@
     assert not one.quarantine.holds("c")
     one.lose_at("a", "b", "d")
     assert one.quarantine.holds("c")
+
+
+# Contents that may only have run beside another.
+
+
+def lose_together(router, *contents, ends=("a", "b", "d")):
+    """Lose runs of several contents at the same ends, one right after the other."""
+    for endpoint in ends:
+        sent_s = router.clock.now_s
+        router.clock.now_s += 0.02
+        for content in contents:
+            router.quarantine.note_lost(content, endpoint, sent_s)
+
+
+def verdicts(router, *contents):
+    return [router.quarantine.verdict(content) for content in contents]
+
+
+def test_answered_content_is_innocent_where_another_explains_its_losses(clock):
+    router = Router(clock)
+    router.quarantine.note_served("popular")
+    clock.now_s += 100.0
+    lose_together(router, "popular", "fatal")
+    assert verdicts(router, "popular", "fatal") == [Verdict.FREE, Verdict.SURE]
+
+
+def test_routers_are_told_that_a_content_was_answered_before(clock):
+    one, two = Router(clock), Router(clock)
+    one.quarantine.note_served("popular")
+    clock.now_s += 100.0
+    lose_together(two, "popular", "fatal")
+    assert two.quarantine.holds("popular")
+    two.tell(one)
+    one.tell(two)
+    assert verdicts(two, "popular", "fatal") == [Verdict.FREE, Verdict.SURE]
+
+
+def test_contents_that_ran_beside_it_once_or_answered_ones_explain_nothing(clock):
+    router = Router(clock)
+    for content in ("answered once", "popular"):
+        router.quarantine.note_served(content)
+    for number, endpoint in enumerate(("a", "b", "d")):
+        lose_together(router, "answered once", "popular", f"unique {number}", ends=[endpoint])
+    assert verdicts(router, "answered once", "unique 0") == [Verdict.ON_TRIAL, Verdict.FREE]
+
+
+def test_two_that_were_never_answered_are_both_on_trial_and_one_loss_decides(clock):
+    router = Router(clock)
+    lose_together(router, "new", "fatal")
+    assert verdicts(router, "new", "fatal") == [Verdict.ON_TRIAL, Verdict.ON_TRIAL]
+    clock.now_s += 1.0
+    assert router.quarantine.begin_trial("fatal")
+    assert not router.quarantine.begin_trial("new")
+    router.lose("e", "fatal")
+    assert verdicts(router, "new", "fatal") == [Verdict.FREE, Verdict.SURE]
+
+
+def test_two_that_were_never_answered_are_both_on_trial_and_one_answer_decides(clock):
+    router = Router(clock)
+    lose_together(router, "new", "fatal")
+    clock.now_s += 1.0
+    assert router.quarantine.begin_trial("new")
+    router.quarantine.note_served("new")
+    assert verdicts(router, "new", "fatal") == [Verdict.FREE, Verdict.SURE]
+
+
+def test_one_router_tries_and_the_next_in_rank_after_a_while(clock):
+    quarantines = [Quarantine(clock, rank_of=lambda endpoint, rank=rank: rank) for rank in (0, 1)]
+    for quarantine in quarantines:
+        quarantine.note_served("c")
+        for endpoint in ("a", "b", "d"):
+            sent_s = clock.now_s
+            clock.now_s += 0.1
+            quarantine.note_lost("c", endpoint, sent_s)
+    first, second = quarantines
+    assert not first.begin_trial("c")
+    clock.now_s += 0.7
+    assert first.holds("c")
+    assert first.begin_trial("c")
+    assert not first.begin_trial("c")
+    assert not second.begin_trial("c")
+    clock.now_s += 1.0
+    assert second.begin_trial("c")
+
+
+def test_trial_that_shows_nothing_is_begun_again(clock):
+    router = Router(clock)
+    router.quarantine.note_served("c")
+    router.lose_at("a", "b", "d")
+    clock.now_s += 1.0
+    assert router.quarantine.begin_trial("c")
+    router.quarantine.end_trial("c")
+    assert router.quarantine.begin_trial("c")
+    clock.now_s += 4.0
+    assert not router.quarantine.begin_trial("c")
+    clock.now_s += 1.1
+    assert router.quarantine.begin_trial("c")
+
+
+def test_answered_content_that_turns_deadly_is_proved_by_its_trial(clock):
+    """As after a release of the engines that can't bear it."""
+    router = Router(clock)
+    router.quarantine.note_served("c")
+    router.lose_at("a", "b", "d")
+    assert verdicts(router, "c") == [Verdict.ON_TRIAL]
+    assert router.quarantine.held_for_s("c") <= 2.0
+    clock.now_s += 1.0
+    assert router.quarantine.begin_trial("c")
+    router.lose("e")
+    assert verdicts(router, "c") == [Verdict.SURE]
+    assert router.quarantine.held_for_s("c") > 590.0
+
+
+def test_error_that_comes_whole_makes_no_content_innocent(clock):
+    router = Router(clock)
+    router.quarantine.note_served("c", success=False)
+    router.lose_at("a", "b", "d")
+    assert verdicts(router, "c") == [Verdict.SURE]
+
+
+def test_contents_remembered_as_answered_are_bounded(clock):
+    router = Router(clock)
+    for number in range(5_000):
+        router.quarantine.note_served(f"c{number}")
+    assert len(router.quarantine._answered) == 4_096
