Lines on what a gateway believes have a budget of their own

Cause: it shared a budget of 100 lines a second with attempt.failed, of which a wave of refusals writes hundreds. Now 50 a second of its own, 200 at once. Test: 1,000 failures, then a word; the line is there.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -297,7 +297,7 @@
                 self.record.availability.note_gone(self._owner.forwarder.reactor.seconds())
             self._note_failure(certain=gone)
         elif self.record.availability.succeeded():
-            self._owner.forwarder.log.event(
+            self._owner.forwarder.log.belief(
                 "endpoint.regained",
                 request=self._owner.request_id.decode("latin-1"),
                 endpoint=self.record.incarnation,
@@ -309,7 +309,7 @@
         record = self.record
         availability = record.availability
         if availability.failed(now_s, certain, forwarder.draw.uniform(0.8, 1.2)):
-            forwarder.log.failure(
+            forwarder.log.belief(
                 "endpoint.lost",
                 request=self._owner.request_id.decode("latin-1"),
                 endpoint=record.incarnation,
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -688,7 +688,7 @@
             return False
         self._on_trial = quarantine.begin_trial(self._content)
         if self._on_trial:
-            self._forwarder.log.failure(
+            self._forwarder.log.belief(
                 "content.tried",
                 request=self._request_id.decode("latin-1"),
                 content=self._content,
--- a/turnward/gateway/logs.py
+++ b/turnward/gateway/logs.py
@@ -102,8 +102,8 @@
         Steady clock in seconds.
     incarnation : str
         Written on every line.
-    lines_per_s, failures_per_s : float
-        Budgets of lines on what went well and on what failed.
+    lines_per_s, failures_per_s, beliefs_per_s : float
+        Budgets of lines on what went well, on what failed, and on what the process takes for true.
     """
 
     def __init__(
@@ -113,11 +113,13 @@
         incarnation: str,
         lines_per_s: float = 100.0,
         failures_per_s: float = 100.0,
+        beliefs_per_s: float = 50.0,
     ):
         self._writer = writer
         self._clock = clock
         self._normal = LineBudget(lines_per_s, 2 * lines_per_s)
         self._failures = LineBudget(failures_per_s, 2 * failures_per_s)
+        self._beliefs = LineBudget(beliefs_per_s, 4 * beliefs_per_s)
         self._left_out: Counter[str] = Counter()
         self._left_out_total = 0
         self._reported_s = clock()
@@ -130,13 +132,20 @@
         self._logger = logger.bind(incarnation=incarnation)
 
     def event(self, event: str, **fields) -> None:
-        """Write a line on a decision or a change of belief."""
+        """Write a line on a decision."""
         self._log(self._normal, event, fields)
 
     def failure(self, event: str, **fields) -> None:
-        """Write a line on a decision that ends in a failure, or on a loss."""
+        """Write a line on a decision that ends in a failure."""
         self._log(self._failures, event, fields)
 
+    def belief(self, event: str, **fields) -> None:
+        """Write a line on a change of what the process takes for true.
+
+        In a wave of failures, whose lines use up their budget, it tells why they are decided so.
+        """
+        self._log(self._beliefs, event, fields)
+
     def flush(self) -> None:
         """Write what waits, and now and then what was left out."""
         now_s = self._clock()
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -160,9 +160,9 @@
         watched = self.overlay.watched()
         live = {peer.address for peer in self._book.live()} & watched
         for address in sorted(live - self._seen_live):
-            self._log.event("peer.regained", peer=address, live=len(live))
+            self._log.belief("peer.regained", peer=address, live=len(live))
         for address in sorted((self._seen_live & watched) - live):
-            self._log.failure("peer.lost", peer=address, live=len(live))
+            self._log.belief("peer.lost", peer=address, live=len(live))
         self._seen_live = live
 
     def digest(self) -> Digest:
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -359,9 +359,9 @@
                 return
             self._feed_health[table] = works
             if works:
-                self._log.event("store.regained", table=table)
+                self._log.belief("store.regained", table=table)
             else:
-                self._log.failure("store.lost", table=table, cause=cause)
+                self._log.belief("store.lost", table=table, cause=cause)
 
         return note
 
@@ -457,7 +457,7 @@
         """Write a line, and a row, on a content that is held back from now on, or no longer."""
         self._quarantine_rows.note_change(change)
         if change.held:
-            self._log.failure(
+            self._log.belief(
                 "content.held",
                 content=change.content,
                 verdict=change.verdict,
@@ -466,7 +466,7 @@
                 held_s=round(self.quarantine.held_for_s(change.content), 1),
             )
         else:
-            self._log.event("content.cleared", content=change.content, own=change.own)
+            self._log.belief("content.cleared", content=change.content, own=change.own)
 
     def _note_refused(self, refusal) -> None:
         self._log.failure("request.malformed", status=refusal.status, reason=refusal.reason)
@@ -474,7 +474,7 @@
     def _note_pace_class(
         self, record: EndpointRecord, pace: ObservedPace, usual: ObservedPace
     ) -> None:
-        self._log.event(
+        self._log.belief(
             "endpoint.pace",
             endpoint=record.incarnation,
             pool=record.entry.pool,
@@ -491,7 +491,7 @@
         self._word_news.note(record.incarnation, availability.leaves, rest_s)
         self._metrics.endpoint_words.labels(record.entry.pool, hold).inc()
         request_id = header_value(answer_headers, self._dialect.request_id) or b""
-        self._log.failure(
+        self._log.belief(
             "endpoint.said",
             request=request_id.decode("latin-1"),
             endpoint=record.incarnation,
@@ -506,7 +506,7 @@
     ) -> None:
         """Tell of a rate that an endpoint named in an answer, or names no more."""
         request_id = header_value(answer_headers, self._dialect.request_id) or b""
-        self._log.failure(
+        self._log.belief(
             "endpoint.limited",
             request=request_id.decode("latin-1"),
             endpoint=record.incarnation,
@@ -517,7 +517,7 @@
 
     def _note_told_limit(self, incarnation: str, per_s: float | None) -> None:
         """Tell of a rate that an endpoint named to another router, or names no more."""
-        self._log.event("endpoint.told_limit", endpoint=incarnation, limit_per_s=per_s)
+        self._log.belief("endpoint.told_limit", endpoint=incarnation, limit_per_s=per_s)
 
     def _note_told_word(self, word: ToldWord) -> None:
         """Put an endpoint last of which another router tells that it leaves or wants rest."""
@@ -526,7 +526,7 @@
             return
         rest_s = word.rest_left_ms / 1_000
         record.availability.take_advice(word.leaves, rest_s, self._reactor.seconds())
-        self._log.event(
+        self._log.belief(
             "endpoint.told_of",
             endpoint=word.endpoint,
             pool=record.entry.pool,
--- a/turnward/gateway/tests/rig.py
+++ b/turnward/gateway/tests/rig.py
@@ -44,7 +44,7 @@
     def event(self, event, **fields):
         self.lines.append({"event": event, **fields})
 
-    failure = event
+    failure = belief = event
 
     def flush(self):
         """Nothing waits."""
--- a/turnward/gateway/tests/test_log_events.py
+++ b/turnward/gateway/tests/test_log_events.py
@@ -15,7 +15,7 @@
 
 PAGE = Path("docs/log-events.md")
 SOURCES = [*Path("turnward/gateway").glob("*.py"), *Path("platform").glob("*.py")]
-CALL = re.compile(r"""(?:log|write|_log)\.?(?:event|failure)?\(\s*"([a-z]+\.[a-z_]+)\"""")
+CALL = re.compile(r"""(?:log|write|_log)\.?(?:event|failure|belief)?\(\s*"([a-z]+\.[a-z_]+)\"""")
 
 
 def events_of_code():
--- a/turnward/gateway/tests/test_logs.py
+++ b/turnward/gateway/tests/test_logs.py
@@ -90,3 +90,23 @@
     budget = LineBudget(2.0, 2.0)
     assert [budget.take(10.0) for _ in range(3)] == [True, True, False]
     assert [budget.take(10.6), budget.take(10.6)] == [True, False]
+
+
+def test_wave_of_failures_leaves_out_no_line_on_what_is_believed(pipe):
+    reader, writer = pipe
+    log = GatewayLog(BoundedLineWriter(writer), Time(), "node@1")
+    for number in range(1_000):
+        log.failure("attempt.failed", request=f"r-{number}")
+    log.belief("endpoint.said", endpoint="e-1")
+    log.flush()
+    events = [line["event"] for line in lines_of(reader)]
+    assert events[-1] == "endpoint.said"
+    assert events.count("attempt.failed") < 1_000
+
+
+def test_lines_on_what_is_believed_are_bounded_too(pipe):
+    reader, writer = pipe
+    log = GatewayLog(BoundedLineWriter(writer), Time(), "node@1")
+    for number in range(1_000):
+        log.belief("peer.lost", peer=f"p-{number}")
+    assert len(lines_of(reader)) == 200
