Limits are told for 1.5 s after they are learnt

Told for 5 s after they were heard, and heard anew with each request of a holder, each limit was in every message all the while: 70 bytes, ten times a second, to each peer. Holders hear it again with each of their requests, so that who missed it hears the next.

--- a/turnward/gateway/rate_limit.py
+++ b/turnward/gateway/rate_limit.py
@@ -93,6 +93,8 @@
         Requests a second from all routers together; None when it names no limit any more.
     heard_s : float
         When an answer last said so, by the own clock.
+    learnt_s : float
+        When this router learnt of it.
     witness, witness_ms : str, int
         The router's process that heard that answer, and when by its own clock.
 
@@ -111,6 +113,7 @@
         "_seen_ms",
         "_sent_s",
         "heard_s",
+        "learnt_s",
         "per_s",
         "witness",
         "witness_ms",
@@ -119,6 +122,7 @@
     def __init__(self, own_name: str):
         self.per_s: float | None = None
         self.heard_s = -1e9
+        self.learnt_s = -1e9
         self.witness = self._own_name = own_name
         self.witness_ms = 0
         self._lifted_s = -1e9
@@ -130,7 +134,7 @@
         """Take in what an answer says now; True when that changes the limit."""
         self.witness = self._own_name
         self.witness_ms = round(now_s * 1_000)
-        return self._take(per_s, now_s)
+        return self._take(per_s, now_s, now_s)
 
     def hear_told(self, told: "ToldLimit", now_s: float) -> bool:
         """Take in what an answer said to another router; True when that changes the limit."""
@@ -143,9 +147,10 @@
             return False
         self.witness = told.witness
         self.witness_ms = told.witness_ms
-        return self._take(told.per_s, at_s)
+        return self._take(told.per_s, at_s, now_s)
 
-    def _take(self, per_s: float | None, at_s: float) -> bool:
+    def _take(self, per_s: float | None, at_s: float, now_s: float) -> bool:
+        self.learnt_s = now_s
         before, self.per_s = self.per_s, per_s
         self.heard_s = at_s
         if per_s is None and before is not None:
--- a/turnward/gateway/rate_limits.py
+++ b/turnward/gateway/rate_limits.py
@@ -9,8 +9,9 @@
 
 __all__ = ["RateLimits"]
 
-#: Seconds for which others are told what was heard of an endpoint.
-_TOLD_S = 5.0
+#: Seconds for which others are told what was learnt of an endpoint. Holders hear it again with
+#: each of their requests.
+_TOLD_S = 1.5
 #: Most limits in one message.
 _TOLD_LIMIT = 32
 #: Endpoints remembered that named a limit.
@@ -101,7 +102,7 @@
     # What routers tell each other.
 
     def told(self) -> tuple[ToldLimit, ...]:
-        """Return what others are told: what was heard lately, the newest first."""
+        """Return what others are told: what was learnt lately, the newest first."""
         now_s = self._clock()
         told = [
             ToldLimit(
@@ -112,7 +113,7 @@
                 limit.witness_ms,
             )
             for incarnation, limit in self._limits.items()
-            if now_s - limit.heard_s < _TOLD_S
+            if now_s - limit.learnt_s < _TOLD_S
         ]
         told.sort(key=lambda one: one.age_ms)
         return tuple(told[:_TOLD_LIMIT])
