Routers of older builds and this one hear each other while a fleet is upgraded

What would be seen in an upgrade: routers of the two builds drop each other's messages without a line; no tokens are lent between them, neither sees the other's load or the requests that end endpoints there. Cause: a message of another layout number was passed over, and the number rose with each field that was added at the end (4, 5, 6), which either reader bears. Mend: layouts 4 to 6 are read, and each peer is told in the layout that it used last, since older builds read their own only. What can't be read is counted and told once a machine. Ruled out: speaking the oldest layout to all (the last landing reads 6 only). Seen: 2, 4 and 14 routers on the network in memory, every second one reading and speaking 4, 5 or 6 only: all hear all; with each speaking its own to all, two and two are apart. Messages that wrote with every field are read field by field.

--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -48,6 +48,9 @@
             ["table", "reason"],
             registry=self._registry,
         )
+        self.peer_messages_refused = self._gauge(
+            "peer_messages_refused", "Messages of other routers that could not be read."
+        )
         self.endpoints_limited = self._gauge(
             "endpoints_limited", "Endpoints that name a rate limit."
         )
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -11,14 +11,26 @@
 from turnward.gateway.zone_orders import ZoneOrder
 from turnward.quarantine import NO_WORD, QuarantineWord
 
-__all__ = ["DIGEST_LAYOUT", "Digest", "EndpointLoad", "Peer", "PeerBook", "sum_loads"]
+__all__ = [
+    "DIGEST_LAYOUT",
+    "OLDEST_DIGEST_LAYOUT",
+    "Digest",
+    "EndpointLoad",
+    "Peer",
+    "PeerBook",
+    "sum_loads",
+]
 
 #: Seconds after which a silent peer's load no longer counts.
 _LOAD_LIFE_S = 1.0
 #: Seconds after which a silent peer is no longer taken for live.
 _LIFE_S = 2.5
-#: Version of the digest's layout.
+#: Version of the layout of what routers tell each other; it rises with a change that is more than
+#: further fields at the end.
 DIGEST_LAYOUT = 6
+#: Oldest layout that is read, and spoken to routers that know no later one: since then fields were
+#: only added at the end, which an older reader passes over and a newer one gives their defaults.
+OLDEST_DIGEST_LAYOUT = 4
 
 
 class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -23,7 +23,7 @@
 )
 from turnward.gateway.overlay import FleetSummary, Overlay
 from turnward.gateway.packing import PackedOnce, unpack
-from turnward.gateway.peer_book import DIGEST_LAYOUT, Digest, PeerBook
+from turnward.gateway.peer_book import DIGEST_LAYOUT, OLDEST_DIGEST_LAYOUT, Digest, PeerBook
 from turnward.gateway.rate_limits import RateLimits
 from turnward.gateway.state import EndpointsSnapshot, FleetState
 from turnward.gateway.word_news import WordNews
@@ -44,17 +44,36 @@
 #: Seconds until a peer's state begins to come, and the longest pause in it.
 _STATE_TIMEOUT_S = 1.0
 
+#: Machines remembered that send what can't be read.
+_REFUSED_LIMIT = 1_000
+
 CONFIGURATION_PATH = b"/state/configuration/packed"
 ENDPOINTS_PATH = b"/state/endpoints/packed"
 
 
 class PeerExchange(DatagramProtocol):
-    """Sends and receives digests."""
+    """Sends and receives digests.
+
+    Parameters
+    ----------
+    on_message : callable
+        Told each message that can be read.
+    on_refused : callable
+        Told the sender's IP number, and the layout, of each message that can't; None for bytes
+        that are no message.
+    """
 
     noisy = False
 
-    def __init__(self, on_message: Callable[[Digest | FleetSummary], None]):
+    def __init__(
+        self,
+        on_message: Callable[[Digest | FleetSummary], None],
+        on_refused: Callable[[str, int | None], None],
+    ):
         self._on_message = on_message
+        self._on_refused = on_refused
+        #: Layouts that are read.
+        self.layouts = range(OLDEST_DIGEST_LAYOUT, DIGEST_LAYOUT + 1)
         self._decoder = msgspec.msgpack.Decoder(Digest | FleetSummary)
 
     def send(self, data: bytes, address: str) -> None:
@@ -68,13 +87,26 @@
             return
 
     def datagramReceived(self, datagram, addr):
-        """Take in a message; bytes that are none are passed over."""
+        """Take in a message."""
         try:
             message = self._decoder.decode(datagram)
         except (msgspec.DecodeError, ValueError):
+            self._on_refused(addr[0], None)
             return
-        if message.layout == DIGEST_LAYOUT:
+        if message.layout in self.layouts:
             self._on_message(message)
+        else:
+            self._on_refused(addr[0], message.layout)
+
+
+def _encode(message: Digest | FleetSummary, layout: int) -> bytes:
+    """Return a message for a peer that speaks a layout.
+
+    Routers of an older build pass over all messages of a layout that they don't know.
+    """
+    if message.layout != layout:
+        message = msgspec.structs.replace(message, layout=layout)
+    return msgspec.msgpack.encode(message)
 
 
 class PeerTask:
@@ -138,7 +170,12 @@
         self.overlay = Overlay(book, identity.zone, reactor.seconds, identity.link_mbit_per_s)
         self._seen_live: set[str] = set()
         self._callers: dict[str, HttpCaller] = {}
-        self.exchange = PeerExchange(self.hear)
+        self.exchange = PeerExchange(self.hear, self._note_refused)
+        #: The layout that each peer told of itself last; it is told in the same.
+        self._layouts: dict[str, int] = {}
+        #: The layout in which each machine last sent what can't be read.
+        self._refused: dict[str, int | None] = {}
+        self.refused_count = 0
         self.stopping = False
 
     def start(self) -> None:
@@ -148,12 +185,23 @@
     def _tick(self) -> None:
         self._reactor.callLater(_PERIOD_S * self._draw.uniform(0.85, 1.15), self._tick)
         self._note_changes()
-        encoded: dict[int, bytes] = {}
+        encoded: dict[tuple[int, int], bytes] = {}
         for address, message in self.overlay.outgoing(self.digest()):
-            data = encoded.get(id(message))
-            if data is None:
-                data = encoded[id(message)] = msgspec.msgpack.encode(message)
-            self.exchange.send(data, address)
+            layout = self._layouts.get(address, DIGEST_LAYOUT)
+            key = (id(message), layout)
+            if key not in encoded:
+                encoded[key] = _encode(message, layout)
+            self.exchange.send(encoded[key], address)
+
+    def _note_refused(self, host: str, layout: int | None) -> None:
+        """Count a message that can't be read; write a line when a machine begins to send such."""
+        self.refused_count += 1
+        if self._refused.get(host, 0) == layout:
+            return
+        if len(self._refused) >= _REFUSED_LIMIT:
+            self._refused.clear()
+        self._refused[host] = layout
+        self._log.belief("peer.unreadable", host=host, layout=layout)
 
     def _note_changes(self) -> None:
         """Write a line on each peer that fell silent, or is heard again."""
@@ -190,6 +238,7 @@
     def hear(self, message: Digest | FleetSummary) -> None:
         """Take in what a peer tells, and fetch what it, or another, knows better."""
         if message.address != self._book.own_address:
+            self._layouts[message.address] = message.layout
             self._state.adopt_told_orders(message.zone_orders, f"peer {message.address}")
             self._quarantine.take_in(message.quarantine)
             self._word_news.take_in(message.words)
@@ -216,7 +265,7 @@
             return
         self.overlay.hear_digest(digest)
         if not known:
-            self.exchange.send(msgspec.msgpack.encode(self.digest()), digest.address)
+            self.exchange.send(_encode(self.digest(), digest.layout), digest.address)
         self._compare(
             digest.configuration_version,
             digest.address,
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -442,6 +442,7 @@
         metrics.zones_drained.set(len(self.state.zone_orders.drained))
         metrics.tell_refused_rows(self.state.refused_rows.counts())
         metrics.contents_held.set(self.quarantine.held_count)
+        metrics.peer_messages_refused.set(self.peers.refused_count)
         metrics.endpoints_limited.set(self._limits.limited_count)
         request.answer(200, [(b"content-type", metrics.content_type)], metrics.text())
 
--- /dev/null
+++ b/turnward/gateway/tests/test_builds_side_by_side.py
@@ -0,0 +1,210 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Routers of older builds and this one understand each other while a fleet is upgraded.
+
+What would be seen: while machines are replaced one after the other, the routers of the two builds
+drop each other's messages without a line, since the number of the layout differs, though every
+change between them only added fields at the end. Each half borrows no tokens from the other, sees
+nothing of its load, and hears nothing of the requests that end endpoints there.
+
+``recorded/COMMIT.json`` holds messages of that build, each field filled, as its own code wrote
+them.
+"""
+
+import json
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from turnward.gateway.accounts import AccountRow
+from turnward.gateway.configuration import ConfigurationCopy
+from turnward.gateway.loans import Loan, LoanAsk, LoanReturn, Spare
+from turnward.gateway.members import Member
+from turnward.gateway.overlay import FleetSummary
+from turnward.gateway.peer_book import DIGEST_LAYOUT, OLDEST_DIGEST_LAYOUT, Digest, EndpointLoad
+from turnward.gateway.quarantine_rows import QuarantineRow
+from turnward.gateway.rate_limit import ToldLimit
+from turnward.gateway.spending import SpendReport
+from turnward.gateway.state import EndpointsSnapshot
+from turnward.gateway.tests.rig import Rig, well
+
+RECORDED = sorted((Path(__file__).parent / "recorded").glob("*.json"))
+TYPES = {
+    one.__name__: one
+    for one in (
+        AccountRow,
+        ConfigurationCopy,
+        Digest,
+        EndpointsSnapshot,
+        FleetSummary,
+        Loan,
+        LoanAsk,
+        LoanReturn,
+        Member,
+        QuarantineRow,
+        SpendReport,
+    )
+}
+
+
+def differences(recorded, value, path=""):
+    """Return the paths of fields that do not hold what an older build wrote into them."""
+    if isinstance(value, msgspec.Struct):
+        names = list(value.__struct_fields__)
+        if type(value).__struct_config__.array_like:
+            # A field is where it was, whatever its name is now.
+            pairs = list(zip(names, recorded.items(), strict=False))
+            lost = [f"{path}.{name}" for name in list(recorded)[len(names) :]]
+            return lost + [
+                found
+                for name, (_, old) in pairs
+                for found in differences(old, getattr(value, name), f"{path}.{name}")
+            ]
+        return [
+            found
+            for name, old in recorded.items()
+            for found in (
+                differences(old, getattr(value, name), f"{path}.{name}")
+                if name in names
+                else [f"{path}.{name}"]
+            )
+        ]
+    if isinstance(value, (tuple, list)):
+        if len(value) != len(recorded):
+            return [path]
+        pairs = zip(recorded, value, strict=True)
+        return [found for old, new in pairs for found in differences(old, new, path)]
+    if isinstance(value, dict):
+        return [] if {str(key) for key in value} == set(recorded) else [path]
+    return [] if value == recorded else [path]
+
+
+def read(message, layout=None):
+    layout = layout or TYPES[message["type"]]
+    body = bytes.fromhex(message["bytes"])
+    if message["form"] == "json":
+        return msgspec.json.decode(body, type=layout)
+    return msgspec.msgpack.decode(body, type=layout)
+
+
+@pytest.mark.parametrize("recorded", RECORDED, ids=lambda path: path.stem)
+def test_messages_of_older_builds_are_read_with_every_field(recorded):
+    messages = json.loads(recorded.read_text())
+    assert len(messages) >= 10
+    for message in messages:
+        assert differences(message["fields"], read(message), message["type"]) == []
+
+
+@pytest.mark.parametrize("recorded", RECORDED, ids=lambda path: path.stem)
+def test_datagrams_of_older_builds_have_layouts_that_are_read(recorded):
+    for message in json.loads(recorded.read_text()):
+        if "layout" in message["fields"]:
+            assert OLDEST_DIGEST_LAYOUT <= message["fields"]["layout"] <= DIGEST_LAYOUT
+
+
+def test_field_in_the_middle_is_found():
+    """Read by guess, a number would be taken for another field's."""
+
+    class Middle(msgspec.Struct, frozen=True, array_like=True):
+        endpoint: str
+        added: int
+        requests: int
+        prefill_tokens: int = 0
+        quiet_gap_ms: float = 0.0
+        held_up_gap_ms: float = 0.0
+
+    load = EndpointLoad("e", 3, 40, 1.5, 2.5)
+    body = msgspec.msgpack.encode(load)
+    fields = msgspec.structs.asdict(load)
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.msgpack.decode(body, type=Middle)
+    short = {"workspace": "acme", "tokens": 7}
+    assert differences(short, Spare("acme", 7)) == []
+    assert differences({"workspace": "acme", "pledged": 1, "tokens": 7}, Spare("acme", 1)) != []
+    assert differences(fields, EndpointLoad("e", 40, 3, 1.5, 2.5)) == [
+        ".requests",
+        ".prefill_tokens",
+    ]
+
+
+def test_older_reader_passes_over_what_was_added():
+    """A reader that knows the first fields only, as a build before rate limits does."""
+
+    class Older(msgspec.Struct, frozen=True, array_like=True, tag="digest"):
+        layout: int
+        node: str
+        incarnation: str
+        address: str
+
+    limits = (ToldLimit("e", 2.0, 10, "me", 70),)
+    digest = Digest(DIGEST_LAYOUT, "n", "n@1", "a:1", "z", 1, 1, 0.5, limits=limits)
+    older = msgspec.msgpack.decode(msgspec.msgpack.encode(digest), type=Older)
+    assert (older.node, older.address) == ("n", "a:1")
+
+
+def as_build(process, layout):
+    """Let a router speak and read one layout only, as builds before this one do."""
+    process.peers.exchange.layouts = range(layout, layout + 1)
+    process.peers._identity = msgspec.structs.replace(process.peers._identity, layout=layout)
+    process.peers._layouts = Fixed(layout)
+
+
+class Fixed(dict):
+    """A mapping in which every key has one value."""
+
+    def __init__(self, value):
+        super().__init__()
+        self._value = value
+
+    def get(self, key, default=None):
+        return self._value
+
+
+@pytest.mark.parametrize("layout", [4, 5, 6])
+@pytest.mark.parametrize("gateways", [2, 4, 14])
+def test_routers_of_both_builds_hear_each_other(layout, gateways):
+    rig = Rig()
+    rig.endpoint(well)
+    rig.rows.put("configuration", "all", msgspec.json.encode(rig.configuration))
+    for number in range(gateways):
+        process = rig.gateway()
+        if number % 2:
+            as_build(process, layout)
+    assert rig.network.advance_until(lambda: all(one.ready for one in rig.gateways))
+    rig.network.advance(4.0)
+    assert [one.peers.overlay.live_routers for one in rig.gateways] == [gateways] * gateways
+
+
+def test_builds_that_read_their_own_layout_only_are_apart():
+    """As it was: the later build spoke its own layout to all."""
+    rig = Rig()
+    rig.endpoint(well)
+    rig.rows.put("configuration", "all", msgspec.json.encode(rig.configuration))
+    for layout in (5, 6, 5, 6):
+        as_build(rig.gateway(), layout)
+    rig.network.advance(6.0)
+    assert [one.peers.overlay.live_routers for one in rig.gateways] == [2] * 4
+
+
+def test_layout_that_is_not_known_is_counted_and_told_once():
+    rig = Rig()
+    rig.endpoint(well)
+    rig.ready(gateways=2)
+    as_build(rig.gateways[1], 3)
+    rig.network.advance(3.0)
+    first = rig.gateways[0]
+    assert first.peers.refused_count >= 5
+    (line,) = rig.logs[0].of("peer.unreadable")
+    assert (line["host"], line["layout"]) == (rig.machines[1].host, 3)
+
+
+def test_bytes_that_are_no_message_are_counted_and_told_once():
+    rig = Rig()
+    rig.endpoint(well)
+    rig.ready()
+    exchange = rig.gateways[0].peers.exchange
+    for junk in (b"", b"\xff\x00", b"[]", msgspec.msgpack.encode(["digest", 6])):
+        exchange.datagramReceived(junk, ("10.9.9.9", 1))
+    assert rig.gateways[0].peers.refused_count == 4
+    (line,) = rig.logs[0].of("peer.unreadable")
+    assert line["layout"] is None
