--- a/turnward/gateway/availability.py
+++ b/turnward/gateway/availability.py
@@ -12,9 +12,6 @@
 - *gone* was said by the process that has the address now. It ends with a changed entry, and
   after a while becomes a guess: a real end takes the entry away by then.
 - *rests* ends with its time; of two wishes the later end counts.
-
-Routers that listened to entries alone sent 14 of 60 requests to an endpoint more than 0.5 s after
-it had told them that it leaves, and up to 34 in five seconds to one that had asked for rest.
 """
 
 from enum import StrEnum
@@ -27,14 +24,13 @@
 _DOUBT_S = 0.5
 _DOUBT_LIMIT_S = 4.0
 #: Seconds an endpoint is put last after it turned requests away: the first, a round of messages
-#: among routers, and at most, which is how late one that has recovered is used again. Of 300
-#: requests in 6 s, 71 went to one endpoint of six that turned all away, and 12 do now.
+#: among routers, and at most, which is how late one that has recovered is used again.
 _TURNED_AWAY_S = 0.25
 _TURNED_AWAY_LIMIT_S = 2.0
 #: Failures in a row that put an endpoint last, where single ones may be the request's fault.
 _FAILURES_TO_DOUBT = 2
-#: Seconds for which the word binds that another process has the address: three heartbeats of the
-#: users' endpoints (1.2 s) without one, and the 6.4 s in which routers learn that an entry is gone.
+#: Seconds for which the word binds that another process has the address: an entry that is not
+#: written any more is gone everywhere by then.
 _GONE_S = 10.0
 #: Seconds for which an endpoint is put last of which another router tells that it leaves: planned
 #: ends take some seconds, and one that serves on for longer is asked itself.
--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -60,8 +60,7 @@
 #: all of them would come back in the same moment.
 _REST_SPREAD = 1.25
 #: Endpoints without an entry that are remembered, so that one whose entry only lapsed is as warm as
-#: it was when it is back, and what it said of itself holds on: ten times the 45 to 90 of today's
-#: pools.
+#: it was when it is back, and what it said of itself holds on.
 _LEFT_LIMIT = 1_000
 
 
@@ -75,7 +74,7 @@
     reread_weight : float
         How much more it costs to read a shared part where it is not kept, than to read
         anything else: that time is taken from all that run there, and a kept copy elsewhere
-        lies idle. Measured in decision 14.
+        lies idle.
     zone_cost_ms : float
         Milliseconds that another zone adds.
     rests : bool
--- /dev/null
+++ b/turnward/gateway/endpoint_news.py
@@ -0,0 +1,119 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""What is told of endpoints: lines for operators, counts, and word to other routers."""
+
+from collections.abc import Callable
+
+from turnward.gateway.availability import Hold
+from turnward.gateway.choice import EndpointBook
+from turnward.gateway.dialect import Dialect
+from turnward.gateway.endpoint_record import EndpointRecord
+from turnward.gateway.pace import ObservedPace
+from turnward.gateway.state import FleetState
+from turnward.gateway.word_news import ToldWord, WordNews
+from turnward.http1 import HeaderList, header_value
+
+__all__ = ["EndpointNews"]
+
+
+class EndpointNews:
+    """Told of each change of what this router takes an endpoint for.
+
+    Parameters
+    ----------
+    clock : callable
+        Steady clock in seconds.
+    state : FleetState
+        Knows which version of the entries is in force.
+    endpoints : EndpointBook
+        Takes in what other routers were told.
+    dialect : Dialect
+        Names on the wire.
+    metrics, log
+        Told of changes.
+
+    Attributes
+    ----------
+    words : WordNews
+        What endpoints said of leaving and rest, here and to others.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        state: FleetState,
+        endpoints: EndpointBook,
+        dialect: Dialect,
+        metrics,
+        log,
+    ):
+        self._clock = clock
+        self._state = state
+        self._endpoints = endpoints
+        self._dialect = dialect
+        self._metrics = metrics
+        self._log = log
+        self.words = WordNews(clock, self.note_told_word)
+
+    def note_pace_class(
+        self, record: EndpointRecord, pace: ObservedPace, usual: ObservedPace
+    ) -> None:
+        """Tell of an engine that is faster or slower than it was, beside the others of its pool."""
+        self._log.belief(
+            "endpoint.pace",
+            endpoint=record.incarnation,
+            pool=record.entry.pool,
+            pace=record.pace_class.name.lower(),
+            event_gap_ms=round(pace.quiet_gap_ms, 1),
+            usual_gap_ms=round(usual.quiet_gap_ms, 1),
+            usual_held_up_ms=round(usual.held_up_gap_ms, 1),
+        )
+
+    def note_word(self, record: EndpointRecord, hold: Hold, answer_headers: HeaderList) -> None:
+        """Tell of what an endpoint said in an answer."""
+        availability = record.availability
+        rest_s = availability.rests_for_s(self._clock())
+        self.words.note(record.incarnation, availability.leaves, rest_s)
+        self._metrics.endpoint_words.labels(record.entry.pool, hold).inc()
+        request_id = header_value(answer_headers, self._dialect.request_id) or b""
+        self._log.belief(
+            "endpoint.said",
+            request=request_id.decode("latin-1"),
+            endpoint=record.incarnation,
+            pool=record.entry.pool,
+            hold=hold,
+            rest_s=round(rest_s, 3),
+            endpoints=self._state.endpoints_version,
+        )
+
+    def note_rate_limit(
+        self, record: EndpointRecord, per_s: float | None, answer_headers: HeaderList
+    ) -> None:
+        """Tell of a rate that an endpoint named in an answer, or names no more."""
+        request_id = header_value(answer_headers, self._dialect.request_id) or b""
+        self._log.belief(
+            "endpoint.limited",
+            request=request_id.decode("latin-1"),
+            endpoint=record.incarnation,
+            pool=record.entry.pool,
+            limit_per_s=per_s,
+            endpoints=self._state.endpoints_version,
+        )
+
+    def note_told_limit(self, incarnation: str, per_s: float | None) -> None:
+        """Tell of a rate that an endpoint named to another router, or names no more."""
+        self._log.belief("endpoint.told_limit", endpoint=incarnation, limit_per_s=per_s)
+
+    def note_told_word(self, word: ToldWord) -> None:
+        """Put an endpoint last of which another router tells that it leaves or wants rest."""
+        record = self._endpoints.get(word.endpoint)
+        if record is None:
+            return
+        rest_s = word.rest_left_ms / 1_000
+        record.availability.take_advice(word.leaves, rest_s, self._clock())
+        self._log.belief(
+            "endpoint.told_of",
+            endpoint=word.endpoint,
+            pool=record.entry.pool,
+            leaves=word.leaves,
+            rest_s=round(rest_s, 3),
+        )
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -145,8 +145,7 @@
     def note_endpoint_ended(self, record: EndpointRecord) -> None:
         """Note that an endpoint may have ended: what was given up there just before is suspect.
 
-        Without it a request whose callers leave before it ends the engine was never known: 36 of
-        40 sends reached engines later than 1 s after the third had ended, and none does now.
+        Else a request whose callers leave before it ends the engine would never be known.
         """
         for run in record.abandoned.take(self.reactor.seconds()):
             self.quarantine.note_lost(run.content, record.incarnation, run.sent_s)
--- a/turnward/gateway/overlay.py
+++ b/turnward/gateway/overlay.py
@@ -119,9 +119,7 @@
     """The groups of a fleet, each with its members in the order in which they aggregate.
 
     Wide links come first, and are dealt to the groups in turn: an aggregator reads the whole
-    configuration from the store and hands copies to its members. On a fake network of 86 routers,
-    six of them with 100 Mbit/s and the others with 5, a version of 0.6 MB was in force
-    everywhere after 1.1 s in place of 1.9 s.
+    configuration from the store and hands copies to its members.
     """
 
     def __init__(self, members: Iterable[_Placed]):
@@ -209,8 +207,8 @@
     def is_told(self) -> bool:
         """Whether an aggregator has told this router of the others lately.
 
-        A router whose aggregators died with a change asks the store 1 s sooner than its old
-        knowledge would have it: 1.9 s until in force instead of 2.9 s, of 3.0 s allowed.
+        A router whose aggregators died with a change asks the store sooner than its old knowledge
+        would have it.
         """
         return bool(self._fresh(self._totals))
 
@@ -307,9 +305,8 @@
     def _as_known_here(self, total: FleetSummary) -> FleetSummary:
         """Return a sum that tells of no configuration and endpoints but those known here.
 
-        Members fetch what they are told of from their aggregator, 15 at most. Told who has it
-        first, all routers of the fleet asked that one: 86 copies of 33 KB are 4.5 s of a
-        link of 5 Mbit/s.
+        Members fetch what they are told of from their aggregator. Told who has it first, all
+        routers of the fleet would ask that one, and fill its link for seconds.
         """
         own = self._members[self._book.own_address].message
         newest = own.configuration_version == total.configuration_version
@@ -385,8 +382,8 @@
     def _aged(self, heard: _Heard) -> Digest | FleetSummary:
         """Return a message with the age that its confirmation has by now.
 
-        Told on as it came, a confirmation of 0.2 s could be 2 s old two levels on: a router then
-        took a configuration for the newest and answered 404 for routes that had been added.
+        Told on as it came, it would look new two levels on: a router would take an old
+        configuration for the newest, and answer 404 for routes that were added.
         """
         message = heard.message
         if message.confirmed_age_s < 0:
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -10,12 +10,11 @@
 from twisted.internet import defer, task
 
 from turnward.admission import AdmissionRule
-from turnward.gateway.availability import Hold
 from turnward.gateway.choice import ChoiceRule, EndpointBook
 from turnward.gateway.configuration import WarmUpTraits
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.end_reserve import EndReserveRule
-from turnward.gateway.endpoint_record import EndpointRecord
+from turnward.gateway.endpoint_news import EndpointNews
 from turnward.gateway.feeds import FeedListenerBase, FeedPaceBase, FleetPace, TableFeed, ToldPace
 from turnward.gateway.forwarding import Forwarder, ForwardingRules
 from turnward.gateway.holder_client import HolderClient
@@ -26,7 +25,6 @@
 from turnward.gateway.member_ranks import MemberRanks
 from turnward.gateway.members import MEMBERS_TABLE, Member, encode_member
 from turnward.gateway.metrics import GatewayMetrics
-from turnward.gateway.pace import ObservedPace
 from turnward.gateway.peer_book import DIGEST_LAYOUT, Digest, PeerBook
 from turnward.gateway.peers import PeerTask
 from turnward.gateway.prepaid import KEPT_BY_PRIORITY, PrepaidAccounts
@@ -38,14 +36,11 @@
 from turnward.gateway.sources import MembersListener
 from turnward.gateway.state import FleetState
 from turnward.gateway.warm_up import WarmUpShares
-from turnward.gateway.word_news import ToldWord, WordNews
 from turnward.http1 import (
-    HeaderList,
     InboundFactory,
     InboundLimits,
     InboundRequest,
     OutboundPool,
-    header_value,
 )
 from turnward.ledger import SizingRule
 from turnward.quarantine import Quarantine, QuarantineChange, QuarantineRule
@@ -185,7 +180,6 @@
         self._add_seeds()
         ranks = MemberRanks(self.book)
         self._limits = RateLimits(reactor.seconds, ranks, self.incarnation)
-        self._limits.on_told = self._note_told_limit
         self.endpoints = EndpointBook(
             settings.zone,
             reactor.seconds,
@@ -198,10 +192,12 @@
             dialect,
             self._limits,
         )
-        self.endpoints.on_pace_class = self._note_pace_class
-        self.endpoints.on_word = self._note_word
-        self.endpoints.on_rate_limit = self._note_rate_limit
-        self._word_news = WordNews(reactor.seconds, self._note_told_word)
+        news = EndpointNews(reactor.seconds, self.state, self.endpoints, dialect, metrics, log)
+        self._word_news = news.words
+        self._limits.on_told = news.note_told_limit
+        self.endpoints.on_pace_class = news.note_pace_class
+        self.endpoints.on_word = news.note_word
+        self.endpoints.on_rate_limit = news.note_rate_limit
         self.holders = RankedHolders(self.book, reactor.seconds, settings.budget_holders)
         self.accounts = PrepaidAccounts(
             reactor,
@@ -472,69 +468,6 @@
     def _note_refused(self, refusal) -> None:
         self._log.failure("request.malformed", status=refusal.status, reason=refusal.reason)
 
-    def _note_pace_class(
-        self, record: EndpointRecord, pace: ObservedPace, usual: ObservedPace
-    ) -> None:
-        self._log.belief(
-            "endpoint.pace",
-            endpoint=record.incarnation,
-            pool=record.entry.pool,
-            pace=record.pace_class.name.lower(),
-            event_gap_ms=round(pace.quiet_gap_ms, 1),
-            usual_gap_ms=round(usual.quiet_gap_ms, 1),
-            usual_held_up_ms=round(usual.held_up_gap_ms, 1),
-        )
-
-    def _note_word(self, record: EndpointRecord, hold: Hold, answer_headers: HeaderList) -> None:
-        """Tell of what an endpoint said in an answer."""
-        availability = record.availability
-        rest_s = availability.rests_for_s(self._reactor.seconds())
-        self._word_news.note(record.incarnation, availability.leaves, rest_s)
-        self._metrics.endpoint_words.labels(record.entry.pool, hold).inc()
-        request_id = header_value(answer_headers, self._dialect.request_id) or b""
-        self._log.belief(
-            "endpoint.said",
-            request=request_id.decode("latin-1"),
-            endpoint=record.incarnation,
-            pool=record.entry.pool,
-            hold=hold,
-            rest_s=round(rest_s, 3),
-            endpoints=self.state.endpoints_version,
-        )
-
-    def _note_rate_limit(
-        self, record: EndpointRecord, per_s: float | None, answer_headers: HeaderList
-    ) -> None:
-        """Tell of a rate that an endpoint named in an answer, or names no more."""
-        request_id = header_value(answer_headers, self._dialect.request_id) or b""
-        self._log.belief(
-            "endpoint.limited",
-            request=request_id.decode("latin-1"),
-            endpoint=record.incarnation,
-            pool=record.entry.pool,
-            limit_per_s=per_s,
-            endpoints=self.state.endpoints_version,
-        )
-
-    def _note_told_limit(self, incarnation: str, per_s: float | None) -> None:
-        """Tell of a rate that an endpoint named to another router, or names no more."""
-        self._log.belief("endpoint.told_limit", endpoint=incarnation, limit_per_s=per_s)
-
-    def _note_told_word(self, word: ToldWord) -> None:
-        """Put an endpoint last of which another router tells that it leaves or wants rest."""
-        record = self.endpoints.get(word.endpoint)
-        if record is None:
-            return
-        rest_s = word.rest_left_ms / 1_000
-        record.availability.take_advice(word.leaves, rest_s, self._reactor.seconds())
-        self._log.belief(
-            "endpoint.told_of",
-            endpoint=word.endpoint,
-            pool=record.entry.pool,
-            leaves=word.leaves,
-            rest_s=round(rest_s, 3),
-        )
-
     def _note_unreadable(self, row: RefusedRow) -> None:
         self._log.failure(
             "row.unreadable",
--- a/turnward/gateway/warm_up.py
+++ b/turnward/gateway/warm_up.py
@@ -24,9 +24,8 @@
 
 __all__ = ["Allowance", "WarmUp", "WarmUpShares"]
 
-#: Seconds in which the number of routers that may choose a warm endpoint doubles. What a router
-#: knows of others' requests is worked out as 0.4 s old in the mean in a fleet of two levels, so
-#: most of each step is seen before the next one.
+#: Seconds in which the number of routers that may choose a warm endpoint doubles: as old as word of
+#: others' requests is in a fleet of two levels, so most of each step is seen before the next one.
 _RAMP_STEP_S = 0.4
 
 
--- a/turnward/gateway/word_news.py
+++ b/turnward/gateway/word_news.py
@@ -14,13 +14,12 @@
 
 __all__ = ["ToldWord", "WordNews"]
 
-#: Seconds for which a word is told after it was learnt: word of losses, which travels the same way,
-#: was everywhere after 0.5 s at 86 routers, so that most messages may be lost.
+#: Seconds for which a word is told after it was learnt: many rounds of messages, most of which may
+#: be lost.
 _NEWS_S = 5.0
-#: Most words in one message: 1.2 KB of a datagram.
+#: Most words in one message, which bounds its size.
 _TOLD_LIMIT = 32
-#: Words remembered so that none is taken for news again when it comes back from others: ten times
-#: the 45 to 90 endpoints of today's pools.
+#: Words remembered so that none is taken for news again when it comes back from others.
 _KNOWN_LIMIT = 1_000
 #: Seconds by which a rest must end later than known to be news; ages leave out the way.
 _LATER_S = 0.5
--- a/turnward/quarantine/quarantine.py
+++ b/turnward/quarantine/quarantine.py
@@ -28,9 +28,8 @@
 all connections for some seconds would hold back, for minutes, what many ask for.
 """
 
-import itertools
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from collections.abc import Set as AbstractSet
 
 import msgspec
@@ -43,12 +42,10 @@
     ServedRun,
     Verdict,
 )
+from turnward.quarantine.suspects import Loss, Suspect, age_ms, explained_ends
 
 __all__ = ["Quarantine", "QuarantineRule"]
 
-#: Seconds within which two words on a content and an endpoint are taken for the same loss: ages
-#: leave out the time on the way, and all routers heard of a loss within 0.5 s at 86 routers.
-_SAME_LOSS_S = 1.0
 #: Heartbeats that an ended process misses before its entry goes.
 _HEARTBEATS_MISSED = 3
 #: Common losses from which on a content that is not suspicious itself may be what ended engines.
@@ -59,22 +56,16 @@
 _TRIAL_STAGGER_S = 1.0
 #: Longest that a trial keeps others from being begun by the same router.
 _TRIAL_LASTS_S = 5.0
-#: Seconds between the last loss and a send by which that is known to be a trial.
-_TRIAL_GAP_S = 0.5
 #: Contents remembered that were answered.
 _ANSWERED_LIMIT = 4_096
 #: Seconds, with a wide margin, in which routers learn that an entry has gone: feeds rest for 1 s,
 #: and two levels of aggregators pass it on.
 _NEWS_OF_ENDS_S = 6.4
-#: Losses after which a further one may be that of a trial.
-_TRIED_AFTER = 3
-#: Losses kept, and told, of one content; the first ones and the last tell most.
-_LOSSES_LIMIT = 8
-#: Seconds for which a content is told after something was learnt of it: word was everywhere after
-#: 0.5 s at 86 routers, so that most of it may be lost on the way.
+#: Seconds for which a content is told after something was learnt of it: many rounds of messages,
+#: most of which may be lost.
 _NEWS_S = 5.0
-#: Most contents told for that: an engine that ends takes up to 48 requests with it. 1.6 KB where
-#: each was lost once, 4.9 KB where three times, 13 KB where eight times.
+#: Most contents told for that, which bounds a message: an engine that ends takes all its requests
+#: with it.
 _NEWS_LIMIT = 32
 
 
@@ -109,117 +100,6 @@
         return cls(outlived_s=_HEARTBEATS_MISSED * heartbeat_s + _NEWS_OF_ENDS_S)
 
 
-class _Loss(msgspec.Struct, frozen=True):
-    """One lost run, by the own clock."""
-
-    endpoint: str
-    sent_s: float
-    lost_s: float
-
-    def told(self, content: str, now_s: float) -> LostRun:
-        """Return the loss as others are told of it."""
-        sent_age_ms = _age_ms(now_s, self.sent_s)
-        return LostRun(content, self.endpoint, sent_age_ms, _age_ms(now_s, self.lost_s))
-
-
-class _Suspect:
-    """What is known of one content."""
-
-    __slots__ = (
-        "last_lost_s",
-        "learnt_s",
-        "losses",
-        "outlived",
-        "served_s",
-        "verdict",
-    )
-
-    def __init__(self):
-        self.verdict = Verdict.FREE
-        self.losses: dict[str, _Loss] = {}
-        #: Incarnations that outlived a loss, with when that was lost.
-        self.outlived: dict[str, float] = {}
-        self.last_lost_s = float("-inf")
-        self.served_s = float("-inf")
-        self.learnt_s = float("-inf")
-
-    def add(self, loss: _Loss) -> bool:
-        """Take in a loss; True when it was not known."""
-        known = self.losses.get(loss.endpoint)
-        outlived_s = self.outlived.get(loss.endpoint, float("-inf")) + _SAME_LOSS_S
-        if loss.lost_s <= max(self.served_s, outlived_s):
-            return False
-        if known is not None and loss.lost_s < known.lost_s + _SAME_LOSS_S:
-            if loss.lost_s < known.lost_s:
-                self.losses[loss.endpoint] = loss
-            return False
-        self.last_lost_s = max(self.last_lost_s, loss.lost_s)
-        if known is None:
-            self.losses[loss.endpoint] = loss
-            self._make_room()
-        return True
-
-    def _make_room(self) -> None:
-        if len(self.losses) > _LOSSES_LIMIT:
-            del self.losses[self.by_end()[_LOSSES_LIMIT // 2].endpoint]
-
-    def clear(self, served_s: float) -> bool:
-        """Drop the losses up to an answer; False when that tells nothing new."""
-        first_answer = not self.answered
-        self.served_s = max(self.served_s, served_s)
-        kept = {endpoint: loss for endpoint, loss in self.losses.items() if loss.lost_s > served_s}
-        cleared = len(kept) < len(self.losses)
-        self.losses = kept
-        return cleared or first_answer
-
-    @property
-    def answered(self) -> bool:
-        """Whether an answer to it is known."""
-        return self.served_s > float("-inf")
-
-    def common(self, other: "_Suspect") -> set[str]:
-        """Return the endpoints under whose ends both were lost."""
-        return {
-            endpoint
-            for endpoint, loss in self.losses.items()
-            if endpoint in other.losses
-            and abs(other.losses[endpoint].lost_s - loss.lost_s) <= _SAME_LOSS_S
-        }
-
-    @property
-    def was_tried(self) -> bool:
-        """Whether it was lost once more when it was sent long after all other losses."""
-        by_end = self.by_end()
-        return any(
-            later.sent_s >= before.lost_s + _TRIAL_GAP_S
-            for before, later in itertools.pairwise(by_end[_TRIED_AFTER - 1 :])
-        )
-
-    def drop_outlived(self, standing: AbstractSet[str], before_s: float) -> bool:
-        """Drop the losses before a moment at endpoints that still stand; False if there is none."""
-        outlived = [
-            loss
-            for loss in self.losses.values()
-            if loss.lost_s <= before_s and loss.endpoint in standing
-        ]
-        for loss in outlived:
-            del self.losses[loss.endpoint]
-            self.outlived[loss.endpoint] = loss.lost_s
-        while len(self.outlived) > _LOSSES_LIMIT:
-            del self.outlived[next(iter(self.outlived))]
-        return bool(outlived)
-
-    @property
-    def sent_again(self) -> bool:
-        """Whether a run that was lost had been sent after another was lost."""
-        first_lost_s = min(loss.lost_s for loss in self.losses.values())
-        return max(loss.sent_s for loss in self.losses.values()) >= first_lost_s
-
-    def by_end(self) -> list[_Loss]:
-        """Return the losses in the order in which they happened."""
-        return sorted(self.losses.values(), key=lambda loss: loss.lost_s)
-
-
 class Quarantine:
     """The contents that one router suspects or holds back.
 
@@ -257,7 +137,7 @@
         self._rule = rule or QuarantineRule()
         self._on_change = on_change
         #: In the order in which something was last learnt of them.
-        self._suspects: OrderedDict[str, _Suspect] = OrderedDict()
+        self._suspects: OrderedDict[str, Suspect] = OrderedDict()
         #: Those with losses enough to be judged, and those of them that are held back.
         self._judged: set[str] = set()
         self._held: set[str] = set()
@@ -273,7 +153,7 @@
     def note_lost(self, content: str, endpoint: str, sent_s: float) -> None:
         """Note that an endpoint closed the connection of a run before its answer was whole."""
         self.end_trial(content)
-        self._take_loss(content, _Loss(endpoint, sent_s, self._clock()), own=True)
+        self._take_loss(content, Loss(endpoint, sent_s, self._clock()), own=True)
 
     def note_served(self, content: str, success: bool = True) -> None:
         """Note a whole answer: what was lost until now was not the content's doing.
@@ -362,9 +242,8 @@
     def word(self) -> QuarantineWord:
         """Return what others are told: what was learnt lately, and in turn what is held back.
 
-        Told for as long as they are remembered, twelve contents of three losses would add 1.8 KB
-        to each message for an hour; one adds 156 bytes. Who starts later reads from the store what
-        is held back.
+        Told for as long as they are remembered, contents would fill each message for an hour. Who
+        starts later reads from the store what is held back.
         """
         if not self._suspects:
             return NO_WORD
@@ -380,7 +259,7 @@
             suspect = self._suspects[content]
             lost.extend(loss.told(content, now_s) for loss in suspect.by_end())
             if suspect.served_s > float("-inf"):
-                served.append(ServedRun(content, _age_ms(now_s, suspect.served_s)))
+                served.append(ServedRun(content, age_ms(now_s, suspect.served_s)))
         return QuarantineWord(tuple(lost), tuple(served))
 
     def _news(self, now_s: float) -> list[str]:
@@ -407,14 +286,14 @@
             if run.content in self._suspects:
                 self._take_answer(run.content, now_s - run.age_ms / 1_000, own=False)
         for run in word.lost:
-            loss = _Loss(
+            loss = Loss(
                 run.endpoint, now_s - run.sent_age_ms / 1_000, now_s - run.lost_age_ms / 1_000
             )
             self._take_loss(run.content, loss, own=False)
 
     # Changes.
 
-    def _take_loss(self, content: str, loss: _Loss, own: bool) -> None:
+    def _take_loss(self, content: str, loss: Loss, own: bool) -> None:
         suspect = self._suspects.get(content)
         if suspect is None:
             suspect = self._suspects[content] = self._new_suspect(content)
@@ -432,8 +311,8 @@
         self._judge(own)
         self._make_room()
 
-    def _new_suspect(self, content: str) -> _Suspect:
-        suspect = _Suspect()
+    def _new_suspect(self, content: str) -> Suspect:
+        suspect = Suspect()
         if content in self._answered:
             # Others have to hear of that, also where it refutes what they tell.
             suspect.served_s = self._answered[content]
@@ -458,7 +337,7 @@
             if verdict is not suspect.verdict:
                 self._change(content, suspect, verdict, own)
 
-    def _change(self, content: str, suspect: _Suspect, verdict: Verdict, own: bool) -> None:
+    def _change(self, content: str, suspect: Suspect, verdict: Verdict, own: bool) -> None:
         suspect.verdict = verdict
         if verdict is Verdict.FREE:
             self._held.discard(content)
@@ -466,7 +345,7 @@
             self._held.add(content)
         self._tell(QuarantineChange(content, verdict, tuple(sorted(suspect.losses)), own))
 
-    def _weigh(self, content: str, suspect: _Suspect) -> Verdict:
+    def _weigh(self, content: str, suspect: Suspect) -> Verdict:
         """Return what the evidence of a content, and of those lost beside it, asks for."""
         if not self._is_suspicious(suspect):
             return Verdict.FREE
@@ -479,27 +358,29 @@
         ]
         if self._is_excused(suspect, others):
             return Verdict.FREE
-        explained = _explained(suspect, filter(self._is_suspicious, others))
+        explained = explained_ends(suspect, filter(self._is_suspicious, others))
         if suspect.answered or self._too_few(suspect, explained):
             return Verdict.ON_TRIAL
         return Verdict.SURE
 
-    def _is_excused(self, suspect: _Suspect, others: list[_Suspect]) -> bool:
+    def _is_excused(self, suspect: Suspect, others: list[Suspect]) -> bool:
         """Tell whether others that were never answered explain what a content lost."""
         if not suspect.answered:
-            return self._too_few(suspect, _explained(suspect, (o for o in others if o.was_tried)))
-        explained = _explained(suspect, filter(self._is_suspicious, others))
+            return self._too_few(
+                suspect, explained_ends(suspect, (other for other in others if other.was_tried))
+            )
+        explained = explained_ends(suspect, filter(self._is_suspicious, others))
         # One that is not suspicious yet counts if it was sent again to where this one was.
         single = max((suspect.common(other) for other in others), key=len, default=frozenset())
         if len(single) >= _EXPLAINS_LEAST:
             explained |= single
         return self._too_few(suspect, explained)
 
-    def _too_few(self, suspect: _Suspect, explained: AbstractSet[str]) -> bool:
+    def _too_few(self, suspect: Suspect, explained: AbstractSet[str]) -> bool:
         """Tell whether too few losses of a content are left without an explanation."""
         return len(suspect.losses) - len(explained) < self._rule.endpoints
 
-    def _is_suspicious(self, suspect: _Suspect) -> bool:
+    def _is_suspicious(self, suspect: Suspect) -> bool:
         return len(suspect.losses) >= self._rule.endpoints and suspect.sent_again
 
     def _tell(self, change: QuarantineChange) -> None:
@@ -527,13 +408,3 @@
         del self._suspects[content]
         self._held.discard(content)
         self._judged.discard(content)
-
-
-def _explained(suspect: _Suspect, others: Iterable[_Suspect]) -> set[str]:
-    """Return the endpoints under whose ends a content was lost beside one of the others."""
-    return set().union(*(suspect.common(other) for other in others))
-
-
-def _age_ms(now_s: float, then_s: float) -> int:
-    """Return an age; never below 0."""
-    return max(0, round((now_s - then_s) * 1_000))
