--- a/turnward/gateway/tests/rate_limit_plays.py
+++ b/turnward/gateway/tests/rate_limit_plays.py
@@ -17,6 +17,7 @@
 from turnward.gateway.rate_limit import RateShare
 from turnward.gateway.rate_limits import RateLimits
 from turnward.gateway.tests.word_plays import most_within
+from turnward.hashing import rendezvous_weight
 
 __all__ = ["Fleet", "Outcome", "Play", "random_play", "stated_limit"]
 
@@ -118,6 +119,8 @@
             book.add_member(address, "z")
         book.members_read = True
         self.limits = limits_type(fleet.clock, MemberRanks(book), f"r-{number}")
+        #: For ways that ask another router.
+        self.limits.router, self.limits.fleet = self, fleet
         self.opening = {endpoint: 0 for endpoint in fleet.endpoints}
         self.order = fleet.draw.sample(fleet.endpoints, play.endpoints)
         self.told_s = {}
@@ -151,6 +154,7 @@
         self.frozen = set(self.draw.sample(living, int(play.frozen * len(living))))
         self.routers = [Router(self, number, limits_type) for number in living]
         self.told_s = {}
+        self.leased_s = {}
         self.refused = self.refused_with_room = 0
         self.free = 0.0
         self._events = []
@@ -229,6 +233,12 @@
             if not other.cut and other is not router:
                 self._at(self.clock() + self.play.word_s, partial(other.limits.take_in, told))
 
+    def reaches_first(self, router, endpoint) -> bool:
+        """Tell whether a router reaches the first member in rank for an endpoint."""
+        first = max(self.addresses, key=lambda one: rendezvous_weight(endpoint, one))
+        holders = [one for one in self.routers if self.addresses[one.number] == first]
+        return bool(holders) and (holders[0] is router or not (holders[0].cut or router.cut))
+
     def _has_room(self) -> bool:
         since_s = self.clock() - SPAN_S
         allowed = self.play.per_s * SPAN_S
@@ -280,6 +290,22 @@
         return RateShare(0, members, members / per_s, 0.0, 0.0)
 
 
+class ByLeases(RateLimits):
+    """The first member in rank grants each request; whoever can't reach it sends none."""
+
+    def opens_in_s(self, incarnation):
+        limit = self._limits.get(incarnation)
+        if limit is None or limit.per_s is None:
+            return 0.0
+        if not self.fleet.reaches_first(self.router, incarnation):
+            return 1.0
+        free_s = self.fleet.leased_s.get(incarnation, -1e9) + 1.0 / max(0.1, limit.per_s)
+        return max(0.0, free_s - self._clock())
+
+    def note_sent(self, incarnation):
+        self.fleet.leased_s[incarnation] = self._clock()
+
+
 class ByRouterAlone(RateLimits):
     """A broken variant: each router keeps to the whole rate by itself."""
 
@@ -364,7 +390,7 @@
                     f"seed {seed}: {outcome.most} of {stated_limit(play):.1f} {play}\n"
                 )
         return
-    ways = (RateLimits, ByWholeRequests, ByAllMembers, ByRouterAlone)
+    ways = (RateLimits, ByLeases, ByWholeRequests, ByAllMembers, ByRouterAlone)
     for routers, endpoints in ((7, 2), (24, 6), (86, 6), (300, 6)):
         for per_s in (0.4, 1.4, 5.0):
             for case in ({}, {"skewed": True}, {"cut": 0.3}):
