--- a/turnward/gateway/tests/test_fuzz.py
+++ b/turnward/gateway/tests/test_fuzz.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from turnward.gateway import Repeat
+from turnward.gateway.peers import PeerExchange
 from turnward.gateway.tests.rig import PEERS_PORT, READY_PORT, Rig, raw, well
 
 FUZZ = settings(max_examples=150, deadline=None, derandomize=True, database=None)
@@ -127,7 +128,7 @@
 def test_any_datagram_and_any_bytes_at_the_inner_ports(data):
     rig = fresh()
     sender = rig.network.machine("10.7.7.7")
-    sender.listenUDP(5, rig.gateways[0].peers.exchange.__class__(lambda digest: None))
+    sender.listenUDP(5, PeerExchange(lambda message: None, lambda host, layout: None))
     rig.machines[0].datagram_listeners[PEERS_PORT].datagramReceived(data, ("10.7.7.7", 5))
     for port in (PEERS_PORT, READY_PORT):
         caller = rig.connect(port=port)
