--- a/turnward/gateway/tests/test_innocent_requests.py
+++ b/turnward/gateway/tests/test_innocent_requests.py
@@ -70,6 +70,14 @@
             self.play.rig.network.advance(self._draw.uniform(0.05, 0.1))
         self.play.rig.network.advance(0.2)
 
+    def ask_and_end_engines(self, times):
+        """Ask for a while, then end engines several times and ask on after each."""
+        self.ask_for(3.0)
+        for _ in range(times):
+            self.end_engines()
+            self.ask_for(6.0)
+        self.play.rig.network.advance(5.0)
+
     def refused_s(self):
         """Return when harmless requests were sent that were refused for what another did."""
         return [
@@ -103,11 +111,7 @@
 @pytest.mark.parametrize("seed", range(8))
 def test_popular_request_beside_one_that_ends_engines_is_served_on(seed):
     newsroom = Newsroom(seed)
-    newsroom.ask_for(3.0)
-    for _ in range(3):
-        newsroom.end_engines()
-        newsroom.ask_for(6.0)
-    newsroom.play.rig.network.advance(5.0)
+    newsroom.ask_and_end_engines(times=3)
     assert newsroom.longest_refused_s() <= INNOCENT_S
     assert newsroom.late_sends() <= SENDS_LIMIT
     assert newsroom.play.ask(POPULAR).status == 200
@@ -129,11 +133,7 @@
 @pytest.mark.parametrize("seed", range(4))
 def test_several_that_end_engines_are_held_back_and_what_ran_beside_them_is_not(seed):
     newsroom = Newsroom(seed, gateways=4, endpoints=6, fatal=(b"one", b"two", b"three"))
-    newsroom.ask_for(3.0)
-    for _ in range(3):
-        newsroom.end_engines()
-        newsroom.ask_for(6.0)
-    newsroom.play.rig.network.advance(5.0)
+    newsroom.ask_and_end_engines(times=3)
     assert newsroom.longest_refused_s() <= INNOCENT_S
     assert newsroom.late_sends() <= SENDS_LIMIT
     assert newsroom.play.ask(POPULAR).status == 200
