Lines tell when a feed reads its table again, and whether that is taken in

The lines of the incident could not tell which calls the store refused, nor whether tables were read after that and passed over. store.read_again names the store's answer, the version read and the version known afterwards; once for each version known, since a feed that is refused asks some hundred times a second. Nothing acts on it.

--- a/turnward/gateway/feeds.py
+++ b/turnward/gateway/feeds.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
+import msgspec
 from twisted.internet import defer, task
 
 from turnward.gateway.overlay import Overlay
@@ -16,7 +17,15 @@
     VersionedStoreBase,
 )
 
-__all__ = ["FeedListenerBase", "FeedPaceBase", "FleetPace", "PromptPace", "TableFeed", "ToldPace"]
+__all__ = [
+    "FeedListenerBase",
+    "FeedPaceBase",
+    "FleetPace",
+    "PromptPace",
+    "Reread",
+    "TableFeed",
+    "ToldPace",
+]
 
 #: Pauses after failures in a row, in seconds; the last one repeats.
 _PAUSES_S = (0.05, 0.1, 0.2, 0.4, 0.7)
@@ -42,6 +51,24 @@
 _REREAD_AFTER_S = 5.0
 
 
+class Reread(msgspec.Struct, frozen=True):
+    """A table that was read again, since the store could not tell what had changed in it.
+
+    Attributes
+    ----------
+    cause : str
+        What the store answered to the question for changes.
+    read_version : int
+        The store's version that the table was read as of.
+    known_version : int
+        The version known afterwards; another one where what was read is not taken in.
+    """
+
+    cause: str
+    read_version: int
+    known_version: int
+
+
 class FeedListenerBase(ABC):
     """Takes in what a feed brings."""
 
@@ -188,6 +215,8 @@
         Called after each answer with the moment that it is known to be of.
     pace : FeedPace, optional
         How often the store is asked; looked at anew for each question.
+    on_reread : callable, optional
+        Called with a ``Reread`` after the table was read again, once for each version known.
     """
 
     def __init__(
@@ -201,6 +230,7 @@
         on_health: Callable[..., None],
         on_answer: Callable[[float], None] | None = None,
         pace: "FeedPaceBase | None" = None,
+        on_reread: Callable[[Reread], None] | None = None,
     ):
         self._reactor = clock_reactor
         self._store = store
@@ -211,6 +241,9 @@
         self._on_health = on_health
         self._on_answer = on_answer
         self._pace = pace or PromptPace()
+        self._on_reread = on_reread
+        self._reread_cause = ""
+        self._reread_told: Reread | None = None
         self._failures = 0
         self._answered_s = clock_reactor.seconds()
         self._answered_version = 0
@@ -234,8 +267,9 @@
         while not self._stopped:
             try:
                 await self._step()
-            except HistoryGoneError:
+            except HistoryGoneError as failure:
                 self._reread = True
+                self._reread_cause = str(failure)
             except RowStoreError as failure:
                 await self._pause(failure)
             except Exception as failure:
@@ -263,6 +297,7 @@
             self._reread = False
             self._changed = True
             self._listener.table_read(table)
+            self._tell_reread(table.version)
         else:
             wait_s = self._pace.wait_s(self._wait_s)
             changes = await self._store.changes(self._table, self._listener.version, wait_s)
@@ -277,6 +312,16 @@
         if self._on_answer is not None:
             self._on_answer(newest_s)
 
+    def _tell_reread(self, read_version: int) -> None:
+        """Tell of a table that was read again; once, where each reading leaves the same known."""
+        cause, self._reread_cause = self._reread_cause, ""
+        if not cause or self._on_reread is None:
+            return
+        reread = Reread(cause, read_version, self._listener.version)
+        told, self._reread_told = self._reread_told, reread
+        if told is None or told.known_version != reread.known_version:
+            self._on_reread(reread)
+
     def _missed_much(self) -> bool:
         """Tell whether many changes may have passed that nobody else told of either."""
         blind_s = self._reactor.seconds() - self._answered_s
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -15,7 +15,14 @@
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.end_reserve import EndReserveRule
 from turnward.gateway.endpoint_news import EndpointNews
-from turnward.gateway.feeds import FeedListenerBase, FeedPaceBase, FleetPace, TableFeed, ToldPace
+from turnward.gateway.feeds import (
+    FeedListenerBase,
+    FeedPaceBase,
+    FleetPace,
+    Reread,
+    TableFeed,
+    ToldPace,
+)
 from turnward.gateway.forwarding import Forwarder, ForwardingRules
 from turnward.gateway.holder_client import HolderClient
 from turnward.gateway.holders import RankedHolders
@@ -250,6 +257,7 @@
                 self._health_of(table),
                 on_answer,
                 pace,
+                self._reread_of(table),
             )
             for table, wait_s, listener, on_answer, pace in self._feed_list(sources)
         ]
@@ -361,6 +369,18 @@
 
         return note
 
+    def _reread_of(self, table: str):
+        def note(reread: Reread) -> None:
+            self._log.belief(
+                "store.read_again",
+                table=table,
+                cause=reread.cause,
+                version=reread.read_version,
+                known=reread.known_version,
+            )
+
+        return note
+
     # Start.
 
     def start(self) -> None:
