Failing test: an endpoint that leaves after the store came back is sent requests

What callers would see: an engine that has written that it leaves is sent requests for seconds, by every router, and ends under them. The store had been away for 2.5 s and come back from a copy 7 s old.

--- a/turnward/standins/__init__.py
+++ b/turnward/standins/__init__.py
@@ -5,7 +5,7 @@
 from turnward.standins.engine import EngineFaults, EngineStandIn
 from turnward.standins.network import MemoryMachine, MemoryNetwork
 from turnward.standins.platform import Faults, PlatformStandIn
-from turnward.standins.rows import MemoryRows, RowFaults, RowsClient
+from turnward.standins.rows import MemoryRows, RowFaults, RowsClient, RowsCopy
 from turnward.standins.service import ServiceFaults, ServiceStandIn
 
 __all__ = [
@@ -21,6 +21,7 @@
     "PlatformStandIn",
     "RowFaults",
     "RowsClient",
+    "RowsCopy",
     "ServiceFaults",
     "ServiceStandIn",
 ]
--- a/turnward/standins/rows.py
+++ b/turnward/standins/rows.py
@@ -18,7 +18,7 @@
     VersionedTransaction,
 )
 
-__all__ = ["MemoryRows", "RowFaults", "RowsClient"]
+__all__ = ["MemoryRows", "RowFaults", "RowsClient", "RowsCopy"]
 
 
 class RowFaults(msgspec.Struct):
@@ -44,8 +44,25 @@
     delay_s: float = 0.004
 
 
+class RowsCopy(msgspec.Struct, frozen=True):
+    """The rows as they were at one moment."""
+
+    version: int
+    rows: dict[RowKey, StoredRow]
+    history: tuple[StoredRow, ...]
+    history_from: int
+
+
 class MemoryRows:
-    """The rows, and what all callers share."""
+    """The rows, and what all callers share.
+
+    Attributes
+    ----------
+    era : int
+        Rises by one each time that the rows go back to a copy.
+    version : int
+        The newest version; after a return numbers are given out again.
+    """
 
     def __init__(self, clock, seed: int = 0):
         self.clock = clock
@@ -54,6 +71,7 @@
         self._history: list[StoredRow] = []
         self._history_from = 0
         self._waiting: list[defer.Deferred] = []
+        self.era = 0
         self.version = 0
         self.faults = RowFaults()
         self.writes = 0
@@ -76,6 +94,29 @@
         self._history_from = self.version
         self._wake()
 
+    def copy(self) -> RowsCopy:
+        """Return a copy to which the rows can go back."""
+        return RowsCopy(self.version, dict(self._rows), tuple(self._history), self._history_from)
+
+    def go_back(self, copy: RowsCopy, written_again: tuple[str, ...] = ()) -> None:
+        """Lose all that was written since a copy was made.
+
+        Parameters
+        ----------
+        written_again : tuple of str
+            Tables whose writers write at once again what they wrote since.
+        """
+        lost = self._rows
+        self._rows = dict(copy.rows)
+        self._history = list(copy.history)
+        self._history_from = copy.history_from
+        self.version = copy.version
+        self.era += 1
+        for key, row in lost.items():
+            if key.table in written_again and self.get(key) != row:
+                self._store([row])
+        self._wake()
+
     def apply(self, transaction: VersionedTransaction) -> int:
         """Write if the conditions hold."""
         for change in transaction.changes:
@@ -101,6 +142,8 @@
         """Return the changes of a table after a version."""
         if version < self._history_from:
             raise HistoryGoneError("forgotten")
+        if version > self.version:
+            raise HistoryGoneError("no such version")
         newest = {
             row.key: row
             for row in self._history
@@ -175,8 +218,11 @@
     async def changes(self, table, after_version, wait_s):
         """See ``VersionedStoreBase.changes``."""
         await self._travel()
+        era = self._rows.era
         until_s = self._reactor.seconds() + wait_s
         while True:
+            if self._rows.era != era:
+                raise RowsUnavailableError("the connection ended")
             changed = self._rows.since(table, after_version)
             left_s = until_s - self._reactor.seconds()
             if changed or left_s <= 0:
