Versions of the store are pairs of era and number

What callers saw: requests were sent to an engine for seconds after it had written that it leaves. Cause: the store had come back from an older copy, its versions had gone back, and a view of the endpoints was taken in only if its number was above that of the view known. Ruled out: a feed that hangs (the table was read, store.read_again tells), and a word undone by peers (no router had it). Why it holds: no number is compared without its era, in conditions, feeds, cached rows, copies of peers and orders on zones; what the store says in its present era is newer than all before it. Builds without eras tell 0, which is older than any that is named. Tokens are not safe yet over a return.

--- a/turnward/gateway/configuration.py
+++ b/turnward/gateway/configuration.py
@@ -7,6 +7,7 @@
 
 from turnward.gateway.zone_orders import ZoneOrder
 from turnward.http1 import InboundLimits
+from turnward.rows import RowVersion
 
 __all__ = [
     "Configuration",
@@ -159,8 +160,9 @@
 
     Attributes
     ----------
-    row_version : int
-        The store's version of the row that it came in: a feed can go on from there.
+    row_version, row_era : int
+        Number and era of the store's version of the row that it came in: a feed can go on from
+        there.
     zone_orders : tuple of ZoneOrder
         All orders up to that version: a feed that goes on from there brings no older ones.
     """
@@ -168,6 +170,12 @@
     configuration: Configuration
     row_version: int = 0
     zone_orders: tuple[ZoneOrder, ...] = ()
+    row_era: int = 0
+
+    @property
+    def row_as_of(self) -> RowVersion:
+        """The store's version of the row that it came in."""
+        return RowVersion.of(self.row_era, self.row_version)
 
 
 class EndpointEntry(msgspec.Struct, frozen=True, kw_only=True):
--- a/turnward/gateway/overlay.py
+++ b/turnward/gateway/overlay.py
@@ -28,6 +28,7 @@
 from turnward.gateway.zone_orders import ZoneOrder
 from turnward.hashing import rendezvous_weight
 from turnward.quarantine import NO_WORD, QuarantineWord
+from turnward.rows import RowVersion
 
 __all__ = ["ALL_GROUPS", "MESH_LIMIT", "FleetSummary", "Overlay"]
 
@@ -68,7 +69,7 @@
     confirmed_age_s : float
         How long ago the store said that this configuration is the newest; below 0 when
         it never did.
-    endpoints_version, endpoints_from : int, str
+    endpoints_version, endpoints_era, endpoints_from : int, int, str
         The newest view of the endpoints among them, and who has it; as for the configuration.
     zone_orders : tuple of ZoneOrder or None
         Which zones operators want drained, as the aggregator knows; None when it does not.
@@ -94,6 +95,12 @@
     quarantine: QuarantineWord = NO_WORD
     words: tuple[ToldWord, ...] = ()
     limits: tuple[ToldLimit, ...] = ()
+    endpoints_era: int = 0
+
+    @property
+    def endpoints_as_of(self) -> RowVersion:
+        """The store's version that the endpoints are as of."""
+        return RowVersion.of(self.endpoints_era, self.endpoints_version)
 
 
 class _Placed(msgspec.Struct, frozen=True, order=True):
@@ -316,6 +323,7 @@
             configuration_from=own.address,
             confirmed_age_s=total.confirmed_age_s if newest else -1.0,
             endpoints_version=own.endpoints_version,
+            endpoints_era=own.endpoints_era,
             endpoints_from=own.address,
         )
 
@@ -402,7 +410,7 @@
         """Return the sum over the members heard lately, of which there must be one."""
         digests = [self._aged(heard) for heard in self._fresh(self._members)]
         newest = max(digests, key=lambda digest: digest.configuration_version)
-        endpoints = max(digests, key=lambda digest: digest.endpoints_version)
+        endpoints = max(digests, key=lambda digest: digest.endpoints_as_of)
         return FleetSummary(
             DIGEST_LAYOUT,
             self._book.own_address,
@@ -418,6 +426,7 @@
             self._own.quarantine,
             self._own.words,
             self._own.limits,
+            endpoints.endpoints_era,
         )
 
     def _total(self) -> FleetSummary:
@@ -431,7 +440,7 @@
                 best[summary.group] = summary
         sums = list(best.values())
         newest = max(sums, key=lambda one: one.configuration_version)
-        endpoints = max(sums, key=lambda one: one.endpoints_version)
+        endpoints = max(sums, key=lambda one: one.endpoints_as_of)
         return FleetSummary(
             DIGEST_LAYOUT,
             self._book.own_address,
@@ -447,6 +456,7 @@
             self._own.quarantine,
             self._own.words,
             self._own.limits,
+            endpoints.endpoints_era,
         )
 
 
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -10,6 +10,7 @@
 from turnward.gateway.word_news import ToldWord
 from turnward.gateway.zone_orders import ZoneOrder
 from turnward.quarantine import NO_WORD, QuarantineWord
+from turnward.rows import RowVersion
 
 __all__ = [
     "DIGEST_LAYOUT",
@@ -90,6 +91,9 @@
 
     Attributes
     ----------
+    endpoints_version, endpoints_era : int
+        Number and era of the store's version that the endpoints are as of, as it knows them; a
+        build that knows no eras tells 0, which is older than any that is named.
     confirmed_age_s : float
         How long ago the store said that the configuration is the newest; below
         0 when it never did.
@@ -126,6 +130,12 @@
     quarantine: QuarantineWord = NO_WORD
     words: tuple[ToldWord, ...] = ()
     limits: tuple[ToldLimit, ...] = ()
+    endpoints_era: int = 0
+
+    @property
+    def endpoints_as_of(self) -> RowVersion:
+        """The store's version that the endpoints are as of."""
+        return RowVersion.of(self.endpoints_era, self.endpoints_version)
 
 
 class Peer:
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -29,6 +29,7 @@
 from turnward.gateway.word_news import WordNews
 from turnward.http1 import Http1Error, HttpCaller, InboundRequest
 from turnward.quarantine import Quarantine
+from turnward.rows import RowVersion
 
 __all__ = ["PeerExchange", "PeerTask"]
 
@@ -219,7 +220,8 @@
         return msgspec.structs.replace(
             self._identity,
             configuration_version=self._state.configuration_version,
-            endpoints_version=self._state.endpoints_version,
+            endpoints_version=self._state.endpoints_version.number,
+            endpoints_era=self._state.endpoints_version.era,
             confirmed_age_s=round(age_s, 3) if age_s != float("inf") else -1.0,
             loads=tuple(self._loads()[:_LOADS_LIMIT]),
             stopping=self.stopping,
@@ -254,7 +256,7 @@
             summary.configuration_version,
             summary.configuration_from,
             summary.confirmed_age_s,
-            summary.endpoints_version,
+            summary.endpoints_as_of,
             summary.endpoints_from,
         )
 
@@ -270,7 +272,7 @@
             digest.configuration_version,
             digest.address,
             digest.confirmed_age_s,
-            digest.endpoints_version,
+            digest.endpoints_as_of,
             digest.address,
         )
 
@@ -279,7 +281,7 @@
         configuration_version: int,
         configuration_from: str,
         confirmed_age_s: float,
-        endpoints_version: int,
+        endpoints_version: RowVersion,
         endpoints_from: str,
     ) -> None:
         """Fetch what is newer elsewhere; note when the own configuration is the newest."""
@@ -337,7 +339,7 @@
         copy = unpack(body, ConfigurationCopy)
         # Orders first: with the configuration a router begins to serve.
         self._state.adopt_told_orders(copy.zone_orders, f"peer {address}")
-        self._state.adopt_configuration(copy.configuration, f"peer {address}", copy.row_version)
+        self._state.adopt_configuration(copy.configuration, f"peer {address}", copy.row_as_of)
 
     def _adopt_endpoints(self, body: bytes, address: str) -> None:
         snapshot = unpack(body, EndpointsSnapshot)
@@ -348,12 +350,13 @@
         state = self._state
         orders = state.told_orders()
         if request.target == CONFIGURATION_PATH and state.routes and orders is not None:
-            copy = ConfigurationCopy(state.routes.configuration, state.row_version, orders)
+            row = state.row_version
+            copy = ConfigurationCopy(state.routes.configuration, row.number, orders, row.era)
             packed = self._configuration.get((state.configuration_version, orders), copy)
             request.answer(200, [], packed)
         elif request.target == ENDPOINTS_PATH and state.endpoints_version:
             snapshot = state.snapshot()
-            request.answer(200, [], self._endpoints.get(snapshot.version, snapshot))
+            request.answer(200, [], self._endpoints.get(snapshot.as_of, snapshot))
         elif request.target == LOANS_PATH:
             _take_body(request, LoanAsk, self._lend)
         elif request.target == RETURNS_PATH:
--- a/turnward/gateway/sources.py
+++ b/turnward/gateway/sources.py
@@ -70,7 +70,7 @@
             if not zone:
                 self._state.refused_rows.refuse(row, ValueError("an order names no zone"))
                 continue
-            orders[zone] = ZoneOrder(zone, row.version or changes.version, not row.gone)
+            orders[zone] = ZoneOrder.at(zone, row.version or changes.version, not row.gone)
         return list(orders.values())
 
     def _adopt_configuration(self, changes: TableChanges) -> None:
@@ -121,7 +121,7 @@
             entry = self._read(row)
             if entry is not None:
                 entries[row.key.key] = entry
-        snapshot = EndpointsSnapshot(changes.version, tuple(entries.values()))
+        snapshot = EndpointsSnapshot.at(changes.version, tuple(entries.values()))
         self._state.adopt_endpoints(snapshot, "store")
 
     def _read(self, row: StoredRow) -> EndpointEntry | None:
--- a/turnward/gateway/state.py
+++ b/turnward/gateway/state.py
@@ -8,15 +8,34 @@
 from turnward.gateway.configuration import Configuration, EndpointEntry, RouteTable
 from turnward.gateway.refused_rows import RefusedRows
 from turnward.gateway.zone_orders import ZoneOrder, ZoneOrders
+from turnward.rows import RowVersion
 
 __all__ = ["EndpointsSnapshot", "FleetState"]
 
 
 class EndpointsSnapshot(msgspec.Struct, frozen=True):
-    """All endpoints as of one version of the store."""
+    """All endpoints as of one version of the store.
+
+    Attributes
+    ----------
+    version, era : int
+        Number and era of that version.
+    """
 
     version: int
     entries: tuple[EndpointEntry, ...]
+    era: int = 0
+
+    @classmethod
+    def at(cls, version: int, entries: tuple[EndpointEntry, ...]) -> "EndpointsSnapshot":
+        """Return the endpoints as of a version of the store."""
+        version = RowVersion(version)
+        return cls(version.number, entries, version.era)
+
+    @property
+    def as_of(self) -> RowVersion:
+        """The store's version that they are as of."""
+        return RowVersion.of(self.era, self.version)
 
 
 class FleetState:
@@ -28,11 +47,11 @@
         The configuration in force; None until one is known.
     endpoints : dict
         Entries by endpoint id.
-    endpoints_version : int
+    endpoints_version : RowVersion
         The store's version that ``endpoints`` is as of; 0 until known.
     refused_rows : RefusedRows
         Rows that could not be read.
-    row_version : int
+    row_version : RowVersion
         The store's version of the row that the configuration came in; 0 until known.
     confirmed_s : float or None
         When the configuration was last known to be the newest.
@@ -47,9 +66,9 @@
         self._listeners: list[Callable[[str, str], None]] = []
         self.refused_rows = RefusedRows()
         self.routes: RouteTable | None = None
-        self.row_version = 0
+        self.row_version = RowVersion(0)
         self.endpoints: dict[str, EndpointEntry] = {}
-        self.endpoints_version = 0
+        self.endpoints_version = RowVersion(0)
         self.confirmed_s: float | None = None
         self.zone_orders = ZoneOrders()
         self.zone_orders_known = False
@@ -86,7 +105,7 @@
         if configuration.version <= self.configuration_version:
             return False
         self.routes = RouteTable(configuration)
-        self.row_version = max(self.row_version, row_version)
+        self.row_version = max(self.row_version, RowVersion(row_version))
         self._tell("configuration", source)
         return True
 
@@ -114,12 +133,12 @@
 
     def adopt_endpoints(self, snapshot: EndpointsSnapshot, source: str) -> bool:
         """Take in all endpoints unless what is known is as new."""
-        if snapshot.version <= self.endpoints_version:
+        if snapshot.as_of <= self.endpoints_version:
             return False
         entries = {entry.endpoint_id: self._newer(entry) for entry in snapshot.entries}
         changed = entries != self.endpoints
         self.endpoints = entries
-        self.endpoints_version = snapshot.version
+        self.endpoints_version = snapshot.as_of
         if changed:
             self._tell("endpoints", source)
         return True
@@ -136,7 +155,7 @@
 
     def snapshot(self) -> EndpointsSnapshot:
         """Return all endpoints as known."""
-        return EndpointsSnapshot(self.endpoints_version, tuple(self.endpoints.values()))
+        return EndpointsSnapshot.at(self.endpoints_version, tuple(self.endpoints.values()))
 
     def _tell(self, what: str, source: str) -> None:
         for listener in self._listeners:
--- a/turnward/gateway/tests/test_store_returns.py
+++ b/turnward/gateway/tests/test_store_returns.py
@@ -6,6 +6,12 @@
 the store had been away for 2.5 s and had come back from a copy some seconds old, so its versions
 had gone back and were given out again. Each of six routers chose by a view of the endpoints from
 before.
+
+The cause: a view of the endpoints was taken in only if its version was above that of the view
+known, and the number of a version tells nothing by itself once the store has come back. The
+evidence: the line ``store.read_again``, in which a table is read as of version 29 while 156 stays
+known; and a feed that went on asking for changes after a version that the store did not have, up to
+230 times a second. Versions are pairs of era and number now, and the first test passes.
 """
 
 from turnward.gateway.tests.return_plays import ReturnPlay
--- a/turnward/gateway/zone_orders.py
+++ b/turnward/gateway/zone_orders.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from turnward.rows import RowVersion
+
 __all__ = ["ZoneOrder", "ZoneOrders"]
 
 #: Most zones of which orders are kept and passed on: more than the three regions with eight zones
@@ -24,8 +26,8 @@
 
     Attributes
     ----------
-    version : int
-        The store's version at which it was given or taken back.
+    version, era : int
+        Number and era of the store's version at which it was given or taken back.
     drained : bool
         Whether the zone's endpoints are to get nothing new.
     """
@@ -33,6 +35,18 @@
     zone: str
     version: int
     drained: bool
+    era: int = 0
+
+    @classmethod
+    def at(cls, zone: str, version: int, drained: bool) -> "ZoneOrder":
+        """Return the word that was given at a version of the store."""
+        version = RowVersion(version)
+        return cls(zone, version.number, drained, version.era)
+
+    @property
+    def as_of(self) -> RowVersion:
+        """The store's version at which it was given or taken back."""
+        return RowVersion.of(self.era, self.version)
 
 
 class ZoneOrders:
@@ -59,7 +73,7 @@
         """Take in what is newer than known; True when other zones are drained than before."""
         for order in orders:
             known = self._by_zone.get(order.zone)
-            if known is None or order.version > known.version:
+            if known is None or order.as_of > known.as_of:
                 self._by_zone[order.zone] = order
         self._forget_oldest_ends()
         drained = frozenset(order.zone for order in self._by_zone.values() if order.drained)
@@ -72,7 +86,7 @@
         standing = tuple(standing)
         zones = {order.zone for order in standing}
         ended = [
-            ZoneOrder(order.zone, version, drained=False)
+            ZoneOrder.at(order.zone, version, drained=False)
             for order in self._by_zone.values()
             if order.drained and order.zone not in zones
         ]
@@ -88,5 +102,5 @@
         if excess <= 0:
             return
         ended = [order for order in self._by_zone.values() if not order.drained]
-        for order in sorted(ended, key=lambda order: order.version)[:excess]:
+        for order in sorted(ended, key=lambda order: order.as_of)[:excess]:
             del self._by_zone[order.zone]
--- a/turnward/rows/__init__.py
+++ b/turnward/rows/__init__.py
@@ -9,6 +9,7 @@
     VersionedStoreBase,
     VersionedTransaction,
 )
+from turnward.rows.eras import RowVersion, StoreEras
 from turnward.rows.errors import (
     HistoryGoneError,
     RowOutcomeUnknownError,
@@ -23,7 +24,9 @@
     "RowKey",
     "RowOutcomeUnknownError",
     "RowStoreError",
+    "RowVersion",
     "RowsUnavailableError",
+    "StoreEras",
     "StoredRow",
     "TableChanges",
     "VersionConflictError",
--- a/turnward/rows/core.py
+++ b/turnward/rows/core.py
@@ -2,13 +2,16 @@
 """A store of versioned rows in tables and parts, watched by feeds.
 
 A transaction names the versions its rows must have, and all its rows lie in
-one part. Versions come from one counter that rises with each transaction.
+one part. Versions come from one counter that rises with each transaction, until the
+store comes back from an older copy; see ``RowVersion``.
 """
 
 from abc import ABC, abstractmethod
 
 import msgspec
 
+from turnward.rows.eras import StoreEras
+
 __all__ = [
     "RowChange",
     "RowKey",
@@ -67,12 +70,17 @@
 
 
 class VersionedStoreBase(ABC):
-    """The store; all methods are coroutines.
+    """The store; all methods that call it are coroutines.
 
-    Every method raises ``RowsUnavailableError`` when the call did not take
+    Every such method raises ``RowsUnavailableError`` when the call did not take
     effect, and ``RowOutcomeUnknownError`` when it may have or still may.
     """
 
+    @property
+    def eras(self) -> StoreEras:
+        """The store's eras, as its answers name them; a store without returns has one."""
+        return StoreEras()
+
     @abstractmethod
     def time_floor_s(self) -> float | None:
         """Return a time that the store's steady clock has reached; None before any answer.
@@ -96,7 +104,7 @@
         Raises
         ------
         VersionConflictError
-            A row had another version.
+            A row had another version, or one of another era.
         """
 
     @abstractmethod
@@ -106,5 +114,5 @@
         Raises
         ------
         HistoryGoneError
-            The store has forgotten changes after that version.
+            The store has forgotten changes after that version, or it is of another era.
         """
--- /dev/null
+++ b/turnward/rows/tests/test_eras.py
@@ -0,0 +1,61 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Versions of two eras are never taken for each other."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from turnward.rows import (
+    HistoryGoneError,
+    RowsUnavailableError,
+    RowVersion,
+    StoreEras,
+    VersionConflictError,
+)
+
+ERAS = st.integers(0, 10_000)
+NUMBERS = st.integers(0, 2**48 - 1)
+
+
+@given(ERAS, NUMBERS, ERAS, NUMBERS)
+def test_versions_sort_by_era_and_then_by_number(era, number, other_era, other_number):
+    one, other = RowVersion.of(era, number), RowVersion.of(other_era, other_number)
+    assert (one < other) == ((era, number) < (other_era, other_number))
+    assert (one == other) == ((era, number) == (other_era, other_number))
+    assert (one.era, one.number) == (era, number)
+
+
+def test_version_is_in_no_message_as_one_number():
+    with pytest.raises(TypeError):
+        msgspec.json.encode(RowVersion.of(1, 2))
+
+
+def test_number_of_another_era_is_neither_a_condition_nor_the_start_of_a_feed():
+    eras = StoreEras()
+    eras.note_answer(3)
+    known = eras.version(40)
+    assert eras.condition_number(known) == eras.feed_number(known) == 40
+    eras.note_answer(4)
+    with pytest.raises(VersionConflictError):
+        eras.condition_number(known)
+    with pytest.raises(HistoryGoneError):
+        eras.feed_number(known)
+    assert eras.condition_number(0) == 0
+
+
+def test_answer_of_an_earlier_era_is_none():
+    eras = StoreEras()
+    eras.note_answer(4)
+    with pytest.raises(RowsUnavailableError):
+        eras.note_answer(3)
+    assert eras.current == 4
+
+
+def test_first_era_that_is_learnt_is_no_return():
+    eras = StoreEras()
+    told = []
+    eras.listen(told.append)
+    for era in (7, 7, 8, 8, 10):
+        eras.note_answer(era)
+    assert told == [8, 10]
--- a/turnward/standins/rows.py
+++ b/turnward/standins/rows.py
@@ -12,6 +12,7 @@
     RowOutcomeUnknownError,
     RowsUnavailableError,
     StoredRow,
+    StoreEras,
     TableChanges,
     VersionConflictError,
     VersionedStoreBase,
@@ -54,7 +55,7 @@
 
 
 class MemoryRows:
-    """The rows, and what all callers share.
+    """The rows, and what all callers share; versions here are numbers of the current era.
 
     Attributes
     ----------
@@ -178,14 +179,23 @@
 
 
 class RowsClient(VersionedStoreBase):
-    """One caller's way to the rows, with faults of its own."""
+    """One caller's way to the rows, with faults of its own.
+
+    As over the wire, numbers alone are sent, and each answer names the era that it is of.
+    """
 
     def __init__(self, rows: MemoryRows, reactor, faults: RowFaults | None = None):
         self._rows = rows
         self._reactor = reactor
         self._answered = False
+        self._eras = StoreEras()
         self.faults = faults or RowFaults()
 
+    @property
+    def eras(self):
+        """See ``VersionedStoreBase.eras``."""
+        return self._eras
+
     def time_floor_s(self):
         """See ``VersionedStoreBase.time_floor_s``."""
         return self._reactor.seconds() if self._answered else None
@@ -193,40 +203,52 @@
     async def read_row(self, key):
         """See ``VersionedStoreBase.read_row``."""
         await self._travel()
-        return self._rows.get(key)
+        return self._answered_row(self._rows.get(key))
 
     async def read_table(self, table, part=""):
         """See ``VersionedStoreBase.read_table``."""
         await self._travel()
-        return TableChanges(tuple(self._rows.table(table, part)), self._rows.version)
+        return self._answered_rows(self._rows.table(table, part))
 
     async def transact(self, transaction):
         """See ``VersionedStoreBase.transact``."""
-        await self._travel()
+        era = self._eras.known
+        sent = self._sent(transaction)
+        await self._arrive()
         drawn = self._rows.draw()
         lost_share = max(self.faults.lost_share, self._rows.faults.lost_share)
         late_share = max(self.faults.late_share, self._rows.faults.late_share)
         if drawn < late_share:
             late_s = max(self.faults.late_s, self._rows.faults.late_s)
-            self._rows.clock.callLater(late_s, self._apply_late, transaction)
+            self._rows.clock.callLater(late_s, self._apply_late, sent)
             raise RowOutcomeUnknownError("no answer")
-        version = self._rows.apply(transaction)
+        try:
+            number = self._rows.apply(sent)
+        except VersionConflictError as conflict:
+            self._note_answer()
+            rows = [self._answered_row(row) for row in conflict.rows]
+            raise VersionConflictError(str(conflict), rows) from conflict
         if drawn < late_share + lost_share:
             raise RowOutcomeUnknownError("no answer")
-        return version
+        self._note_answer()
+        if era is not None and self._eras.known != era:
+            raise RowOutcomeUnknownError("done after the store came back from an older copy")
+        return self._eras.version(number)
 
     async def changes(self, table, after_version, wait_s):
         """See ``VersionedStoreBase.changes``."""
+        number = self._eras.feed_number(after_version)
         await self._travel()
+        self._eras.feed_number(after_version)
         era = self._rows.era
         until_s = self._reactor.seconds() + wait_s
         while True:
             if self._rows.era != era:
                 raise RowsUnavailableError("the connection ended")
-            changed = self._rows.since(table, after_version)
+            changed = self._rows.since(table, number)
             left_s = until_s - self._reactor.seconds()
             if changed or left_s <= 0:
-                return TableChanges(tuple(changed), self._rows.version)
+                return self._answered_rows(changed)
             waiting = self._rows.wait()
             timer = self._reactor.callLater(left_s, _fire, waiting)
             await waiting
@@ -234,14 +256,41 @@
                 timer.cancel()
 
     async def _travel(self) -> None:
+        """Reach the store and have its answer."""
+        await self._arrive()
+        self._note_answer()
+
+    async def _arrive(self) -> None:
         arrived = defer.Deferred()
         delay_s = max(self.faults.delay_s, self._rows.faults.delay_s)
         self._reactor.callLater(delay_s, arrived.callback, None)
         await arrived
         if self.faults.away or self._rows.faults.away:
             raise RowsUnavailableError("the store is away")
+
+    def _note_answer(self) -> None:
+        self._eras.note_answer(self._rows.era)
         self._answered = True
 
+    def _sent(self, transaction: VersionedTransaction) -> VersionedTransaction:
+        """Return a transaction with the numbers that are sent."""
+        changes = tuple(
+            msgspec.structs.replace(
+                change, expected_version=self._eras.condition_number(change.expected_version)
+            )
+            for change in transaction.changes
+        )
+        return msgspec.structs.replace(transaction, changes=changes)
+
+    def _answered_row(self, row: StoredRow) -> StoredRow:
+        if not row.version:
+            return row
+        return msgspec.structs.replace(row, version=self._eras.version(row.version))
+
+    def _answered_rows(self, rows) -> TableChanges:
+        version = self._eras.version(self._rows.version)
+        return TableChanges(tuple(map(self._answered_row, rows)), version)
+
     def _apply_late(self, transaction) -> None:
         try:
             self._rows.apply(transaction)
