What left before the store came back stays left until it is written anew

What callers would see: after a return from an older copy an endpoint that had said that it leaves, or had gone, is sent requests again for seconds, and so is a zone that was drained: the copy shows them as they were before, and their writers need some seconds to write anew what was lost. Ruled out: versions (the copy's rows are the newest there are). Why it holds: a table that is read first after a return is provisional. A feed whose history is gone again after it read the table waits a little.

--- a/turnward/gateway/feeds.py
+++ b/turnward/gateway/feeds.py
@@ -8,11 +8,13 @@
 import msgspec
 from twisted.internet import defer, task
 
+from turnward.gateway.departures import WRITTEN_AGAIN_S
 from turnward.gateway.overlay import Overlay
 from turnward.gateway.state import FleetState
 from turnward.rows import (
     HistoryGoneError,
     RowStoreError,
+    RowVersion,
     TableChanges,
     VersionedStoreBase,
 )
@@ -248,6 +250,10 @@
         self._answered_s = clock_reactor.seconds()
         self._answered_version = 0
         self._reread = True
+        #: The era of the last answer, and when all that was lost before it is written anew.
+        self._era: int | None = None
+        self._settles_s: float | None = None
+        self._gone_in_a_row = 0
         self._changed = False
         self._stopped = False
         self._running: defer.Deferred | None = None
@@ -270,6 +276,7 @@
             except HistoryGoneError as failure:
                 self._reread = True
                 self._reread_cause = str(failure)
+                await self._pause_where_gone_again()
             except RowStoreError as failure:
                 await self._pause(failure)
             except Exception as failure:
@@ -292,15 +299,16 @@
 
     async def _step(self) -> None:
         newest_s = self._reactor.seconds()
-        if self._reread or self._listener.version == 0 or self._missed_much():
-            table = await self._store.read_table(self._table)
-            self._reread = False
-            self._changed = True
-            self._listener.table_read(table)
-            self._tell_reread(table.version)
+        settles = self._settles_s is not None and newest_s >= self._settles_s
+        if self._reread or self._listener.version == 0 or self._missed_much() or settles:
+            await self._read_table(settles)
         else:
             wait_s = self._pace.wait_s(self._wait_s)
+            if self._settles_s is not None:
+                wait_s = min(wait_s, self._settles_s - newest_s)
             changes = await self._store.changes(self._table, self._listener.version, wait_s)
+            self._gone_in_a_row = 0
+            self._note_era(changes.version)
             self._changed = bool(changes.rows)
             self._listener.rows_changed(changes)
             # The store held the question; its answer is of the moment at which it began to come.
@@ -312,6 +320,31 @@
         if self._on_answer is not None:
             self._on_answer(newest_s)
 
+    async def _read_table(self, settles: bool) -> None:
+        table = await self._store.read_table(self._table)
+        self._note_era(table.version)
+        if settles:
+            self._settles_s = None
+        provisional = self._settles_s is not None
+        self._reread = False
+        self._changed = True
+        self._listener.table_read(msgspec.structs.replace(table, provisional=provisional))
+        self._tell_reread(table.version)
+
+    def _note_era(self, version: int) -> None:
+        """Read the table once more some seconds after the store came back from an older copy."""
+        era = RowVersion(version).era
+        if self._era is not None and era > self._era:
+            self._settles_s = self._reactor.seconds() + WRITTEN_AGAIN_S
+        self._era = era
+
+    async def _pause_where_gone_again(self) -> None:
+        """Wait where reading the table did not help: asked at once, the store has no rest."""
+        self._gone_in_a_row += 1
+        if self._gone_in_a_row > 1:
+            pause_s = _PAUSES_S[min(self._gone_in_a_row - 2, len(_PAUSES_S) - 1)]
+            await task.deferLater(self._reactor, pause_s * self._draw.uniform(0.7, 1.3))
+
     def _tell_reread(self, read_version: int) -> None:
         """Tell of a table that was read again; once, where each reading leaves the same known."""
         cause, self._reread_cause = self._reread_cause, ""
--- a/turnward/gateway/sources.py
+++ b/turnward/gateway/sources.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Takes rows into what a process believes, in whatever form they are written."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from turnward.gateway.configuration import Configuration, EndpointEntry
 from turnward.gateway.feeds import FeedListenerBase
@@ -51,7 +51,8 @@
     def table_read(self, table: TableChanges) -> None:
         """See ``FeedListenerBase.table_read``; orders that are not there have ended."""
         # Before the configuration, with which a router begins to serve.
-        self._state.adopt_standing_orders(self._orders_in(table), table.version, "store")
+        orders = self._orders_in(table)
+        self._state.adopt_standing_orders(orders, table.version, "store", table.provisional)
         self._adopt_configuration(table)
 
     def rows_changed(self, changes: TableChanges) -> None:
@@ -109,20 +110,27 @@
 
     def table_read(self, table: TableChanges) -> None:
         """See ``FeedListenerBase.table_read``."""
-        self._adopt({}, table)
+        self._adopt({}, table, settled=not table.provisional)
 
     def rows_changed(self, changes: TableChanges) -> None:
         """See ``FeedListenerBase.rows_changed``."""
-        self._adopt(dict(self._state.endpoints), changes)
+        written = [row.key.key for row in changes.rows]
+        self._adopt(dict(self._state.endpoints), changes, written)
 
-    def _adopt(self, entries: dict[str, EndpointEntry], changes: TableChanges) -> None:
+    def _adopt(
+        self,
+        entries: dict[str, EndpointEntry],
+        changes: TableChanges,
+        written: Collection[str] = (),
+        settled: bool = False,
+    ) -> None:
         for row in changes.rows:
             entries.pop(row.key.key, None)
             entry = self._read(row)
             if entry is not None:
                 entries[row.key.key] = entry
         snapshot = EndpointsSnapshot.at(changes.version, tuple(entries.values()))
-        self._state.adopt_endpoints(snapshot, "store")
+        self._state.adopt_endpoints(snapshot, "store", written, settled)
 
     def _read(self, row: StoredRow) -> EndpointEntry | None:
         """Return the entry in a row, None when it is gone or can't be read.
--- a/turnward/gateway/state.py
+++ b/turnward/gateway/state.py
@@ -1,11 +1,12 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """What a process believes of configuration and endpoints; neither ever goes back."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import msgspec
 
 from turnward.gateway.configuration import Configuration, EndpointEntry, RouteTable
+from turnward.gateway.departures import Departures
 from turnward.gateway.refused_rows import RefusedRows
 from turnward.gateway.zone_orders import ZoneOrder, ZoneOrders
 from turnward.rows import RowVersion
@@ -70,6 +71,7 @@
         self.endpoints: dict[str, EndpointEntry] = {}
         self.endpoints_version = RowVersion(0)
         self.confirmed_s: float | None = None
+        self._departures = Departures()
         self.zone_orders = ZoneOrders()
         self.zone_orders_known = False
 
@@ -114,9 +116,17 @@
         if self.zone_orders.take_in(orders):
             self._tell("zone_orders", source)
 
-    def adopt_standing_orders(self, orders: Iterable[ZoneOrder], version: int, source: str) -> None:
-        """Take in all orders that stood at a version of the store."""
+    def adopt_standing_orders(
+        self, orders: Iterable[ZoneOrder], version: int, source: str, provisional: bool = False
+    ) -> None:
+        """Take in all orders that stood at a version of the store.
+
+        Those that do not stand had ended, unless the store has just come back from an older copy.
+        """
         self.zone_orders_known = True
+        if provisional:
+            self.adopt_zone_orders(orders, source)
+            return
         if self.zone_orders.take_in_table(orders, version):
             self._tell("zone_orders", source)
 
@@ -131,11 +141,34 @@
         """Return all orders as others are told of them; None while they are not known."""
         return self.zone_orders.all() if self.zone_orders_known else None
 
-    def adopt_endpoints(self, snapshot: EndpointsSnapshot, source: str) -> bool:
-        """Take in all endpoints unless what is known is as new."""
-        if snapshot.as_of <= self.endpoints_version:
+    def adopt_endpoints(
+        self,
+        snapshot: EndpointsSnapshot,
+        source: str,
+        written: Collection[str] = (),
+        settled: bool = False,
+    ) -> bool:
+        """Take in all endpoints unless what is known is as new.
+
+        Parameters
+        ----------
+        written : collection of str
+            Endpoints whose entries have just been written.
+        settled : bool
+            Whether all that the store lost with its last return has been written anew.
+        """
+        known = self.endpoints_version
+        if snapshot.as_of < known or (snapshot.as_of == known and not settled):
             return False
+        now_s = self._clock()
+        if known and snapshot.era > known.era:
+            self._departures.note_return(now_s)
+        if settled:
+            self._departures.note_settled()
         entries = {entry.endpoint_id: self._newer(entry) for entry in snapshot.entries}
+        self._departures.note_written(entries[name] for name in written if name in entries)
+        entries = self._departures.held_over(entries, now_s)
+        self._departures.note(self.endpoints, entries, now_s)
         changed = entries != self.endpoints
         self.endpoints = entries
         self.endpoints_version = snapshot.as_of
--- a/turnward/gateway/tests/return_plays.py
+++ b/turnward/gateway/tests/return_plays.py
@@ -82,7 +82,10 @@
 
     def _write_again(self, lost: dict) -> None:
         for key, row in lost.items():
-            if self.rig.rows.get(key).value != row.value:
+            now = self.rig.rows.get(key)
+            if row.gone and now.version and not now.gone:
+                self.rig.rows.remove(key.table, key.key)
+            elif not row.gone and now.value != row.value:
                 self.rig.rows.put(key.table, key.key, row.value)
 
     def ask_for(self, seconds: float, pause_s: float = 0.1, **fields) -> None:
--- a/turnward/rows/core.py
+++ b/turnward/rows/core.py
@@ -62,11 +62,15 @@
     known_s : float or None
         When the store is known to have answered, by the caller's clock: not later than that. A
         large answer arrives seconds afterwards. None: just now.
+    provisional : bool
+        Whether the store has just come back from an older copy: others have yet to write anew
+        what it lost.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     known_s: float | None = None
+    provisional: bool = False
 
 
 class VersionedStoreBase(ABC):
--- a/turnward/standins/rows.py
+++ b/turnward/standins/rows.py
@@ -76,6 +76,7 @@
         self.version = 0
         self.faults = RowFaults()
         self.writes = 0
+        self.calls = 0
 
     def get(self, key: RowKey) -> StoredRow:
         """Return a row as it is; a missing one has version 0."""
@@ -261,6 +262,7 @@
         self._note_answer()
 
     async def _arrive(self) -> None:
+        self._rows.calls += 1
         arrived = defer.Deferred()
         delay_s = max(self.faults.delay_s, self._rows.faults.delay_s)
         self._reactor.callLater(delay_s, arrived.callback, None)
