Routers write anew what a return of the store may have lost of theirs

What would be seen: a router that started in the lost seconds is no member any more for those that start later, and a request that ends endpoints is sent again once all routers have died. Cause: both rows are written once. Tests that failed first: two of three members in the table; the request reached endpoints after all routers were killed. After: all three; refused. store.returned and turnward_store_returns tell of a return.

--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -77,6 +77,9 @@
             "first_event_seconds", "From head to the first event.", ["pool"]
         )
         self.store_calls = self._counter("store_calls", "Calls to the store.", ["call", "result"])
+        self.store_returns = self._counter(
+            "store_returns", "Times the store came back from an older copy.", []
+        )
         self.lines_left_out = self._counter("log_lines_left_out", "Log lines left out.", [])
 
     def calls_by_kind(self) -> dict[str, int]:
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -246,6 +246,7 @@
         self.callers = InboundFactory(
             reactor, self.forwarder.handle, InboundLimits(), self._note_refused, self._note_fault
         )
+        store.eras.listen(self._store_returned)
         self._feeds = [
             TableFeed(
                 reactor,
@@ -381,6 +382,13 @@
 
         return note
 
+    def _store_returned(self, era: int) -> None:
+        """Write anew what the store may have lost of this router's rows."""
+        self._metrics.store_returns.inc()
+        self._log.belief("store.returned", era=era)
+        self._quarantine_rows.note_return()
+        defer.ensureDeferred(self._announce())
+
     # Start.
 
     def start(self) -> None:
--- a/turnward/gateway/quarantine_rows.py
+++ b/turnward/gateway/quarantine_rows.py
@@ -102,9 +102,17 @@
         concerns = change.content in self._written or (
             change.own and change.verdict is Verdict.SURE
         )
-        if not concerns or change.content in self._pending:
-            return
-        self._pending.append(change.content)
+        if concerns:
+            self._want(change.content)
+
+    def note_return(self) -> None:
+        """Write this router's rows anew: the store may have lost them."""
+        for content in tuple(self._written):
+            self._want(content)
+
+    def _want(self, content: str) -> None:
+        if content not in self._pending:
+            self._pending.append(content)
         if not self._writing:
             self._writing = True
             defer.ensureDeferred(self._write_pending())
--- a/turnward/gateway/tests/test_crashing_requests.py
+++ b/turnward/gateway/tests/test_crashing_requests.py
@@ -249,6 +249,18 @@
     assert play.ask(FATAL).status == 503
 
 
+def test_what_is_held_back_is_written_anew_when_the_store_has_lost_it():
+    play = CrashPlay(gateways=3, endpoints=6, crashing=(FATAL,))
+    copy = play.rig.rows.copy()
+    hold_back(play)
+    assert play.rig.rows.table("quarantine", "")
+    play.rig.rows.go_back(copy, written_again=("configuration", "endpoints"))
+    play.rig.network.advance(3.0)
+    kill_all(play)
+    play.rig.network.advance(0.1)
+    assert play.ask(FATAL).status == 503
+
+
 def test_row_goes_when_the_content_is_answered_and_when_it_is_old():
     play = CrashPlay(gateways=2, endpoints=6, crashing=(FATAL,))
     hold_back(play)
--- a/turnward/gateway/tests/test_store_returns.py
+++ b/turnward/gateway/tests/test_store_returns.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from turnward.gateway.members import MEMBERS_TABLE, decode_member
 from turnward.gateway.tests.return_plays import ReturnPlay
 
 #: Seconds after which an endpoint that leaves must get nothing, as the users bound it.
@@ -105,6 +106,27 @@
     assert len(play.endpoints[0].requests) > before
 
 
+def test_router_that_started_in_the_lost_seconds_is_a_member_after_the_return():
+    play = ReturnPlay(gateways=2)
+    play.ask_for(6.0)
+    play.rig.gateway()
+    play.ask_for(2.0)
+    play.go_back(5.0)
+    play.ask_for(3.0)
+    rows = play.rig.rows.table(MEMBERS_TABLE, "")
+    addresses = {decode_member(row.value).address for row in rows}
+    assert addresses == {gateway.peers_address for gateway in play.rig.gateways}
+
+
+def test_return_is_told_once_by_each_router():
+    play = ReturnPlay(gateways=3)
+    play.ask_for(6.0)
+    play.go_back(5.0)
+    play.ask_for(3.0)
+    for log in play.rig.logs:
+        assert [line["era"] for line in log.of("store.returned")] == [1]
+
+
 @pytest.mark.parametrize("age_s", [0.5, 2.0, 5.0, 10.0])
 def test_calls_to_the_store_over_a_return_stay_few(age_s):
     """A feed was refused and asked again at once, hundreds of times a second."""
