--- a/turnward/events/story.py
+++ b/turnward/events/story.py
@@ -26,6 +26,8 @@
         "endpoint.told_of",
         "store.lost",
         "store.regained",
+        "store.returned",
+        "store.read_again",
         "peer.lost",
         "peer.regained",
         "prepaid.answer_lost",
@@ -37,7 +39,15 @@
     )
 )
 #: Changes of one workspace's tokens; shown where the request's workspace is known.
-TOKENS = frozenset(("prepaid.taken", "prepaid.returned", "prepaid.lent", "prepaid.borrowed"))
+TOKENS = frozenset(
+    (
+        "prepaid.taken",
+        "prepaid.returned",
+        "prepaid.lent",
+        "prepaid.borrowed",
+        "prepaid.restored",
+    )
+)
 #: What tells why a content is held back; shown of all processes, since all of them hold it back.
 CONTENTS = frozenset(("attempt.failed", "content.held", "content.tried", "content.cleared"))
 
--- a/turnward/gateway/tests/return_plays.py
+++ b/turnward/gateway/tests/return_plays.py
@@ -83,6 +83,8 @@
     def _write_again(self, lost: dict) -> None:
         for key, row in lost.items():
             now = self.rig.rows.get(key)
+            if now.version > self.rig.rows.returned_at:
+                continue
             if row.gone and now.version and not now.gone:
                 self.rig.rows.remove(key.table, key.key)
             elif not row.gone and now.value != row.value:
--- a/turnward/standins/rows.py
+++ b/turnward/standins/rows.py
@@ -63,6 +63,8 @@
         Rises by one each time that the rows go back to a copy.
     version : int
         The newest version; after a return numbers are given out again.
+    returned_at : int
+        The version of the copy that they last went back to; 0 before any return.
     """
 
     def __init__(self, clock, seed: int = 0):
@@ -74,6 +76,7 @@
         self._waiting: list[defer.Deferred] = []
         self.era = 0
         self.version = 0
+        self.returned_at = 0
         self.faults = RowFaults()
         self.writes = 0
         self.calls = 0
@@ -112,7 +115,7 @@
         self._rows = dict(copy.rows)
         self._history = list(copy.history)
         self._history_from = copy.history_from
-        self.version = copy.version
+        self.version = self.returned_at = copy.version
         self.era += 1
         for key, row in lost.items():
             if key.table in written_again and self.get(key) != row:
