A router that starts during a return ends no order that only the copy lacks

What was seen, soak with 8 gateways: requests reach engines of a zone that operators want drained, for a second. Traced by its lines: a gateway that started while the store was away knew the order by its peers; the first table that it read, of a copy from before the order, did not hold it, so it took the order for ended and told all others. Why it holds: a table read while something is believed from an earlier era is provisional at any router, and is read once more when all has been written anew.

--- a/turnward/gateway/feeds.py
+++ b/turnward/gateway/feeds.py
@@ -79,6 +79,10 @@
     def version(self) -> int:
         """The store's version known; 0 asks for the whole table."""
 
+    def knows_before(self, version: int) -> bool:
+        """Tell whether something is believed here that was said in an earlier era of the store."""
+        return False
+
     @abstractmethod
     def table_read(self, table: TableChanges) -> None:
         """Take in the whole table."""
@@ -311,6 +315,7 @@
             self._note_era(changes.version)
             self._changed = bool(changes.rows)
             self._listener.rows_changed(changes)
+            self._note_older(changes.version)
             # The store held the question; its answer is of the moment at which it began to come.
             # A router that counted from the end took a version for the newest that was seconds
             # old, and answered 404 for routes which had been added since.
@@ -325,6 +330,8 @@
         self._note_era(table.version)
         if settles:
             self._settles_s = None
+        else:
+            self._note_older(table.version)
         provisional = self._settles_s is not None
         self._reread = False
         self._changed = True
@@ -338,6 +345,11 @@
             self._settles_s = self._reactor.seconds() + WRITTEN_AGAIN_S
         self._era = era
 
+    def _note_older(self, version: int) -> None:
+        """Read the table once more later where peers told of what was said in an earlier era."""
+        if self._settles_s is None and self._listener.knows_before(version):
+            self._settles_s = self._reactor.seconds() + WRITTEN_AGAIN_S
+
     async def _pause_where_gone_again(self) -> None:
         """Wait where reading the table did not help: asked at once, the store has no rest."""
         self._gone_in_a_row += 1
--- a/turnward/gateway/sources.py
+++ b/turnward/gateway/sources.py
@@ -10,7 +10,7 @@
 from turnward.gateway.refused_rows import UNREADABLE, RefusedRows
 from turnward.gateway.state import EndpointsSnapshot, FleetState
 from turnward.gateway.zone_orders import ZoneOrder
-from turnward.rows import StoredRow, TableChanges
+from turnward.rows import RowVersion, StoredRow, TableChanges
 
 __all__ = ["ConfigurationListener", "EndpointsListener", "MembersListener"]
 
@@ -48,6 +48,10 @@
         """See ``FeedListenerBase.version``; what others told need not be asked for again."""
         return max(self._version, self._state.row_version)
 
+    def knows_before(self, version: int) -> bool:
+        """See ``FeedListenerBase.knows_before``."""
+        return self._state.zone_orders.stand_from_before(RowVersion(version).era)
+
     def table_read(self, table: TableChanges) -> None:
         """See ``FeedListenerBase.table_read``; orders that are not there have ended."""
         # Before the configuration, with which a router begins to serve.
@@ -108,6 +112,11 @@
         """See ``FeedListenerBase.version``."""
         return self._state.endpoints_version
 
+    def knows_before(self, version: int) -> bool:
+        """See ``FeedListenerBase.knows_before``."""
+        known = self._state.endpoints_version
+        return known > 0 and known.era < RowVersion(version).era
+
     def table_read(self, table: TableChanges) -> None:
         """See ``FeedListenerBase.table_read``."""
         self._adopt({}, table, settled=not table.provisional)
--- a/turnward/gateway/tests/test_store_returns.py
+++ b/turnward/gateway/tests/test_store_returns.py
@@ -93,6 +93,22 @@
     assert len(north[0].requests) > before[0]
 
 
+def test_router_that_starts_while_the_store_is_away_ends_no_order():
+    """It knew the order by its peers, and took the first table that it read for all there is."""
+    play = ReturnPlay(gateways=3)
+    play.rig.announce(play.endpoints[0], zone="north")
+    play.ask_for(6.0)
+    play.rig.rows.put("configuration", "drained/north", b"{}")
+    play.ask_for(2.0)
+    north = play.endpoints[0]
+    before = len(north.requests)
+    play.rig.network.clock.callLater(0.3, play.rig.gateway)
+    play.go_back(5.0, away_s=1.5, written_again_s=2.0)
+    play.ask_for(5.0)
+    assert play.rig.gateways[3].ready
+    assert len(north.requests) == before
+
+
 def test_order_that_the_store_lost_for_good_ends_some_seconds_after_the_return():
     play = ReturnPlay(gateways=3)
     play.rig.announce(play.endpoints[0], zone="north")
--- a/turnward/gateway/zone_orders.py
+++ b/turnward/gateway/zone_orders.py
@@ -92,6 +92,10 @@
         ]
         return self.take_in([*standing, *ended])
 
+    def stand_from_before(self, era: int) -> bool:
+        """Tell whether an order stands that was given before an era of the store."""
+        return any(order.drained and order.era < era for order in self._by_zone.values())
+
     def all(self) -> tuple[ZoneOrder, ...]:
         """Return the last word on each zone."""
         return tuple(self._by_zone.values())
