Schedules of returns over the accounts: what they found is closed

Random schedules of calls that are refused, lost or late, deaths, loans, copies and returns, over the accounts of two routers. Causes, each closed: a write whose lost answer was resolved was not told to others; a router that started after a return took the copy's row, or its absence, for all there is; one that had no answer of the store yet passed nothing on; a late write of the era before made a row look later than what others knew, since its number was given out in the new era. Rows name the version before them now, and it is that which is compared.

--- a/turnward/gateway/account_news.py
+++ b/turnward/gateway/account_news.py
@@ -17,7 +17,7 @@
 
 #: Seconds for which a write is told: several rounds of messages, some of which may be lost.
 _NEWS_S = 1.0
-#: Seconds after a return of the store for which all that is known is told, to those that start.
+#: Seconds for which all that is known is told, after a return of the store or a router's start.
 _RETOLD_S = 2.0
 #: Most rows in one message, which bounds its size.
 _TOLD_LIMIT = 32
@@ -88,6 +88,7 @@
         self._eras = eras
         self._known: OrderedDict[str, _Known] = OrderedDict()
         self._retold_until_s = 0.0
+        self._heard = False
 
     def latest(self, workspace: str) -> TakenTokens | None:
         """Return what the latest known row of a workspace says; None when none is known."""
@@ -114,19 +115,20 @@
         self.note_seen(workspace, version, tokens)
         self._known[workspace].written_s = self._clock()
 
-    def note_return(self) -> None:
-        """Note that the store came back from an older copy."""
+    def tell_all(self) -> None:
+        """Tell all that is known for a while: the store came back, or a router has started."""
         self._retold_until_s = self._clock() + _RETOLD_S
 
     def take_in(self, told: Iterable[ToldAccount]) -> None:
         """Take in what another router tells."""
         for one in told:
+            self._heard = True
             version = RowVersion.of(one.era, one.number)
             self._learn(one.workspace, TakenTokens(version, one.taken_tokens))
 
     def told(self) -> tuple[ToldAccount, ...]:
         """Return what others are told, the latest first."""
-        if self._eras.known is None:
+        if self._eras.known is None and not self._heard:
             return ()
         now_s = self._clock()
         retold = now_s < self._retold_until_s
--- a/turnward/gateway/accounts.py
+++ b/turnward/gateway/accounts.py
@@ -10,6 +10,7 @@
     "ROW_NAME",
     "TABLE",
     "AccountRow",
+    "as_successor",
     "change_grant",
     "decode_account",
     "encode_account",
@@ -40,6 +41,8 @@
     era : int or None
         Of the store, in which the row was written; None where the store names none, or by a build
         that knows none.
+    prior_era, prior_number : int
+        Version of the row that this one was written in place of.
     base_era, base_number, base_tokens : int
         Version of the row of an earlier era that this one goes on from, and what was taken as of
         then.
@@ -53,11 +56,18 @@
     ended_tokens: int = 0
     granted_tokens: dict[str, int] = {}
     era: int | None = None
+    prior_era: int = 0
+    prior_number: int = 0
     base_era: int = 0
     base_number: int = 0
     base_tokens: int = 0
     unattributed_tokens: int = 0
 
+    @property
+    def prior(self) -> RowVersion:
+        """Version of the row that this one was written in place of."""
+        return RowVersion.of(self.prior_era, self.prior_number)
+
     @property
     def base(self) -> RowVersion:
         """Version of the row of an earlier era that this one goes on from."""
@@ -144,9 +154,16 @@
     )
 
 
+def as_successor(account: AccountRow, version: int, era: int | None) -> AccountRow:
+    """Return a row as it is written in an era, in place of the row with a version."""
+    version = RowVersion(version)
+    return msgspec.structs.replace(
+        account, era=era, prior_era=version.era, prior_number=version.number
+    )
+
+
 def restore_account(
     account: AccountRow,
-    version: RowVersion,
     era: int,
     incarnation: str,
     held_tokens: int,
@@ -161,8 +178,6 @@
     ----------
     account : AccountRow
         The row as it stands.
-    version : RowVersion
-        Of that row.
     held_tokens : int
         What this incarnation holds.
     known : TakenTokens or None
@@ -170,20 +185,20 @@
 
     Examples
     --------
-    >>> copy = AccountRow(limit_tokens=100, granted_tokens={"a": 10, "b": 10}, era=1)
+    >>> copy = AccountRow(100, granted_tokens={"a": 10, "b": 10}, era=1, prior_era=1)
     >>> known = TakenTokens(RowVersion.of(1, 9), 60)
-    >>> first = restore_account(copy, RowVersion.of(2, 5), 2, "a", 25, known)
+    >>> first = restore_account(copy, 2, "a", 25, known)
     >>> first.granted_tokens, first.unattributed_tokens, taken_tokens(first)
     ({'a': 25, 'b': 10}, 25, 60)
-    >>> second = restore_account(first, RowVersion.of(2, 6), 2, "b", 35, None)
+    >>> second = restore_account(first, 2, "b", 35, None)
     >>> second.granted_tokens, second.unattributed_tokens
     ({'a': 25, 'b': 35}, 0)
     """
-    version = RowVersion(version)
     unattributed = account.unattributed_tokens
     if account.era != era:
-        # Nobody has acted on the return so far: the row is the copy's, of the era it names.
-        base = RowVersion.of(account.era or 0, version.number)
+        # Nobody has acted on the return so far. Of the row's own version only the number is known:
+        # a late write may have put it there since. What is known of the row itself changes nothing.
+        base = account.prior
         unattributed = max(0, unattributed)
         tokens = taken_tokens(account)
     else:
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -277,6 +277,11 @@
 
     def _hear_digest(self, digest: Digest) -> None:
         known = self._book.knows(digest.address)
+        before = self._book.get(digest.address)
+        starts = before is None or before.digest is None
+        if starts or before.digest.incarnation != digest.incarnation:
+            # It can't know what rows said that the store may have lost.
+            self._accounts.news.tell_all()
         peer = self._book.hear(digest)
         if peer is None:
             return
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -23,6 +23,7 @@
     ROW_NAME,
     TABLE,
     AccountRow,
+    as_successor,
     change_grant,
     decode_account,
     encode_account,
@@ -746,7 +747,7 @@
         """
         if not self._restorer.is_current(account):
             return False
-        wanted = self._changed_grant(account.row, delta_tokens)
+        wanted = self._changed_grant(account.row, delta_tokens, account.version)
         key = RowKey(TABLE, workspace, ROW_NAME)
         change = RowChange(key, encode_account(wanted), account.version)
         try:
@@ -766,15 +767,19 @@
             account.unfolded = None
         account.row = wanted
         account.version = version
-        self.news.note_written(workspace, version, taken_tokens(wanted))
-        self.on_written()
+        self._tell_written(workspace, version, wanted)
         self._observe(workspace, account)
         return True
 
-    def _changed_grant(self, row: AccountRow, delta_tokens: int) -> AccountRow:
-        """Return a row with the own grant changed, as it is written in the store's present era."""
+    def _tell_written(self, workspace: str, version: int, row: AccountRow) -> None:
+        """Let the other routers know what a row says of which the store alone knows so far."""
+        self.news.note_written(workspace, version, taken_tokens(row))
+        self.on_written()
+
+    def _changed_grant(self, row: AccountRow, delta_tokens: int, version: int) -> AccountRow:
+        """Return a row with the own grant changed, to be written in place of one with a version."""
         changed = change_grant(row, self._incarnation, delta_tokens)
-        return msgspec.structs.replace(changed, era=self._store.eras.known)
+        return as_successor(changed, version, self._store.eras.known)
 
     def _log_fold(self, workspace: str, row: AccountRow, folded: AccountRow) -> None:
         held = sum(row.granted_tokens.values()) - sum(folded.granted_tokens.values())
@@ -804,7 +809,7 @@
         row = await self._store.read_row(RowKey(TABLE, workspace, ROW_NAME))
         stored = decode_account(row)
         if row.version == account.version:
-            unchanged = self._changed_grant(stored, 0)
+            unchanged = self._changed_grant(stored, 0, row.version)
             change = RowChange(row.key, encode_account(unchanged), row.version)
             with contextlib.suppress(VersionConflictError):
                 await self._store.transact(VersionedTransaction((change,)))
@@ -820,6 +825,7 @@
         elif not took_effect and delta_tokens < 0:
             self.ledger.add(workspace, -delta_tokens)
         self._take_in(workspace, account, row)
+        self._tell_written(workspace, row.version, stored)
         self._log.event(
             "prepaid.resolved", workspace=workspace, tokens=delta_tokens, took_effect=took_effect
         )
--- a/turnward/gateway/restoring.py
+++ b/turnward/gateway/restoring.py
@@ -12,6 +12,7 @@
     ROW_NAME,
     TABLE,
     AccountRow,
+    as_successor,
     decode_account,
     encode_account,
     restore_account,
@@ -72,15 +73,17 @@
         self._news = news
         self._log = log
         self._returned = False
+        self._waited = False
         self._waits_until_s = 0.0
         store.eras.listen(self._note_return)
 
     def _note_return(self, era: int) -> None:
         self._returned = True
         self._wait_for_word()
-        self._news.note_return()
+        self._news.tell_all()
 
     def _wait_for_word(self) -> None:
+        self._waited = True
         self._waits_until_s = self._reactor.seconds() + _WORD_S
 
     @property
@@ -101,7 +104,7 @@
         """Tell whether a row has to be brought in line."""
         if not self._returned or self.is_current(account):
             return False
-        known = self._news.latest(account.workspace)
+        known = self._news.latest_before(account.workspace, self._store.eras.current)
         return known is not None or self._held_tokens(account) != 0
 
     def note_row(self, account: WorkspaceAccount, stored: AccountRow, row: StoredRow) -> None:
@@ -140,11 +143,10 @@
                 return None
             if wanted == stored:
                 return self._in_line(account, row)
-            change = RowChange(
-                key,
-                encode_account(with_limit(wanted, *account.limit)),
-                0 if row.gone else row.version,
-            )
+            expected = 0 if row.gone else row.version
+            wanted = as_successor(wanted, expected, wanted.era)
+            value = encode_account(with_limit(wanted, *account.limit))
+            change = RowChange(key, value, expected)
             try:
                 version = await self._store.transact(VersionedTransaction((change,)))
             except VersionConflictError as conflict:
@@ -160,30 +162,34 @@
     ) -> AccountRow | None:
         """Return what a row has to say; None while others may be about to say it."""
         era = self._store.eras.known
-        held = self._held_tokens(account)
-        claimed = stored.granted_tokens.get(self._incarnation, 0)
-        if (
-            not self._returned
-            and claimed >= held
-            and (not row.version or stored.era in (None, era))
-        ):
-            # Nothing was lost since this process began; builds that know no eras write none.
+        if era is None:
             return stored
+        held = self._held_tokens(account)
         known = self._news.latest(account.workspace)
-        if not row.version and not held and known is None:
+        if self._is_untouched(account, stored, row, held):
             return stored
-        if stored.era != era and not self._returned:
-            # It started after a return that nobody has acted on so far.
-            self._returned = True
+        if row.version and stored.era == era:
+            known = self._news.latest_before(account.workspace, era)
+            return restore_account(stored, era, self._incarnation, held, known)
+        # Nobody has acted on this row in this era, so far as it says.
+        if not self._waited:
             self._wait_for_word()
-        if stored.era != era and self.waits_for_s > 0 and not held:
+        if self.waits_for_s > 0 and not held:
             # Those that hold something know more.
             return None
-        if era is None:
+        if not row.version and not held and known is None:
             return stored
-        if stored.era == era:
-            known = self._news.latest_before(account.workspace, era)
-        return restore_account(stored, row.version, era, self._incarnation, held, known)
+        return restore_account(stored, era, self._incarnation, held, known)
+
+    def _is_untouched(
+        self, account: WorkspaceAccount, stored: AccountRow, row: StoredRow, held: int
+    ) -> bool:
+        """Tell whether nothing is known to be lost of a row; builds without eras name none."""
+        era = self._store.eras.known
+        lost = self._news.latest_before(account.workspace, era) is not None
+        claimed = stored.granted_tokens.get(self._incarnation, 0) >= held
+        fits = bool(row.version) and stored.era in (None, era)
+        return fits and claimed and not lost and not self._returned
 
     def _in_line(self, account: WorkspaceAccount, row: StoredRow) -> StoredRow:
         account.era = self._store.eras.current
