The first request of a workspace waits for no word of other routers

Why it holds: where nobody has told of the row and no return was seen, nothing is known to be lost; a router that starts is told by the others what rows said.

--- a/turnward/gateway/restoring.py
+++ b/turnward/gateway/restoring.py
@@ -171,13 +171,17 @@
         if row.version and stored.era == era:
             known = self._news.latest_before(account.workspace, era)
             return restore_account(stored, era, self._incarnation, held, known)
+        unknown = not row.version and not held and known is None
+        if unknown and not self._returned:
+            # The first request of a workspace waits for nobody; who knew the row would have told.
+            return stored
         # Nobody has acted on this row in this era, so far as it says.
         if not self._waited:
             self._wait_for_word()
         if self.waits_for_s > 0 and not held:
             # Those that hold something know more.
             return None
-        if not row.version and not held and known is None:
+        if unknown:
             return stored
         return restore_account(stored, era, self._incarnation, held, known)
 
