--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -1,10 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Chooses an endpoint for a request, by load and cached prompt parts.
 
-The cost of an engine is the time until it has processed a new prompt: its backlog, and the parts of
-this prompt that it has not cached. Shared parts weigh more than the time they take, so that few
-engines process the same part. For a part that this router has not sent yet, rendezvous hashing
-gives the preferred endpoint, which all routers agree on.
+The costs of engines are those of ``engine_costs``; a plain service costs its running requests.
 """
 
 import math
@@ -19,38 +16,23 @@
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.endpoint_feedback import parse_feedback
 from turnward.gateway.endpoint_record import EndpointRecord
-from turnward.gateway.engine_speed import EventGaps, SpeedClass, next_speed_class, usual_gaps
+from turnward.gateway.engine_costs import COST_OF_QUEUED_MS, ChoiceRule, EngineCosts
+from turnward.gateway.engine_speed import EventGaps, next_speed_class, usual_gaps
 from turnward.gateway.outcomes import Reason
 from turnward.gateway.peer_book import EndpointLoad
+from turnward.gateway.prompt_lanes import PromptLanesBase
 from turnward.gateway.prompts import Prompt
 from turnward.gateway.rate_limits import RateLimits
+from turnward.gateway.service_rates import ServiceRatesBase
 from turnward.gateway.warm_up import WarmUp, WarmUpShares
-from turnward.hashing import rendezvous_weight
 from turnward.http1 import HeaderList, header_values
 
 __all__ = ["ChoiceRule", "EndpointBook", "EndpointChoice", "PoolShortage"]
 
-#: Prompt processing speed assumed for engines.
-_PREFILL_TOKENS_PER_MS = 50.0
-#: Cost of each request that an endpoint is already running.
-_COST_OF_RUNNING_MS = 1.5
-#: Cost of each request beyond an endpoint's slots.
-_COST_OF_QUEUED_MS = 60.0
 #: Range of the random addition that breaks ties between similar costs.
 _TIE_MS = 0.5
-#: Share of a prompt's shared parts that its preferred endpoint is assumed to have cached.
-_PREFERRED_CACHED_SHARE = 1.0
-#: Prompts of at least this size are long. Engines process prompts in chunks of about 2,000 tokens
-#: between the tokens of other streams, so a longer prompt delays several events in a row.
-_LONG_PROMPT_TOKENS = 4_000
-#: Cost of a long prompt on a slower engine, where it would hold up all streams for too long.
-_COST_OF_LONG_ON_SLOWER_MS = 800.0
-#: Cost of a short prompt on an engine of usual speed, which also processes long prompts.
-_COST_OF_SHORT_BESIDE_LONG_MS = 30.0
 #: Time between two classifications of the engines; peers report their measurements as often.
 _CLASSIFY_INTERVAL_S = 0.25
-#: Cost of any prompt on a very slow engine.
-_COST_OF_VERY_SLOW_MS = 200.0
 #: Number and share of a pool's entries that must be missing at once to count as lapsed because of
 #: the store; releases and scaling remove entries one by one.
 _MIN_LAPSED = 2
@@ -63,32 +45,6 @@
 _MAX_REMOVED = 1_000
 
 
-class ChoiceRule(msgspec.Struct, frozen=True):
-    """Which criteria the choice of an endpoint uses, and their weights.
-
-    Attributes
-    ----------
-    preferred_endpoints : int
-        Number of preferred endpoints of a prompt part; 0 for none.
-    reread_weight : float
-        Factor on the cost of processing a shared part where it is not cached. Doing so delays
-        all requests there and leaves a cached copy elsewhere unused.
-    zone_cost_ms : float
-        Cost of an endpoint in another zone.
-    rests : bool
-        Whether endpoints that fail are avoided for a while.
-    weighs_pace : bool
-        Whether long prompts avoid engines that are slower than most, and short prompts prefer
-        them.
-    """
-
-    preferred_endpoints: int = 1
-    reread_weight: float = 6.0
-    zone_cost_ms: float = 2.0
-    rests: bool = True
-    weighs_pace: bool = True
-
-
 class EndpointChoice(msgspec.Struct, frozen=True):
     """The chosen endpoint.
 
@@ -170,6 +126,15 @@
         Header names of endpoints' feedback.
     limits : RateLimits, optional
         This router's shares of the endpoints' rate limits; without it they are ignored.
+    rates : ServiceRatesBase, optional
+        Service rates of engines; by default, all engines are assumed to be equally fast.
+    lanes : PromptLanesBase, optional
+        Division of a pool between long and short prompts; none by default.
+
+    Attributes
+    ----------
+    costs : EngineCosts
+        Costs of prompts at engines.
     """
 
     def __init__(
@@ -184,10 +149,12 @@
         shares: WarmUpShares | None = None,
         dialect: Dialect | None = None,
         limits: RateLimits | None = None,
+        rates: ServiceRatesBase | None = None,
+        lanes: PromptLanesBase | None = None,
     ):
         self._rule = rule or ChoiceRule()
+        self.costs = EngineCosts(self._rule, zone, rates, lanes)
         self._rng = rng
-        self._zone = zone
         self._clock = clock
         self._make_pool = make_pool
         self._peer_loads = peer_loads
@@ -471,7 +438,8 @@
         chosen = EndpointChoice(record, round(cost_ms, 1), len(candidates), cached)
         if traits is None:
             return chosen
-        queue_ms = _queue_ms(record, loads.get(record.incarnation))
+        self.costs.lanes.note_prompt(pool, max(0, prompt.tokens - cached), now_s)
+        queue_ms = self.costs.queue_ms(record, loads.get(record.incarnation))
         return msgspec.structs.replace(chosen, queue_ms=round(queue_ms, 1))
 
     def shortest_queue_ms(self, pool: str) -> float:
@@ -482,24 +450,20 @@
         loads = self._peer_loads()
         candidates = self._candidates(pool, set())
         return min(
-            (_queue_ms(record, loads.get(record.incarnation)) for record in candidates), default=0.0
+            (self.costs.queue_ms(record, loads.get(record.incarnation)) for record in candidates),
+            default=0.0,
         )
 
     def _engine_costs(self, pool, prompt: Prompt, candidates, loads, now_s, pause_target_s):
         """Return the cost of each candidate engine with its record."""
-        if self._rule.weighs_pace and pause_target_s is not None:
-            self._classify(pool, loads, now_s, pause_target_s * 1_000)
-        preferred_ids = _preferred_ids(
-            prompt, _preferable(prompt, candidates), self._rule.preferred_endpoints
-        )
-        return [
-            (
-                self._engine_cost_ms(record, prompt, loads, preferred_ids, now_s)
-                + _speed_cost_ms(prompt, record.speed_class),
-                record,
-            )
-            for record in candidates
-        ]
+        records = self._by_pool[pool]
+        self.costs.rates.refresh(pool, records, loads, now_s)
+        if pause_target_s is not None:
+            pause_target_ms = pause_target_s * 1_000
+            if self._rule.weighs_pace:
+                self._classify(pool, loads, now_s, pause_target_ms)
+            self.costs.lanes.refresh(pool, records, loads, pause_target_ms, now_s)
+        return self.costs.costs_ms(prompt, candidates, loads, now_s)
 
     def _classify(self, pool: str, loads, now_s: float, pause_target_ms: float) -> None:
         """Update the engines' speed classes from own streams and the reports of peers."""
@@ -532,28 +496,8 @@
         load = loads.get(record.incarnation)
         running = record.in_flight + (load.requests if load is not None else 0)
         waiting = max(0, running + 1 - record.entry.slots)
-        cost_ms = running + waiting * _COST_OF_QUEUED_MS / max(1, record.entry.slots)
-        return cost_ms + self._zone_cost_ms(record)
-
-    def _engine_cost_ms(self, record, prompt: Prompt, loads, preferred_ids, now_s: float) -> float:
-        load = loads.get(record.incarnation)
-        running = record.in_flight
-        backlog = record.prefill_tokens
-        if load is not None:
-            running += load.requests
-            backlog += load.prefill_tokens
-        cached = record.cached_tokens(prompt, now_s)
-        if record.endpoint_id in preferred_ids:
-            cached = max(cached, int(_PREFERRED_CACHED_SHARE * prompt.shared_tokens))
-        uncached = max(0, prompt.tokens - cached)
-        uncached_shared = max(0, prompt.shared_tokens - cached)
-        weighted = uncached + (self._rule.reread_weight - 1.0) * uncached_shared
-        cost_ms = (backlog + weighted) / _PREFILL_TOKENS_PER_MS + running * _COST_OF_RUNNING_MS
-        over = max(0, running + 1 - record.entry.slots)
-        return cost_ms + over * _COST_OF_QUEUED_MS + self._zone_cost_ms(record)
-
-    def _zone_cost_ms(self, record: EndpointRecord) -> float:
-        return 0.0 if record.entry.zone == self._zone else self._rule.zone_cost_ms
+        cost_ms = running + waiting * COST_OF_QUEUED_MS / max(1, record.entry.slots)
+        return cost_ms + self.costs.zone_cost_ms(record)
 
 
 def _load_of(record: EndpointRecord, now_s: float) -> EndpointLoad:
@@ -567,40 +511,5 @@
     )
 
 
-def _queue_ms(record: EndpointRecord, load: EndpointLoad | None) -> float:
-    """Return how long an engine will process the prompts queued by this router and its peers."""
-    backlog = record.prefill_tokens + (load.prefill_tokens if load is not None else 0)
-    running = record.in_flight + (load.requests if load is not None else 0)
-    over = max(0, running + 1 - record.entry.slots)
-    return backlog / _PREFILL_TOKENS_PER_MS + over * _COST_OF_QUEUED_MS
-
-
-def _preferable(prompt: Prompt, candidates: list[EndpointRecord]) -> list[EndpointRecord]:
-    """Return the candidates that may be preferred endpoints of a prompt."""
-    if prompt.tokens < _LONG_PROMPT_TOKENS:
-        return candidates
-    usual = [record for record in candidates if record.speed_class is SpeedClass.USUAL]
-    return usual or candidates
-
-
-def _speed_cost_ms(prompt: Prompt, speed_class: SpeedClass) -> float:
-    """Return what the speed class of an engine adds to the cost of a prompt."""
-    if speed_class is SpeedClass.CRAWLING:
-        return _COST_OF_VERY_SLOW_MS
-    if prompt.tokens >= _LONG_PROMPT_TOKENS:
-        return _COST_OF_LONG_ON_SLOWER_MS if speed_class is SpeedClass.SLOWER else 0.0
-    return _COST_OF_SHORT_BESIDE_LONG_MS if speed_class is SpeedClass.USUAL else 0.0
-
-
 def _ignore_change(record: EndpointRecord, *details) -> None:
     """Do nothing; the default callback for changes."""
-
-
-def _preferred_ids(prompt: Prompt, candidates: list[EndpointRecord], count: int) -> set[str]:
-    """Return the ids of the preferred endpoints of a prompt's last shared part."""
-    if len(prompt.parts) < 2:
-        return set()
-    key = str(prompt.parts[-2].prefix_hash)
-    ids = [record.endpoint_id for record in candidates]
-    ids.sort(key=lambda endpoint_id: rendezvous_weight(key, endpoint_id), reverse=True)
-    return set(ids[:count])
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -42,6 +42,7 @@
 from turnward.gateway.spending import SpendBound, SpendBoundRule, SpendReports, spend_bound_for
 from turnward.gateway.workspace_account import WaitingRequest, WorkspaceAccount
 from turnward.ledger import BudgetView, GrantLedger, GrantRequest, Reservation, SizingRule
+from turnward.pacing import TokenPacerBase, Unpaced
 from turnward.rows import (
     RowChange,
     RowKey,
@@ -118,6 +119,8 @@
         Whether spending is reported for a successor.
     holders : HoldersBase, optional
         Which routers hold a workspace's tokens; the size of their grants depends on their number.
+    pacer : TokenPacerBase, optional
+        Decides which requests get a workspace's tokens while these run short; all by default.
 
     Attributes
     ----------
@@ -144,8 +147,10 @@
         withheld_share_per_priority: float = WITHHELD_SHARE_PER_PRIORITY,
         reports: bool = True,
         holders: HoldersBase | None = None,
+        pacer: TokenPacerBase | None = None,
     ):
         self._reactor = reactor
+        self._pacer = pacer or Unpaced()
         self._store = store
         self._node = node
         self._incarnation = incarnation
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -10,11 +10,12 @@
 from twisted.internet import defer, task
 
 from turnward.admission import AdmissionRule
-from turnward.gateway.choice import ChoiceRule, EndpointBook
+from turnward.gateway.choice import EndpointBook
 from turnward.gateway.configuration import WarmUpTraits
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.end_reserve import EndReserveRule
 from turnward.gateway.endpoint_reporter import EndpointReporter
+from turnward.gateway.engine_costs import ChoiceRule
 from turnward.gateway.feeds import (
     FeedListenerBase,
     FleetPollSchedule,
@@ -35,9 +36,11 @@
 from turnward.gateway.peer_book import DIGEST_LAYOUT, Digest, PeerBook
 from turnward.gateway.peers import PeerSynchronizer
 from turnward.gateway.prepaid import WITHHELD_SHARE_PER_PRIORITY, PrepaidAccounts
+from turnward.gateway.prompt_lanes import make_prompt_lanes
 from turnward.gateway.quarantine_rows import QuarantineRows
 from turnward.gateway.rate_limits import RateLimits
 from turnward.gateway.retries import RetryBudgetRule
+from turnward.gateway.service_rates import make_service_rates
 from turnward.gateway.settings import GatewaySettings
 from turnward.gateway.state import FleetState
 from turnward.gateway.table_listeners import MembersListener
@@ -50,6 +53,7 @@
     OutboundPool,
 )
 from turnward.ledger import SizingRule
+from turnward.pacing import make_token_pacer
 from turnward.quarantine import Quarantine, QuarantineChange, QuarantineRule
 from turnward.rows import (
     RowChange,
@@ -184,6 +188,7 @@
         self._add_seeds()
         ranks = MemberRanks(self.book)
         self._limits = RateLimits(reactor.seconds, ranks, self.incarnation)
+        rates = make_service_rates(settings.load_controls)
         self.endpoints = EndpointBook(
             settings.zone,
             reactor.seconds,
@@ -195,6 +200,8 @@
             WarmUpShares(ranks),
             dialect,
             self._limits,
+            rates,
+            make_prompt_lanes(settings.load_controls, rates),
         )
         reporter = EndpointReporter(
             reactor.seconds, self.state, self.endpoints, dialect, metrics, log
@@ -219,6 +226,7 @@
             else 0.0,
             reports=settings.mechanisms.spend_reports,
             holders=self.holders,
+            pacer=make_token_pacer(settings.load_controls.token_pacing, reactor.seconds),
         )
         self.quarantine = Quarantine(
             reactor.seconds,
--- a/turnward/gateway/settings.py
+++ b/turnward/gateway/settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from turnward.gateway.holders import HOLDERS_PER_WORKSPACE
+from turnward.gateway.load_controls import LoadControls
 from turnward.gateway.mechanisms import Mechanisms
 from turnward.settings import SettingsError, convert_checked, parse_address, read_toml
 
@@ -38,6 +39,8 @@
     budget_holders : int
         Number of routers that hold a workspace's prepaid tokens; other routers request tokens
         from them.
+    load_controls : LoadControls
+        Switches of the controls for heavy or uneven load.
     mechanisms : Mechanisms
         Switches for experiments.
     """
@@ -63,6 +66,7 @@
     endpoint_heartbeat_ms: float = 1_200.0
     budget_reserve_share: float = 0.0
     budget_holders: int = HOLDERS_PER_WORKSPACE
+    load_controls: LoadControls = LoadControls()
     mechanisms: Mechanisms = Mechanisms()
 
     def faults(self) -> list[str]:
--- /dev/null
+++ b/turnward/pacing/tests/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests of this package."""
