Measure the service rate of each engine and place prompts by it

Cause: each router took engines for usual, slower or crawling by its own streams and the largest gap that any peer told.

Change: with load_controls.service_rates, off by default, routers report sums over undisturbed event gaps that add up, compare each engine with the pool's median and learn the pool's prompt speed from first events. Costs, queues and admission are times at that engine; speed classes are off.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -53,9 +53,11 @@
         self._buffered_bytes = 0
         self._splitter = EventSplitter() if owner.streams else None
         self._prefill_tokens = 0
+        self._certain_prefill_tokens = 0
         self._in_load = False
         self._opening = False
         self._event_s: float | None = None
+        self._paused_since_event = False
         self.record = record
         self.method = owner.method
         self.response_id = (owner.forwarder.dialect.request_id, owner.request_id)
@@ -71,6 +73,8 @@
         record = self.record
         cached_tokens = record.cached_tokens(owner.prompt, now_s)
         self._prefill_tokens = max(0, owner.prompt.tokens - cached_tokens)
+        endpoints = owner.forwarder.endpoints
+        self._certain_prefill_tokens = endpoints.certain_prefill_tokens(record, owner.prompt)
         record.in_flight += 1
         record.opening += 1
         self._opening = True
@@ -92,6 +96,7 @@
 
     def pause(self) -> None:
         """Stop reading the response."""
+        self._paused_since_event = True
         if self._connection is not None:
             self._connection.pause()
 
@@ -240,10 +245,19 @@
         owner.send_response_body(events.data)
 
     def _record_event_gap(self, count: int) -> None:
-        now_s = self._owner.forwarder.reactor.seconds()
-        if self._event_s is not None:
-            self.record.gap_tracker.note((now_s - self._event_s) * 1_000 / count, now_s)
+        forwarder = self._owner.forwarder
+        now_s = forwarder.reactor.seconds()
+        rates = forwarder.endpoints.costs.rates
+        if self._event_s is None:
+            elapsed_ms = (now_s - self.sent_s) * 1_000
+            rates.note_first_event(self.record, self._certain_prefill_tokens, elapsed_ms, now_s)
+        else:
+            gap_ms = (now_s - self._event_s) * 1_000 / count
+            self.record.gap_tracker.note(gap_ms, now_s)
+            if not self._paused_since_event:
+                rates.note_gap(self.record, gap_ms, now_s)
         self._event_s = now_s
+        self._paused_since_event = False
 
     def _declared_length(self) -> int | None:
         length = header_value(self._headers, b"content-length")
--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -7,7 +7,7 @@
 import math
 import random
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -17,7 +17,7 @@
 from turnward.gateway.endpoint_feedback import parse_feedback
 from turnward.gateway.endpoint_record import EndpointRecord
 from turnward.gateway.engine_costs import COST_OF_QUEUED_MS, ChoiceRule, EngineCosts
-from turnward.gateway.engine_speed import EventGaps, next_speed_class, usual_gaps
+from turnward.gateway.engine_speed import EventGaps, GapSums, next_speed_class, usual_gaps
 from turnward.gateway.outcomes import Reason
 from turnward.gateway.peer_book import EndpointLoad
 from turnward.gateway.prompt_lanes import PromptLanesBase
@@ -161,6 +161,7 @@
         self._records: dict[str, EndpointRecord] = {}
         self._by_pool: dict[str, list[EndpointRecord]] = {}
         self._classified_s: dict[str, float] = {}
+        self._loads_at_choice: Mapping[str, EndpointLoad] = {}
         self._warm_up_of = warm_up_of
         self._shares = shares
         self._limits = limits
@@ -336,7 +337,24 @@
     def loads(self) -> list[EndpointLoad]:
         """Return this router's own load on the endpoints, to report to peers."""
         now_s = self._clock()
-        return [_load_of(record, now_s) for record in self._records.values() if record.in_flight]
+        rates = self.costs.rates
+        return [
+            _load_of(record, rates.own_sums(record, now_s), now_s)
+            for record in self._records.values()
+            if record.in_flight
+        ]
+
+    def certain_prefill_tokens(self, record: EndpointRecord, prompt: Prompt) -> int:
+        """Return how many tokens an engine will surely process before a prompt's first event.
+
+        Other routers may have put the shared parts into its cache. It is 0 while the engine has
+        other prompts to process, since it is not known how far it is with them.
+        """
+        load = self._loads_at_choice.get(record.incarnation)
+        if record.prefill_tokens or (load is not None and load.prefill_tokens):
+            return 0
+        cached = max(record.cached_tokens(prompt, self._clock()), prompt.shared_tokens)
+        return max(0, prompt.tokens - cached)
 
     def has_other(self, pool: str, excluded: set[str]) -> bool:
         """Return whether an endpoint outside ``excluded`` accepts requests."""
@@ -457,10 +475,11 @@
     def _engine_costs(self, pool, prompt: Prompt, candidates, loads, now_s, pause_target_s):
         """Return the cost of each candidate engine with its record."""
         records = self._by_pool[pool]
+        self._loads_at_choice = loads
         self.costs.rates.refresh(pool, records, loads, now_s)
         if pause_target_s is not None:
             pause_target_ms = pause_target_s * 1_000
-            if self._rule.weighs_pace:
+            if self._rule.weighs_pace and not self.costs.rates.replaces_speed_classes:
                 self._classify(pool, loads, now_s, pause_target_ms)
             self.costs.lanes.refresh(pool, records, loads, pause_target_ms, now_s)
         return self.costs.costs_ms(prompt, candidates, loads, now_s)
@@ -500,7 +519,7 @@
         return cost_ms + self.costs.zone_cost_ms(record)
 
 
-def _load_of(record: EndpointRecord, now_s: float) -> EndpointLoad:
+def _load_of(record: EndpointRecord, sums: GapSums, now_s: float) -> EndpointLoad:
     gaps = record.gap_tracker.observed(now_s)
     return EndpointLoad(
         record.incarnation,
@@ -508,6 +527,8 @@
         record.prefill_tokens,
         round(gaps.quiet_gap_ms, 1),
         round(gaps.held_up_gap_ms, 1),
+        round(100 * sums.weight),
+        round(100 * sums.log_sum),
     )
 
 
--- a/turnward/gateway/endpoint_reporter.py
+++ b/turnward/gateway/endpoint_reporter.py
@@ -9,11 +9,17 @@
 from turnward.gateway.endpoint_record import EndpointRecord
 from turnward.gateway.engine_speed import EventGaps
 from turnward.gateway.feedback_exchange import FeedbackExchange, FeedbackUpdate
+from turnward.gateway.member_ranks import MemberRanks
+from turnward.gateway.service_rates import RateChange
 from turnward.gateway.state import FleetState
 from turnward.http1 import HeaderList, header_value
 
 __all__ = ["EndpointReporter"]
 
+#: Routers that report the service rate of one engine. All know the same rates, and a second one
+#: reports on when the first is gone.
+_RATE_REPORTERS = 2
+
 
 class EndpointReporter:
     """Reports each change of an endpoint's state as this router sees it.
@@ -28,6 +34,8 @@
         Endpoints to which feedback from other routers is applied.
     dialect : Dialect
         Header names.
+    ranks : MemberRanks
+        Decides which routers report what all of them know.
     metrics, log
         Receivers of the reports.
 
@@ -43,6 +51,7 @@
         state: FleetState,
         endpoints: EndpointBook,
         dialect: Dialect,
+        ranks: MemberRanks,
         metrics,
         log,
     ):
@@ -50,6 +59,7 @@
         self._state = state
         self._endpoints = endpoints
         self._dialect = dialect
+        self._ranks = ranks
         self._metrics = metrics
         self._log = log
         self.feedback_exchange = FeedbackExchange(clock, self.handle_peer_feedback)
@@ -68,6 +78,21 @@
             usual_held_up_ms=round(usual_gaps.held_up_gap_ms, 1),
         )
 
+    def report_rate(self, record: EndpointRecord, change: RateChange) -> None:
+        """Report an engine whose slowdown moved; only few routers do so for each engine."""
+        if self._ranks.rank_for(record.endpoint_id) >= _RATE_REPORTERS:
+            return
+        self._log.belief(
+            "endpoint.rate",
+            endpoint=record.incarnation,
+            pool=record.entry.pool,
+            slowdown=round(change.slowdown, 2),
+            previous=round(change.previous, 2),
+            event_gap_ms=round(change.event_gap_ms, 1),
+            usual_gap_ms=round(change.usual_gap_ms, 1),
+            prompt_tokens_per_ms=round(change.prompt_tokens_per_ms, 1),
+        )
+
     def report_feedback(
         self, record: EndpointRecord, reason: UnavailableReason, response_headers: HeaderList
     ) -> None:
--- a/turnward/gateway/engine_costs.py
+++ b/turnward/gateway/engine_costs.py
@@ -123,7 +123,8 @@
         """Return how long an engine will process the prompts that all routers have queued."""
         running, backlog_tokens = _load_at(record, load)
         over = max(0, running + 1 - record.entry.slots)
-        return self.rates.prefill_ms(record, backlog_tokens) + over * COST_OF_QUEUED_MS
+        queued_ms = over * COST_OF_QUEUED_MS * self.rates.slowdown(record)
+        return self.rates.prefill_ms(record, backlog_tokens) + queued_ms
 
     def zone_cost_ms(self, record: EndpointRecord) -> float:
         """Return the cost of reaching an endpoint, by its zone."""
@@ -138,10 +139,10 @@
         uncached_shared = max(0, prompt.shared_tokens - cached)
         weighted = uncached + (self._rule.reread_weight - 1.0) * uncached_shared
         cost_ms = self.rates.prefill_ms(record, backlog_tokens + weighted)
-        cost_ms += running * _COST_OF_RUNNING_MS
         over = max(0, running + 1 - record.entry.slots)
-        cost_ms += over * COST_OF_QUEUED_MS + self.zone_cost_ms(record)
-        cost_ms += _speed_cost_ms(prompt, record.speed_class)
+        load_ms = running * _COST_OF_RUNNING_MS + over * COST_OF_QUEUED_MS
+        cost_ms += load_ms * self.rates.slowdown(record) + self.zone_cost_ms(record)
+        cost_ms += self._speed_cost_ms(prompt, record)
         return cost_ms + self.lanes.cost_ms(record, uncached)
 
     def _preferable(self, prompt: Prompt, candidates) -> Sequence[EndpointRecord]:
@@ -151,9 +152,20 @@
         candidates = in_lane or candidates
         if prompt.tokens < _LONG_PROMPT_TOKENS:
             return candidates
-        usual = [record for record in candidates if record.speed_class is SpeedClass.USUAL]
+        usual = [record for record in candidates if self._is_usual(record)]
         return usual or candidates
 
+    def _is_usual(self, record: EndpointRecord) -> bool:
+        if self.rates.replaces_speed_classes:
+            return self.rates.is_usual(record)
+        return record.speed_class is SpeedClass.USUAL
+
+    def _speed_cost_ms(self, prompt: Prompt, record: EndpointRecord) -> float:
+        """Return what the speed of an engine adds to the cost of a prompt."""
+        if self.rates.replaces_speed_classes:
+            return self.rates.first_event_ms(record)
+        return _class_cost_ms(prompt, record.speed_class)
+
 
 def _load_at(record: EndpointRecord, load: EndpointLoad | None) -> tuple[int, int]:
     """Return the running requests and the queued prompt tokens of this router and its peers."""
@@ -162,7 +174,7 @@
     return record.in_flight + load.requests, record.prefill_tokens + load.prefill_tokens
 
 
-def _speed_cost_ms(prompt: Prompt, speed_class: SpeedClass) -> float:
+def _class_cost_ms(prompt: Prompt, speed_class: SpeedClass) -> float:
     """Return what the speed class of an engine adds to the cost of a prompt."""
     if speed_class is SpeedClass.CRAWLING:
         return _COST_OF_VERY_SLOW_MS
--- a/turnward/gateway/engine_speed.py
+++ b/turnward/gateway/engine_speed.py
@@ -5,12 +5,21 @@
 held up; on a slower engine they are held up for longer, often beyond the pause target.
 """
 
+import math
 from collections import deque
 from enum import Enum
 
 import msgspec
 
-__all__ = ["EventGapTracker", "EventGaps", "SpeedClass", "next_speed_class", "usual_gaps"]
+__all__ = [
+    "EventGapTracker",
+    "EventGaps",
+    "GapSums",
+    "QuietGapSums",
+    "SpeedClass",
+    "next_speed_class",
+    "usual_gaps",
+]
 
 _GAP_WINDOW = 96
 #: Gaps that must have been noted since the last estimate before a new one is made.
@@ -37,6 +46,14 @@
 #: Share of the pause target that held-up gaps must exceed for an endpoint to stay slower.
 _STAY_SLOWER_SHARE = 0.7
 
+#: Number of successive gaps of which one counts as undisturbed.
+_BLOCK_GAPS = 8
+#: Time in which sums of gaps fade by a factor of e. It covers several spells in which an engine is
+#: slow for less than a second.
+_SUMS_FADING_S = 3.0
+#: Shortest gap taken as such; shorter ones come from buffers.
+_MIN_GAP_MS = 0.1
+
 
 class SpeedClass(Enum):
     """An endpoint's speed relative to the others of its pool; the names appear in log lines."""
@@ -162,3 +179,71 @@
             return 0.0
         ranked = sorted(self._held_up_ms)
         return ranked[int(_HELD_UP_QUANTILE * len(ranked))]
+
+
+class GapSums(msgspec.Struct, frozen=True):
+    """Sums over undisturbed event gaps of one engine, which add up over routers.
+
+    Attributes
+    ----------
+    weight : float
+        Number of undisturbed gaps, faded by age.
+    log_sum : float
+        Sum of their logarithms in milliseconds, faded alike.
+    """
+
+    weight: float = 0.0
+    log_sum: float = 0.0
+
+    def add(self, other: "GapSums") -> "GapSums":
+        """Return the sums over the gaps of both."""
+        return GapSums(self.weight + other.weight, self.log_sum + other.log_sum)
+
+    def scaled(self, factor: float) -> "GapSums":
+        """Return the sums with all weights multiplied by a factor."""
+        return GapSums(self.weight * factor, self.log_sum * factor)
+
+
+class QuietGapSums:
+    """Fading sums over the undisturbed event gaps of one engine's streams at this router.
+
+    Of each block of successive gaps, a low quantile counts, so that gaps during the prompts of
+    others, and after a pause of this router, do not.
+
+    Examples
+    --------
+    >>> sums = QuietGapSums()
+    >>> for gap_ms in [20.0, 300.0, 20.0, 20.0, 20.0, 300.0, 20.0, 20.0]:
+    ...     sums.note(gap_ms, now_s=7.0)
+    >>> round(math.exp(sums.at(7.0).log_sum), 1)
+    20.0
+    >>> sums.at(10.0).weight < 0.5
+    True
+    """
+
+    __slots__ = ("_block_ms", "_faded_s", "_last_noted_s", "_sums")
+
+    def __init__(self):
+        self._block_ms: list[float] = []
+        self._sums = GapSums()
+        self._faded_s = 0.0
+        self._last_noted_s = -1e9
+
+    def note(self, gap_ms: float, now_s: float) -> None:
+        """Record the time between two events of one stream."""
+        if now_s - self._last_noted_s > _SUMS_FADING_S:
+            self._block_ms.clear()
+        self._last_noted_s = now_s
+        self._block_ms.append(max(gap_ms, _MIN_GAP_MS))
+        if len(self._block_ms) < _BLOCK_GAPS:
+            return
+        quiet_ms = sorted(self._block_ms)[int(_QUIET_QUANTILE * _BLOCK_GAPS)]
+        self._block_ms.clear()
+        self._sums = self.at(now_s).add(GapSums(1.0, math.log(quiet_ms)))
+        self._faded_s = now_s
+
+    def at(self, now_s: float) -> GapSums:
+        """Return the sums as faded by now."""
+        if not self._sums.weight:
+            return self._sums
+        return self._sums.scaled(math.exp((self._faded_s - now_s) / _SUMS_FADING_S))
--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -4,6 +4,8 @@
 No label identifies a single request, so that the number of time series stays bounded.
 """
 
+from collections.abc import Iterable
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -13,6 +15,8 @@
 )
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
+from turnward.gateway.service_rates import PoolRates
+
 __all__ = ["GatewayMetrics"]
 
 # The "_created" series are not used, and make up a third of the text.
@@ -53,6 +57,15 @@
         self.endpoints_limited = self._gauge(
             "endpoints_limited", "Endpoints that name a rate limit."
         )
+        self.slowest_engine = self._pool_gauge(
+            "engine_slowdown_max", "Service time of the slowest engine, relative to the usual one."
+        )
+        self.fastest_engine = self._pool_gauge(
+            "engine_slowdown_min", "Service time of the fastest engine, relative to the usual one."
+        )
+        self.prompt_speed = self._pool_gauge(
+            "prompt_tokens_per_ms", "Prompt tokens that a usual engine processes in 1 ms."
+        )
         self.contents_quarantined = self._gauge(
             "contents_held", "Contents held back, since their runs ended endpoints."
         )
@@ -96,6 +109,13 @@
         for (table, reason), count in counts.items():
             self.rows_unreadable.labels(table, reason).set(count)
 
+    def set_pool_rates(self, rates: Iterable[PoolRates]) -> None:
+        """Set the service rates of the pools whose engines are measured."""
+        for pool in rates:
+            self.slowest_engine.labels(pool.pool).set(pool.max_slowdown)
+            self.fastest_engine.labels(pool.pool).set(pool.min_slowdown)
+            self.prompt_speed.labels(pool.pool).set(pool.prompt_tokens_per_ms)
+
     def text(self) -> bytes:
         """Return all metrics in the text format."""
         return generate_latest(self._registry)
@@ -106,6 +126,9 @@
     def _gauge(self, name, description) -> Gauge:
         return Gauge(f"turnward_{name}", description, registry=self._registry)
 
+    def _pool_gauge(self, name, description) -> Gauge:
+        return Gauge(f"turnward_{name}", description, ["pool"], registry=self._registry)
+
     def _histogram(self, name, description, labels) -> Histogram:
         return Histogram(
             f"turnward_{name}", description, labels, registry=self._registry, buckets=_BUCKETS_S
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -46,6 +46,10 @@
         Time between two events of a stream while no prompt is processed; 0 if not known.
     held_up_gap_ms : float
         Time between two events of a stream that a prompt being processed delays; 0 if not known.
+    gap_weight_centi : int
+        Weight of the undisturbed gaps in ``log_gap_sum_centi``, in hundredths; 0 if none is known.
+    log_gap_sum_centi : int
+        Weighted sum of the logarithms of undisturbed gaps in milliseconds, in hundredths.
     """
 
     endpoint: str
@@ -53,6 +57,8 @@
     prefill_tokens: int
     quiet_gap_ms: float = 0.0
     held_up_gap_ms: float = 0.0
+    gap_weight_centi: int = 0
+    log_gap_sum_centi: int = 0
 
     def add(self, other: "EndpointLoad") -> "EndpointLoad":
         """Return the sum of two loads, with the longer of their times between events.
@@ -69,10 +75,15 @@
             self.prefill_tokens + other.prefill_tokens,
             max(self.quiet_gap_ms, other.quiet_gap_ms),
             max(self.held_up_gap_ms, other.held_up_gap_ms),
+            self.gap_weight_centi + other.gap_weight_centi,
+            self.log_gap_sum_centi + other.log_gap_sum_centi,
         )
 
     def subtract(self, other: "EndpointLoad") -> "EndpointLoad":
-        """Return a sum of loads minus one of its terms, never below 0.
+        """Return a sum of loads minus one of its terms.
+
+        Requests and tokens are never below 0. Sums of gaps may be, if the term is newer than the
+        one in the sum; added to the newer term, they are the newest sum again.
 
         Examples
         --------
@@ -84,6 +95,8 @@
             self,
             requests=max(0, self.requests - other.requests),
             prefill_tokens=max(0, self.prefill_tokens - other.prefill_tokens),
+            gap_weight_centi=self.gap_weight_centi - other.gap_weight_centi,
+            log_gap_sum_centi=self.log_gap_sum_centi - other.log_gap_sum_centi,
         )
 
 
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -204,11 +204,12 @@
             make_prompt_lanes(settings.load_controls, rates),
         )
         reporter = EndpointReporter(
-            reactor.seconds, self.state, self.endpoints, dialect, metrics, log
+            reactor.seconds, self.state, self.endpoints, dialect, ranks, metrics, log
         )
         self._feedback_exchange = reporter.feedback_exchange
         self._limits.on_peer_limit = reporter.report_peer_rate_limit
         self.endpoints.on_speed_class = reporter.report_speed_class
+        rates.on_change = reporter.report_rate
         self.endpoints.on_feedback = reporter.report_feedback
         self.endpoints.on_rate_limit = reporter.report_rate_limit
         self.holders = RendezvousHolders(self.book, reactor.seconds, settings.budget_holders)
@@ -492,6 +493,7 @@
         metrics.contents_quarantined.set(self.quarantine.quarantined_count)
         metrics.peer_messages_refused.set(self.peers.refused_count)
         metrics.endpoints_limited.set(self._limits.limited_count)
+        metrics.set_pool_rates(self.endpoints.costs.rates.pools())
         request.answer(200, [(b"content-type", metrics.content_type)], metrics.text())
 
     def _log_exception(self, failure: Exception) -> None:
