Tokens that run short go to a workspace's urgent requests first

Cause: a workspace's tokens go to whoever comes first. Change: turnward/pacing gets UrgencyPacer, switched on by load_controls.token_pacing. Tokens are protected for more urgent requests, by what these used since the last raise; the rest drains to the others. A holder asks it for its own callers and for loans; a refused request gets 503 budget_paced with a Retry-After. Loan and LoanAsk grow by optional last fields. Urgency is the priority of the route, since a workspace's own priority is the same for all that compete for its tokens. Result: tests of pacing, prepaid accounts, holders, mixed versions and the documents pass.

--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -25,6 +25,7 @@
 from turnward.gateway.retries import RetryBudgetRule, RetryBudgetShare
 from turnward.gateway.retry_after import RetryAfterEstimator
 from turnward.gateway.state import FleetState
+from turnward.gateway.token_pacing import PacedRefusal
 from turnward.hashing import fingerprint
 from turnward.http1 import (
     ExchangeFailure,
@@ -194,6 +195,7 @@
         self._tried: set[str] = set()
         self._may_have_run = False
         self._queue_excess_s = 0.0
+        self._paced_delay_s = 0.0
         self._on_trial = False
         self._progress = StreamProgress()
         self._ended = False
@@ -292,7 +294,9 @@
             return
         may_retry = self._route.allows_rerun and self._route.attempts > 1
         retry_tokens = self._prompt.output_tokens if may_retry else 0
-        result = accounts.reserve(workspace.name, tokens, self.priority, retry_tokens)
+        result = accounts.reserve(
+            workspace.name, tokens, self.priority, retry_tokens, self._route.priority
+        )
         if isinstance(result, defer.Deferred):
             self._pending_reservation = result
             result.addCallback(self._reserved)
@@ -301,6 +305,9 @@
 
     def _reserved(self, result) -> None:
         self._pending_reservation = None
+        if isinstance(result, PacedRefusal):
+            self._refuse_paced(result)
+            return
         if isinstance(result, BudgetRefusal):
             if self._ended:
                 return
@@ -723,9 +730,19 @@
         excess_ms = round(excess_s * 1_000, 1)
         self._refuse(503, Reason.OVERLOADED, queue_ms=choice.queue_ms, over_ms=excess_ms)
 
+    def _refuse_paced(self, refusal: PacedRefusal) -> None:
+        """Refuse a request whose tokens are protected for more urgent ones."""
+        if self._ended:
+            return
+        self._paced_delay_s = refusal.retry_after_s
+        self._forwarder.metrics.requests_paced.labels(self._route.priority).inc()
+        self._refuse(503, Reason.BUDGET_PACED)
+
     def _retry_after_s(self, reason: Reason) -> float:
         """Return the seconds after which the caller should retry."""
         forwarder = self._forwarder
+        if reason is Reason.BUDGET_PACED:
+            return forwarder.retry_after_estimator.paced_retry_after_s(self._paced_delay_s)
         if reason in (Reason.CRASHES_ENDPOINTS, Reason.MAY_CRASH_ENDPOINTS):
             return round(forwarder.quarantine.quarantine_left_s(self._content), 1)
         return forwarder.retry_after_estimator.retry_after_s(
--- a/turnward/gateway/loans.py
+++ b/turnward/gateway/loans.py
@@ -70,6 +70,9 @@
     for_request : bool
         Whether the lender is a holder and obtains the tokens as for a request of its own.
         Otherwise it lends only from its surplus.
+    route_priority : int or None
+        Priority of the request's route, which orders the requests of one workspace; ``priority``
+        if None.
     """
 
     workspace: str
@@ -77,6 +80,15 @@
     desired_tokens: int
     priority: int = 0
     for_request: bool = False
+    route_priority: int | None = None
+
+    def reduced(self, tokens: int) -> "LoanAsk":
+        """Return the request without tokens that the borrower has itself."""
+        return msgspec.structs.replace(
+            self,
+            required_tokens=self.required_tokens - tokens,
+            desired_tokens=self.desired_tokens - tokens,
+        )
 
 
 class Loan(msgspec.Struct, frozen=True, array_like=True):
@@ -85,11 +97,16 @@
     Attributes
     ----------
     exhausted : bool
-        Whether the lender knows that the workspace's budget has too few tokens left.
+        Whether the lender knows that the workspace's budget has too few tokens left. Also set if
+        ``retry_after_s`` is, so that a borrower which does not know that field refuses as well.
+    retry_after_s : float
+        If positive, tokens are protected for more urgent requests, and the request may be repeated
+        after this time.
     """
 
     tokens: int
     exhausted: bool = False
+    retry_after_s: float = 0.0
 
 
 class LoanReturn(msgspec.Struct, frozen=True, array_like=True):
--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -68,6 +68,11 @@
         self.requests_overloaded = self._counter(
             "requests_overloaded", "Requests refused, since all queues are too long.", ["pool"]
         )
+        self.requests_paced = self._counter(
+            "requests_paced",
+            "Requests refused, since tokens are protected for more urgent ones.",
+            ["priority"],
+        )
         self.feedback_reports = self._counter(
             "endpoint_words", "Times endpoints newly asked to be sent nothing.", ["pool", "hold"]
         )
--- a/turnward/gateway/outcomes.py
+++ b/turnward/gateway/outcomes.py
@@ -32,6 +32,7 @@
     STALE_CONFIGURATION = "configuration_not_confirmed"
     BUDGET_EXHAUSTED = "budget_exhausted"
     BUDGET_UNREACHABLE = "budget_unreachable"
+    BUDGET_PACED = "budget_paced"
     NO_ENDPOINT = "no_endpoint"
     ENDPOINTS_FULL = "endpoints_full"
     ENDPOINTS_COLD = "endpoints_cold"
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -40,9 +40,10 @@
 from turnward.gateway.loans import LenderBase, Loan, LoanAsk, LoanOffer, LoanReturn, LoanRule
 from turnward.gateway.restoring import AccountRestorer
 from turnward.gateway.spending import SpendBound, SpendBoundRule, SpendReports, spend_bound_for
+from turnward.gateway.token_pacing import PacedRefusal, TokenPacing
 from turnward.gateway.workspace_account import WaitingRequest, WorkspaceAccount
 from turnward.ledger import BudgetView, GrantLedger, GrantRequest, Reservation, SizingRule
-from turnward.pacing import TokenPacerBase, Unpaced
+from turnward.pacing import TokenPacerBase
 from turnward.rows import (
     RowChange,
     RowKey,
@@ -150,7 +151,6 @@
         pacer: TokenPacerBase | None = None,
     ):
         self._reactor = reactor
-        self._pacer = pacer or Unpaced()
         self._store = store
         self._node = node
         self._incarnation = incarnation
@@ -168,6 +168,7 @@
         self._store_unreachable = False
         self._stopping = False
         self.ledger = GrantLedger(rule)
+        self._pacing = TokenPacing(self.ledger, self._holders, log, pacer)
         self.updates = AccountUpdates(reactor.seconds, store.eras)
         self.on_written: Callable[[], None] = lambda: None
         self._restorer = AccountRestorer(
@@ -194,16 +195,25 @@
             if self._holds(workspace.name) and self._holders.settled:
                 self.schedule_update(workspace.name)
 
-    def reserve(self, workspace: str, tokens: int, priority: int = 0, ahead_tokens: int = 0):
+    def reserve(
+        self,
+        workspace: str,
+        tokens: int,
+        priority: int = 0,
+        ahead_tokens: int = 0,
+        route_priority: int | None = None,
+    ):
         """Return a reservation, a refusal, or a deferred of one of them.
 
         While the store is unreachable, a part of the remaining tokens is withheld for more urgent
         requests than those of ``priority`` (0 is the most urgent). ``ahead_tokens`` is the number
-        of tokens that the request may need later; see ``reserve_now``.
+        of tokens that the request may need later; see ``reserve_now``. ``route_priority`` orders
+        the requests of the workspace, and is ``priority`` by default.
         """
+        request = LoanAsk(workspace, tokens, tokens + ahead_tokens, priority, True, route_priority)
         if not self._holds(workspace) and self.holder_client is not None:
-            return self._reserve_from_holder(workspace, tokens, priority, ahead_tokens)
-        return self._reserve_locally(workspace, tokens, priority)
+            return self._reserve_from_holder(request)
+        return self._reserve_as_holder(request)
 
     def _holds(self, workspace: str) -> bool:
         """Return whether this router holds tokens of a workspace, and update the ledger to match.
@@ -216,6 +226,14 @@
             self.ledger.set_prefetch(workspace, holds)
         return holds
 
+    def _reserve_as_holder(self, request: LoanAsk):
+        """Reserve tokens for an own or a peer's request, unless the pacer refuses it."""
+        paced = self._pacing.refusal(self._account(request.workspace), request)
+        if paced is not None:
+            return paced
+        tokens = max(1, request.required_tokens)
+        return self._reserve_locally(request.workspace, tokens, request.priority)
+
     def _reserve_locally(self, workspace: str, tokens: int, priority: int):
         """Reserve tokens of the own grant, extended by the store or by loans if needed."""
         account = self._account(workspace)
@@ -326,8 +344,9 @@
 
     # Requests of workspaces whose tokens other routers hold.
 
-    def _reserve_from_holder(self, workspace: str, tokens: int, priority: int, ahead_tokens: int):
+    def _reserve_from_holder(self, loan_request: LoanAsk):
         """Reserve tokens that a holder lends for this request."""
+        workspace, tokens = loan_request.workspace, loan_request.required_tokens
         reservation = self._try_reserve(workspace, tokens, first_try=False)
         if reservation is not None:
             return reservation
@@ -336,10 +355,8 @@
         account = self._account(workspace)
         waiter = WaitingRequest(tokens)
         partial = self._reserve_free_tokens(workspace)
-        required = tokens - (partial.tokens if partial is not None else 0)
-        loan_request = LoanAsk(
-            workspace, required, required + ahead_tokens, priority, for_request=True
-        )
+        if partial is not None:
+            loan_request = loan_request.reduced(partial.tokens)
         done = defer.ensureDeferred(self._borrow_for(account, waiter, loan_request, partial))
         done.addErrback(self._on_failure, workspace)
         return waiter.deferred
@@ -370,6 +387,9 @@
             if reservation is not None:
                 waiter.deferred.callback(reservation)
                 return
+        if loan.retry_after_s > 0:
+            waiter.deferred.callback(PacedRefusal(loan.retry_after_s))
+            return
         if loan.exhausted or self._store_unreachable:
             answer = BudgetRefusal.EXHAUSTED if loan.exhausted else BudgetRefusal.UNREACHABLE
             waiter.deferred.callback(self._log_refusal(account, waiter.tokens, answer))
@@ -390,17 +410,19 @@
             elif isinstance(answer, Reservation):
                 self.settle(answer, 0)
 
-        answer = self._reserve_locally(
-            loan_request.workspace, max(1, loan_request.required_tokens), loan_request.priority
-        )
+        answer = self._reserve_as_holder(loan_request)
         if isinstance(answer, defer.Deferred):
             answer.addCallback(decide)
         else:
             decide(answer)
         return lending
 
-    def _loan_from(self, loan_request: LoanAsk, answer: Reservation | BudgetRefusal) -> Loan:
+    def _loan_from(
+        self, loan_request: LoanAsk, answer: Reservation | BudgetRefusal | PacedRefusal
+    ) -> Loan:
         """Return a loan of reserved and of surplus tokens; both count as spent here."""
+        if isinstance(answer, PacedRefusal):
+            return Loan(0, exhausted=True, retry_after_s=answer.retry_after_s)
         if isinstance(answer, BudgetRefusal):
             return Loan(0, exhausted=answer is BudgetRefusal.EXHAUSTED)
         self.ledger.settle(answer, answer.tokens)
--- a/turnward/gateway/retry_after.py
+++ b/turnward/gateway/retry_after.py
@@ -19,6 +19,7 @@
     Reason.ENDPOINTS_BACKING_OFF: (1.0, 1.5),
     Reason.ENDPOINTS_RATE_LIMITED: (1.0, 1.5),
     Reason.OVERLOADED: (1.0, 1.5),
+    Reason.BUDGET_PACED: (1.0, 1.1),
 }
 
 
@@ -64,6 +65,11 @@
         wait_s = self._refused_for_s(reason, pool, excess_s) * self._rng.uniform(*jitter)
         return math.ceil(100 * max(self._min_s, wait_s)) / 100
 
+    def paced_retry_after_s(self, delay_s: float) -> float:
+        """Return the delay for a caller whose tokens are available after ``delay_s``."""
+        jitter = _JITTER[Reason.BUDGET_PACED]
+        return math.ceil(100 * max(self._min_s, delay_s * self._rng.uniform(*jitter))) / 100
+
     def _refused_for_s(self, reason: Reason, pool: str, excess_s: float) -> float:
         """Return how long the pool is likely to refuse requests."""
         shortage = self._endpoints.shortage(pool)
--- a/turnward/gateway/tests/harness.py
+++ b/turnward/gateway/tests/harness.py
@@ -21,6 +21,7 @@
     Workspace,
     new_incarnation,
 )
+from turnward.gateway.load_controls import LoadControls
 from turnward.gateway.mechanisms import Mechanisms
 from turnward.gateway.standalone import StandaloneSources
 from turnward.http1 import InboundFactory, InboundLimits, header_value
@@ -217,6 +218,7 @@
     budget_reserve_share = 0.0
     #: Switches of gateways started after they are set.
     mechanisms = Mechanisms()
+    load_controls = LoadControls()
 
     def __init__(self, routes=None, pools=None, workspaces=None, **route_fields):
         self.network = MemoryNetwork()
@@ -288,6 +290,7 @@
             seeds=["10.1.0.1:9", "10.1.0.2:9"],
             budget_reserve_share=self.budget_reserve_share,
             mechanisms=self.mechanisms,
+            load_controls=self.load_controls,
         )
         log = ListLog()
         client = RowsClient(self.rows, machine)
--- a/turnward/gateway/tests/test_mixed_versions.py
+++ b/turnward/gateway/tests/test_mixed_versions.py
@@ -143,6 +143,38 @@
     assert (older.node, older.address) == ("n", "a:1")
 
 
+class OlderLoan(msgspec.Struct, frozen=True, array_like=True):
+    """A loan as versions without pacing know it."""
+
+    tokens: int
+    exhausted: bool = False
+
+
+class OlderLoanAsk(msgspec.Struct, frozen=True, array_like=True):
+    """A loan request as versions without pacing know it."""
+
+    workspace: str
+    required_tokens: int
+    desired_tokens: int
+    priority: int = 0
+    for_request: bool = False
+
+
+def test_older_borrower_reads_a_paced_loan_as_a_plain_refusal():
+    body = msgspec.msgpack.encode(Loan(0, exhausted=True, retry_after_s=4.0))
+    assert msgspec.msgpack.decode(body, type=OlderLoan) == OlderLoan(0, exhausted=True)
+    older = msgspec.msgpack.encode(OlderLoan(7))
+    assert msgspec.msgpack.decode(older, type=Loan) == Loan(7, retry_after_s=0.0)
+
+
+def test_older_holder_ignores_the_priority_of_the_route():
+    ask = LoanAsk("acme", 5, 9, 3, for_request=True, route_priority=1)
+    body = msgspec.msgpack.encode(ask)
+    assert msgspec.msgpack.decode(body, type=OlderLoanAsk) == OlderLoanAsk("acme", 5, 9, 3, True)
+    older = msgspec.msgpack.encode(OlderLoanAsk("acme", 5, 9, 3, True))
+    assert msgspec.msgpack.decode(older, type=LoanAsk).route_priority is None
+
+
 def limit_to_layout(process, layout):
     """Make a router send and accept one layout only, as older versions do."""
     process.peers.exchange.layouts = range(layout, layout + 1)
--- a/turnward/pacing/core.py
+++ b/turnward/pacing/core.py
@@ -34,7 +34,7 @@
     tokens : int
         Most tokens that it may use.
     priority : int
-        0 is the most urgent.
+        Order among the workspace's own requests, by their route; 0 is the most urgent.
     """
 
     workspace: str
@@ -52,6 +52,10 @@
         Each request is passed once, on its arrival, so that the pacer can measure the demand.
         """
 
+    @abstractmethod
+    def protected_tokens(self, request: PacedRequest, supply: TokenSupply) -> int:
+        """Return the tokens protected for more urgent requests than a given one."""
+
 
 class Unpaced(TokenPacerBase):
     """Admits requests in the order of their arrival."""
@@ -59,3 +63,7 @@
     def delay_s(self, request: PacedRequest, supply: TokenSupply) -> float:
         """See ``TokenPacerBase.delay_s``."""
         return 0.0
+
+    def protected_tokens(self, request: PacedRequest, supply: TokenSupply) -> int:
+        """See ``TokenPacerBase.protected_tokens``."""
+        return 0
--- /dev/null
+++ b/turnward/pacing/urgency.py
@@ -0,0 +1,234 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Protects tokens for the more urgent requests of a workspace.
+
+Load: the callers of a workspace ask for more tokens than its limit holds, and less urgent requests,
+though few, need most of them. In the order of arrival these use up the limit, after which urgent
+requests are refused as well.
+
+Of the tokens left, a multiple of those that more urgent requests have used since the limit was last
+raised is protected for them, since the time until the next raise is unknown. The rest drains to
+less urgent requests at a rate that falls with it. A less urgent kind that was served until then has
+been served at least 1 / (1 + multiple) times as often as the more urgent ones by the time that
+these have used the protected tokens.
+"""
+
+import math
+from collections import defaultdict
+from collections.abc import Callable
+
+import msgspec
+
+from turnward.pacing.core import PacedRequest, TokenPacerBase, TokenSupply
+
+__all__ = ["UrgencyPacer", "UrgencyPacerRule"]
+
+
+class UrgencyPacerRule(msgspec.Struct, frozen=True, kw_only=True):
+    """How many tokens are protected, and how fast the others are given out.
+
+    Attributes
+    ----------
+    protected_factor : float
+        Tokens protected for more urgent requests, per token that these have used.
+    drain_s : float
+        Time constant with which unprotected tokens drain to less urgent requests; longer than
+        ``max_delay_s``, so that the rate by which a delay was computed holds when it has passed.
+    burst_s : float
+        Time at the current rate whose tokens may be given out at once.
+    max_delay_s : float
+        Longest delay told to a caller, as the limit may be raised at any time.
+    """
+
+    protected_factor: float = 0.5
+    drain_s: float = 45.0
+    burst_s: float = 2.0
+    max_delay_s: float = 30.0
+
+
+class _Bucket:
+    """Tokens that requests of one priority may take; negative after an admission.
+
+    Since a request of any size is admitted while the balance isn't negative, large requests are
+    not put behind small ones.
+    """
+
+    __slots__ = ("_balance_tokens", "_refused_tokens", "_updated_s")
+
+    def __init__(self, now_s: float):
+        self._balance_tokens = math.inf
+        self._refused_tokens = 0.0
+        self._updated_s = now_s
+
+    def refill(self, rate_tokens_per_s: float, burst_s: float, now_s: float) -> None:
+        """Add the tokens of the time since the last call."""
+        added = rate_tokens_per_s * max(0.0, now_s - self._updated_s)
+        self._updated_s = now_s
+        capacity = rate_tokens_per_s * burst_s
+        self._balance_tokens = min(capacity, self._balance_tokens + added)
+        self._refused_tokens = max(0.0, self._refused_tokens - added)
+
+    def take(self, tokens: int) -> bool:
+        """Take tokens, and return whether a request may use them."""
+        if self._balance_tokens < 0:
+            return False
+        self._balance_tokens -= tokens
+        return True
+
+    def queue_delay_s(self, tokens: int, rate_tokens_per_s: float, max_delay_s: float) -> float:
+        """Return when the rate covers a refused request and those refused before it."""
+        ahead = max(0.0, -self._balance_tokens) + self._refused_tokens
+        if ahead >= rate_tokens_per_s * max_delay_s:
+            return max_delay_s
+        self._refused_tokens += tokens
+        return max(ahead / rate_tokens_per_s, 1e-3)
+
+
+class _WorkspaceUse:
+    """Tokens that one workspace's requests asked for and got, by priority.
+
+    A period lasts from one raise of the limit to the next. A new pacer can't know when its first
+    period began, and assumes that no more was spent in it before than is left.
+
+    Attributes
+    ----------
+    most_urgent : int
+        Lowest number of a priority seen.
+    """
+
+    __slots__ = (
+        "_admitted_tokens",
+        "_asked_tokens",
+        "_before_tokens",
+        "_limit_tokens",
+        "_previous_tokens",
+        "_start_tokens",
+        "buckets",
+        "most_urgent",
+    )
+
+    def __init__(self, supply: TokenSupply):
+        self._limit_tokens = supply.limit_tokens
+        self._start_tokens = _spent_tokens(supply)
+        self._before_tokens = min(self._start_tokens, supply.remaining_tokens)
+        self._asked_tokens: defaultdict[int, int] = defaultdict(int)
+        self._admitted_tokens: defaultdict[int, int] = defaultdict(int)
+        self._previous_tokens: dict[int, float] = {}
+        self.most_urgent: float = math.inf
+        self.buckets: dict[int, _Bucket] = {}
+
+    def note_asked(self, request: PacedRequest, supply: TokenSupply) -> None:
+        """Count a request's tokens as asked for, and start a new period if the limit was raised."""
+        if supply.limit_tokens > self._limit_tokens:
+            self._start_period(supply)
+        self._limit_tokens = supply.limit_tokens
+        self.most_urgent = min(self.most_urgent, request.priority)
+        self._asked_tokens[request.priority] += request.tokens
+
+    def note_admitted(self, request: PacedRequest) -> None:
+        """Count a request's tokens as admitted."""
+        self._admitted_tokens[request.priority] += request.tokens
+
+    def _start_period(self, supply: TokenSupply) -> None:
+        before = TokenSupply(
+            limit_tokens=self._limit_tokens,
+            remaining_tokens=self._limit_tokens - _spent_tokens(supply),
+        )
+        self._previous_tokens = self._used_tokens(before)
+        self._start_tokens = _spent_tokens(supply)
+        self._before_tokens = 0
+        self._asked_tokens.clear()
+        self._admitted_tokens.clear()
+
+    def used_by_more_urgent(self, priority: int, supply: TokenSupply) -> float:
+        """Estimate what more urgent requests used in this period, or in the one before if more."""
+        periods = (self._used_tokens(supply), self._previous_tokens)
+        return max(
+            sum(tokens for other, tokens in used.items() if other < priority) for used in periods
+        )
+
+    def _used_tokens(self, supply: TokenSupply) -> dict[int, float]:
+        """Estimate the tokens used in this period by priority.
+
+        Tokens spent before the first request here, and those that other holders gave out, are
+        assumed to be divided like those asked for and admitted here.
+        """
+        since_tokens = max(0, _spent_tokens(supply) - self._start_tokens)
+        asked = sum(self._asked_tokens.values()) or 1
+        admitted = sum(self._admitted_tokens.values()) or 1
+        return {
+            priority: self._before_tokens * tokens / asked
+            + since_tokens * self._admitted_tokens[priority] / admitted
+            for priority, tokens in self._asked_tokens.items()
+        }
+
+
+class UrgencyPacer(TokenPacerBase):
+    """Admits less urgent requests at the rate at which unprotected tokens may drain.
+
+    Parameters
+    ----------
+    clock : callable
+        Monotonic clock in seconds.
+    rule : UrgencyPacerRule, optional
+        How many tokens are protected, and how fast the others are given out.
+
+    Examples
+    --------
+    >>> pacer = UrgencyPacer(lambda: 0.0)
+    >>> urgent = PacedRequest(workspace="w", tokens=500, priority=0)
+    >>> less_urgent = PacedRequest(workspace="w", tokens=500, priority=2)
+    >>> pacer.delay_s(urgent, TokenSupply(limit_tokens=10_000, remaining_tokens=10_000))
+    0.0
+    >>> supply = TokenSupply(limit_tokens=10_000, remaining_tokens=3_000)
+    >>> pacer.delay_s(less_urgent, supply)
+    30.0
+    >>> pacer.protected_tokens(less_urgent, supply)
+    3500
+    """
+
+    def __init__(self, clock: Callable[[], float], rule: UrgencyPacerRule | None = None):
+        self._clock = clock
+        self._rule = rule or UrgencyPacerRule()
+        self._uses: dict[str, _WorkspaceUse] = {}
+
+    def delay_s(self, request: PacedRequest, supply: TokenSupply) -> float:
+        """See ``TokenPacerBase.delay_s``."""
+        use = self._use(request.workspace, supply)
+        use.note_asked(request, supply)
+        delay_s = self._bucket_delay_s(use, request, supply)
+        if delay_s == 0:
+            use.note_admitted(request)
+        return delay_s
+
+    def protected_tokens(self, request: PacedRequest, supply: TokenSupply) -> int:
+        """See ``TokenPacerBase.protected_tokens``."""
+        use = self._use(request.workspace, supply)
+        used = use.used_by_more_urgent(request.priority, supply)
+        return int(self._rule.protected_factor * used)
+
+    def _use(self, workspace: str, supply: TokenSupply) -> _WorkspaceUse:
+        use = self._uses.get(workspace)
+        if use is None:
+            use = self._uses[workspace] = _WorkspaceUse(supply)
+        return use
+
+    def _bucket_delay_s(
+        self, use: _WorkspaceUse, request: PacedRequest, supply: TokenSupply
+    ) -> float:
+        if use.most_urgent >= request.priority:
+            return 0.0
+        rule = self._rule
+        now_s = self._clock()
+        unprotected = supply.remaining_tokens - self.protected_tokens(request, supply)
+        rate_tokens_per_s = max(0, unprotected) / (rule.drain_s * max(1, supply.holders))
+        bucket = use.buckets.get(request.priority)
+        if bucket is None:
+            bucket = use.buckets[request.priority] = _Bucket(now_s)
+        bucket.refill(rate_tokens_per_s, rule.burst_s, now_s)
+        if rate_tokens_per_s > 0 and bucket.take(request.tokens):
+            return 0.0
+        return bucket.queue_delay_s(request.tokens, rate_tokens_per_s, rule.max_delay_s)
+
+
+def _spent_tokens(supply: TokenSupply) -> int:
+    return max(0, supply.limit_tokens - supply.remaining_tokens)
