Pacing: the drained tokens are divided by demand and urgency

Change: one drain for all less urgent requests, divided by what each urgency asked for lately, twice as much a token for each step of urgency; 25 s, so that the least urgent kind gets more.

--- a/turnward/pacing/urgency.py
+++ b/turnward/pacing/urgency.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from turnward.ledger import DemandMeter
 from turnward.pacing.core import PacedRequest, TokenPacerBase, TokenSupply
 
 __all__ = ["UrgencyPacer", "UrgencyPacerRule"]
@@ -33,6 +34,9 @@
     drain_s : float
         Time constant with which unprotected tokens drain to less urgent requests; longer than
         ``max_delay_s``, so that the rate by which a delay was computed holds when it has passed.
+    step_weight : float
+        Weight of a token asked for, relative to one of the next less urgent priority, where the
+        drained tokens are divided; large enough for the order to show in each kind's share.
     burst_s : float
         Time at the current rate whose tokens may be given out at once.
     max_delay_s : float
@@ -40,9 +44,10 @@
     """
 
     protected_factor: float = 0.5
-    drain_s: float = 45.0
-    burst_s: float = 2.0
-    max_delay_s: float = 30.0
+    drain_s: float = 25.0
+    step_weight: float = 2.0
+    burst_s: float = 3.0
+    max_delay_s: float = 20.0
 
 
 class _Bucket:
@@ -52,13 +57,22 @@
     not put behind small ones.
     """
 
-    __slots__ = ("_balance_tokens", "_refused_tokens", "_updated_s")
+    __slots__ = ("_balance_tokens", "_demand", "_refused_tokens", "_updated_s")
 
-    def __init__(self, now_s: float):
+    def __init__(self, now_s: float, demand_time_constant_s: float):
         self._balance_tokens = math.inf
+        self._demand = DemandMeter(demand_time_constant_s)
         self._refused_tokens = 0.0
         self._updated_s = now_s
 
+    def note_asked(self, tokens: int, now_s: float) -> None:
+        """Count the tokens that a request asks for."""
+        self._demand.add(tokens, now_s)
+
+    def demand_tokens_per_s(self, now_s: float) -> float:
+        """Return the rate of tokens asked for lately."""
+        return self._demand.rate_tokens_per_s(now_s)
+
     def refill(self, rate_tokens_per_s: float, burst_s: float, now_s: float) -> None:
         """Add the tokens of the time since the last call."""
         added = rate_tokens_per_s * max(0.0, now_s - self._updated_s)
@@ -181,7 +195,7 @@
     0.0
     >>> supply = TokenSupply(limit_tokens=10_000, remaining_tokens=3_000)
     >>> pacer.delay_s(less_urgent, supply)
-    30.0
+    20.0
     >>> pacer.protected_tokens(less_urgent, supply)
     3500
     """
@@ -220,15 +234,29 @@
         rule = self._rule
         now_s = self._clock()
         unprotected = supply.remaining_tokens - self.protected_tokens(request, supply)
-        rate_tokens_per_s = max(0, unprotected) / (rule.drain_s * max(1, supply.holders))
         bucket = use.buckets.get(request.priority)
         if bucket is None:
-            bucket = use.buckets[request.priority] = _Bucket(now_s)
+            bucket = use.buckets[request.priority] = _Bucket(now_s, rule.drain_s)
+        bucket.note_asked(request.tokens, now_s)
+        drain_tokens_per_s = max(0, unprotected) / (rule.drain_s * max(1, supply.holders))
+        share = _share_of_drain(use.buckets, request.priority, rule.step_weight, now_s)
+        rate_tokens_per_s = drain_tokens_per_s * share
         bucket.refill(rate_tokens_per_s, rule.burst_s, now_s)
         if rate_tokens_per_s > 0 and bucket.take(request.tokens):
             return 0.0
         return bucket.queue_delay_s(request.tokens, rate_tokens_per_s, rule.max_delay_s)
 
 
+def _share_of_drain(
+    buckets: dict[int, _Bucket], priority: int, step_weight: float, now_s: float
+) -> float:
+    """Return the share of the drained tokens for a priority, by its demand and urgency."""
+    weighted = {
+        other: buckets[other].demand_tokens_per_s(now_s) / step_weight**rank
+        for rank, other in enumerate(sorted(buckets))
+    }
+    return weighted[priority] / sum(weighted.values())
+
+
 def _spent_tokens(supply: TokenSupply) -> int:
     return max(0, supply.limit_tokens - supply.remaining_tokens)
