--- a/turnward/gateway/tests/test_token_pacing.py
+++ b/turnward/gateway/tests/test_token_pacing.py
@@ -80,7 +80,7 @@
     refused = dear_until_refused(harness, gateway)
     assert refused.status == 503
     assert msgspec.json.decode(refused.body) == {"error": "budget_paced"}
-    assert 0.25 <= float(refused.header(b"retry-after")) <= 33.0
+    assert 0.25 <= float(refused.header(b"retry-after")) <= 22.0
     for number in range(gateways):
         assert urgent(harness, number).status == 200
     (line,) = [line for log in harness.logs for line in log.of("prepaid.paced")]
--- a/turnward/pacing/tests/test_urgency.py
+++ b/turnward/pacing/tests/test_urgency.py
@@ -198,6 +198,22 @@
         assert pacer.protected_tokens(dear, supply) == 40_000
 
 
+def test_workspace_is_not_paced_by_urgent_requests_of_long_ago():
+    pacer = UrgencyPacer(Clock())
+    urgent = PacedRequest(workspace="w", tokens=10, priority=URGENT)
+    dear = PacedRequest(workspace="w", tokens=10_000, priority=DEAR)
+    limit = 100_000
+    assert pacer.delay_s(urgent, TokenSupply(limit_tokens=limit, remaining_tokens=limit)) == 0.0
+    refused = []
+    for _ in range(3):
+        for remaining in range(limit, 10_000, -10_000):
+            supply = TokenSupply(limit_tokens=limit, remaining_tokens=remaining)
+            refused.append(pacer.delay_s(dear, supply) > 0)
+        limit += 100_000
+    assert any(refused[:18])
+    assert not any(refused[-20:])
+
+
 def test_new_pacer_of_an_old_workspace_protects_a_part_of_what_is_left():
     pacer = UrgencyPacer(Clock())
     supply = TokenSupply(limit_tokens=1_000_000_000, remaining_tokens=1_000_000)
--- a/turnward/pacing/urgency.py
+++ b/turnward/pacing/urgency.py
@@ -20,6 +20,7 @@
 
 from turnward.ledger import DemandMeter
 from turnward.pacing.core import PacedRequest, TokenPacerBase, TokenSupply
+from turnward.pacing.usage import WorkspaceUse
 
 __all__ = ["UrgencyPacer", "UrgencyPacerRule"]
 
@@ -97,85 +98,6 @@
         return max(ahead / rate_tokens_per_s, 1e-3)
 
 
-class _WorkspaceUse:
-    """Tokens that one workspace's requests asked for and got, by priority.
-
-    A period lasts from one raise of the limit to the next. A new pacer can't know when its first
-    period began, and assumes that no more was spent in it before than is left.
-
-    Attributes
-    ----------
-    most_urgent : int
-        Lowest number of a priority seen.
-    """
-
-    __slots__ = (
-        "_admitted_tokens",
-        "_asked_tokens",
-        "_before_tokens",
-        "_limit_tokens",
-        "_previous_tokens",
-        "_start_tokens",
-        "buckets",
-        "most_urgent",
-    )
-
-    def __init__(self, supply: TokenSupply):
-        self._limit_tokens = supply.limit_tokens
-        self._start_tokens = _spent_tokens(supply)
-        self._before_tokens = min(self._start_tokens, supply.remaining_tokens)
-        self._asked_tokens: defaultdict[int, int] = defaultdict(int)
-        self._admitted_tokens: defaultdict[int, int] = defaultdict(int)
-        self._previous_tokens: dict[int, float] = {}
-        self.most_urgent: float = math.inf
-        self.buckets: dict[int, _Bucket] = {}
-
-    def note_asked(self, request: PacedRequest, supply: TokenSupply) -> None:
-        """Count a request's tokens as asked for, and start a new period if the limit was raised."""
-        if supply.limit_tokens > self._limit_tokens:
-            self._start_period(supply)
-        self._limit_tokens = supply.limit_tokens
-        self.most_urgent = min(self.most_urgent, request.priority)
-        self._asked_tokens[request.priority] += request.tokens
-
-    def note_admitted(self, request: PacedRequest) -> None:
-        """Count a request's tokens as admitted."""
-        self._admitted_tokens[request.priority] += request.tokens
-
-    def _start_period(self, supply: TokenSupply) -> None:
-        before = TokenSupply(
-            limit_tokens=self._limit_tokens,
-            remaining_tokens=self._limit_tokens - _spent_tokens(supply),
-        )
-        self._previous_tokens = self._used_tokens(before)
-        self._start_tokens = _spent_tokens(supply)
-        self._before_tokens = 0
-        self._asked_tokens.clear()
-        self._admitted_tokens.clear()
-
-    def used_by_more_urgent(self, priority: int, supply: TokenSupply) -> float:
-        """Estimate what more urgent requests used in this period, or in the one before if more."""
-        periods = (self._used_tokens(supply), self._previous_tokens)
-        return max(
-            sum(tokens for other, tokens in used.items() if other < priority) for used in periods
-        )
-
-    def _used_tokens(self, supply: TokenSupply) -> dict[int, float]:
-        """Estimate the tokens used in this period by priority.
-
-        Tokens spent before the first request here, and those that other holders gave out, are
-        assumed to be divided like those asked for and admitted here.
-        """
-        since_tokens = max(0, _spent_tokens(supply) - self._start_tokens)
-        asked = sum(self._asked_tokens.values()) or 1
-        admitted = sum(self._admitted_tokens.values()) or 1
-        return {
-            priority: self._before_tokens * tokens / asked
-            + since_tokens * self._admitted_tokens[priority] / admitted
-            for priority, tokens in self._asked_tokens.items()
-        }
-
-
 class UrgencyPacer(TokenPacerBase):
     """Admits less urgent requests at the rate at which unprotected tokens may drain.
 
@@ -203,7 +125,8 @@
     def __init__(self, clock: Callable[[], float], rule: UrgencyPacerRule | None = None):
         self._clock = clock
         self._rule = rule or UrgencyPacerRule()
-        self._uses: dict[str, _WorkspaceUse] = {}
+        self._uses: dict[str, WorkspaceUse] = {}
+        self._buckets: defaultdict[str, dict[int, _Bucket]] = defaultdict(dict)
 
     def delay_s(self, request: PacedRequest, supply: TokenSupply) -> float:
         """See ``TokenPacerBase.delay_s``."""
@@ -220,26 +143,27 @@
         used = use.used_by_more_urgent(request.priority, supply)
         return int(self._rule.protected_factor * used)
 
-    def _use(self, workspace: str, supply: TokenSupply) -> _WorkspaceUse:
+    def _use(self, workspace: str, supply: TokenSupply) -> WorkspaceUse:
         use = self._uses.get(workspace)
         if use is None:
-            use = self._uses[workspace] = _WorkspaceUse(supply)
+            use = self._uses[workspace] = WorkspaceUse(supply)
         return use
 
     def _bucket_delay_s(
-        self, use: _WorkspaceUse, request: PacedRequest, supply: TokenSupply
+        self, use: WorkspaceUse, request: PacedRequest, supply: TokenSupply
     ) -> float:
-        if use.most_urgent >= request.priority:
+        if not use.has_more_urgent(request.priority):
             return 0.0
         rule = self._rule
         now_s = self._clock()
         unprotected = supply.remaining_tokens - self.protected_tokens(request, supply)
-        bucket = use.buckets.get(request.priority)
+        buckets = self._buckets[request.workspace]
+        bucket = buckets.get(request.priority)
         if bucket is None:
-            bucket = use.buckets[request.priority] = _Bucket(now_s, rule.drain_s)
+            bucket = buckets[request.priority] = _Bucket(now_s, rule.drain_s)
         bucket.note_asked(request.tokens, now_s)
         drain_tokens_per_s = max(0, unprotected) / (rule.drain_s * max(1, supply.holders))
-        share = _share_of_drain(use.buckets, request.priority, rule.step_weight, now_s)
+        share = _share_of_drain(buckets, request.priority, rule.step_weight, now_s)
         rate_tokens_per_s = drain_tokens_per_s * share
         bucket.refill(rate_tokens_per_s, rule.burst_s, now_s)
         if rate_tokens_per_s > 0 and bucket.take(request.tokens):
@@ -256,7 +180,3 @@
         for rank, other in enumerate(sorted(buckets))
     }
     return weighted[priority] / sum(weighted.values())
-
-
-def _spent_tokens(supply: TokenSupply) -> int:
-    return max(0, supply.limit_tokens - supply.remaining_tokens)
