--- a/turnward/gateway/tests/test_token_pacing.py
+++ b/turnward/gateway/tests/test_token_pacing.py
@@ -149,3 +149,26 @@
     assert dear(harness, borrower(harness)).status == 200
     assert calls[0].for_request
     assert msgspec.msgpack.decode(older, type=Loan).retry_after_s == 0.0
+
+
+def test_urgent_requests_are_served_while_the_store_is_away():
+    harness = fleet(1)
+    use_half(harness)
+    harness.clients[0].faults.unavailable = True
+    harness.network.advance(1.0)
+    statuses = [dear(harness).status for _ in range(6)]
+    assert 503 in statuses
+    # Few enough tokens for the spend bound in the last report.
+    assert send(harness, b"/a/x", 500, 0).status == 200
+
+
+def test_other_holder_goes_on_pacing_when_one_dies():
+    harness = fleet(HOLDERS_PER_WORKSPACE + 3)
+    use_half(harness)
+    gateway = borrower(harness)
+    dead = next(n for n, g in enumerate(harness.gateways) if g.holders.holds("acme"))
+    harness.machines[dead].kill()
+    harness.network.advance(1.0)
+    refused = dear_until_refused(harness, gateway)
+    assert (refused.status, b"budget_paced" in refused.body) == (503, True)
+    assert urgent(harness, gateway).status == 200
