Spend bounds by the scarcity of tokens, behind a switch

Cause: a holder's report lets it spend 24,000 tokens or a second of its demand, while requests take up to 55,000 and reports can't be written while the store is away or loses answers. Requests are then refused at holders whose free tokens cover them.

Change: the policy that makes spend bounds is a class of its own in spend_bounds.py. FixedBursts is the rule so far, the default; ScarcityBounds follows what is left of the limit and the largest requests seen lately (load_controls.spend_bounds_by_scarcity). What is logged and counted of refusals leaves prepaid.py for budget_refusals.py. New metrics: refusals by reason and whether the tokens were held, and tokens that a crash would strand.

--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -53,6 +53,9 @@
         self.endpoints_limited = self._gauge(
             "endpoints_limited", "Endpoints that name a rate limit."
         )
+        self.tokens_strandable = self._gauge(
+            "tokens_strandable", "Prepaid tokens that a crash of the process would strand."
+        )
         self.contents_quarantined = self._gauge(
             "contents_held", "Contents held back, since their runs ended endpoints."
         )
@@ -68,6 +71,9 @@
         self.requests_overloaded = self._counter(
             "requests_overloaded", "Requests refused, since all queues are too long.", ["pool"]
         )
+        self.budget_refusals = self._counter(
+            "budget_refusals", "Requests and loans refused for want of tokens.", ["reason", "held"]
+        )
         self.feedback_reports = self._counter(
             "endpoint_words", "Times endpoints newly asked to be sent nothing.", ["pool", "hold"]
         )
@@ -96,6 +102,10 @@
         for (table, reason), count in counts.items():
             self.rows_unreadable.labels(table, reason).set(count)
 
+    def count_budget_refusal(self, reason: str, held: bool) -> None:
+        """Count a refusal for tokens, by whether the process held enough free ones."""
+        self.budget_refusals.labels(reason, "yes" if held else "no").inc()
+
     def text(self) -> bytes:
         """Return all metrics in the text format."""
         return generate_latest(self._registry)
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -13,7 +13,6 @@
 
 import contextlib
 from collections.abc import Callable
-from enum import StrEnum
 
 import msgspec
 from twisted.internet import defer
@@ -33,13 +32,15 @@
     with_prior_version,
 )
 from turnward.gateway.borrowing import Borrower
+from turnward.gateway.budget_refusals import BudgetRefusal, BudgetRefusals
 from turnward.gateway.configuration import Workspace
 from turnward.gateway.end_reserve import EndReserve, EndReserveRule
 from turnward.gateway.holder_client import HolderClient, ReturnOutcome
 from turnward.gateway.holders import EveryRouterHolds, HoldersBase
 from turnward.gateway.loans import LenderBase, Loan, LoanAsk, LoanOffer, LoanReturn, LoanRule
 from turnward.gateway.restoring import AccountRestorer
-from turnward.gateway.spending import SpendBound, SpendBoundRule, SpendReports, spend_bound_for
+from turnward.gateway.spend_bounds import FixedBursts, HoldingState, SpendBoundPolicyBase
+from turnward.gateway.spending import SpendBound, SpendReports
 from turnward.gateway.workspace_account import WaitingRequest, WorkspaceAccount
 from turnward.ledger import BudgetView, GrantLedger, GrantRequest, Reservation, SizingRule
 from turnward.pacing import TokenPacerBase, Unpaced
@@ -80,13 +81,6 @@
 _MAX_WRITE_ATTEMPTS = 30
 
 
-class BudgetRefusal(StrEnum):
-    """Why a request gets no tokens."""
-
-    EXHAUSTED = "budget_exhausted"
-    UNREACHABLE = "budget_unreachable"
-
-
 class PrepaidAccounts:
     """Reserves prepaid tokens for requests, and manages the grants of one router incarnation.
 
@@ -106,8 +100,8 @@
     live_routers : callable
         Returns the number of routers that may be running, which limits how often each of them
         reports its spending.
-    bound_rule : SpendBoundRule, optional
-        How tight the reported spend bounds are.
+    bounds : SpendBoundPolicyBase, optional
+        Makes the spend bounds that are reported.
     loan_rule : LoanRule, optional
         How much is lent and borrowed.
     end_reserve_rule : EndReserveRule, optional
@@ -128,6 +122,8 @@
         Requests tokens from the holders of a workspace if this router is not one of them.
     updates : AccountUpdates
         Contents of rows as last known here and at other routers.
+    refusals : BudgetRefusals
+        Logs refusals of requests.
     on_written : callable
         Called after each write of a row, so that it is announced to other routers soon.
     """
@@ -141,7 +137,7 @@
         rule: SizingRule,
         log,
         live_routers: Callable[[], int],
-        bound_rule: SpendBoundRule | None = None,
+        bounds: SpendBoundPolicyBase | None = None,
         loan_rule: LoanRule | None = None,
         end_reserve_rule: EndReserveRule | None = None,
         withheld_share_per_priority: float = WITHHELD_SHARE_PER_PRIORITY,
@@ -160,7 +156,7 @@
         self._holders = holders or EveryRouterHolds(live_routers)
         self.holder_client: HolderClient | None = None
         self._rule = rule
-        self._bound_rule = bound_rule or SpendBoundRule()
+        self._bounds = bounds or FixedBursts()
         self._loan_rule = loan_rule or LoanRule()
         self._end_reserve_rule = end_reserve_rule or EndReserveRule()
         self._withheld_share_per_priority = withheld_share_per_priority
@@ -176,6 +172,9 @@
         self._borrower = Borrower(
             reactor, self.ledger, self._loan_rule, self._spendable_tokens, self._on_loan, log
         )
+        self.refusals = BudgetRefusals(
+            self.ledger, self._reported_allowance_tokens, self._borrower.lendable_tokens, log
+        )
         self._reports = SpendReports(
             reactor, store, node, incarnation, self._spend_bounds, self._on_reported, log, reports
         )
@@ -255,22 +254,8 @@
         self, account: WorkspaceAccount, tokens: int, refusal: BudgetRefusal, withheld: bool = False
     ) -> BudgetRefusal:
         """Log a refusal with the values that led to it; return the reason."""
-        workspace = account.workspace
-        self._log.failure(
-            "prepaid.refused",
-            workspace=workspace,
-            tokens=tokens,
-            answer=refusal,
-            free=self.ledger.free_tokens(workspace),
-            promised=self._reported_allowance_tokens(workspace),
-            lendable=self._borrower.lendable_tokens(workspace),
-            ungranted=ungranted_tokens(account.row) if account.row is not None else None,
-            limit=account.row.limit_tokens if account.row is not None else None,
-            row_version=account.version,
-            in_contact=not self._store_unreachable,
-            kept_for_urgent=withheld,
-        )
-        return refusal
+        in_contact = not self._store_unreachable
+        return self.refusals.report(account, tokens, refusal, in_contact, withheld)
 
     def _admit_from_reserve(self, account: WorkspaceAccount, tokens: int) -> bool:
         """Return whether a request may be served from the end reserve."""
@@ -290,6 +275,8 @@
         return available - tokens < withheld
 
     def _try_reserve(self, workspace: str, tokens: int, first_try: bool) -> Reservation | None:
+        if first_try:
+            self._account(workspace).request_sizes.add(tokens, self._reactor.seconds())
         allowance = self._reported_allowance_tokens(workspace)
         if allowance is not None and tokens > allowance:
             # The bound of the last report is used up; the next report raises it.
@@ -313,6 +300,14 @@
         allowance = self._reported_allowance_tokens(workspace)
         return free if allowance is None else max(0, min(free, allowance))
 
+    def strandable_tokens(self) -> int:
+        """Return the tokens that a crash would strand, as they may have been spent."""
+        return sum(
+            self._spendable_tokens(workspace)
+            for workspace in self.ledger.budgets()
+            if self._has_own_grant(workspace)
+        )
+
     def reserve_now(self, workspace: str, tokens: int) -> Reservation | None:
         """Return a reservation of tokens held already, or None."""
         return self._try_reserve(workspace, tokens, first_try=True)
@@ -587,30 +582,20 @@
         return self.ledger.granted_tokens(workspace) > borrowed
 
     def _spend_bound(self, workspace: str) -> SpendBound:
-        account = self._accounts.get(workspace)
-        waiting = account.waiting_tokens if account else 0
-        return spend_bound_for(
-            self._own_committed_tokens(workspace),
-            self.ledger.free_tokens(workspace),
-            waiting,
-            self.ledger.demand_tokens_per_s(workspace, self._reactor.seconds()),
-            self._bound_rule_for(workspace, account),
+        now_s = self._reactor.seconds()
+        account = self._account(workspace)
+        row = account.row
+        state = HoldingState(
+            committed_tokens=self._own_committed_tokens(workspace),
+            free_tokens=self.ledger.free_tokens(workspace),
+            waiting_tokens=account.waiting_tokens,
+            demand_tokens_per_s=self.ledger.demand_tokens_per_s(workspace, now_s),
+            limit_tokens=row.limit_tokens if row is not None else None,
+            ungranted_tokens=ungranted_tokens(row) if row is not None else None,
+            holders=self._holders.count,
+            largest_request_tokens=account.request_sizes.value(now_s),
         )
-
-    def _bound_rule_for(self, workspace: str, account: WorkspaceAccount | None) -> SpendBoundRule:
-        """Return the rule of a workspace's spend bounds, tighter if its tokens are scarce.
-
-        Each of the other holders is assumed to hold as many tokens as this router.
-        """
-        rule = self._bound_rule
-        if account is None or account.row is None:
-            return rule
-        routers = self._holders.count
-        rule = rule.for_limit(account.row.limit_tokens, routers)
-        held = routers * max(0, self.ledger.free_tokens(workspace))
-        remaining = max(0, ungranted_tokens(account.row)) + held
-        scarce = remaining < rule.scarce_share * account.row.limit_tokens
-        return rule.tightened() if scarce else rule
+        return self._bounds.bound_for(state)
 
     def _on_reported(self) -> None:
         self._on_store_reached()
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -42,6 +42,7 @@
 from turnward.gateway.retries import RetryBudgetRule
 from turnward.gateway.service_rates import make_service_rates
 from turnward.gateway.settings import GatewaySettings
+from turnward.gateway.spend_bounds import make_spend_bounds
 from turnward.gateway.state import FleetState
 from turnward.gateway.table_listeners import MembersListener
 from turnward.gateway.unreadable_rows import UnreadableRow
@@ -220,6 +221,7 @@
             _GRANT_SIZING,
             log,
             lambda: self.book.max_router_count,
+            make_spend_bounds(settings.load_controls),
             end_reserve_rule=EndReserveRule(share=settings.budget_reserve_share),
             withheld_share_per_priority=WITHHELD_SHARE_PER_PRIORITY
             if settings.mechanisms.urgency_in_cut
@@ -306,6 +308,7 @@
     def _connect_lenders(self) -> None:
         """Let the accounts request tokens from holders and borrow them from peers."""
         call = self.peers.call
+        self.accounts.refusals.on_refused = self._metrics.count_budget_refusal
         self.accounts.on_written = self._announce_account
         self.accounts.holder_client = HolderClient(
             self.holders, self.peers.call_or_raise, self._log
@@ -492,6 +495,7 @@
         metrics.contents_quarantined.set(self.quarantine.quarantined_count)
         metrics.peer_messages_refused.set(self.peers.refused_count)
         metrics.endpoints_limited.set(self._limits.limited_count)
+        metrics.tokens_strandable.set(self.accounts.strandable_tokens())
         request.answer(200, [(b"content-type", metrics.content_type)], metrics.text())
 
     def _log_exception(self, failure: Exception) -> None:
--- a/turnward/gateway/spending.py
+++ b/turnward/gateway/spending.py
@@ -28,7 +28,7 @@
     VersionedTransaction,
 )
 
-__all__ = ["SpendBoundRule", "SpendBound", "SpendReport", "SpendReports", "spend_bound_for"]
+__all__ = ["SpendBound", "SpendReport", "SpendReports"]
 
 TABLE = "spending"
 #: Limits of the interval between regular reports while tokens are held.
@@ -40,70 +40,6 @@
 _MIN_URGENT_INTERVAL_S = 0.05
 
 
-class SpendBoundRule(msgspec.Struct, frozen=True):
-    """How tight a router's spend bounds are.
-
-    The burst admits single large requests; the rate only has to keep up with the demand. With a
-    tight bound few tokens are lost when the process crashes; a loose one needs fewer reports and
-    lets a disconnected router serve more. A crashed process is usually restarted within seconds,
-    while a disconnection may last long, so bounds are tight at first and relaxed later.
-
-    Attributes
-    ----------
-    burst_s, burst_tokens : float, int
-        May be spent at once after a report: this many seconds of demand, and at least this
-        many tokens.
-    burst_share, max_burst_tokens : float, int
-        Fraction of a workspace's limit that the routers share as bursts, if that exceeds
-        ``burst_tokens`` for each, up to ``max_burst_tokens`` for one router. A single request
-        may be much larger than the demand of a second.
-    rate_factor : float
-        Ratio of the rate after the burst to the demand.
-    relax_after_s : float
-        Seconds after a report from which the bound grows faster.
-    spend_all_s : float
-        Seconds from then on in which all tokens held may be spent.
-    scarce_share : float
-        Fraction of a limit below which the remaining tokens are scarce. Tokens lost in a crash
-        are needed only then.
-    scarce_factor : float
-        Scales the burst and the rate while tokens are scarce.
-    """
-
-    burst_s: float = 1.0
-    burst_tokens: int = 3_000
-    burst_share: float = 0.2
-    max_burst_tokens: int = 24_000
-    rate_factor: float = 1.0
-    relax_after_s: float = 4.0
-    spend_all_s: float = 8.0
-    scarce_share: float = 0.3
-    scarce_factor: float = 0.4
-
-    def for_limit(self, limit_tokens: int, routers: int) -> "SpendBoundRule":
-        """Return the rule for a workspace whose limit is shared by a number of routers.
-
-        Examples
-        --------
-        >>> SpendBoundRule().for_limit(600_000, 2).burst_tokens
-        24000
-        >>> SpendBoundRule().for_limit(600_000, 30).burst_tokens
-        4000
-        """
-        shared = int(self.burst_share * limit_tokens / max(1, routers))
-        burst = max(self.burst_tokens, min(self.max_burst_tokens, shared))
-        return msgspec.structs.replace(self, burst_tokens=burst)
-
-    def tightened(self) -> "SpendBoundRule":
-        """Return the rule for a workspace whose remaining tokens are scarce."""
-        return msgspec.structs.replace(
-            self,
-            burst_s=self.burst_s * self.scarce_factor,
-            burst_tokens=int(self.burst_tokens * self.scarce_factor),
-            rate_factor=self.rate_factor * self.scarce_factor,
-        )
-
-
 class SpendBound(msgspec.Struct, frozen=True, array_like=True):
     """A router's spending of one workspace's tokens, and the bound on its further spending.
 
@@ -162,31 +98,6 @@
     era: int | None = None
 
 
-def spend_bound_for(
-    spent_tokens: int,
-    free_tokens: int,
-    waiting_tokens: int,
-    demand_tokens_per_s: float,
-    rule: SpendBoundRule,
-) -> SpendBound:
-    """Return the spend bound of a router with given spending, free tokens and demand.
-
-    Examples
-    --------
-    >>> bound = spend_bound_for(100, 60_000, 0, 5_000.0, SpendBoundRule())
-    >>> bound.burst_tokens, bound.rate_tokens_per_s, bound.relaxed_rate_tokens_per_s
-    (5000, 5000.0, 7500.0)
-    """
-    free_tokens = max(0, free_tokens)
-    demand_burst = int(rule.burst_s * demand_tokens_per_s)
-    burst = min(free_tokens, max(rule.burst_tokens, demand_burst, waiting_tokens))
-    rate = rule.rate_factor * demand_tokens_per_s
-    relaxed_rate = free_tokens / rule.spend_all_s
-    return SpendBound(
-        spent_tokens, burst, round(rate, 1), rule.relax_after_s, round(relaxed_rate, 1)
-    )
-
-
 class _SentReport(msgspec.Struct):
     """A report that may be in the store, and the local time at which it was sent."""
 
--- a/turnward/gateway/tests/test_prepaid.py
+++ b/turnward/gateway/tests/test_prepaid.py
@@ -22,7 +22,8 @@
 from turnward.gateway.configuration import RetryPolicy, Workspace
 from turnward.gateway.loans import LenderBase, LoanOffer, LoanRule
 from turnward.gateway.prepaid import ROW_NAME, TABLE, BudgetRefusal, PrepaidAccounts
-from turnward.gateway.spending import SpendBoundRule, SpendReports
+from turnward.gateway.spend_bounds import FixedBursts, SpendBoundRule
+from turnward.gateway.spending import SpendReports
 from turnward.gateway.tests.harness import KEY, Harness, ListLog, stream_events
 from turnward.gateway.tests.test_forwarding import ENGINE_POOL, error_reason
 from turnward.ledger import Reservation, SizingRule
@@ -166,6 +167,7 @@
     """Simulation of two routers that spend one workspace's tokens."""
 
     store_type = SteppedStore
+    bounds = FixedBursts(BOUND_RULE)
 
     def __init__(self, accounts_type=PrepaidAccounts, limit=LIMIT, end_reserve_rule=None):
         self.clock = task.Clock()
@@ -201,7 +203,7 @@
             RULE,
             ListLog(),
             lambda: 2,
-            BOUND_RULE,
+            self.bounds,
             LOANS,
             self.end_reserve_rule,
         )
@@ -514,21 +516,28 @@
     assert reports.allowance_tokens("acme", committed) >= held
 
 
-def single_router(limit, routers=6):
-    """Return the simulation and the accounts of a single router with the default rules."""
-    simulation = PrepaidSimulation(limit=limit)
-    simulation.routers[1] = None
+def make_accounts(simulation, incarnation, limit, bounds=None, routers=2):
+    """Return the accounts of a router with the default rules on the simulation's first node."""
     accounts = PrepaidAccounts(
         simulation.clock,
         simulation.stores[0],
         "node-0",
-        "node-0@own",
+        incarnation,
         SizingRule(floor_share=0.5, share=0.5, bias_corrected=True),
         ListLog(),
         lambda: routers,
+        bounds,
     )
-    simulation.routers[0] = accounts
     accounts.set_limits({"acme": Workspace(name="acme", prepaid_tokens=limit)}, 1)
+    return accounts
+
+
+def single_router(limit, routers=6, bounds=None):
+    """Return the simulation and the accounts of a single router with the default rules."""
+    simulation = PrepaidSimulation(limit=limit)
+    simulation.routers[1] = None
+    accounts = make_accounts(simulation, "node-0@own", limit, bounds, routers)
+    simulation.routers[0] = accounts
     return simulation, accounts
 
 
--- a/turnward/gateway/workspace_account.py
+++ b/turnward/gateway/workspace_account.py
@@ -5,6 +5,7 @@
 
 from turnward.gateway.accounts import AccountRow
 from turnward.gateway.end_reserve import EndReserve
+from turnward.gateway.spend_bounds import RecentMaximum
 
 __all__ = ["WaitingRequest", "WorkspaceAccount"]
 
@@ -59,6 +60,8 @@
         Total of the tokens that peers have lent here or returned; not covered by the own grant.
     short_until_s : float
         Time until which the shortage is announced to peers.
+    request_sizes : RecentMaximum
+        Tokens of the largest request seen lately.
     waiters : list of WaitingRequest
         Requests that wait for tokens.
     unresolved : tuple or None
@@ -74,6 +77,7 @@
         "free_tokens_when_reachable",
         "returning",
         "limit",
+        "request_sizes",
         "row",
         "short_until_s",
         "row_before_fold",
@@ -97,6 +101,7 @@
         self.borrowing = False
         self.returning = False
         self.short_until_s = 0.0
+        self.request_sizes = RecentMaximum()
         self.waiters: list[WaitingRequest] = []
         self.unresolved: tuple[int, AccountRow] | None = None
 
