A holder that can't lend yet answers before its peer gives up

Cause: a router gives each holder 0.25 s for a loan, while a holder lets the request wait 0.3 s for the store.

Change: with load_controls.spend_bounds_by_scarcity a holder refuses a loan after 0.1 s if the tokens have not come; tokens that come later stay free. The peer asks the other holder.

--- a/turnward/gateway/holder_client.py
+++ b/turnward/gateway/holder_client.py
@@ -15,13 +15,15 @@
 from turnward.gateway.loans import LOANS_PATH, RETURNS_PATH, Loan, LoanAsk, LoanReturn
 from turnward.http1 import Http1Error, NotSentError
 
-__all__ = ["HolderClient", "ReturnOutcome"]
+__all__ = ["LENDING_WAIT_S", "HolderClient", "ReturnOutcome"]
 
 #: Limit of holders asked for one request.
 _MAX_HOLDERS = 3
 #: Includes the time that a holder may wait for the store.
 _LOAN_TIMEOUT_S = 0.25
 _RETURN_TIMEOUT_S = 0.25
+#: Time that a holder waits for the store at most, so that its answer arrives within the timeout.
+LENDING_WAIT_S = 0.1
 
 
 class ReturnOutcome(StrEnum):
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -113,6 +113,9 @@
         Whether spending is reported for a successor.
     holders : HoldersBase, optional
         Which routers hold a workspace's tokens; the size of their grants depends on their number.
+    lending_wait_s : float, optional
+        Time after which a peer's request for tokens is refused if they can't be lent yet, so that
+        the peer can ask another holder; by default it waits as long as an own request.
     pacer : TokenPacerBase, optional
         Decides which requests get a workspace's tokens while these run short; all by default.
 
@@ -143,6 +146,7 @@
         withheld_share_per_priority: float = WITHHELD_SHARE_PER_PRIORITY,
         reports: bool = True,
         holders: HoldersBase | None = None,
+        lending_wait_s: float | None = None,
         pacer: TokenPacerBase | None = None,
     ):
         self._reactor = reactor
@@ -160,6 +164,7 @@
         self._loan_rule = loan_rule or LoanRule()
         self._end_reserve_rule = end_reserve_rule or EndReserveRule()
         self._withheld_share_per_priority = withheld_share_per_priority
+        self._lending_wait_s = lending_wait_s
         self._paused_until_s = 0.0
         self._store_unreachable = False
         self._stopping = False
@@ -392,6 +397,8 @@
             answer.addCallback(decide)
         else:
             decide(answer)
+        if self._lending_wait_s is not None and not lending.called:
+            self._reactor.callLater(self._lending_wait_s, decide, BudgetRefusal.UNREACHABLE)
         return lending
 
     def _loan_from(self, loan_request: LoanAsk, answer: Reservation | BudgetRefusal) -> Loan:
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -25,7 +25,7 @@
     TableFeed,
 )
 from turnward.gateway.forwarding import Forwarder, ForwardingRules
-from turnward.gateway.holder_client import HolderClient
+from turnward.gateway.holder_client import LENDING_WAIT_S, HolderClient
 from turnward.gateway.holders import RendezvousHolders
 from turnward.gateway.lenders import HolderLenders, PeerLenders
 from turnward.gateway.logs import GatewayLog
@@ -228,6 +228,9 @@
             else 0.0,
             reports=settings.mechanisms.spend_reports,
             holders=self.holders,
+            lending_wait_s=LENDING_WAIT_S
+            if settings.load_controls.spend_bounds_by_scarcity
+            else None,
             pacer=make_token_pacer(settings.load_controls.token_pacing, reactor.seconds),
         )
         self.quarantine = Quarantine(
--- a/turnward/gateway/tests/test_spend_bounds.py
+++ b/turnward/gateway/tests/test_spend_bounds.py
@@ -14,7 +14,9 @@
 from twisted.internet import defer
 
 from turnward.gateway.accounts import decode_account
+from turnward.gateway.holder_client import LENDING_WAIT_S
 from turnward.gateway.load_controls import LoadControls
+from turnward.gateway.loans import Loan, LoanAsk
 from turnward.gateway.prepaid import PrepaidAccounts
 from turnward.gateway.spend_bounds import (
     FixedBursts,
@@ -306,3 +308,36 @@
             load.run(0.5)
         demand = load.accounts.ledger.demand_tokens_per_s("acme", load.simulation.clock.seconds())
         assert stranded_by_crash(load) <= 0.02 * load.limit / 2 + MAX_REPORT_AGE_S * 0.4 * demand
+
+
+# Loans to routers that hold no tokens.
+
+
+def lend_during_outage(lending_wait_s):
+    """Return what a holder answers in time to a peer whose request it can't serve yet."""
+    simulation = ScarcityHolderSimulation()
+    simulation.answer_all_calls(1.0)
+    holder = simulation.routers[0]
+    holder._lending_wait_s = lending_wait_s
+    answers = []
+    ask = LoanAsk("acme", holder.ledger.free_tokens("acme") + 5, 0, for_request=True)
+    holder.lend_for_request(ask).addCallback(answers.append)
+    # The store does not answer.
+    simulation.clock.advance(LENDING_WAIT_S)
+    return simulation, answers
+
+
+def test_holder_that_can_not_lend_answers_before_its_peer_gives_up():
+    _, answers = lend_during_outage(LENDING_WAIT_S)
+    assert answers == [Loan(0)]
+    _, answers = lend_during_outage(None)
+    assert answers == []
+
+
+def test_tokens_that_arrive_after_the_answer_stay_free():
+    simulation, answers = lend_during_outage(LENDING_WAIT_S)
+    holder = simulation.routers[0]
+    committed = holder.ledger.committed_tokens("acme")
+    simulation.answer_all_calls(1.0)
+    assert answers == [Loan(0)]
+    assert holder.ledger.committed_tokens("acme") == committed
