--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -66,6 +66,9 @@
         self.prompt_speed = self._pool_gauge(
             "prompt_tokens_per_ms", "Prompt tokens that a usual engine processes in 1 ms."
         )
+        self.tokens_strandable = self._gauge(
+            "tokens_strandable", "Prepaid tokens that a crash of the process would strand."
+        )
         self.contents_quarantined = self._gauge(
             "contents_held", "Contents held back, since their runs ended endpoints."
         )
@@ -86,6 +89,9 @@
             "Requests refused, since tokens are protected for more urgent ones.",
             ["priority"],
         )
+        self.budget_refusals = self._counter(
+            "budget_refusals", "Requests and loans refused for want of tokens.", ["reason", "held"]
+        )
         self.feedback_reports = self._counter(
             "endpoint_words", "Times endpoints newly asked to be sent nothing.", ["pool", "hold"]
         )
@@ -121,6 +127,10 @@
             self.fastest_engine.labels(pool.pool).set(pool.min_slowdown)
             self.prompt_speed.labels(pool.pool).set(pool.prompt_tokens_per_ms)
 
+    def count_budget_refusal(self, reason: str, held: bool) -> None:
+        """Count a refusal for tokens, by whether the process held enough free ones."""
+        self.budget_refusals.labels(reason, "yes" if held else "no").inc()
+
     def text(self) -> bytes:
         """Return all metrics in the text format."""
         return generate_latest(self._registry)
