--- a/turnward/gateway/tests/test_spend_bounds.py
+++ b/turnward/gateway/tests/test_spend_bounds.py
@@ -37,6 +37,7 @@
     SubtractsLoansTwice,
     is_caught,
     make_accounts,
+    prepaid_harness,
     random_schedule,
     run_schedule,
     single_router,
@@ -341,3 +342,25 @@
     simulation.answer_all_calls(1.0)
     assert answers == [Loan(0)]
     assert holder.ledger.committed_tokens("acme") == committed
+
+
+# What an operator sees.
+
+
+def test_metrics_tell_refusals_and_what_a_crash_would_strand():
+    harness = prepaid_harness(100_000)
+    harness.network.advance(2.0)
+    gateway = harness.gateways[0]
+    accounts = gateway.accounts
+    assert 0 < accounts.strandable_tokens() < accounts.ledger.free_tokens("acme")
+    harness.ask(method=b"POST", body=b"", headers=harness.prompt(200_000, 10))
+    text = gateway._metrics.text()
+    assert b'turnward_budget_refusals_total{held="no",reason="budget_exhausted"} 1.0' in text
+    for client in harness.clients:
+        client.faults.unavailable = True
+    harness.network.advance(1.0)
+    held = accounts.ledger.free_tokens("acme") - 50
+    accounts.reserve("acme", held)
+    harness.network.advance(1.0)
+    text = gateway._metrics.text()
+    assert b'turnward_budget_refusals_total{held="yes",reason="budget_unreachable"} 1.0' in text
