Leave the time of a first event out of the cost, and keep the usual gap

While the engines of a small idle pool are forgotten, the median of those still known is that of other engines.

Change: the cost has no term for the first event; the usual gap stays while most engines are forgotten.

--- a/turnward/gateway/engine_costs.py
+++ b/turnward/gateway/engine_costs.py
@@ -142,7 +142,8 @@
         over = max(0, running + 1 - record.entry.slots)
         load_ms = running * _COST_OF_RUNNING_MS + over * COST_OF_QUEUED_MS
         cost_ms += load_ms * self.rates.slowdown(record) + self.zone_cost_ms(record)
-        cost_ms += self._speed_cost_ms(prompt, record)
+        if not self.rates.replaces_speed_classes:
+            cost_ms += _speed_cost_ms(prompt, record.speed_class)
         return cost_ms + self.lanes.cost_ms(record, uncached)
 
     def _preferable(self, prompt: Prompt, candidates) -> Sequence[EndpointRecord]:
@@ -160,12 +161,6 @@
             return self.rates.is_usual(record)
         return record.speed_class is SpeedClass.USUAL
 
-    def _speed_cost_ms(self, prompt: Prompt, record: EndpointRecord) -> float:
-        """Return what the speed of an engine adds to the cost of a prompt."""
-        if self.rates.replaces_speed_classes:
-            return self.rates.first_event_ms(record)
-        return _class_cost_ms(prompt, record.speed_class)
-
 
 def _load_at(record: EndpointRecord, load: EndpointLoad | None) -> tuple[int, int]:
     """Return the running requests and the queued prompt tokens of this router and its peers."""
@@ -174,7 +169,7 @@
     return record.in_flight + load.requests, record.prefill_tokens + load.prefill_tokens
 
 
-def _class_cost_ms(prompt: Prompt, speed_class: SpeedClass) -> float:
+def _speed_cost_ms(prompt: Prompt, speed_class: SpeedClass) -> float:
     """Return what the speed class of an engine adds to the cost of a prompt."""
     if speed_class is SpeedClass.CRAWLING:
         return _COST_OF_VERY_SLOW_MS
--- a/turnward/gateway/service_rates.py
+++ b/turnward/gateway/service_rates.py
@@ -141,10 +141,6 @@
     def is_usual(self, record: EndpointRecord) -> bool:
         """Return whether an engine is not slower than usual for good; spells do not count."""
 
-    @abstractmethod
-    def first_event_ms(self, record: EndpointRecord) -> float:
-        """Return how long an engine generates a first event; 0 if costs leave it out."""
-
     @abstractmethod
     def pools(self) -> Iterable[PoolRates]:
         """Return the rates of each pool whose engines are measured."""
@@ -182,10 +178,6 @@
         """See ``ServiceRatesBase.is_usual``."""
         return True
 
-    def first_event_ms(self, record):
-        """See ``ServiceRatesBase.first_event_ms``."""
-        return 0.0
-
     def pools(self):
         """See ``ServiceRatesBase.pools``."""
         return ()
@@ -263,13 +255,24 @@
 class _PoolState:
     """The engines of one pool, by incarnation, and what they have in common."""
 
-    __slots__ = ("engines", "prompt_speed", "refreshed_s", "usual_gap_ms")
+    __slots__ = ("_most_known", "engines", "prompt_speed", "refreshed_s", "usual_gap_ms")
 
     def __init__(self):
         self.engines: dict[str, _EngineRate] = {}
         self.prompt_speed = PromptSpeed()
         self.refreshed_s = -1e9
         self.usual_gap_ms = 0.0
+        self._most_known = 0
+
+    def note_known(self, log_gaps: Sequence[float]) -> None:
+        """Update the usual gap from the gaps of the known engines, in ascending order.
+
+        It stays while most of them are forgotten, since the median of the rest is that of others.
+        """
+        known = len(log_gaps)
+        self._most_known = min(len(self.engines), max(self._most_known, known))
+        if known and 2 * known >= self._most_known:
+            self.usual_gap_ms = math.exp(log_gaps[(known - 1) // 2])
 
 
 class MeasuredServiceRates(ServiceRatesBase):
@@ -299,8 +302,7 @@
         log_gaps = sorted(
             engine.log_gap for engine in state.engines.values() if engine.log_gap is not None
         )
-        if log_gaps:
-            state.usual_gap_ms = math.exp(log_gaps[(len(log_gaps) - 1) // 2])
+        state.note_known(log_gaps)
         if state.usual_gap_ms:
             self._compare(state, records, now_s)
 
@@ -327,7 +329,7 @@
         if state is None or queued_tokens < _MIN_MEASURED_TOKENS or elapsed_ms <= 0:
             return
         # The engine also generates the event, which takes a gap; the gap is known less exactly.
-        processing_ms = max(elapsed_ms - self.first_event_ms(record), elapsed_ms / 2)
+        processing_ms = max(elapsed_ms - self.event_gap_ms(record, now_s), elapsed_ms / 2)
         state.prompt_speed.note(queued_tokens * self.slowdown(record) / processing_ms)
 
     def note_gap(self, record, gap_ms, now_s):
@@ -351,7 +353,8 @@
 
     def event_gap_ms(self, record, now_s):
         """See ``ServiceRatesBase.event_gap_ms``."""
-        return self.first_event_ms(record)
+        state = self._pools.get(record.entry.pool)
+        return state.usual_gap_ms * self.slowdown(record) if state is not None else 0.0
 
     def slowdown(self, record):
         """See ``ServiceRatesBase.slowdown``."""
@@ -363,11 +366,6 @@
         engine = self._engine(record)
         return engine is None or engine.settled_slowdown < _REPORTED_FACTOR
 
-    def first_event_ms(self, record):
-        """See ``ServiceRatesBase.first_event_ms``."""
-        state = self._pools.get(record.entry.pool)
-        return state.usual_gap_ms * self.slowdown(record) if state is not None else 0.0
-
     def pools(self):
         """See ``ServiceRatesBase.pools``."""
         for pool, state in self._pools.items():
