--- a/turnward/gateway/workspace_account.py
+++ b/turnward/gateway/workspace_account.py
@@ -19,7 +19,7 @@
     from_reserve : bool
         Whether it is served from the end reserve.
     deferred : Deferred
-        Fires with a ``Reservation`` or a ``BudgetRefusal``.
+        Fires with a ``Reservation`` or a refusal.
     """
 
     __slots__ = ("deferred", "from_reserve", "tokens")
