--- a/turnward/pacing/tests/test_urgency.py
+++ b/turnward/pacing/tests/test_urgency.py
@@ -214,14 +214,14 @@
     assert not any(refused[-20:])
 
 
-def test_new_pacer_of_an_old_workspace_protects_a_part_of_what_is_left():
+def test_new_pacer_of_an_old_workspace_protects_the_urgent_share_of_what_is_left():
     pacer = UrgencyPacer(Clock())
     supply = TokenSupply(limit_tokens=1_000_000_000, remaining_tokens=1_000_000)
     urgent = PacedRequest(workspace="w", tokens=10_000, priority=URGENT)
     dear = PacedRequest(workspace="w", tokens=10_000, priority=DEAR)
     assert pacer.delay_s(urgent, supply) == 0.0
-    assert pacer.protected_tokens(dear, supply) == 500_000
     assert pacer.delay_s(dear, supply) == 0.0
+    assert pacer.protected_tokens(dear, supply) == 500_000
 
 
 def test_delays_name_when_the_rate_covers_those_refused_before():
--- a/turnward/pacing/urgency.py
+++ b/turnward/pacing/urgency.py
@@ -146,7 +146,9 @@
     def _use(self, workspace: str, supply: TokenSupply) -> WorkspaceUse:
         use = self._uses.get(workspace)
         if use is None:
-            use = self._uses[workspace] = WorkspaceUse(supply)
+            # What was spent before protects no more than what is left now.
+            max_before_tokens = int(supply.remaining_tokens / self._rule.protected_factor)
+            use = self._uses[workspace] = WorkspaceUse(supply, max_before_tokens)
         return use
 
     def _bucket_delay_s(
--- a/turnward/pacing/usage.py
+++ b/turnward/pacing/usage.py
@@ -12,12 +12,14 @@
     """Tokens that one workspace's requests asked for and got, by priority.
 
     A period lasts from one raise of the limit to the next. A new pacer can't know when its first
-    period began, and assumes that no more was spent in it before than is left.
+    period began.
 
     Parameters
     ----------
     supply : TokenSupply
         What is left at the first request.
+    max_before_tokens : int
+        Limit of the spent tokens that are counted as spent in the first period.
     """
 
     __slots__ = (
@@ -29,10 +31,10 @@
         "_start_tokens",
     )
 
-    def __init__(self, supply: TokenSupply):
+    def __init__(self, supply: TokenSupply, max_before_tokens: int):
         self._limit_tokens = supply.limit_tokens
         self._start_tokens = _spent_tokens(supply)
-        self._before_tokens = min(self._start_tokens, supply.remaining_tokens)
+        self._before_tokens = min(self._start_tokens, max_before_tokens)
         self._asked_tokens: defaultdict[int, int] = defaultdict(int)
         self._admitted_tokens: defaultdict[int, int] = defaultdict(int)
         self._previous_tokens: dict[int, float] = {}
