Pacing: the drain follows what more urgent requests need

Change: less urgent requests begin to be refused only when what is unprotected would last the more urgent ones alone for a minute, if that is later than the 25 s.

--- a/turnward/pacing/urgency.py
+++ b/turnward/pacing/urgency.py
@@ -35,6 +35,9 @@
     drain_s : float
         Time constant with which unprotected tokens drain to less urgent requests; longer than
         ``max_delay_s``, so that the rate by which a delay was computed holds when it has passed.
+    lookahead_s : float
+        Time for which unprotected tokens would suffice for the more urgent requests alone, when
+        less urgent ones begin to be refused; shorter if that is later than ``drain_s`` tells.
     step_weight : float
         Weight of a token asked for, relative to one of the next less urgent priority, where the
         drained tokens are divided; large enough for the order to show in each kind's share.
@@ -46,10 +49,26 @@
 
     protected_factor: float = 0.5
     drain_s: float = 25.0
+    lookahead_s: float = 60.0
     step_weight: float = 2.0
     burst_s: float = 3.0
     max_delay_s: float = 20.0
 
+    def drain_time_s(self, more_urgent_share: float) -> float:
+        """Return the time constant where more urgent requests have a share of the demand.
+
+        What is unprotected need not last longer for the others than it would for the more urgent
+        ones alone in ``lookahead_s``.
+
+        Examples
+        --------
+        >>> rule = UrgencyPacerRule(drain_s=25.0, lookahead_s=60.0)
+        >>> [rule.drain_time_s(share) for share in (0.0625, 0.5)]
+        [4.0, 25.0]
+        """
+        less_urgent_share = max(1e-9, 1.0 - more_urgent_share)
+        return min(self.drain_s, self.lookahead_s * more_urgent_share / less_urgent_share)
+
 
 class _Bucket:
     """Tokens that requests of one priority may take; negative after an admission.
@@ -154,7 +173,8 @@
     def _bucket_delay_s(
         self, use: WorkspaceUse, request: PacedRequest, supply: TokenSupply
     ) -> float:
-        if not use.has_more_urgent(request.priority):
+        more_urgent_share = use.more_urgent_share(request.priority)
+        if more_urgent_share <= 0:
             return 0.0
         rule = self._rule
         now_s = self._clock()
@@ -164,7 +184,8 @@
         if bucket is None:
             bucket = buckets[request.priority] = _Bucket(now_s, rule.drain_s)
         bucket.note_asked(request.tokens, now_s)
-        drain_tokens_per_s = max(0, unprotected) / (rule.drain_s * max(1, supply.holders))
+        drain_s = rule.drain_time_s(more_urgent_share)
+        drain_tokens_per_s = max(0, unprotected) / (drain_s * max(1, supply.holders))
         share = _share_of_drain(buckets, request.priority, rule.step_weight, now_s)
         rate_tokens_per_s = drain_tokens_per_s * share
         bucket.refill(rate_tokens_per_s, rule.burst_s, now_s)
--- a/turnward/pacing/usage.py
+++ b/turnward/pacing/usage.py
@@ -61,9 +61,16 @@
         self._asked_tokens.clear()
         self._admitted_tokens.clear()
 
-    def has_more_urgent(self, priority: int) -> bool:
-        """Return whether more urgent requests came in this period or the one before."""
-        return any(other < priority for other in (*self._asked_tokens, *self._previous_tokens))
+    def more_urgent_share(self, priority: int) -> float:
+        """Return the share of the tokens asked for in this period by more urgent requests.
+
+        Includes those that they used in the period before.
+        """
+        tokens = defaultdict(float, self._previous_tokens)
+        for other, asked in self._asked_tokens.items():
+            tokens[other] += asked
+        more_urgent = sum(asked for other, asked in tokens.items() if other < priority)
+        return more_urgent / (sum(tokens.values()) or 1)
 
     def used_by_more_urgent(self, priority: int, supply: TokenSupply) -> float:
         """Estimate what more urgent requests used in this period, or in the one before if more."""
