--- a/turnward/pacing/urgency.py
+++ b/turnward/pacing/urgency.py
@@ -33,11 +33,11 @@
     protected_factor : float
         Tokens protected for more urgent requests, per token that these have used.
     drain_s : float
-        Time constant with which unprotected tokens drain to less urgent requests; longer than
-        ``max_delay_s``, so that the rate by which a delay was computed holds when it has passed.
+        Longest time constant with which unprotected tokens drain to less urgent requests; more
+        than ``max_delay_s``, so that the rate by which a delay was computed holds meanwhile.
     lookahead_s : float
-        Time for which unprotected tokens would suffice for the more urgent requests alone, when
-        less urgent ones begin to be refused; shorter if that is later than ``drain_s`` tells.
+        Less urgent requests are not refused while unprotected tokens would suffice the more urgent
+        ones alone for this time; shortens the time constant where these ask for little.
     step_weight : float
         Weight of a token asked for, relative to one of the next less urgent priority, where the
         drained tokens are divided; large enough for the order to show in each kind's share.
@@ -55,10 +55,7 @@
     max_delay_s: float = 20.0
 
     def drain_time_s(self, more_urgent_share: float) -> float:
-        """Return the time constant where more urgent requests have a share of the demand.
-
-        What is unprotected need not last longer for the others than it would for the more urgent
-        ones alone in ``lookahead_s``.
+        """Return the time constant where more urgent requests have a given share of the demand.
 
         Examples
         --------
