--- a/turnward/gateway/prompt_lanes.py
+++ b/turnward/gateway/prompt_lanes.py
@@ -69,9 +69,9 @@
     pool : str
         The pool.
     engines : int
-        Number of its available engines.
+        Number of its engines.
     lane_engines : int
-        Number of those in the lane of long prompts; 0 if the pool is undivided.
+        Number of available ones in the lane of long prompts; 0 if the pool is undivided.
     long_ms : float
         Processing time above which a prompt is long.
     busy_engines : float
@@ -305,6 +305,8 @@
 
     def refresh(self, pool, records, loads, pause_target_ms, now_s):
         """See ``PromptLanesBase.refresh``."""
+        if pause_target_ms <= 0:
+            return
         division = self._divisions.get(pool)
         if division is None:
             division = self._divisions[pool] = _Division(pool)
--- a/turnward/gateway/tests/test_prompt_lanes.py
+++ b/turnward/gateway/tests/test_prompt_lanes.py
@@ -333,10 +333,11 @@
     assert not any(pool.changes)
 
 
-def test_pool_without_pause_target_stays_undivided():
+@pytest.mark.parametrize("pause_target_s", [None, 0.0])
+def test_pool_without_pause_target_stays_undivided(pause_target_s):
     pool = Pool(routers=1)
     for _ in range(5):
-        pool.books[0].choose(POOL, long_prompt(), ENGINE, set())
+        pool.books[0].choose(POOL, long_prompt(), ENGINE, set(), pause_target_s)
     assert pool.lane() == set(pool.ids)
 
 
