--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -69,6 +69,9 @@
         self.tokens_strandable = self._gauge(
             "tokens_strandable", "Prepaid tokens that a crash of the process would strand."
         )
+        self.lane_engines = self._pool_gauge(
+            "lane_engines", "Engines that process long prompts; 0 if the pool is undivided."
+        )
         self.contents_quarantined = self._gauge(
             "contents_held", "Contents held back, since their runs ended endpoints."
         )
@@ -92,6 +95,9 @@
         self.budget_refusals = self._counter(
             "budget_refusals", "Requests and loans refused for want of tokens.", ["reason", "held"]
         )
+        self.long_prompts = self._counter(
+            "long_prompts", "Long prompts sent to a divided pool.", ["pool", "lane"]
+        )
         self.feedback_reports = self._counter(
             "endpoint_words", "Times endpoints newly asked to be sent nothing.", ["pool", "hold"]
         )
