Pacing protects the tokens of the most urgent requests alone

Cause: each kind was held back for all that are more urgent. Change: only the tokens of the most urgent kind are protected, and the lookahead counts that kind alone. Of the drained tokens a step of urgency weighs three times, in place of two, so that the order still shows in each kind's share.

--- a/turnward/pacing/core.py
+++ b/turnward/pacing/core.py
@@ -54,7 +54,7 @@
 
     @abstractmethod
     def protected_tokens(self, request: PacedRequest, supply: TokenSupply) -> int:
-        """Return the tokens protected for more urgent requests than a given one."""
+        """Return the tokens protected from a given request."""
 
 
 class Unpaced(TokenPacerBase):
--- a/turnward/pacing/urgency.py
+++ b/turnward/pacing/urgency.py
@@ -1,15 +1,15 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Protects tokens for the more urgent requests of a workspace.
+"""Protects tokens for the most urgent requests of a workspace.
 
 Load: the callers of a workspace ask for more tokens than its limit holds, and less urgent requests,
 though few, need most of them. In the order of arrival these use up the limit, after which urgent
 requests are refused as well.
 
-Of the tokens left, a multiple of those that more urgent requests have used since the limit was last
-raised is protected for them, since the time until the next raise is unknown. The rest drains to
-less urgent requests at a rate that falls with it. A less urgent kind that was served until then has
-been served at least 1 / (1 + multiple) times as often as the more urgent ones by the time that
-these have used the protected tokens.
+Of the tokens left, a multiple of those that the most urgent requests have used since the limit was
+last raised is protected for them, since the time until the next raise is unknown. The rest drains
+to all other requests at a rate that falls with it; the more urgent of them get more of it. A kind
+that was served until then has been served at least 1 / (1 + multiple) times as often as the most
+urgent one by the time that this has used the protected tokens.
 """
 
 import math
@@ -31,13 +31,13 @@
     Attributes
     ----------
     protected_factor : float
-        Tokens protected for more urgent requests, per token that these have used.
+        Tokens protected for the most urgent requests, per token that these have used.
     drain_s : float
         Longest time constant with which unprotected tokens drain to less urgent requests; more
         than ``max_delay_s``, so that the rate by which a delay was computed holds meanwhile.
     lookahead_s : float
-        Less urgent requests are not refused while unprotected tokens would suffice the more urgent
-        ones alone for this time; shortens the time constant where these ask for little.
+        Other requests are not refused while unprotected tokens would suffice the most urgent ones
+        alone for this time; shortens the time constant where these ask for little.
     step_weight : float
         Weight of a token asked for, relative to one of the next less urgent priority, where the
         drained tokens are divided; large enough for the order to show in each kind's share.
@@ -50,12 +50,12 @@
     protected_factor: float = 0.5
     drain_s: float = 25.0
     lookahead_s: float = 60.0
-    step_weight: float = 2.0
+    step_weight: float = 3.0
     burst_s: float = 3.0
     max_delay_s: float = 20.0
 
-    def drain_time_s(self, more_urgent_share: float) -> float:
-        """Return the time constant where more urgent requests have a given share of the demand.
+    def drain_time_s(self, most_urgent_share: float) -> float:
+        """Return the time constant where the most urgent requests have a share of the demand.
 
         Examples
         --------
@@ -63,8 +63,8 @@
         >>> [rule.drain_time_s(share) for share in (0.0625, 0.5)]
         [4.0, 25.0]
         """
-        less_urgent_share = max(1e-9, 1.0 - more_urgent_share)
-        return min(self.drain_s, self.lookahead_s * more_urgent_share / less_urgent_share)
+        other_share = max(1e-9, 1.0 - most_urgent_share)
+        return min(self.drain_s, self.lookahead_s * most_urgent_share / other_share)
 
 
 class _Bucket:
@@ -156,7 +156,7 @@
     def protected_tokens(self, request: PacedRequest, supply: TokenSupply) -> int:
         """See ``TokenPacerBase.protected_tokens``."""
         use = self._use(request.workspace, supply)
-        used = use.used_by_more_urgent(request.priority, supply)
+        used = use.used_by_most_urgent(request.priority, supply)
         return int(self._rule.protected_factor * used)
 
     def _use(self, workspace: str, supply: TokenSupply) -> WorkspaceUse:
@@ -170,8 +170,8 @@
     def _bucket_delay_s(
         self, use: WorkspaceUse, request: PacedRequest, supply: TokenSupply
     ) -> float:
-        more_urgent_share = use.more_urgent_share(request.priority)
-        if more_urgent_share <= 0:
+        most_urgent_share = use.most_urgent_share(request.priority)
+        if most_urgent_share <= 0:
             return 0.0
         rule = self._rule
         now_s = self._clock()
@@ -181,7 +181,7 @@
         if bucket is None:
             bucket = buckets[request.priority] = _Bucket(now_s, rule.drain_s)
         bucket.note_asked(request.tokens, now_s)
-        drain_s = rule.drain_time_s(more_urgent_share)
+        drain_s = rule.drain_time_s(most_urgent_share)
         drain_tokens_per_s = max(0, unprotected) / (drain_s * max(1, supply.holders))
         share = _share_of_drain(buckets, request.priority, rule.step_weight, now_s)
         rate_tokens_per_s = drain_tokens_per_s * share
--- a/turnward/pacing/usage.py
+++ b/turnward/pacing/usage.py
@@ -61,23 +61,30 @@
         self._asked_tokens.clear()
         self._admitted_tokens.clear()
 
-    def more_urgent_share(self, priority: int) -> float:
-        """Return the share of the tokens asked for in this period by more urgent requests.
+    def most_urgent_share(self, priority: int) -> float:
+        """Return the share of the most urgent requests in the tokens asked for in this period.
 
-        Includes those that they used in the period before.
+        It is 0 if those of ``priority`` are the most urgent. Includes the tokens used in the period
+        before.
         """
         tokens = defaultdict(float, self._previous_tokens)
         for other, asked in self._asked_tokens.items():
             tokens[other] += asked
-        more_urgent = sum(asked for other, asked in tokens.items() if other < priority)
-        return more_urgent / (sum(tokens.values()) or 1)
-
-    def used_by_more_urgent(self, priority: int, supply: TokenSupply) -> float:
-        """Estimate what more urgent requests used in this period, or in the one before if more."""
-        periods = (self._used_tokens(supply), self._previous_tokens)
-        return max(
-            sum(tokens for other, tokens in used.items() if other < priority) for used in periods
-        )
+        most_urgent = min(tokens, default=priority)
+        if most_urgent >= priority:
+            return 0.0
+        return tokens[most_urgent] / (sum(tokens.values()) or 1)
+
+    def used_by_most_urgent(self, priority: int, supply: TokenSupply) -> float:
+        """Estimate what the most urgent requests used in this period, or in the one before if more.
+
+        It is 0 if those of ``priority`` are the most urgent.
+        """
+        used, previous = self._used_tokens(supply), self._previous_tokens
+        most_urgent = min((*used, *previous), default=priority)
+        if most_urgent >= priority:
+            return 0.0
+        return max(used.get(most_urgent, 0.0), previous.get(most_urgent, 0.0))
 
     def _used_tokens(self, supply: TokenSupply) -> dict[int, float]:
         """Estimate the tokens used in this period by priority.
