--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -479,7 +479,7 @@
         self.costs.rates.refresh(pool, records, loads, now_s)
         if pause_target_s is not None:
             pause_target_ms = pause_target_s * 1_000
-            if self._rule.weighs_pace and not self.costs.rates.replaces_speed_classes:
+            if self._rule.weighs_pace and not self.costs.rates.replaces_speed_classes(pool):
                 self._classify(pool, loads, now_s, pause_target_ms)
             self.costs.lanes.refresh(pool, records, loads, pause_target_ms, now_s)
         return self.costs.costs_ms(prompt, candidates, loads, now_s)
--- a/turnward/gateway/engine_costs.py
+++ b/turnward/gateway/engine_costs.py
@@ -142,7 +142,7 @@
         over = max(0, running + 1 - record.entry.slots)
         load_ms = running * _COST_OF_RUNNING_MS + over * COST_OF_QUEUED_MS
         cost_ms += load_ms * self.rates.slowdown(record) + self.zone_cost_ms(record)
-        if not self.rates.replaces_speed_classes:
+        if not self.rates.replaces_speed_classes(record.entry.pool):
             cost_ms += _speed_cost_ms(prompt, record.speed_class)
         return cost_ms + self.lanes.cost_ms(record, prompt.tokens, uncached)
 
@@ -156,7 +156,7 @@
         return usual or candidates
 
     def _is_usual(self, record: EndpointRecord) -> bool:
-        if self.rates.replaces_speed_classes:
+        if self.rates.replaces_speed_classes(record.entry.pool):
             return self.rates.is_usual(record)
         return record.speed_class is SpeedClass.USUAL
 
--- a/turnward/gateway/service_rates.py
+++ b/turnward/gateway/service_rates.py
@@ -40,6 +40,12 @@
 _REPORTED_FACTOR = 1.25
 _REPORTED_AFTER_S = 2.0
 _REPORTED_WEIGHT = 4.0
+#: Slowdown from which an engine can't take long prompts like the others, and the shares of a pool
+#: that must be so slow for rates to be used, and to stay in use. A few are probably faulty, or slow
+#: for a moment.
+_UNEVEN_SLOWDOWN = 1.6
+_UNEVEN_SHARE = 0.2
+_STAY_UNEVEN_SHARE = 0.1
 #: Prompts must have this many tokens to measure the prompt processing speed, so that it and not the
 #: network takes up the time to the first event.
 _MIN_MEASURED_TOKENS = 2_000
@@ -83,17 +89,17 @@
 
     Attributes
     ----------
-    replaces_speed_classes : bool
-        Whether costs by these rates replace the speed classes and their costs.
     on_change : callable
         Called with the record and a ``RateChange`` when a slowdown has changed for good.
     """
 
-    replaces_speed_classes = False
-
     def __init__(self):
         self.on_change: Callable[[EndpointRecord, RateChange], None] = _ignore_change
 
+    @abstractmethod
+    def replaces_speed_classes(self, pool: str) -> bool:
+        """Return whether costs by rates replace the speed classes of a pool and their costs."""
+
     @abstractmethod
     def refresh(
         self,
@@ -135,7 +141,14 @@
 
     @abstractmethod
     def slowdown(self, record: EndpointRecord) -> float:
-        """Return an engine's service time relative to the usual one of its pool."""
+        """Return an engine's service time relative to the usual one of its pool.
+
+        It is 1 while the pool's rates are not used.
+        """
+
+    @abstractmethod
+    def measured_slowdown(self, record: EndpointRecord) -> float:
+        """Return the slowdown as measured, whether or not it is used."""
 
     @abstractmethod
     def is_usual(self, record: EndpointRecord) -> bool:
@@ -149,6 +162,10 @@
 class AssumedServiceRates(ServiceRatesBase):
     """The same prompt processing speed for all engines."""
 
+    def replaces_speed_classes(self, pool):
+        """See ``ServiceRatesBase.replaces_speed_classes``."""
+        return False
+
     def refresh(self, pool, records, loads, now_s):
         """See ``ServiceRatesBase.refresh``."""
 
@@ -174,6 +191,10 @@
         """See ``ServiceRatesBase.slowdown``."""
         return 1.0
 
+    def measured_slowdown(self, record):
+        """See ``ServiceRatesBase.measured_slowdown``."""
+        return 1.0
+
     def is_usual(self, record):
         """See ``ServiceRatesBase.is_usual``."""
         return True
@@ -255,9 +276,17 @@
 class _PoolState:
     """The engines of one pool, by incarnation, and what they have in common."""
 
-    __slots__ = ("_most_known", "engines", "prompt_speed", "refreshed_s", "usual_gap_ms")
+    __slots__ = (
+        "_most_known",
+        "engines",
+        "is_uneven",
+        "prompt_speed",
+        "refreshed_s",
+        "usual_gap_ms",
+    )
 
     def __init__(self):
+        self.is_uneven = False
         self.engines: dict[str, _EngineRate] = {}
         self.prompt_speed = PromptSpeed()
         self.refreshed_s = -1e9
@@ -274,16 +303,29 @@
         if known and 2 * known >= self._most_known:
             self.usual_gap_ms = math.exp(log_gaps[(known - 1) // 2])
 
+    def note_slowdowns(self) -> None:
+        """Update whether many engines are much slower than usual."""
+        slow = sum(engine.slowdown >= _UNEVEN_SLOWDOWN for engine in self.engines.values())
+        min_share = _STAY_UNEVEN_SHARE if self.is_uneven else _UNEVEN_SHARE
+        self.is_uneven = slow > 0 and slow >= min_share * len(self.engines)
+
 
 class MeasuredServiceRates(ServiceRatesBase):
-    """Rates measured from the streams of all routers."""
+    """Rates measured from the streams of all routers.
 
-    replaces_speed_classes = True
+    They are used in pools of which a part is much slower than the rest. Where engines are nearly
+    alike, speed classes keep long prompts off the slower ones.
+    """
 
     def __init__(self):
         super().__init__()
         self._pools: dict[str, _PoolState] = {}
 
+    def replaces_speed_classes(self, pool):
+        """See ``ServiceRatesBase.replaces_speed_classes``."""
+        state = self._pools.get(pool)
+        return state is not None and state.is_uneven
+
     def refresh(self, pool, records, loads, now_s):
         """See ``ServiceRatesBase.refresh``."""
         state = self._pools.get(pool)
@@ -322,6 +364,7 @@
                     state.prompt_speed.tokens_per_ms,
                 )
                 self.on_change(record, change)
+        state.note_slowdowns()
 
     def note_first_event(self, record, queued_tokens, elapsed_ms, now_s):
         """See ``ServiceRatesBase.note_first_event``."""
@@ -330,7 +373,7 @@
             return
         # The engine also generates the event, which takes a gap; the gap is known less exactly.
         processing_ms = max(elapsed_ms - self.event_gap_ms(record, now_s), elapsed_ms / 2)
-        state.prompt_speed.note(queued_tokens * self.slowdown(record) / processing_ms)
+        state.prompt_speed.note(queued_tokens * self.measured_slowdown(record) / processing_ms)
 
     def note_gap(self, record, gap_ms, now_s):
         """See ``ServiceRatesBase.note_gap``."""
@@ -347,17 +390,25 @@
     def prefill_ms(self, record, tokens):
         """See ``ServiceRatesBase.prefill_ms``."""
         state = self._pools.get(record.entry.pool)
-        if state is None:
+        if state is None or not state.is_uneven:
             return tokens / ASSUMED_TOKENS_PER_MS
         return tokens * self.slowdown(record) / state.prompt_speed.tokens_per_ms
 
     def event_gap_ms(self, record, now_s):
         """See ``ServiceRatesBase.event_gap_ms``."""
         state = self._pools.get(record.entry.pool)
-        return state.usual_gap_ms * self.slowdown(record) if state is not None else 0.0
+        if state is None:
+            return 0.0
+        return state.usual_gap_ms * self.measured_slowdown(record)
 
     def slowdown(self, record):
         """See ``ServiceRatesBase.slowdown``."""
+        if not self.replaces_speed_classes(record.entry.pool):
+            return 1.0
+        return self.measured_slowdown(record)
+
+    def measured_slowdown(self, record):
+        """See ``ServiceRatesBase.measured_slowdown``."""
         engine = self._engine(record)
         return engine.slowdown if engine is not None else 1.0
 
