Losses at crashed endpoints that are still listed count against no harmless content

Cause: an endpoint that crashed is listed until its entry expires, and where connections to it are accepted and then reset, it loses the requests sent to it meanwhile. Only losses within 1 s of those of the crashing content were explained by it.

Change: a loss explains another content's loss at the same incarnation until its entry has expired (QuarantineRule.survival_s), and never an earlier one.

Measured: the new test fails before and passes; turnward/quarantine, test_harmless_requests.py and test_crashing_requests.py pass.

--- a/turnward/quarantine/quarantine.py
+++ b/turnward/quarantine/quarantine.py
@@ -16,7 +16,8 @@
 
 - It was answered before. Then its aborts are ignored at endpoints that also aborted a suspicious
   content without any response, or another unanswered content that shares at least two aborts with
-  it. If enough aborts remain, it is quarantined on trial only.
+  it: at the same time, or shortly before, since a crashed endpoint is listed until its entry
+  expires. If enough aborts remain, it is quarantined on trial only.
 - Equally suspicious contents were aborted at the same endpoints, so that any of them may be the
   cause.
 
@@ -32,7 +33,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from collections.abc import Set as AbstractSet
 
 import msgspec
@@ -365,7 +366,7 @@
         ]
         if self._is_explained(suspect, others):
             return Verdict.ALLOWED
-        explained = explained_endpoints(suspect, filter(self._is_suspicious, others))
+        explained = self._explained_endpoints(suspect, filter(self._is_suspicious, others))
         if suspect.answered or self._has_too_few_unexplained(suspect, explained):
             return Verdict.ON_TRIAL
         return Verdict.CONFIRMED
@@ -375,17 +376,24 @@
         if not suspect.answered:
             return self._has_too_few_unexplained(
                 suspect,
-                explained_endpoints(suspect, (other for other in others if other.failed_trial)),
+                self._explained_endpoints(
+                    suspect, (other for other in others if other.failed_trial)
+                ),
             )
-        explained = explained_endpoints(suspect, filter(self._is_suspicious, others))
+        explained = self._explained_endpoints(suspect, filter(self._is_suspicious, others))
         # A content that is not suspicious itself counts if it shares several aborts with this one.
         most_common = max(
-            (suspect.common_endpoints(other) for other in others), key=len, default=frozenset()
+            (self._explained_endpoints(suspect, (other,)) for other in others),
+            key=len,
+            default=frozenset(),
         )
         if len(most_common) >= _MIN_COMMON_ABORTS:
             explained |= most_common
         return self._has_too_few_unexplained(suspect, explained)
 
+    def _explained_endpoints(self, suspect: Suspect, others: Iterable[Suspect]) -> set[str]:
+        return explained_endpoints(suspect, others, self._rule.survival_s)
+
     def _has_too_few_unexplained(self, suspect: Suspect, explained: AbstractSet[str]) -> bool:
         """Return whether too few unexplained aborts remain for a quarantine."""
         return len(suspect.aborts) - len(explained) < self._rule.min_endpoints
--- a/turnward/quarantine/suspects.py
+++ b/turnward/quarantine/suspects.py
@@ -109,13 +109,24 @@
         """Whether any response is known."""
         return self.response_s > float("-inf")
 
-    def common_endpoints(self, other: "Suspect") -> set[str]:
-        """Return the endpoints that aborted runs of both contents at the same time."""
+    def endpoints_explained_by(self, other: "Suspect", listed_s: float) -> set[str]:
+        """Return the endpoints whose aborts of this content another content explains.
+
+        These are the endpoints that aborted a run of the other at the same time or earlier. One
+        that crashed loses the requests sent to it until its entry expires.
+
+        Parameters
+        ----------
+        listed_s : float
+            Longest time for which a crashed endpoint remains listed.
+        """
         return {
             endpoint
             for endpoint, abort in self.aborts.items()
             if endpoint in other.aborts
-            and abs(other.aborts[endpoint].aborted_s - abort.aborted_s) <= _SAME_ABORT_TOLERANCE_S
+            and -_SAME_ABORT_TOLERANCE_S
+            <= abort.aborted_s - other.aborts[endpoint].aborted_s
+            <= listed_s
         }
 
     @property
@@ -152,9 +163,9 @@
         return sorted(self.aborts.values(), key=lambda abort: abort.aborted_s)
 
 
-def explained_endpoints(suspect: Suspect, others: Iterable[Suspect]) -> set[str]:
-    """Return the endpoints that aborted a content together with at least one of the others."""
-    return set().union(*(suspect.common_endpoints(other) for other in others))
+def explained_endpoints(suspect: Suspect, others: Iterable[Suspect], listed_s: float) -> set[str]:
+    """Return the endpoints whose aborts of a content at least one of the others explains."""
+    return set().union(*(suspect.endpoints_explained_by(other, listed_s) for other in others))
 
 
 def age_ms(now_s: float, then_s: float) -> int:
--- a/turnward/quarantine/tests/test_quarantine.py
+++ b/turnward/quarantine/tests/test_quarantine.py
@@ -375,3 +375,43 @@
     for number in range(5_000):
         router.quarantine.record_response(f"c{number}")
     assert len(router.quarantine._answered) == 4_096
+
+
+# Aborts at endpoints that have crashed but are still listed.
+
+
+def lose_at_crashed_endpoints(router, *endpoints, content="popular"):
+    """Lose runs that were sent to endpoints which had crashed already."""
+    for endpoint in endpoints:
+        router.abort(endpoint, content, duration_s=0.02)
+
+
+def test_losses_at_endpoints_that_another_content_crashed_seconds_ago_are_explained(clock):
+    """A crashed endpoint is listed until its entry expires, and loses requests until then."""
+    router = Router(clock)
+    abort_together(router, "popular", "fatal", endpoints=("a", "b"))
+    clock.now_s += 1.7
+    abort_together(router, "fatal", endpoints=("d",))
+    router.quarantine.record_response("popular")
+    lose_at_crashed_endpoints(router, "a", "b", "d", "leaves")
+    assert verdicts(router, "popular", "fatal") == [Verdict.ALLOWED, Verdict.CONFIRMED]
+
+
+def test_crash_does_not_explain_losses_after_the_entry_has_expired(clock):
+    """An endpoint may return with the same start time."""
+    router = Router(clock)
+    abort_together(router, "fatal")
+    router.quarantine.record_response("popular")
+    clock.now_s += RULE.survival_s + 0.1
+    lose_at_crashed_endpoints(router, "a", "b", "d")
+    assert verdicts(router, "popular", "fatal") == [Verdict.ON_TRIAL, Verdict.CONFIRMED]
+
+
+def test_later_loss_of_another_content_does_not_explain_an_earlier_one(clock):
+    """An endpoint that still ran the other content had survived the earlier loss."""
+    router = Router(clock)
+    router.quarantine.record_response("popular")
+    router.abort_at("a", "b", "d", content="popular")
+    clock.now_s += 1.5
+    abort_together(router, "fatal")
+    assert verdicts(router, "popular") == [Verdict.ON_TRIAL]
