A trial lost at an endpoint that had crashed before decides nothing

Cause: a trial may be sent to an endpoint that another content crashed seconds before and that is still listed.

Change: a trial that was lost at an endpoint where a suspicious content without any response had been lost before it was sent is inconclusive, and is repeated. A trial lost at an endpoint that ran until then confirms as before.

--- a/turnward/quarantine/quarantine.py
+++ b/turnward/quarantine/quarantine.py
@@ -25,7 +25,7 @@
 announced, the router of the next rank sends it some time later. Contents that were aborted together
 have the same router, which tries one at a time, so that they do not run together again. A response
 clears a content at all routers. Another abort confirms it, and clears the contents whose aborts it
-explains.
+explains. An abort at an endpoint that another content had crashed before decides nothing.
 
 An abort is dropped when its endpoint is known to have survived it: the same incarnation still has
 an entry in the store when that of a crashed process would have expired. Otherwise, some seconds of
@@ -357,7 +357,7 @@
         """Return the verdict from the evidence on a content and on those aborted with it."""
         if not self._is_suspicious(suspect):
             return Verdict.ALLOWED
-        if suspect.failed_trial:
+        if self._failed_trial(suspect):
             return Verdict.CONFIRMED
         others = [
             other
@@ -377,7 +377,7 @@
             return self._has_too_few_unexplained(
                 suspect,
                 self._explained_endpoints(
-                    suspect, (other for other in others if other.failed_trial)
+                    suspect, (other for other in others if self._failed_trial(other))
                 ),
             )
         explained = self._explained_endpoints(suspect, filter(self._is_suspicious, others))
@@ -391,6 +391,20 @@
             explained |= most_common
         return self._has_too_few_unexplained(suspect, explained)
 
+    def _failed_trial(self, suspect: Suspect) -> bool:
+        """Return whether an endpoint that had not crashed before aborted a trial of a content."""
+        return any(not self._had_crashed(trial, suspect) for trial in suspect.failed_trials())
+
+    def _had_crashed(self, trial: Abort, suspect: Suspect) -> bool:
+        """Return whether another content had crashed the endpoint of a trial before it."""
+        return any(
+            other is not suspect
+            and not other.answered
+            and other.aborted_before(trial, self._rule.survival_s)
+            and self._is_suspicious(other)
+            for other in self._suspects.values()
+        )
+
     def _explained_endpoints(self, suspect: Suspect, others: Iterable[Suspect]) -> set[str]:
         return explained_endpoints(suspect, others, self._rule.survival_s)
 
--- a/turnward/quarantine/suspects.py
+++ b/turnward/quarantine/suspects.py
@@ -129,14 +129,25 @@
             <= listed_s
         }
 
-    @property
-    def failed_trial(self) -> bool:
-        """Whether a trial was aborted: a run sent long after the previous abort."""
-        in_order = self.in_order()
-        return any(
-            later.sent_s >= earlier.aborted_s + _MIN_TRIAL_GAP_S
-            for earlier, later in itertools.pairwise(in_order[_MIN_ABORTS_BEFORE_TRIAL - 1 :])
-        )
+    def failed_trials(self) -> list[Abort]:
+        """Return the aborts of trials: of runs sent long after the previous abort."""
+        last_aborts = self.in_order()[_MIN_ABORTS_BEFORE_TRIAL - 1 :]
+        return [
+            later
+            for earlier, later in itertools.pairwise(last_aborts)
+            if later.sent_s >= earlier.aborted_s + _MIN_TRIAL_GAP_S
+        ]
+
+    def aborted_before(self, trial: Abort, listed_s: float) -> bool:
+        """Return whether the endpoint of another content's trial aborted this one before it.
+
+        Parameters
+        ----------
+        listed_s : float
+            Longest time for which a crashed endpoint remains listed.
+        """
+        abort = self.aborts.get(trial.endpoint)
+        return abort is not None and 0.0 <= trial.sent_s - abort.aborted_s <= listed_s
 
     def drop_survived(self, live: AbstractSet[str], before_s: float) -> bool:
         """Drop earlier aborts at endpoints that are still live; return whether there were any."""
--- a/turnward/quarantine/tests/test_quarantine.py
+++ b/turnward/quarantine/tests/test_quarantine.py
@@ -415,3 +415,19 @@
     clock.now_s += 1.5
     abort_together(router, "fatal")
     assert verdicts(router, "popular") == [Verdict.ON_TRIAL]
+
+
+def test_trial_at_a_crashed_endpoint_decides_nothing(clock):
+    router = Router(clock)
+    router.quarantine.record_response("popular")
+    abort_together(router, "popular", endpoints=("e", "f", "g"))
+    abort_together(router, "fatal")
+    assert verdicts(router, "popular", "fatal") == [Verdict.ON_TRIAL, Verdict.CONFIRMED]
+    clock.now_s += 1.0
+    assert router.quarantine.begin_trial("popular")
+    lose_at_crashed_endpoints(router, "a")
+    assert verdicts(router, "popular") == [Verdict.ON_TRIAL]
+    clock.now_s += 1.0
+    assert router.quarantine.begin_trial("popular")
+    router.abort("h", "popular")
+    assert verdicts(router, "popular") == [Verdict.CONFIRMED]
