Records are copied to the store while a buddy does not acknowledge them

Cause: with one of two buddies silent, a run goes out when the other holds its record. If that buddy and the router then crash at once, the silent one wakes without the record, and nobody knows of the run: "ran, not billed: c3".

Change: while a buddy has not acknowledged its latest batch, the open records are written to the table too, where recoveries look already; in batches that no request waits for, removed once the buddy acknowledges or is replaced. Nothing is written while both acknowledge. A run sent before the silence is seen, or while the store is away, is still lost by such a double death (promises.md).

--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -303,6 +303,59 @@
     assert sum(row["in_doubt_tokens"] for row in held) > 0
 
 
+def test_double_death_beside_a_frozen_buddy_loses_no_bill():
+    """Only the buddy that died with the router held its records (hypothesis)."""
+    fleet = FakeFleet(4)
+    try:
+        fleet.routers[1].freeze()
+        chat(fleet, 0, "c0")
+        fleet.advance(0.3)
+        fleet.finish_runs(answered=False)
+        fleet.advance(0.5)
+        fleet.kill(fleet.routers[2])
+        fleet.kill(fleet.routers[0])
+        settle(fleet)
+    finally:
+        fleet.close()
+
+
+def stored_records(fleet):
+    return [key for key in fleet.table._rows if key.startswith("record/")]
+
+
+def test_records_are_stored_only_while_a_buddy_is_silent(fleet):
+    chat(fleet, 0, "c0")
+    fleet.advance(1.0)
+    assert stored_records(fleet) == []
+    fleet.routers[1].freeze()
+    chat(fleet, 0, "c1")
+    fleet.advance(1.0)
+    assert len(stored_records(fleet)) == 2
+    fleet.routers[1].thaw()
+    fleet.advance(5.0)
+    assert stored_records(fleet) == []
+    fleet.finish_runs()
+    fleet.advance(5.0)
+    settle(fleet)
+    assert stored_records(fleet) == []
+
+
+def test_silent_buddy_in_an_outage_of_the_store_refuses_nothing(fleet):
+    for number in range(3):
+        chat(fleet, number, f"warm{number}")
+    fleet.advance(0.5)
+    fleet.finish_runs()
+    cut_from_store(fleet)
+    fleet.routers[1].freeze()
+    sent = chat(fleet, 0, "c0")
+    fleet.advance(1.0)
+    fleet.finish_runs()
+    fleet.advance(0.5)
+    assert sent.outcome == "ran"
+    assert stored_records(fleet) == []
+    settle(fleet)
+
+
 def test_planned_stop_cuts_nothing_and_returns_the_grant(fleet):
     sent = chat(fleet, 0, "c0")
     fleet.advance(0.5)
--- a/turnward/router/record_task.py
+++ b/turnward/router/record_task.py
@@ -1,5 +1,10 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Replicates this router's run records to its buddies."""
+"""Replicates this router's run records to its buddies.
+
+While a buddy does not acknowledge them, a record may be held by the other buddy alone. The store
+then holds a copy as well, so that no bill is lost if that buddy and this router crash together.
+Requests do not wait for it.
+"""
 
 import msgspec
 from twisted.internet import defer
@@ -8,6 +13,7 @@
 from turnward.peers.book import RecordOutbox, is_urgent
 from turnward.peers.errors import PeerError
 from turnward.peers.messages import PutRecords, RecordsAck, RecordState, RunRecord
+from turnward.router.stored_records import StoredRecords
 from turnward.router.task import TaskBase, Tick
 
 __all__ = ["ReplicateRecord", "RecordTask"]
@@ -18,6 +24,10 @@
 #: records of finished runs are billed before they would be sent.
 NON_URGENT_INTERVAL_S = 2.0
 BATCH_RECORDS = 200
+#: Takes the place of a buddy's incarnation for the copies in the store.
+_STORE = ""
+#: Rows in one transaction.
+_STORE_BATCH_RECORDS = 40
 
 
 class ReplicateRecord(msgspec.Struct, frozen=True, eq=False):
@@ -58,6 +68,9 @@
         self._waiting: dict[str, ReplicateRecord] = {}
         self._sending: set[str] = set()
         self._failed: set[str] = set()
+        #: Buddies that did not acknowledge the latest batch sent to them.
+        self._lagging: set[str] = set()
+        self._stored = StoredRecords(context.table, incarnation)
         self._last_full_send_s = context.now_s()
 
     def put(self, record: RunRecord) -> None:
@@ -69,7 +82,12 @@
     def set_buddies(self, buddies: tuple[str, ...]) -> None:
         """Set the routers to which records are sent."""
         self.buddies = buddies
-        self.outbox.set_buddies(buddies)
+        self._lagging.intersection_update(buddies)
+        self.outbox.set_buddies(self._targets())
+
+    def _targets(self) -> tuple[str, ...]:
+        """Return where records are sent: to the buddies, and to the store if one is lagging."""
+        return (*self.buddies, _STORE) if self._lagging else self.buddies
 
     async def handle(self, messages):
         """See ``TaskBase.handle``."""
@@ -81,12 +99,15 @@
         if Tick() in messages:
             self._failed.clear()
         send_all = self._is_full_send_due()
-        for buddy in self.buddies:
+        self.outbox.set_buddies(self._targets())
+        for buddy in self._targets():
             if buddy in self._sending or buddy in self._failed:
                 continue
             if self.outbox.has_urgent(buddy) or (send_all and self.outbox.unsent_count(buddy)):
                 self._sending.add(buddy)
                 defer.ensureDeferred(self._send(buddy, urgent_only=not send_all))
+        if Tick() in messages and not self._lagging and _STORE not in self._sending:
+            self._remove_stored()
 
     def _is_full_send_due(self) -> bool:
         now_s = self._context.now_s()
@@ -103,6 +124,9 @@
             message.answer.callback(False)
 
     async def _send(self, buddy: str, urgent_only: bool) -> None:
+        if buddy == _STORE:
+            await self._store(urgent_only)
+            return
         records = self.outbox.next_unsent_records(buddy, BATCH_RECORDS, urgent_only)
         held = False
         row = self._context.rows.get(buddy)
@@ -117,10 +141,29 @@
         self._sending.discard(buddy)
         self.tell(_BatchResult(buddy, records, held))
 
+    async def _store(self, urgent_only: bool) -> None:
+        records = self.outbox.next_unsent_records(_STORE, _STORE_BATCH_RECORDS, urgent_only)
+        held = await self._stored.write(records)
+        self._context.metrics.count("records.stored", len(records) if held else 0)
+        self._sending.discard(_STORE)
+        self.tell(_BatchResult(_STORE, records, held))
+
+    def _remove_stored(self) -> None:
+        """Remove the copies in the store; what fails is tried again with the next tick."""
+        if self._stored.run_ids:
+            self._sending.add(_STORE)
+            defer.ensureDeferred(self._remove_batch())
+
+    async def _remove_batch(self) -> None:
+        await self._stored.remove(_STORE_BATCH_RECORDS)
+        self._sending.discard(_STORE)
+
     def _handle_result(self, result: _BatchResult) -> None:
         if not result.held:
             self._failed.add(result.buddy)
+            self._lagging.update({result.buddy} & set(self.buddies))
         else:
+            self._lagging.discard(result.buddy)
             self.outbox.mark_acknowledged(result.buddy, result.records)
         for record in result.records:
             self._answer_waiter(record, result)
