An old response that routers pass on does not free a content that crashes endpoints

Cause (noticed in the lines of soak, where the content was held and cleared in turn): ages leave out the delay of messages and the latest response counts, so that a response seems a little later with each router that passes it on. What is quarantined is announced in turn for as long as it is, with its response: after 79 s at 20 ms a message a response of 5 s before the first abort had passed all aborts, and the content was free again.

Change: responses are announced with recent changes only, not with the contents announced in turn. The time can still grow for 5 s after each new abort.

Measured: the new test fails before and passes; turnward/quarantine, test_harmless_requests.py and test_crashing_requests.py pass.

--- a/turnward/quarantine/quarantine.py
+++ b/turnward/quarantine/quarantine.py
@@ -258,16 +258,20 @@
         self._forget_expired()
         now_s = self._clock()
         contents = self._recently_changed(now_s)
+        # Each router that passes a response on adds a delay to its time. If that went on for the
+        # whole quarantine, an old response would seem later than the aborts and end it.
+        completed = [
+            CompletedRun(content, age_ms(now_s, self._suspects[content].response_s))
+            for content in contents
+            if self._suspects[content].answered
+        ]
         quarantined = self._next_quarantined()
         if quarantined is not None and quarantined not in contents:
             contents.append(quarantined)
         aborted: list[AbortedRun] = []
-        completed: list[CompletedRun] = []
         for content in contents:
             suspect = self._suspects[content]
             aborted.extend(abort.to_message(content, now_s) for abort in suspect.in_order())
-            if suspect.response_s > float("-inf"):
-                completed.append(CompletedRun(content, age_ms(now_s, suspect.response_s)))
         return QuarantineUpdate(tuple(aborted), tuple(completed))
 
     def _recently_changed(self, now_s: float) -> list[str]:
--- a/turnward/quarantine/tests/test_quarantine.py
+++ b/turnward/quarantine/tests/test_quarantine.py
@@ -181,6 +181,23 @@
         assert router.quarantine.quarantine_left_s("c") == pytest.approx(left_s, abs=0.5)
 
 
+def test_old_response_that_is_passed_on_does_not_end_a_quarantine(clock):
+    """Each router that passes it on adds a delay to its time, which would exceed the aborts."""
+    routers = [Router(clock) for _ in range(3)]
+    routers[0].quarantine.record_response("c")
+    clock.now_s += 5.0
+    routers[0].abort_at("a", "b", "d")
+    clock.now_s += 1.0
+    routers[0].abort("e")
+    for turn in range(2_000):
+        clock.now_s += 0.25
+        update = routers[turn % 3].quarantine.make_update()
+        clock.now_s += 0.02
+        routers[(turn + 1) % 3].quarantine.merge(update)
+    assert verdicts(routers[0], "c") == [Verdict.CONFIRMED]
+    assert all(router.quarantine.is_quarantined("c") for router in routers)
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_routers_converge_after_random_aborts_updates_and_responses(seed, clock):
     """All routers reach the same verdict once all updates have been exchanged."""
