Failed trials are collected once per change of evidence

Cause: whether a trial decides was asked for each pair of contents, against all suspects.

Change: once per change, among the contents with enough aborts, by endpoint.

--- a/turnward/quarantine/quarantine.py
+++ b/turnward/quarantine/quarantine.py
@@ -32,7 +32,7 @@
 connection resets would quarantine popular contents for minutes.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, defaultdict
 from collections.abc import Callable, Iterable, Sequence
 from collections.abc import Set as AbstractSet
 
@@ -341,9 +341,11 @@
 
     def _update_verdicts(self, local: bool) -> None:
         """Update all verdicts, since evidence on one content may clear another."""
-        for content in list(self._candidates):
+        candidates = list(self._candidates)
+        confirmed = self._with_failed_trials([self._suspects[content] for content in candidates])
+        for content in candidates:
             suspect = self._suspects[content]
-            verdict = self._assess(content, suspect)
+            verdict = self._assess(content, suspect, confirmed)
             if len(suspect.aborts) < self._rule.min_endpoints:
                 self._candidates.discard(content)
             if verdict is not suspect.verdict:
@@ -357,32 +359,35 @@
             self._quarantined.add(content)
         self._notify(QuarantineChange(content, verdict, tuple(sorted(suspect.aborts)), local))
 
-    def _assess(self, content: str, suspect: Suspect) -> Verdict:
-        """Return the verdict from the evidence on a content and on those aborted with it."""
+    def _assess(self, content: str, suspect: Suspect, confirmed: list[Suspect]) -> Verdict:
+        """Return the verdict from the evidence on a content and on those aborted with it.
+
+        ``confirmed`` holds the suspects with failed trials.
+        """
         if not self._is_suspicious(suspect):
             return Verdict.ALLOWED
-        if self._failed_trial(suspect):
+        if suspect in confirmed:
             return Verdict.CONFIRMED
         others = [
             other
             for other_content, other in self._suspects.items()
             if other_content != content and not other.answered and other.aborts
         ]
-        if self._is_explained(suspect, others):
+        if self._is_explained(suspect, others, confirmed):
             return Verdict.ALLOWED
         explained = self._explained_endpoints(suspect, filter(self._is_suspicious, others))
         if suspect.answered or self._has_too_few_unexplained(suspect, explained):
             return Verdict.ON_TRIAL
         return Verdict.CONFIRMED
 
-    def _is_explained(self, suspect: Suspect, others: list[Suspect]) -> bool:
+    def _is_explained(
+        self, suspect: Suspect, others: list[Suspect], confirmed: list[Suspect]
+    ) -> bool:
         """Return whether unanswered contents explain too many aborts of a content to suspect it."""
         if not suspect.answered:
+            unanswered = (other for other in confirmed if not other.answered)
             return self._has_too_few_unexplained(
-                suspect,
-                self._explained_endpoints(
-                    suspect, (other for other in others if self._failed_trial(other))
-                ),
+                suspect, self._explained_endpoints(suspect, unanswered)
             )
         explained = self._explained_endpoints(suspect, filter(self._is_suspicious, others))
         # A content that is not suspicious itself counts if it shares several aborts with this one.
@@ -395,19 +400,28 @@
             explained |= most_common
         return self._has_too_few_unexplained(suspect, explained)
 
-    def _failed_trial(self, suspect: Suspect) -> bool:
-        """Return whether an endpoint that had not crashed before aborted a trial of a content."""
-        return any(not self._had_crashed(trial, suspect) for trial in suspect.failed_trials())
-
-    def _had_crashed(self, trial: Abort, suspect: Suspect) -> bool:
-        """Return whether another content had crashed the endpoint of a trial before it."""
-        return any(
-            other is not suspect
-            and not other.answered
-            and other.aborted_before(trial, self._rule.survival_s)
-            and self._is_suspicious(other)
-            for other in self._suspects.values()
-        )
+    def _with_failed_trials(self, candidates: list[Suspect]) -> list[Suspect]:
+        """Return the candidates of which a trial was aborted that decides.
+
+        The abort decides nothing if another content had crashed the endpoint before.
+        """
+        by_endpoint: defaultdict[str, list[Suspect]] = defaultdict(list)
+        for suspect in candidates:
+            if not suspect.answered and self._is_suspicious(suspect):
+                for endpoint in suspect.aborts:
+                    by_endpoint[endpoint].append(suspect)
+
+        def had_crashed(trial: Abort, suspect: Suspect) -> bool:
+            return any(
+                other is not suspect and other.aborted_before(trial, self._rule.survival_s)
+                for other in by_endpoint[trial.endpoint]
+            )
+
+        return [
+            suspect
+            for suspect in candidates
+            if any(not had_crashed(trial, suspect) for trial in suspect.failed_trials())
+        ]
 
     def _explained_endpoints(self, suspect: Suspect, others: Iterable[Suspect]) -> set[str]:
         return explained_endpoints(suspect, others, self._rule.survival_s)
