A loss of an answered content whose other losses are explained is no failed trial

Cause: a loss sent 0.5 s after the one before, from the fourth on, counted as a failed trial also of a content that had never been on trial, since another explained its losses.

Change: for contents answered before, explained losses are weighed before failed trials.

--- a/turnward/quarantine/quarantine.py
+++ b/turnward/quarantine/quarantine.py
@@ -366,15 +366,18 @@
         """
         if not self._is_suspicious(suspect):
             return Verdict.ALLOWED
-        if suspect in confirmed:
+        if suspect in confirmed and not suspect.answered:
             return Verdict.CONFIRMED
         others = [
             other
             for other_content, other in self._suspects.items()
             if other_content != content and not other.answered and other.aborts
         ]
+        # An answered content whose aborts are explained has not been on trial.
         if self._is_explained(suspect, others, confirmed):
             return Verdict.ALLOWED
+        if suspect in confirmed:
+            return Verdict.CONFIRMED
         explained = self._explained_endpoints(suspect, filter(self._is_suspicious, others))
         if suspect.answered or self._has_too_few_unexplained(suspect, explained):
             return Verdict.ON_TRIAL
--- a/turnward/quarantine/tests/test_quarantine.py
+++ b/turnward/quarantine/tests/test_quarantine.py
@@ -448,3 +448,14 @@
     assert router.quarantine.begin_trial("popular")
     router.abort("h", "popular")
     assert verdicts(router, "popular") == [Verdict.CONFIRMED]
+
+
+def test_loss_of_an_answered_content_whose_other_losses_are_explained_is_no_failed_trial(clock):
+    """For example a request to an engine that is stopped shortly after others crashed."""
+    router = Router(clock)
+    router.quarantine.record_response("popular")
+    abort_together(router, "popular", "fatal")
+    assert verdicts(router, "popular", "fatal") == [Verdict.ALLOWED, Verdict.CONFIRMED]
+    clock.now_s += 0.6
+    lose_at_crashed_endpoints(router, "stopped")
+    assert verdicts(router, "popular", "fatal") == [Verdict.ALLOWED, Verdict.CONFIRMED]
