--- a/turnward/quarantine/quarantine.py
+++ b/turnward/quarantine/quarantine.py
@@ -16,7 +16,8 @@
 
 - It was answered before. Then its aborts are ignored at endpoints that also aborted a suspicious
   content without any response, or another unanswered content that shares at least two aborts with
-  it. If enough aborts remain, it is quarantined on trial only.
+  it: at the same time, or shortly before, since a crashed endpoint is listed until its entry
+  expires. If enough aborts remain, it is quarantined on trial only.
 - Equally suspicious contents were aborted at the same endpoints, so that any of them may be the
   cause.
 
@@ -24,15 +25,15 @@
 announced, the router of the next rank sends it some time later. Contents that were aborted together
 have the same router, which tries one at a time, so that they do not run together again. A response
 clears a content at all routers. Another abort confirms it, and clears the contents whose aborts it
-explains.
+explains. An abort at an endpoint that another content had crashed before decides nothing.
 
 An abort is dropped when its endpoint is known to have survived it: the same incarnation still has
 an entry in the store when that of a crashed process would have expired. Otherwise, some seconds of
 connection resets would quarantine popular contents for minutes.
 """
 
-from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections import OrderedDict, defaultdict
+from collections.abc import Callable, Iterable, Sequence
 from collections.abc import Set as AbstractSet
 
 import msgspec
@@ -257,16 +258,20 @@
         self._forget_expired()
         now_s = self._clock()
         contents = self._recently_changed(now_s)
+        # Each router that passes a response on adds a delay to its time. If that went on for the
+        # whole quarantine, an old response would seem later than the aborts and end it.
+        completed = [
+            CompletedRun(content, age_ms(now_s, self._suspects[content].response_s))
+            for content in contents
+            if self._suspects[content].answered
+        ]
         quarantined = self._next_quarantined()
         if quarantined is not None and quarantined not in contents:
             contents.append(quarantined)
         aborted: list[AbortedRun] = []
-        completed: list[CompletedRun] = []
         for content in contents:
             suspect = self._suspects[content]
             aborted.extend(abort.to_message(content, now_s) for abort in suspect.in_order())
-            if suspect.response_s > float("-inf"):
-                completed.append(CompletedRun(content, age_ms(now_s, suspect.response_s)))
         return QuarantineUpdate(tuple(aborted), tuple(completed))
 
     def _recently_changed(self, now_s: float) -> list[str]:
@@ -336,9 +341,11 @@
 
     def _update_verdicts(self, local: bool) -> None:
         """Update all verdicts, since evidence on one content may clear another."""
-        for content in list(self._candidates):
+        candidates = list(self._candidates)
+        confirmed = self._with_failed_trials([self._suspects[content] for content in candidates])
+        for content in candidates:
             suspect = self._suspects[content]
-            verdict = self._assess(content, suspect)
+            verdict = self._assess(content, suspect, confirmed)
             if len(suspect.aborts) < self._rule.min_endpoints:
                 self._candidates.discard(content)
             if verdict is not suspect.verdict:
@@ -352,40 +359,76 @@
             self._quarantined.add(content)
         self._notify(QuarantineChange(content, verdict, tuple(sorted(suspect.aborts)), local))
 
-    def _assess(self, content: str, suspect: Suspect) -> Verdict:
-        """Return the verdict from the evidence on a content and on those aborted with it."""
+    def _assess(self, content: str, suspect: Suspect, confirmed: list[Suspect]) -> Verdict:
+        """Return the verdict from the evidence on a content and on those aborted with it.
+
+        ``confirmed`` holds the suspects with failed trials.
+        """
         if not self._is_suspicious(suspect):
             return Verdict.ALLOWED
-        if suspect.failed_trial:
+        if suspect in confirmed and not suspect.answered:
             return Verdict.CONFIRMED
         others = [
             other
             for other_content, other in self._suspects.items()
             if other_content != content and not other.answered and other.aborts
         ]
-        if self._is_explained(suspect, others):
+        # An answered content whose aborts are explained has not been on trial.
+        if self._is_explained(suspect, others, confirmed):
             return Verdict.ALLOWED
-        explained = explained_endpoints(suspect, filter(self._is_suspicious, others))
+        if suspect in confirmed:
+            return Verdict.CONFIRMED
+        explained = self._explained_endpoints(suspect, filter(self._is_suspicious, others))
         if suspect.answered or self._has_too_few_unexplained(suspect, explained):
             return Verdict.ON_TRIAL
         return Verdict.CONFIRMED
 
-    def _is_explained(self, suspect: Suspect, others: list[Suspect]) -> bool:
+    def _is_explained(
+        self, suspect: Suspect, others: list[Suspect], confirmed: list[Suspect]
+    ) -> bool:
         """Return whether unanswered contents explain too many aborts of a content to suspect it."""
         if not suspect.answered:
+            unanswered = (other for other in confirmed if not other.answered)
             return self._has_too_few_unexplained(
-                suspect,
-                explained_endpoints(suspect, (other for other in others if other.failed_trial)),
+                suspect, self._explained_endpoints(suspect, unanswered)
             )
-        explained = explained_endpoints(suspect, filter(self._is_suspicious, others))
+        explained = self._explained_endpoints(suspect, filter(self._is_suspicious, others))
         # A content that is not suspicious itself counts if it shares several aborts with this one.
         most_common = max(
-            (suspect.common_endpoints(other) for other in others), key=len, default=frozenset()
+            (self._explained_endpoints(suspect, (other,)) for other in others),
+            key=len,
+            default=frozenset(),
         )
         if len(most_common) >= _MIN_COMMON_ABORTS:
             explained |= most_common
         return self._has_too_few_unexplained(suspect, explained)
 
+    def _with_failed_trials(self, candidates: list[Suspect]) -> list[Suspect]:
+        """Return the candidates of which a trial was aborted that decides.
+
+        The abort decides nothing if another content had crashed the endpoint before.
+        """
+        by_endpoint: defaultdict[str, list[Suspect]] = defaultdict(list)
+        for suspect in candidates:
+            if not suspect.answered and self._is_suspicious(suspect):
+                for endpoint in suspect.aborts:
+                    by_endpoint[endpoint].append(suspect)
+
+        def had_crashed(trial: Abort, suspect: Suspect) -> bool:
+            return any(
+                other is not suspect and other.aborted_before(trial, self._rule.survival_s)
+                for other in by_endpoint[trial.endpoint]
+            )
+
+        return [
+            suspect
+            for suspect in candidates
+            if any(not had_crashed(trial, suspect) for trial in suspect.failed_trials())
+        ]
+
+    def _explained_endpoints(self, suspect: Suspect, others: Iterable[Suspect]) -> set[str]:
+        return explained_endpoints(suspect, others, self._rule.survival_s)
+
     def _has_too_few_unexplained(self, suspect: Suspect, explained: AbstractSet[str]) -> bool:
         """Return whether too few unexplained aborts remain for a quarantine."""
         return len(suspect.aborts) - len(explained) < self._rule.min_endpoints
--- a/turnward/quarantine/tests/test_quarantine.py
+++ b/turnward/quarantine/tests/test_quarantine.py
@@ -181,6 +181,23 @@
         assert router.quarantine.quarantine_left_s("c") == pytest.approx(left_s, abs=0.5)
 
 
+def test_old_response_that_is_passed_on_does_not_end_a_quarantine(clock):
+    """Each router that passes it on adds a delay to its time, which would exceed the aborts."""
+    routers = [Router(clock) for _ in range(3)]
+    routers[0].quarantine.record_response("c")
+    clock.now_s += 5.0
+    routers[0].abort_at("a", "b", "d")
+    clock.now_s += 1.0
+    routers[0].abort("e")
+    for turn in range(2_000):
+        clock.now_s += 0.25
+        update = routers[turn % 3].quarantine.make_update()
+        clock.now_s += 0.02
+        routers[(turn + 1) % 3].quarantine.merge(update)
+    assert verdicts(routers[0], "c") == [Verdict.CONFIRMED]
+    assert all(router.quarantine.is_quarantined("c") for router in routers)
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_routers_converge_after_random_aborts_updates_and_responses(seed, clock):
     """All routers reach the same verdict once all updates have been exchanged."""
@@ -375,3 +392,70 @@
     for number in range(5_000):
         router.quarantine.record_response(f"c{number}")
     assert len(router.quarantine._answered) == 4_096
+
+
+# Aborts at endpoints that have crashed but are still listed.
+
+
+def lose_at_crashed_endpoints(router, *endpoints, content="popular"):
+    """Lose runs that were sent to endpoints which had crashed already."""
+    for endpoint in endpoints:
+        router.abort(endpoint, content, duration_s=0.02)
+
+
+def test_losses_at_endpoints_that_another_content_crashed_seconds_ago_are_explained(clock):
+    """A crashed endpoint is listed until its entry expires, and loses requests until then."""
+    router = Router(clock)
+    abort_together(router, "popular", "fatal", endpoints=("a", "b"))
+    clock.now_s += 1.7
+    abort_together(router, "fatal", endpoints=("d",))
+    router.quarantine.record_response("popular")
+    lose_at_crashed_endpoints(router, "a", "b", "d", "leaves")
+    assert verdicts(router, "popular", "fatal") == [Verdict.ALLOWED, Verdict.CONFIRMED]
+
+
+def test_crash_does_not_explain_losses_after_the_entry_has_expired(clock):
+    """An endpoint may return with the same start time."""
+    router = Router(clock)
+    abort_together(router, "fatal")
+    router.quarantine.record_response("popular")
+    clock.now_s += RULE.survival_s + 0.1
+    lose_at_crashed_endpoints(router, "a", "b", "d")
+    assert verdicts(router, "popular", "fatal") == [Verdict.ON_TRIAL, Verdict.CONFIRMED]
+
+
+def test_later_loss_of_another_content_does_not_explain_an_earlier_one(clock):
+    """An endpoint that still ran the other content had survived the earlier loss."""
+    router = Router(clock)
+    router.quarantine.record_response("popular")
+    router.abort_at("a", "b", "d", content="popular")
+    clock.now_s += 1.5
+    abort_together(router, "fatal")
+    assert verdicts(router, "popular") == [Verdict.ON_TRIAL]
+
+
+def test_trial_at_a_crashed_endpoint_decides_nothing(clock):
+    router = Router(clock)
+    router.quarantine.record_response("popular")
+    abort_together(router, "popular", endpoints=("e", "f", "g"))
+    abort_together(router, "fatal")
+    assert verdicts(router, "popular", "fatal") == [Verdict.ON_TRIAL, Verdict.CONFIRMED]
+    clock.now_s += 1.0
+    assert router.quarantine.begin_trial("popular")
+    lose_at_crashed_endpoints(router, "a")
+    assert verdicts(router, "popular") == [Verdict.ON_TRIAL]
+    clock.now_s += 1.0
+    assert router.quarantine.begin_trial("popular")
+    router.abort("h", "popular")
+    assert verdicts(router, "popular") == [Verdict.CONFIRMED]
+
+
+def test_loss_of_an_answered_content_whose_other_losses_are_explained_is_no_failed_trial(clock):
+    """For example a request to an engine that is stopped shortly after others crashed."""
+    router = Router(clock)
+    router.quarantine.record_response("popular")
+    abort_together(router, "popular", "fatal")
+    assert verdicts(router, "popular", "fatal") == [Verdict.ALLOWED, Verdict.CONFIRMED]
+    clock.now_s += 0.6
+    lose_at_crashed_endpoints(router, "stopped")
+    assert verdicts(router, "popular", "fatal") == [Verdict.ALLOWED, Verdict.CONFIRMED]
