The usual gap of a pool follows engines that all turn much faster

Cause: gaps below an eighth of the usual one count as those of events that arrived together. Where all engines turn more than eight times faster, as with another model, all gaps fell below it, and the usual gap, which stays while most engines are forgotten, could never be measured again. Change: no gap is left out while no engine is known.

--- a/turnward/gateway/service_rates.py
+++ b/turnward/gateway/service_rates.py
@@ -253,15 +253,29 @@
 
 
 class _PoolState:
-    """The engines of one pool, by incarnation, and what they have in common."""
+    """The engines of one pool, by incarnation, and what they have in common.
 
-    __slots__ = ("_most_known", "engines", "prompt_speed", "refreshed_s", "usual_gap_ms")
+    Attributes
+    ----------
+    min_gap_ms : float
+        Gaps below this are of events that arrived together.
+    """
+
+    __slots__ = (
+        "_most_known",
+        "engines",
+        "min_gap_ms",
+        "prompt_speed",
+        "refreshed_s",
+        "usual_gap_ms",
+    )
 
     def __init__(self):
         self.engines: dict[str, _EngineRate] = {}
         self.prompt_speed = PromptSpeed()
         self.refreshed_s = -1e9
         self.usual_gap_ms = 0.0
+        self.min_gap_ms = 0.0
         self._most_known = 0
 
     def note_known(self, log_gaps: Sequence[float]) -> None:
@@ -273,6 +287,8 @@
         self._most_known = min(len(self.engines), max(self._most_known, known))
         if known and 2 * known >= self._most_known:
             self.usual_gap_ms = math.exp(log_gaps[(known - 1) // 2])
+        # While no engine is known, all may have become so fast that each gap is below the share.
+        self.min_gap_ms = _MIN_GAP_SHARE * self.usual_gap_ms if known else 0.0
 
 
 class MeasuredServiceRates(ServiceRatesBase):
@@ -336,7 +352,7 @@
         """See ``ServiceRatesBase.note_gap``."""
         state = self._pools.get(record.entry.pool)
         engine = state.engines.get(record.incarnation) if state is not None else None
-        if engine is not None and gap_ms >= _MIN_GAP_SHARE * state.usual_gap_ms:
+        if engine is not None and gap_ms >= state.min_gap_ms:
             engine.own.note(gap_ms, now_s)
 
     def own_sums(self, record, now_s):
--- a/turnward/gateway/tests/test_service_rates.py
+++ b/turnward/gateway/tests/test_service_rates.py
@@ -400,6 +400,21 @@
     assert fleet.engines[2].prompts["short"] > before + 40
 
 
+def test_usual_gap_follows_when_all_engines_turn_much_faster():
+    """All engines are replaced by ones 10 times faster, as when a pool changes its model."""
+    fleet = Fleet([1.0] * 3, routers=1)
+    rates = fleet.books[0].costs.rates
+    record = fleet.books[0].get("e-0")
+    for gap_ms, duration_s in ((240.0, 20), (24.0, 180)):
+        end_s = fleet.now_s + duration_s
+        while fleet.now_s < end_s:
+            fleet.now_s += gap_ms / 1_000
+            rates.refresh("pool", fleet.books[0].all(), {}, fleet.now_s)
+            for each in fleet.books[0].all():
+                rates.note_gap(each, gap_ms, fleet.now_s)
+        assert rates.event_gap_ms(record, fleet.now_s) == pytest.approx(gap_ms, rel=0.1)
+
+
 # Sums.
 
 
