A pool that loses its pause target loses its lanes

Cause: the division of a pool was updated only by requests with a pause target. Once a configuration took the streaming routes of a pool away, the lane stayed as it was for good, with engines that had left, stale loads, and its metric. Change: a request without a pause target undivides the pool, which is told. Result: the new test failed before (three engines stayed the lane).

--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -477,11 +477,11 @@
         records = self._by_pool[pool]
         self._loads_at_choice = loads
         self.costs.rates.refresh(pool, records, loads, now_s)
-        if pause_target_s is not None:
-            pause_target_ms = pause_target_s * 1_000
-            if self._rule.weighs_pace and not self.costs.rates.replaces_speed_classes:
-                self._classify(pool, loads, now_s, pause_target_ms)
-            self.costs.lanes.refresh(pool, records, loads, pause_target_ms, now_s)
+        pause_target_ms = None if pause_target_s is None else pause_target_s * 1_000
+        uses_classes = self._rule.weighs_pace and not self.costs.rates.replaces_speed_classes
+        if pause_target_ms is not None and uses_classes:
+            self._classify(pool, loads, now_s, pause_target_ms)
+        self.costs.lanes.refresh(pool, records, loads, pause_target_ms, now_s)
         return self.costs.costs_ms(prompt, candidates, loads, now_s)
 
     def _classify(self, pool: str, loads, now_s: float, pause_target_ms: float) -> None:
--- a/turnward/gateway/prompt_lanes.py
+++ b/turnward/gateway/prompt_lanes.py
@@ -106,12 +106,13 @@
         pool: str,
         records: Sequence[EndpointRecord],
         loads: Mapping[str, EndpointLoad],
-        pause_target_ms: float,
+        pause_target_ms: float | None,
         now_s: float,
     ) -> None:
         """Update the division of a pool; called before each choice among its engines.
 
-        ``loads`` holds the sums of the peers' reports by incarnation.
+        ``loads`` holds the sums of the peers' reports by incarnation. Without a pause target (None
+        or 0) the pool is undivided.
         """
 
     @abstractmethod
@@ -305,7 +306,8 @@
 
     def refresh(self, pool, records, loads, pause_target_ms, now_s):
         """See ``PromptLanesBase.refresh``."""
-        if pause_target_ms <= 0:
+        if not pause_target_ms:
+            self._drop_division(pool, len(records))
             return
         division = self._divisions.get(pool)
         if division is None:
@@ -315,6 +317,13 @@
         if division.update(records, self._rates, now_s):
             self.on_change(self._describe(division, len(records)))
 
+    def _drop_division(self, pool: str, engines: int) -> None:
+        """Forget the division of a pool whose pause target is gone from the configuration."""
+        division = self._divisions.pop(pool, None)
+        if division is not None and division.lane:
+            division.lane = frozenset()
+            self.on_change(self._describe(division, engines))
+
     def note_prompt(self, record, prompt_tokens, now_s):
         """See ``PromptLanesBase.note_prompt``."""
         division = self._divisions.get(record.entry.pool)
--- a/turnward/gateway/tests/test_prompt_lanes.py
+++ b/turnward/gateway/tests/test_prompt_lanes.py
@@ -351,6 +351,17 @@
     assert pool.changes[0][-1].lane_engines == 0
 
 
+@pytest.mark.parametrize("pause_target_s", [None, 0.0])
+def test_pool_that_loses_its_pause_target_is_undivided(pause_target_s):
+    """A new configuration removes the streaming routes; the other requests go on."""
+    pool = Pool(routers=1)
+    pool.divide()
+    assert pool.lane() != set(pool.ids)
+    pool.books[0].choose(POOL, short_prompt(), ENGINE, set(), pause_target_s)
+    assert pool.lane() == set(pool.ids)
+    assert pool.changes[0][-1].lane_engines == 0
+
+
 def test_switch_is_off_by_default():
     assert isinstance(make_prompt_lanes(LoadControls(), Rates()), NoPromptLanes)
     assert isinstance(make_prompt_lanes(ON, Rates()), PromptLanes)
