Sums of gaps that don't match can't make a choice fail

Cause: a total that lacks a router's own report, or comes from a faulty peer, may have a weight near 0 beside a large sum of logarithms; the exponential of their quotient overflowed within the choice of an endpoint. Change: the mean logarithm of new sums is kept between those of 0.1 ms and 10 min.

--- a/turnward/gateway/service_rates.py
+++ b/turnward/gateway/service_rates.py
@@ -33,6 +33,9 @@
 #: Weight of gaps above which an engine counts for the usual gap of its pool.
 _MIN_KNOWN_WEIGHT = 1.0
 _MAX_SLOWDOWN = 8.0
+#: Range of the logarithm of a gap in milliseconds. Totals of reports that do not match leave it.
+_MIN_LOG_GAP = math.log(0.1)
+_MAX_LOG_GAP = math.log(600_000.0)
 #: Share of the usual gap below which events have arrived together and their gap tells nothing.
 _MIN_GAP_SHARE = 0.125
 #: Factor by which a slowdown must have moved, for how long, and the weight of gaps that it must be
@@ -220,6 +223,8 @@
         if newest.weight <= 0:
             self._known = self._known.scaled(math.exp(-elapsed_s / _IDLE_FADING_S))
             return
+        log_gap = min(_MAX_LOG_GAP, max(_MIN_LOG_GAP, newest.log_sum / newest.weight))
+        newest = GapSums(newest.weight, newest.weight * log_gap)
         self._updates += 1
         newest_share = newest.weight / (newest.weight + self._known.weight)
         fading_per_s = newest_share / _BUSY_FADING_S + (1 - newest_share) / _IDLE_FADING_S
--- a/turnward/gateway/tests/test_service_rates.py
+++ b/turnward/gateway/tests/test_service_rates.py
@@ -10,7 +10,7 @@
 
 import msgspec
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from turnward.gateway import EndpointEntry, EngineTraits, RetryPolicy
@@ -468,6 +468,26 @@
     held_up_gap_ms: float = 0.0
 
 
+@given(
+    st.lists(
+        st.tuples(st.integers(-(10**6), 10**6), st.integers(-(10**9), 10**9)),
+        min_size=1,
+        max_size=20,
+    )
+)
+@example([(100, 10**7)])
+@example([(100, 300), (1, 10**7)])
+def test_sums_that_do_not_match_cannot_make_a_choice_fail(sums):
+    """A total that lacks a report, or holds it twice, may have a weight close to 0."""
+    fleet = Fleet([1.0] * 3, routers=1)
+    for weight_centi, log_sum_centi in sums:
+        fleet.now_s += PERIOD_S
+        load = EndpointLoad("e-1", 1, 0, 0.0, 0.0, weight_centi, log_sum_centi)
+        fleet.peer_loads[0] = {"e-1": load}
+        assert fleet.books[0].choose("pool", SHORT_PROMPT, ENGINE, set(), 0.4) is not None
+        assert all(1 / 8 <= slowdown <= 8 for slowdown in fleet.slowdowns(0))
+
+
 def test_older_builds_ignore_the_sums_and_leave_them_out():
     load = EndpointLoad("e", 3, 40, 1.5, 2.5, 300, 900)
     older = msgspec.msgpack.decode(msgspec.msgpack.encode(load), type=_OlderLoad)
