--- a/turnward/gateway/tests/test_prompt_lanes.py
+++ b/turnward/gateway/tests/test_prompt_lanes.py
@@ -286,6 +286,21 @@
     assert lane - {lost} < remaining
 
 
+def test_lane_closes_ranks_when_an_engine_is_cut_off():
+    pool = Pool()
+    pool.divide()
+    lane = pool.lane()
+    lost = sorted(lane)[0]
+    for book in pool.books:
+        for _ in range(5):
+            book.get(lost).availability.failed(pool.now_s, certain=True)
+    pool.advance(REPORT_INTERVAL_S)
+    assert pool.send(long_prompt()).engine != lost
+    remaining = pool.lane() - {lost}
+    assert len(remaining) == len(lane)
+    assert lane - {lost} < remaining
+
+
 def test_all_engines_of_the_lane_end_at_once():
     pool = Pool()
     pool.divide()
@@ -324,6 +339,18 @@
     assert pool.send(short_prompt()).engine not in lane
 
 
+def test_routers_without_reports_shrink_their_lanes_to_the_same_first_engines():
+    pool = Pool()
+    pool.play(10.0)
+    before = pool.lane()
+    pool.loads_of_peers = lambda number: {}
+    pool.play(20.0, short_per_s=48.0, long_per_s=12.0)
+    lanes = [pool.lane(router) for router in range(4)]
+    assert [len(lane) for lane in lanes] == [3] * 4
+    assert len(set.union(*lanes)) == 3
+    assert lanes[0] < before
+
+
 @pytest.mark.parametrize(
     "pool", [Pool(engines=9), Pool(controls=LoadControls())], ids=["small pool", "switched off"]
 )
--- a/turnward/gateway/tests/test_service_rates.py
+++ b/turnward/gateway/tests/test_service_rates.py
@@ -19,6 +19,7 @@
 from turnward.gateway.load_controls import LoadControls
 from turnward.gateway.metrics import GatewayMetrics
 from turnward.gateway.peer_book import EndpointLoad, sum_loads
+from turnward.gateway.prompt_lanes import make_prompt_lanes
 from turnward.gateway.prompt_speed import PromptSpeed
 from turnward.gateway.prompts import Prompt, parse_prompt_parts
 from turnward.gateway.service_rates import MeasuredServiceRates, PoolRates, make_service_rates
@@ -45,8 +46,8 @@
 SPELL_FACTOR = 2.5
 
 
-def long_prompt(number):
-    return Prompt(11_992, 380, parse_prompt_parts(f"{number % 40:x}:5382,own:6610"))
+def long_prompt(number, tokens=11_992):
+    return Prompt(tokens, 380, parse_prompt_parts(f"{number % 40:x}:5382,own:{tokens - 5382}"))
 
 
 class Engine:
@@ -109,8 +110,9 @@
 class Fleet:
     """Simulated routers and engines; routers learn from own streams and reports 250 ms old."""
 
-    def __init__(self, slowdowns, routers=71, controls=ON, seed=1):
+    def __init__(self, slowdowns, routers=71, controls=ON, seed=1, long_tokens=11_992):
         self.now_s = 100.0
+        self.long_tokens = long_tokens
         self.rng = random.Random(seed)
         self.engines = [Engine(slowdown, self.rng) for slowdown in slowdowns]
         self.changes = []
@@ -138,6 +140,7 @@
             lambda: self.peer_loads[number],
             random.Random(number),
             rates=rates,
+            lanes=make_prompt_lanes(controls, rates),
         )
         book.set_entries(self.entries)
         self.books.append(book)
@@ -169,7 +172,8 @@
 
     def _send(self, router):
         kind = "long" if self.rng.random() < 0.28 else "short"
-        prompt = long_prompt(self.rng.randrange(1_000)) if kind == "long" else SHORT_PROMPT
+        number = self.rng.randrange(1_000) if kind == "long" else 0
+        prompt = long_prompt(number, self.long_tokens) if kind == "long" else SHORT_PROMPT
         book = self.books[router]
         record = book.choose("pool", prompt, ENGINE, set(), 0.4).record
         engine = self.engines[int(record.endpoint_id.partition("-")[2])]
