--- a/turnward/gateway/service_rates.py
+++ b/turnward/gateway/service_rates.py
@@ -33,6 +33,9 @@
 #: Weight of gaps above which an engine counts for the usual gap of its pool.
 _MIN_KNOWN_WEIGHT = 1.0
 _MAX_SLOWDOWN = 8.0
+#: Range of the logarithm of a gap in milliseconds. Totals of reports that do not match leave it.
+_MIN_LOG_GAP = math.log(0.1)
+_MAX_LOG_GAP = math.log(600_000.0)
 #: Share of the usual gap below which events have arrived together and their gap tells nothing.
 _MIN_GAP_SHARE = 0.125
 #: Factor by which a slowdown must have moved, for how long, and the weight of gaps that it must be
@@ -241,6 +244,8 @@
         if newest.weight <= 0:
             self._known = self._known.scaled(math.exp(-elapsed_s / _IDLE_FADING_S))
             return
+        log_gap = min(_MAX_LOG_GAP, max(_MIN_LOG_GAP, newest.log_sum / newest.weight))
+        newest = GapSums(newest.weight, newest.weight * log_gap)
         self._updates += 1
         newest_share = newest.weight / (newest.weight + self._known.weight)
         fading_per_s = newest_share / _BUSY_FADING_S + (1 - newest_share) / _IDLE_FADING_S
@@ -274,12 +279,21 @@
 
 
 class _PoolState:
-    """The engines of one pool, by incarnation, and what they have in common."""
+    """The engines of one pool, by incarnation, and what they have in common.
+
+    Attributes
+    ----------
+    is_uneven : bool
+        Whether a part of the pool is much slower than the rest.
+    min_gap_ms : float
+        Gaps below this are of events that arrived together.
+    """
 
     __slots__ = (
         "_most_known",
         "engines",
         "is_uneven",
+        "min_gap_ms",
         "prompt_speed",
         "refreshed_s",
         "usual_gap_ms",
@@ -291,6 +305,7 @@
         self.prompt_speed = PromptSpeed()
         self.refreshed_s = -1e9
         self.usual_gap_ms = 0.0
+        self.min_gap_ms = 0.0
         self._most_known = 0
 
     def note_known(self, log_gaps: Sequence[float]) -> None:
@@ -302,6 +317,8 @@
         self._most_known = min(len(self.engines), max(self._most_known, known))
         if known and 2 * known >= self._most_known:
             self.usual_gap_ms = math.exp(log_gaps[(known - 1) // 2])
+        # While no engine is known, all may have become so fast that each gap is below the share.
+        self.min_gap_ms = _MIN_GAP_SHARE * self.usual_gap_ms if known else 0.0
 
     def note_slowdowns(self) -> None:
         """Update whether many engines are much slower than usual."""
@@ -379,7 +396,7 @@
         """See ``ServiceRatesBase.note_gap``."""
         state = self._pools.get(record.entry.pool)
         engine = state.engines.get(record.incarnation) if state is not None else None
-        if engine is not None and gap_ms >= _MIN_GAP_SHARE * state.usual_gap_ms:
+        if engine is not None and gap_ms >= state.min_gap_ms:
             engine.own.note(gap_ms, now_s)
 
     def own_sums(self, record, now_s):
--- a/turnward/gateway/tests/test_service_rates.py
+++ b/turnward/gateway/tests/test_service_rates.py
@@ -10,7 +10,7 @@
 
 import msgspec
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from turnward.gateway import EndpointEntry, EngineTraits, RetryPolicy
@@ -19,6 +19,7 @@
 from turnward.gateway.load_controls import LoadControls
 from turnward.gateway.metrics import GatewayMetrics
 from turnward.gateway.peer_book import EndpointLoad, sum_loads
+from turnward.gateway.prompt_lanes import make_prompt_lanes
 from turnward.gateway.prompt_speed import PromptSpeed
 from turnward.gateway.prompts import Prompt, parse_prompt_parts
 from turnward.gateway.service_rates import (
@@ -50,8 +51,8 @@
 SPELL_FACTOR = 2.5
 
 
-def long_prompt(number):
-    return Prompt(11_992, 380, parse_prompt_parts(f"{number % 40:x}:5382,own:6610"))
+def long_prompt(number, tokens=11_992):
+    return Prompt(tokens, 380, parse_prompt_parts(f"{number % 40:x}:5382,own:{tokens - 5382}"))
 
 
 class Engine:
@@ -114,8 +115,9 @@
 class Fleet:
     """Simulated routers and engines; routers learn from own streams and reports 250 ms old."""
 
-    def __init__(self, slowdowns, routers=71, controls=ON, seed=1):
+    def __init__(self, slowdowns, routers=71, controls=ON, seed=1, long_tokens=11_992):
         self.now_s = 100.0
+        self.long_tokens = long_tokens
         self.rng = random.Random(seed)
         self.engines = [Engine(slowdown, self.rng) for slowdown in slowdowns]
         self.changes = []
@@ -143,6 +145,7 @@
             lambda: self.peer_loads[number],
             random.Random(number),
             rates=rates,
+            lanes=make_prompt_lanes(controls, rates),
         )
         book.set_entries(self.entries)
         self.books.append(book)
@@ -174,7 +177,8 @@
 
     def _send(self, router):
         kind = "long" if self.rng.random() < 0.28 else "short"
-        prompt = long_prompt(self.rng.randrange(1_000)) if kind == "long" else SHORT_PROMPT
+        number = self.rng.randrange(1_000) if kind == "long" else 0
+        prompt = long_prompt(number, self.long_tokens) if kind == "long" else SHORT_PROMPT
         book = self.books[router]
         record = book.choose("pool", prompt, ENGINE, set(), 0.4).record
         engine = self.engines[int(record.endpoint_id.partition("-")[2])]
@@ -407,6 +411,21 @@
     assert fleet.engines[2].prompts["short"] > before + 40
 
 
+def test_usual_gap_follows_when_all_engines_turn_much_faster():
+    """All engines are replaced by ones 10 times faster, as when a pool changes its model."""
+    fleet = Fleet([1.0] * 3, routers=1)
+    rates = fleet.books[0].costs.rates
+    record = fleet.books[0].get("e-0")
+    for gap_ms, duration_s in ((240.0, 20), (24.0, 180)):
+        end_s = fleet.now_s + duration_s
+        while fleet.now_s < end_s:
+            fleet.now_s += gap_ms / 1_000
+            rates.refresh("pool", fleet.books[0].all(), {}, fleet.now_s)
+            for each in fleet.books[0].all():
+                rates.note_gap(each, gap_ms, fleet.now_s)
+        assert rates.event_gap_ms(record, fleet.now_s) == pytest.approx(gap_ms, rel=0.1)
+
+
 # Sums.
 
 
@@ -460,6 +479,26 @@
     held_up_gap_ms: float = 0.0
 
 
+@given(
+    st.lists(
+        st.tuples(st.integers(-(10**6), 10**6), st.integers(-(10**9), 10**9)),
+        min_size=1,
+        max_size=20,
+    )
+)
+@example([(100, 10**7)])
+@example([(100, 300), (1, 10**7)])
+def test_sums_that_do_not_match_cannot_make_a_choice_fail(sums):
+    """A total that lacks a report, or holds it twice, may have a weight close to 0."""
+    fleet = Fleet([1.0] * 3, routers=1)
+    for weight_centi, log_sum_centi in sums:
+        fleet.now_s += PERIOD_S
+        load = EndpointLoad("e-1", 1, 0, 0.0, 0.0, weight_centi, log_sum_centi)
+        fleet.peer_loads[0] = {"e-1": load}
+        assert fleet.books[0].choose("pool", SHORT_PROMPT, ENGINE, set(), 0.4) is not None
+        assert all(1 / 8 <= slowdown <= 8 for slowdown in fleet.slowdowns(0))
+
+
 def test_older_builds_ignore_the_sums_and_leave_them_out():
     load = EndpointLoad("e", 3, 40, 1.5, 2.5, 300, 900)
     older = msgspec.msgpack.decode(msgspec.msgpack.encode(load), type=_OlderLoad)
