Pacing: a kind that used nothing is not the most urgent one

Cause: a kind whose requests were asked for just before a raise, of which the row showed no spending yet, was kept with 0 tokens as the period before. While it was not seen again it counted as the most urgent one, so that nothing was protected, and nobody paced, until the next raise. Change: the period before keeps only kinds that used tokens. A second test shows what protecting the most urgent kind alone is for: the least urgent requests are not held back for a kind between that asks for most tokens.

--- a/turnward/pacing/tests/test_urgency.py
+++ b/turnward/pacing/tests/test_urgency.py
@@ -153,6 +153,19 @@
     assert played.used > 0.95 * limit
 
 
+def test_least_urgent_requests_are_not_held_back_for_the_kind_between():
+    """The kind between asks for most tokens, the most urgent and the least urgent for few."""
+    kinds = {URGENT: (1_700, 2.0), MIDDLE: (12_000, 5.0), DEAR: (2_400, 2.0)}
+    load = arrivals(kinds=kinds)
+    limit = int(0.8 * sum(a.tokens for a in load))
+    played = play(UrgencyPacer, load, limit=limit)
+    first_paced_s = min(a.at_s for a, _ in played.paced if a.priority == DEAR)
+    used = sum(a.tokens for a in played.served if a.at_s < first_paced_s)
+    assert used > 0.7 * limit
+    assert played.share(URGENT) > 0.95
+    assert played.share(DEAR) > 0.6
+
+
 def test_requests_of_one_urgency_are_not_paced():
     load = arrivals(kinds={DEAR: KINDS[DEAR]})
     limit = sum(a.tokens for a in load) // 2
@@ -224,6 +237,22 @@
     assert not any(refused[-20:])
 
 
+def test_kind_that_used_nothing_does_not_count_as_the_most_urgent():
+    """Its tokens were asked for just before a raise, and it is not seen again."""
+    pacer = UrgencyPacer(Clock())
+    gone = PacedRequest(workspace="w", tokens=500, priority=URGENT)
+    middle = PacedRequest(workspace="w", tokens=10_000, priority=MIDDLE)
+    dear = PacedRequest(workspace="w", tokens=10_000, priority=DEAR)
+    first = TokenSupply(limit_tokens=100_000, remaining_tokens=100_000)
+    assert pacer.delay_s(gone, first) == 0.0
+    for remaining in range(200_000, 110_000, -10_000):
+        raised = TokenSupply(limit_tokens=200_000, remaining_tokens=remaining)
+        assert pacer.delay_s(middle, raised) == 0.0
+    nearly_used_up = TokenSupply(limit_tokens=200_000, remaining_tokens=50_000)
+    assert pacer.protected_tokens(dear, nearly_used_up) > 40_000
+    assert any(pacer.delay_s(dear, nearly_used_up) > 0 for _ in range(3))
+
+
 def test_new_pacer_of_an_old_workspace_protects_the_urgent_share_of_what_is_left():
     pacer = UrgencyPacer(Clock())
     supply = TokenSupply(limit_tokens=1_000_000_000, remaining_tokens=1_000_000)
--- a/turnward/pacing/usage.py
+++ b/turnward/pacing/usage.py
@@ -55,7 +55,9 @@
             limit_tokens=self._limit_tokens,
             remaining_tokens=self._limit_tokens - _spent_tokens(supply),
         )
-        self._previous_tokens = self._used_tokens(before)
+        used = self._used_tokens(before)
+        # A kind that used nothing must not count as the most urgent one.
+        self._previous_tokens = {priority: tokens for priority, tokens in used.items() if tokens}
         self._start_tokens = _spent_tokens(supply)
         self._before_tokens = 0
         self._asked_tokens.clear()
