Spend bounds: tests of a crash of all holders, of a peer that asks on, of early refusals

The random schedules of a holder and a borrower ran without the refusal after 0.1 s, though it stands in process.py wherever the bounds do. The property of bursts drew limits of which hardly anything was used. Change: a test for each; the schedules refuse early; the property draws what was spent. It is stricter, as every case drawn before can be drawn still. Result: no fault found: the tests pass. With the release of a late reservation taken out (a trial), test_tokens_that_arrive_after_the_answer_stay_free fails; the schedules then still pass, as a leaked reservation never exceeds a limit. Bounds beyond the bearable (a trial) fail the crash of all and the property.

--- a/turnward/gateway/tests/test_prepaid.py
+++ b/turnward/gateway/tests/test_prepaid.py
@@ -20,6 +20,7 @@
     ungranted_tokens,
 )
 from turnward.gateway.configuration import RetryPolicy, Workspace
+from turnward.gateway.load_controls import LoadControls
 from turnward.gateway.loans import LenderBase, LoanOffer, LoanRule
 from turnward.gateway.prepaid import ROW_NAME, TABLE, BudgetRefusal, PrepaidAccounts
 from turnward.gateway.spend_bounds import FixedBursts, SpendBoundRule
@@ -762,13 +763,14 @@
 # Tests with complete gateways.
 
 
-def prepaid_harness(prepaid):
+def prepaid_harness(prepaid, load_controls=None):
     harness = Harness(
         pools=(ENGINE_POOL,),
         workspaces=(Workspace(name="acme", keys=(KEY.decode(),), prepaid_tokens=prepaid),),
         repeat=RetryPolicy.STREAM,
         time_limit_s=10.0,
     )
+    harness.load_controls = load_controls or LoadControls()
     harness.endpoint(stream_events(4))
     return harness.ready(gateways=2)
 
--- a/turnward/gateway/tests/test_spend_bounds.py
+++ b/turnward/gateway/tests/test_spend_bounds.py
@@ -14,6 +14,7 @@
 from twisted.internet import defer
 
 from turnward.gateway.accounts import decode_account
+from turnward.gateway.configuration import RetryPolicy, Workspace
 from turnward.gateway.holder_client import LENDING_WAIT_S
 from turnward.gateway.load_controls import LoadControls
 from turnward.gateway.loans import Loan, LoanAsk
@@ -26,6 +27,7 @@
     make_spend_bounds,
 )
 from turnward.gateway.spending import SpendBound
+from turnward.gateway.tests.harness import ENGINE_POOL, KEY, Harness, stream_events
 from turnward.gateway.tests.test_holder_schedules import SCHEDULE_ACTIONS, HolderSimulation
 from turnward.gateway.tests.test_prepaid import (
     LIMIT,
@@ -150,14 +152,15 @@
 @given(
     st.integers(0, 10**7),
     st.integers(0, 10**7),
+    st.integers(0, 10**9),
     st.floats(0, 1e6),
     st.integers(0, 10**5),
     st.integers(1, 300),
 )
 def test_bursts_of_all_holders_strand_little_of_what_is_left(
-    free, ungranted, demand, largest, holders
+    free, ungranted, spent, demand, largest, holders
 ):
-    limit = holders * free + ungranted + 10_000
+    limit = holders * free + ungranted + spent
     present = state(
         free_tokens=free,
         ungranted_tokens=ungranted,
@@ -221,8 +224,14 @@
 
 
 class ScarcityHolderSimulation(HolderSimulation):
+    """The holder refuses loans that have to wait, and may get their tokens later."""
+
     bounds = ScarcityBounds(SMALL_RULE)
 
+    def start(self, index):
+        super().start(index)
+        self.routers[index]._lending_wait_s = LENDING_WAIT_S
+
 
 def run_seed(seed, accounts_type=PrepaidAccounts):
     return run_schedule(random_schedule(seed), accounts_type, ScarcitySimulation)
@@ -311,6 +320,34 @@
         assert stranded_by_crash(load) <= 0.02 * load.limit / 2 + MAX_REPORT_AGE_S * 0.4 * demand
 
 
+@pytest.mark.parametrize("used_share", [0.0, 0.5, 0.85])
+def test_crash_of_all_holders_strands_little(used_share):
+    limit = 1_000_000
+    harness = prepaid_harness(limit, LoadControls(spend_bounds_by_scarcity=True))
+    harness.network.advance(2.0)
+    for number in range(int(used_share * limit / 25_000)):
+        headers = harness.prompt(25_000 - 20, 20)
+        assert harness.ask(number % 2, method=b"POST", body=b"", headers=headers).status == 200
+    harness.network.advance(2.0)
+    accounts = [gateway.accounts for gateway in harness.gateways]
+    used = sum(one._own_committed_tokens("acme") for one in accounts)
+    now_s = harness.gateways[0]._reactor.seconds()
+    demand = sum(one.ledger.demand_tokens_per_s("acme", now_s) for one in accounts)
+    for machine in harness.machines:
+        machine.kill()
+    harness.network.advance(1.0)
+    for machine, gateway in list(zip(harness.machines, harness.gateways, strict=True)):
+        machine.restart()
+        harness.run_gateway(machine, gateway.incarnation.partition("@")[0])
+    harness.network.advance(4.0)
+    spare = max(0.0, limit - used - 0.25 * limit)
+    bearable = 0.15 * spare
+    rate = max(0.4 * demand, min(max(1.5 * demand, bearable / 4.0), spare / 4.0))
+    growth = MAX_REPORT_AGE_S * rate
+    stranded = ended_tokens(harness) - used
+    assert 0 < stranded <= max(0.02 * limit, bearable) + growth
+
+
 # Loans to routers that hold no tokens.
 
 
@@ -335,6 +372,40 @@
     assert answers == []
 
 
+def ask_while_the_first_holder_waits(enabled):
+    """Return a caller's answer and the log of its gateway, which holds no tokens."""
+    workspace = Workspace(name="acme", keys=(KEY.decode(),), prepaid_tokens=1_000_000)
+    harness = Harness(
+        pools=(ENGINE_POOL,), workspaces=(workspace,), repeat=RetryPolicy.STREAM, time_limit_s=9.0
+    )
+    harness.load_controls = LoadControls(spend_bounds_by_scarcity=enabled)
+    harness.endpoint(stream_events(4))
+    harness.ready(gateways=12)
+    harness.network.advance(3.0)
+    holds = [gateway.holders.holds("acme") for gateway in harness.gateways]
+    free = [gateway.accounts.ledger.free_tokens("acme") for gateway in harness.gateways]
+    borrower = holds.index(False)
+    # Holders are asked in turn.
+    _, first = harness.gateways[borrower].holders.other_holders("acme")
+    slow = next(n for n, gateway in enumerate(harness.gateways) if gateway.peers_address == first)
+    harness.clients[slow].faults.delay_s = 1.0
+    headers = harness.prompt(max(free) + 1_000, 20)
+    caller = harness.ask(borrower, method=b"POST", body=b"", headers=headers)
+    return caller, harness.logs[borrower]
+
+
+def test_peer_of_a_holder_that_waits_for_the_store_asks_the_other_one():
+    caller, log = ask_while_the_first_holder_waits(enabled=True)
+    assert caller.status == 200
+    assert not log.of("holder.silent")
+    assert len(log.of("prepaid.borrowed")) == 1
+
+
+def test_holder_that_waits_for_the_store_counts_as_silent_without_the_switch():
+    _, log = ask_while_the_first_holder_waits(enabled=False)
+    assert log.of("holder.silent")
+
+
 def test_tokens_that_arrive_after_the_answer_stay_free():
     simulation, answers = lend_during_outage(LENDING_WAIT_S)
     holder = simulation.routers[0]
