Pacing: test of a workspace none of whose holders answers

Change: both holders are killed after one request was paced; the next one is served from the store, and the limit holds.

--- a/turnward/gateway/tests/test_token_pacing.py
+++ b/turnward/gateway/tests/test_token_pacing.py
@@ -172,3 +172,18 @@
     refused = dear_until_refused(harness, gateway)
     assert (refused.status, b"budget_paced" in refused.body) == (503, True)
     assert urgent(harness, gateway).status == 200
+
+
+def test_requests_are_served_from_the_store_unpaced_while_no_holder_answers():
+    harness = fleet(HOLDERS_PER_WORKSPACE + 3)
+    use_half(harness)
+    gateway = borrower(harness)
+    assert dear_until_refused(harness, gateway).status == 503
+    for machine, other in zip(harness.machines, harness.gateways, strict=True):
+        if other.holders.holds("acme"):
+            machine.kill()
+    assert send(harness, b"/b/x", 10_000, gateway).status == 200
+    assert harness.logs[gateway].of("prepaid.taken")
+    assert not harness.logs[gateway].of("prepaid.paced")
+    used = sum(g.accounts._own_committed_tokens("acme") for g in harness.gateways)
+    assert used <= PREPAID_TOKENS
