Pacing: pages say that the most urgent kind alone is protected

The package page was not made anew. Result: tests/test_documents.py passes, and with it the tests of turnward/gateway, turnward/pacing and turnward/ledger.

--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -731,7 +731,7 @@
         self._refuse(503, Reason.OVERLOADED, queue_ms=choice.queue_ms, over_ms=excess_ms)
 
     def _refuse_paced(self, refusal: PacedRefusal) -> None:
-        """Refuse a request whose tokens are protected for more urgent ones."""
+        """Refuse a request whose tokens are protected for the most urgent ones."""
         if self._ended:
             return
         self._paced_delay_s = refusal.retry_after_s
--- a/turnward/gateway/load_controls.py
+++ b/turnward/gateway/load_controls.py
@@ -16,7 +16,7 @@
     spend_bounds_by_scarcity : bool
         Bounds on unreported spending follow the sizes of requests and what is left of a limit.
     token_pacing : bool
-        While a workspace's tokens run short, less urgent requests are refused before urgent ones.
+        While a workspace's tokens run short, they are protected for its most urgent requests.
     service_rates : bool
         The service rate of each engine is measured and shared with peers.
     prompt_lanes : bool
--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -89,7 +89,7 @@
         )
         self.requests_paced = self._counter(
             "requests_paced",
-            "Requests refused, since tokens are protected for more urgent ones.",
+            "Requests refused, since tokens are protected for the most urgent ones.",
             ["priority"],
         )
         self.budget_refusals = self._counter(
--- a/turnward/gateway/token_pacing.py
+++ b/turnward/gateway/token_pacing.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Refusals of requests whose tokens are protected for more urgent ones of the same workspace."""
+"""Refusals of requests whose tokens are protected for the most urgent of the same workspace."""
 
 import msgspec
 
--- a/turnward/pacing/core.py
+++ b/turnward/pacing/core.py
@@ -43,7 +43,7 @@
 
 
 class TokenPacerBase(ABC):
-    """Decides which requests get tokens, in favour of the more urgent ones."""
+    """Decides which requests get tokens, in favour of the most urgent ones."""
 
     @abstractmethod
     def delay_s(self, request: PacedRequest, supply: TokenSupply) -> float:
