Pacing: a trickle of most urgent requests leaves the next kind protected

Cause: since the most urgent kind alone is protected, a few tokens of such a kind left all others unpaced: its share set the drain, and half of next to nothing was protected. Change: while the most urgent kinds ask for less than a hundredth of all tokens together, the next one counts with them. From a hundredth on nothing changes. A kind that used nothing is covered by the same rule.

--- a/turnward/pacing/tests/test_urgency.py
+++ b/turnward/pacing/tests/test_urgency.py
@@ -166,6 +166,27 @@
     assert played.share(DEAR) > 0.6
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_trickle_of_most_urgent_requests_leaves_the_next_kind_protected(seed):
+    load = arrivals(seed, {MIDDLE: KINDS[URGENT], DEAR: KINDS[DEAR]})
+    limit = int(0.7 * sum(a.tokens for a in load))
+    without = play(UrgencyPacer, load, limit=limit)
+    trickle = arrivals(seed, {URGENT: (50, 0.5)})
+    played = play(UrgencyPacer, sorted(load + trickle, key=lambda a: a.at_s), limit=limit)
+    assert played.share(MIDDLE) > without.share(MIDDLE) - 0.05
+    assert played.share(MIDDLE) > play(unpaced, load, limit=limit).share(MIDDLE) + 0.15
+    assert played.share(URGENT) > 0.9
+
+
+def test_nothing_is_protected_from_a_kind_more_urgent_than_all_seen():
+    pacer = UrgencyPacer(Clock())
+    dear = PacedRequest(workspace="w", tokens=50_000, priority=DEAR)
+    urgent = PacedRequest(workspace="w", tokens=1_000, priority=URGENT)
+    assert pacer.delay_s(dear, TokenSupply(limit_tokens=100_000, remaining_tokens=100_000)) == 0.0
+    used = TokenSupply(limit_tokens=100_000, remaining_tokens=50_000)
+    assert pacer.protected_tokens(urgent, used) == 0
+
+
 def test_requests_of_one_urgency_are_not_paced():
     load = arrivals(kinds={DEAR: KINDS[DEAR]})
     limit = sum(a.tokens for a in load) // 2
--- a/turnward/pacing/usage.py
+++ b/turnward/pacing/usage.py
@@ -7,6 +7,10 @@
 
 __all__ = ["WorkspaceUse"]
 
+#: Share of the demand from which requests of the most urgent priority are protected alone; with
+#: less, a few of them would leave all others unprotected from each other.
+_MIN_PROTECTED_SHARE = 0.01
+
 
 class WorkspaceUse:
     """Tokens that one workspace's requests asked for and got, by priority.
@@ -55,9 +59,7 @@
             limit_tokens=self._limit_tokens,
             remaining_tokens=self._limit_tokens - _spent_tokens(supply),
         )
-        used = self._used_tokens(before)
-        # A kind that used nothing must not count as the most urgent one.
-        self._previous_tokens = {priority: tokens for priority, tokens in used.items() if tokens}
+        self._previous_tokens = self._used_tokens(before)
         self._start_tokens = _spent_tokens(supply)
         self._before_tokens = 0
         self._asked_tokens.clear()
@@ -66,27 +68,32 @@
     def most_urgent_share(self, priority: int) -> float:
         """Return the share of the most urgent requests in the tokens asked for in this period.
 
-        It is 0 if those of ``priority`` are the most urgent. Includes the tokens used in the period
+        It is 0 if those of ``priority`` are among them. Includes the tokens used in the period
         before.
         """
-        tokens = defaultdict(float, self._previous_tokens)
-        for other, asked in self._asked_tokens.items():
-            tokens[other] += asked
-        most_urgent = min(tokens, default=priority)
-        if most_urgent >= priority:
+        tokens = self._demanded_tokens()
+        most_urgent = _most_urgent(tokens)
+        if priority <= max(most_urgent, default=priority):
             return 0.0
-        return tokens[most_urgent] / (sum(tokens.values()) or 1)
+        return sum(tokens[other] for other in most_urgent) / (sum(tokens.values()) or 1)
 
     def used_by_most_urgent(self, priority: int, supply: TokenSupply) -> float:
         """Estimate what the most urgent requests used in this period, or in the one before if more.
 
-        It is 0 if those of ``priority`` are the most urgent.
+        It is 0 if those of ``priority`` are among them.
         """
-        used, previous = self._used_tokens(supply), self._previous_tokens
-        most_urgent = min((*used, *previous), default=priority)
-        if most_urgent >= priority:
+        most_urgent = _most_urgent(self._demanded_tokens())
+        if priority <= max(most_urgent, default=priority):
             return 0.0
-        return max(used.get(most_urgent, 0.0), previous.get(most_urgent, 0.0))
+        periods = (self._used_tokens(supply), self._previous_tokens)
+        return max(sum(used.get(other, 0.0) for other in most_urgent) for used in periods)
+
+    def _demanded_tokens(self) -> dict[int, float]:
+        """Return the tokens asked for in this period and used in the one before, by priority."""
+        tokens = defaultdict(float, self._previous_tokens)
+        for other, asked in self._asked_tokens.items():
+            tokens[other] += asked
+        return tokens
 
     def _used_tokens(self, supply: TokenSupply) -> dict[int, float]:
         """Estimate the tokens used in this period by priority.
@@ -106,3 +113,15 @@
 
 def _spent_tokens(supply: TokenSupply) -> int:
     return max(0, supply.limit_tokens - supply.remaining_tokens)
+
+
+def _most_urgent(tokens: dict[int, float]) -> set[int]:
+    """Return the most urgent priority, and the next ones while they ask for next to nothing."""
+    least = _MIN_PROTECTED_SHARE * sum(tokens.values())
+    most_urgent, demanded = set(), 0.0
+    for priority in sorted(tokens):
+        most_urgent.add(priority)
+        demanded += tokens[priority]
+        if demanded >= least:
+            break
+    return most_urgent
