--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -69,6 +69,9 @@
         self.tokens_strandable = self._gauge(
             "tokens_strandable", "Prepaid tokens that a crash of the process would strand."
         )
+        self.tokens_free = self._gauge(
+            "tokens_free", "Prepaid tokens that the process holds and no request has reserved."
+        )
         self.lane_engines = self._pool_gauge(
             "lane_engines", "Engines that process long prompts; 0 if the pool is undivided."
         )
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -335,6 +335,10 @@
         allowance = self._reported_allowance_tokens(workspace)
         return free if allowance is None else max(0, min(free, allowance))
 
+    def free_tokens(self) -> int:
+        """Return the tokens of all workspaces that are held here and not reserved."""
+        return sum(max(0, self.ledger.free_tokens(name)) for name in self.ledger.budgets())
+
     def strandable_tokens(self) -> int:
         """Return the tokens that a crash would strand, as they may have been spent."""
         return sum(
@@ -831,10 +835,23 @@
         return with_prior_version(changed, version, self._store.eras.known)
 
     def _log_fold(self, workspace: str, row: AccountRow, folded: AccountRow) -> None:
-        held = sum(row.granted_tokens.values()) - sum(folded.granted_tokens.values())
+        ended = {
+            name: tokens
+            for name, tokens in row.granted_tokens.items()
+            if name not in folded.granted_tokens
+        }
+        held = sum(ended.values())
         spent = folded.ended_tokens - row.ended_tokens
-        self._log.event(
-            "prepaid.folded", workspace=workspace, held=held, spent=spent, returned=held - spent
+        bounds = self._reports.predecessor_bounds
+        unbounded = [name for name in ended if workspace not in bounds.get(name, {})]
+        self._log.belief(
+            "prepaid.folded",
+            workspace=workspace,
+            held=held,
+            spent=spent,
+            returned=held - spent,
+            incarnations=sorted(ended),
+            unbounded=sum(ended[name] for name in unbounded),
         )
 
     def _fold(self, workspace: str, row: AccountRow) -> AccountRow:
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -513,6 +513,7 @@
         metrics.endpoints_limited.set(self._limits.limited_count)
         metrics.set_pool_rates(self.endpoints.costs.rates.pools())
         metrics.tokens_strandable.set(self.accounts.strandable_tokens())
+        metrics.tokens_free.set(self.accounts.free_tokens())
         request.answer(200, [(b"content-type", metrics.content_type)], metrics.text())
 
     def _log_exception(self, failure: Exception) -> None:
--- a/turnward/gateway/spending.py
+++ b/turnward/gateway/spending.py
@@ -223,12 +223,12 @@
             if row.key.key != self._key.key and not row.gone:
                 predecessor_bounds[row.key.key] = _bounds(row, now_s, self._store.eras.known)
         self.predecessor_bounds = predecessor_bounds
-        if predecessor_bounds:
-            self._log.event(
-                "prepaid.predecessors",
-                incarnations=list(predecessor_bounds),
-                store_time_s=round(now_s, 3),
-            )
+        self._log.belief(
+            "prepaid.predecessors",
+            incarnations=list(predecessor_bounds),
+            void=[name for name, bounds in predecessor_bounds.items() if not bounds],
+            store_time_s=round(now_s, 3),
+        )
 
     def remove_reports(self, incarnations: set[str]) -> None:
         """Remove the reports of incarnations whose grants have been folded."""
