A pool that loses every request is probed, not used at the full rate

Callers got 502 endpoint_lost by the hundreds, and 402 afterwards: while the links to all engines were reset, each request was sent, was lost within 20 ms and charged in full, as it may have run. In 446 of 466 such ends came within 3 s.

Cause: suspicion after failures only puts an endpoint last. If all endpoints of a pool are suspected, all are used at the full rate.

An endpoint that has lost two requests one after the other without any response, on connections opened for them and the second sent after the loss of the first, now counts as unresponsive until it responds. Requests lost together, as when all connections are reset at once, count once. Any response brings the full rate back. Retries follow the same rule, and suspected endpoints that respond go before those that don't.

Looked for elsewhere: retries of requests lost at one endpoint went to the others at the full rate too (same rule now); endpoints that fail with answers, drain, rest or name a rate are held back by their own rules. Links that are silent show no failure before the deadline and are not covered.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -68,11 +68,13 @@
         self.sent = False
         self.sent_s = 0.0
         self.reused = False
+        self._started_s = 0.0
 
     def start(self) -> None:
         """Request a connection and add the attempt to the endpoint's load."""
         owner = self._owner
         now_s = owner.forwarder.reactor.seconds()
+        self._started_s = now_s
         record = self.record
         cached_tokens = record.cached_tokens(owner.prompt, now_s)
         self._prefill_tokens = max(0, owner.prompt.tokens - cached_tokens)
@@ -298,6 +300,9 @@
         if self.ended:
             return
         self._remove_from_load()
+        if not failure.answered and not failure.reused:
+            now_s = self._owner.forwarder.reactor.seconds()
+            self.record.availability.note_lost(self._started_s, now_s)
         self._note_failure(certain=failure.cause is FailureCause.CONNECT)
         self._owner.attempt_failed(self, failure)
 
--- a/turnward/gateway/availability.py
+++ b/turnward/gateway/availability.py
@@ -30,6 +30,9 @@
 _REJECTED_MAX_S = 2.0
 #: Single failures may be caused by the request.
 _FAILURES_TO_SUSPECT = 2
+#: Requests lost one after the other without a response, each sent after the loss of the one before,
+#: from which an endpoint counts as unresponsive. Requests in flight are often lost together.
+_LOSSES_TO_UNRESPONSIVE = 2
 #: Time within which the entry of a stopped endpoint is removed everywhere.
 _REPLACED_S = 10.0
 #: Time for which an endpoint is deprioritized after another router announced that it is draining.
@@ -61,6 +64,8 @@
         Consecutive failures.
     marked_down : bool
         Whether it failed and has not responded since.
+    lost_s : float
+        When a request was last lost without a response.
 
     Examples
     --------
@@ -75,6 +80,7 @@
         "_backoff_until_s",
         "_draining",
         "_feedback_s",
+        "_losses",
         "_peer_suspected_until_s",
         "_probing",
         "_rejected_s",
@@ -83,6 +89,7 @@
         "_suspected_until_s",
         "entry_draining",
         "failures",
+        "lost_s",
         "marked_down",
     )
 
@@ -90,6 +97,8 @@
         self.entry_draining = entry_draining
         self.failures = 0
         self.marked_down = False
+        self.lost_s = -1e9
+        self._losses = 0
         self._draining = False
         self._feedback_s = -1e9
         self._replaced_s: float | None = None
@@ -197,6 +206,21 @@
         """Return for how long it is still deprioritized after failures or rejections."""
         return max(0.0, self._suspected_until_s - now_s)
 
+    @property
+    def unresponsive(self) -> bool:
+        """Whether requests are lost one after the other without any response."""
+        return self._losses >= _LOSSES_TO_UNRESPONSIVE
+
+    def note_lost(self, started_s: float, now_s: float) -> None:
+        """Record a request that was lost without a response on a connection opened for it."""
+        if started_s >= self.lost_s:
+            self._losses += 1
+            self.lost_s = now_s
+
+    def note_response(self) -> None:
+        """Record that the endpoint sent a response of any kind."""
+        self._losses = 0
+
     def succeeded(self) -> bool:
         """Record a response; return True if the endpoint was marked down until now."""
         recovered, self.marked_down = self.marked_down, False
--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -21,6 +21,7 @@
 from turnward.gateway.engine_speed import EventGaps, GapSums, next_speed_class, usual_gaps
 from turnward.gateway.outcomes import Reason
 from turnward.gateway.peer_book import EndpointLoad
+from turnward.gateway.pool_probes import PoolProbes
 from turnward.gateway.prompt_lanes import PromptLanesBase
 from turnward.gateway.prompts import Prompt
 from turnward.gateway.rate_limits import RateLimits
@@ -174,6 +175,11 @@
         self._entries_known = False
         self._removed: OrderedDict[str, _RemovedEndpoint] = OrderedDict()
         self._restart_suspicions = RestartSuspicions(clock)
+        self._probes = PoolProbes(clock, rng)
+        #: Called with the name and the endpoints of a pool none of which responds any more.
+        self.on_unresponsive: Callable[[str, list[EndpointRecord]], None] = _ignore_change
+        #: Called with an endpoint that responds, and how long none of its pool did, in seconds.
+        self.on_responsive: Callable[[EndpointRecord, float], None] = _ignore_change
         #: Returns whether the entries may be out of date because the store can't be read.
         self.entries_stale: Callable[[], bool] = lambda: False
         #: Called with the record, its gaps and the usual ones when its speed class has changed.
@@ -310,6 +316,7 @@
 
     def _apply_feedback(self, record: EndpointRecord, status: int, headers: HeaderList) -> None:
         """Apply the feedback in the head of any response of an endpoint."""
+        self._note_response(record)
         feedback = parse_feedback(status, headers, self._dialect)
         if feedback is None:
             return
@@ -322,6 +329,13 @@
         if self._limits.set_limit(record.incarnation, feedback.limit_per_s):
             self.on_rate_limit(record, feedback.limit_per_s, headers)
 
+    def _note_response(self, record: EndpointRecord) -> None:
+        """Note that an endpoint responds, and so its pool is in use again."""
+        record.availability.note_response()
+        lasted_s = self._probes.end(record.entry.pool)
+        if lasted_s is not None:
+            self.on_responsive(record, lasted_s)
+
     def note_success(self, record: EndpointRecord, sent_s: float, headers: HeaderList) -> None:
         """Process the head of a successful response; one without a rate limit may lift the limit.
 
@@ -433,6 +447,21 @@
         return bool(self._candidates(pool, excluded))
 
     def _candidates(self, pool: str, excluded: set[str]) -> list[EndpointRecord]:
+        """Return the endpoints that a request may be sent to now.
+
+        If none of those that accept requests responds, it is the one to probe, or none.
+        """
+        accepting = self._accepting(pool, excluded)
+        if not _all_unresponsive(accepting):
+            return accepting
+        if self._probes.begin(pool):
+            self.on_unresponsive(pool, accepting)
+        if self._probes.wait_s(pool) > 0:
+            return []
+        return [min(accepting, key=lambda record: record.availability.lost_s)]
+
+    def _accepting(self, pool: str, excluded: set[str]) -> list[EndpointRecord]:
+        """Return the endpoints that accept requests, whether or not they respond."""
         now_s = self._clock()
         candidates = [
             record
@@ -478,6 +507,9 @@
     def shortage(self, pool: str) -> PoolShortage | None:
         """Return why no endpoint of a pool accepts requests; None if one does."""
         now_s = self._clock()
+        if _all_unresponsive(self._accepting(pool, set())):
+            wait_s = self._probes.wait_s(pool)
+            return PoolShortage(Reason.ENDPOINTS_UNRESPONSIVE, wait_s) if wait_s > 0 else None
         shortages = [
             self._shortage_of(record, now_s)
             for record in self._by_pool.get(pool, ())
@@ -514,10 +546,11 @@
         """
         now_s = self._clock()
         candidates = self._candidates(pool, excluded)
-        healthy = [record for record in candidates if self._is_healthy(record, now_s)]
-        candidates = healthy or candidates
         if not candidates:
             return None
+        if _all_unresponsive(candidates):
+            self._probes.note_probe(pool)
+        candidates = self._preferred(candidates, now_s)
         loads = self._peer_loads()
         if traits is None:
             costs = [(self._service_cost_ms(record, loads), record) for record in candidates]
@@ -534,6 +567,12 @@
         queue_ms = self.costs.queue_ms(record, loads.get(record.incarnation))
         return msgspec.structs.replace(chosen, queue_ms=round(queue_ms, 1))
 
+    def _preferred(self, candidates: list[EndpointRecord], now_s: float) -> list[EndpointRecord]:
+        """Return the healthy candidates; else those that respond; else all."""
+        healthy = [record for record in candidates if self._is_healthy(record, now_s)]
+        responsive = [each for each in candidates if not each.availability.unresponsive]
+        return healthy or responsive or candidates
+
     def shortest_queue_ms(self, pool: str) -> float:
         """Return the queue time of the least loaded engine that accepts requests.
 
@@ -593,6 +632,10 @@
         return cost_ms + self.costs.zone_cost_ms(record)
 
 
+def _all_unresponsive(records: list[EndpointRecord]) -> bool:
+    return bool(records) and all(record.availability.unresponsive for record in records)
+
+
 def _load_of(record: EndpointRecord, sums: GapSums, now_s: float) -> EndpointLoad:
     gaps = record.gap_tracker.observed(now_s)
     return EndpointLoad(
--- a/turnward/gateway/endpoint_reporter.py
+++ b/turnward/gateway/endpoint_reporter.py
@@ -94,6 +94,25 @@
             prompt_tokens_per_ms=round(change.prompt_tokens_per_ms, 1),
         )
 
+    def report_unresponsive(self, pool: str, endpoints: list[EndpointRecord]) -> None:
+        """Report a pool whose endpoints lose all requests without a response."""
+        self._metrics.pools_unresponsive.labels(pool).inc()
+        self._log.belief(
+            "pool.unresponsive",
+            pool=pool,
+            endpoints=[record.incarnation for record in endpoints],
+            entries=self._state.endpoints_version,
+        )
+
+    def report_responsive(self, record: EndpointRecord, lasted_s: float) -> None:
+        """Report the first endpoint that responds in an unresponsive pool."""
+        self._log.belief(
+            "pool.responsive",
+            pool=record.entry.pool,
+            endpoint=record.incarnation,
+            lasted_s=round(lasted_s, 3),
+        )
+
     def report_lanes(self, lanes: PoolLanes) -> None:
         """Report that the size of a pool's lane of long prompts has changed."""
         self._metrics.lane_engines.labels(lanes.pool).set(lanes.lane_engines)
--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -90,6 +90,9 @@
         self.requests_overloaded = self._counter(
             "requests_overloaded", "Requests refused, since all queues are too long.", ["pool"]
         )
+        self.pools_unresponsive = self._counter(
+            "pools_unresponsive", "Times that no endpoint of a pool responded.", ["pool"]
+        )
         self.requests_paced = self._counter(
             "requests_paced",
             "Requests refused, since tokens are protected for the most urgent ones.",
--- a/turnward/gateway/outcomes.py
+++ b/turnward/gateway/outcomes.py
@@ -38,6 +38,7 @@
     ENDPOINTS_COLD = "endpoints_cold"
     ENDPOINTS_BACKING_OFF = "endpoints_resting"
     ENDPOINTS_RATE_LIMITED = "endpoints_limited"
+    ENDPOINTS_UNRESPONSIVE = "endpoints_unresponsive"
     OVERLOADED = "overloaded"
     CRASHES_ENDPOINTS = "ends_endpoints"
     MAY_CRASH_ENDPOINTS = "may_end_endpoints"
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -215,6 +215,8 @@
         self.endpoints.entries_stale = self._store_failing
         self._limits.on_peer_limit = reporter.report_peer_rate_limit
         self.endpoints.on_speed_class = reporter.report_speed_class
+        self.endpoints.on_unresponsive = reporter.report_unresponsive
+        self.endpoints.on_responsive = reporter.report_responsive
         rates.on_change = reporter.report_rate
         self.endpoints.costs.lanes.on_change = reporter.report_lanes
         self.endpoints.costs.lanes.on_long_prompt = reporter.count_long_prompt
--- a/turnward/gateway/retry_after.py
+++ b/turnward/gateway/retry_after.py
@@ -18,6 +18,7 @@
     Reason.ENDPOINTS_FULL: (1.0, 1.5),
     Reason.ENDPOINTS_BACKING_OFF: (1.0, 1.5),
     Reason.ENDPOINTS_RATE_LIMITED: (1.0, 1.5),
+    Reason.ENDPOINTS_UNRESPONSIVE: (1.0, 1.5),
     Reason.OVERLOADED: (1.0, 1.5),
     Reason.BUDGET_PACED: (1.0, 1.1),
 }
