A fold that the store lost is repeated with the bound that was read

Cause, by prepaid.folded: a successor had accounted for its predecessor (held 124,850, spent 57,526 at most, 67,324 returned). Then the store came back from a copy of before that write; the successor discarded all bounds and folded again: held 124,850, spent 124,850.

The bounds are final: the predecessor had ended before its reports were read, so a return of the store changes nothing about them. They are kept. What made discarding them safe was something else: tokens that the lost fold had returned may have been taken by others since. So a fold after a return adds what it returns to the unattributed tokens: the sum of what is recorded and what is known to be taken stays the same, and tokens become free only as far as the copy records more than was known to be taken. The fold is written without waiting for another change.

SpendReports.remove_reports, which nothing called, is gone.

--- a/turnward/gateway/accounts.py
+++ b/turnward/gateway/accounts.py
@@ -134,12 +134,28 @@
 
 
 def fold_predecessors(
-    account: AccountRow, node: str, incarnation: str, bounds: dict[str, int]
+    account: AccountRow,
+    node: str,
+    incarnation: str,
+    bounds: dict[str, int],
+    may_be_returned: bool = False,
 ) -> AccountRow:
     """Return the account with the grants of a node's earlier incarnations folded.
 
     Their grants are replaced by the tokens that they may have spent: the upper bound in
     ``bounds`` (by incarnation), or the whole grant where no bound is known.
+
+    With ``may_be_returned``, an earlier fold that the store has lost may have returned the unspent
+    tokens already, and others may have taken them. They are free only as far as the row records
+    more tokens than were known to be taken.
+
+    Examples
+    --------
+    >>> row = AccountRow(100, granted_tokens={"n@a": 60, "m@b": 40}, unattributed_tokens=-45)
+    >>> taken_tokens(fold_predecessors(row, "n", "n@c", {"n@a": 10}))
+    50
+    >>> taken_tokens(fold_predecessors(row, "n", "n@c", {"n@a": 10}, may_be_returned=True))
+    55
     """
     prefix = f"{node}@"
     predecessors = {
@@ -155,8 +171,12 @@
     spent = sum(
         min(tokens, max(0, bounds.get(name, tokens))) for name, tokens in predecessors.items()
     )
+    returned = sum(predecessors.values()) - spent if may_be_returned else 0
     return msgspec.structs.replace(
-        account, ended_tokens=account.ended_tokens + spent, granted_tokens=granted
+        account,
+        ended_tokens=account.ended_tokens + spent,
+        granted_tokens=granted,
+        unattributed_tokens=account.unattributed_tokens + returned,
     )
 
 
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -550,6 +550,8 @@
             return True
         if account.unresolved is not None or account.waiters:
             return True
+        if self._has_unwritten_fold(account):
+            return True
         if account.row is None and self._holders.settled and self._holders.holds(workspace):
             return True
         if self._stopping:
@@ -686,9 +688,13 @@
 
     async def _fold_only(self, workspace: str, account: WorkspaceAccount) -> None:
         """Write the fold of earlier incarnations if there is no other change to write it with."""
-        if account.row_before_fold is not None and not self._holders.all_routers_hold:
+        if self._has_unwritten_fold(account):
             await self._write(workspace, account, 0)
 
+    def _has_unwritten_fold(self, account: WorkspaceAccount) -> bool:
+        """Return whether a fold has to be written although there may be no other change."""
+        return account.row_before_fold is not None and not self._holders.all_routers_hold
+
     async def _refresh(self, workspace: str, account: WorkspaceAccount) -> None:
         """Read from the store whatever is unknown or stale."""
         if self._reports.predecessor_bounds is None:
@@ -860,7 +866,9 @@
             for incarnation, by_workspace in self._reports.predecessor_bounds.items()
             if workspace in by_workspace
         }
-        return fold_predecessors(row, self._node, self._incarnation, bounds)
+        return fold_predecessors(
+            row, self._node, self._incarnation, bounds, self._reports.bounds_precede_rollback
+        )
 
     async def _resolve(self, workspace: str, account: WorkspaceAccount) -> None:
         """Determine the outcome of a write whose response was lost.
--- a/turnward/gateway/spending.py
+++ b/turnward/gateway/spending.py
@@ -134,6 +134,9 @@
     predecessor_bounds : dict or None
         By predecessor (earlier incarnation of the node) and by workspace, the most that it can
         have spent; None until read.
+    bounds_precede_rollback : bool
+        Whether the store was restored from an older copy after the bounds were read. The tokens
+        that they leave unspent may then have been returned before, and granted to others.
     """
 
     def __init__(
@@ -165,15 +168,15 @@
         self._sent: list[_SentReport] = []
         self._last_sent_s = -1e9
         self.predecessor_bounds: dict[str, dict[str, int]] | None = None
-        store.eras.listen(self._discard_bounds)
+        self.bounds_precede_rollback = False
+        store.eras.listen(self._note_rollback)
 
-    def _discard_bounds(self, era: int) -> None:
-        """Discard the bounds of predecessors, whose latest reports may have been lost.
+    def _note_rollback(self, era: int) -> None:
+        """Note that bounds read until now stem from an earlier era of the store.
 
-        All tokens that they held then count as spent.
+        They stay true: the predecessors had ended before their reports were read.
         """
-        if self.predecessor_bounds is not None:
-            self.predecessor_bounds = dict.fromkeys(self.predecessor_bounds, {})
+        self.bounds_precede_rollback = self.predecessor_bounds is not None
 
     def allowance_tokens(self, workspace: str, committed_tokens: int) -> int | None:
         """Return how much more may be committed without another report; None if unbounded.
@@ -230,16 +233,6 @@
             store_time_s=round(now_s, 3),
         )
 
-    def remove_reports(self, incarnations: set[str]) -> None:
-        """Remove the reports of incarnations whose grants have been folded."""
-        keys = tuple(RowKey(TABLE, self._node, name) for name in incarnations)
-        for name in incarnations:
-            self.predecessor_bounds.pop(name, None)
-        removed = defer.ensureDeferred(
-            self._store.transact(VersionedTransaction((), removals=keys))
-        )
-        removed.addErrback(lambda failure: failure.trap(RowStoreError))
-
     # Own reports.
 
     def report_if_due(self, routers: int) -> None:
--- a/turnward/gateway/tests/test_tokens_after_rollback.py
+++ b/turnward/gateway/tests/test_tokens_after_rollback.py
@@ -11,10 +11,20 @@
 import pytest
 
 from turnward.gateway import RetryPolicy, Workspace
-from turnward.gateway.account_updates import AccountUpdates
+from turnward.gateway.account_updates import AccountUpdates, TakenTokens
+from turnward.gateway.accounts import (
+    ROW_NAME,
+    TABLE,
+    AccountRow,
+    decode_account,
+    fold_predecessors,
+    restore_account,
+    taken_tokens,
+)
 from turnward.gateway.restoring import AccountRestorer
 from turnward.gateway.tests.harness import ENGINE_POOL, KEY, stream_events
 from turnward.gateway.tests.rollback_simulation import RollbackSimulation
+from turnward.rows import RowKey, RowVersion
 
 PROMPT_TOKENS = 2_000
 #: The prompt and four events.
@@ -160,6 +170,40 @@
     assert simulation.used_tokens > simulation.prepaid
 
 
+def test_fold_that_the_store_lost_is_repeated_with_its_bound():
+    """Guards against counting a predecessor's whole grant as spent after a rollback."""
+    simulation = TokenSimulation(4, prepaid=2_000_000)
+    simulation.harness.network.advance(1.0)
+    simulation.run_traffic(4.0)
+    logs = simulation.harness.logs
+    holder = next(index for index, log in enumerate(logs) if log.of("prepaid.taken"))
+    simulation.restart(holder, after_s=0.5)
+    simulation.run_traffic(2.0)
+    first, *others = logs[-1].of("prepaid.folded")
+    assert first["returned"] > 100_000 and not others
+    simulation.roll_back(3.0)
+    simulation.run_traffic(4.0)
+    _, repeated = logs[-1].of("prepaid.folded")
+    assert (repeated["held"], repeated["spent"]) == (first["held"], first["spent"])
+    account = decode_account(simulation.harness.rows.get(RowKey(TABLE, "acme", ROW_NAME)))
+    held_by_others = sum(account.granted_tokens.values())
+    assert taken_tokens(account) <= first["spent"] + held_by_others + first["returned"] // 10
+    assert simulation.used_tokens <= simulation.prepaid
+
+
+def test_tokens_that_a_lost_fold_returned_are_not_returned_again():
+    """The lost fold left 10 tokens spent; a router that has ended since took 80 of the rest."""
+    copy = AccountRow(100, granted_tokens={"node-1@a": 100}, era=1, prior_era=1, prior_number=3)
+    known = TakenTokens(RowVersion.of(1, 9), 90)
+    restored = restore_account(copy, 2, "node-2@a", 0, known)
+    bounds = {"node-1@a": 10}
+    folded = fold_predecessors(restored, "node-1", "node-1@b", bounds, may_be_returned=True)
+    assert taken_tokens(folded) == 90
+    assert folded.ended_tokens == 10
+    # Without it, the 80 tokens could be taken twice.
+    assert taken_tokens(fold_predecessors(restored, "node-1", "node-1@b", bounds)) == 10
+
+
 @pytest.mark.parametrize("seed", [4, 5, 6, 7])
 def test_router_that_takes_before_claiming_overspends(seed, monkeypatch):
     monkeypatch.setattr(AccountRestorer, "is_current", lambda *_: True)
