A connection opened during a restart no longer hides the restart

Cause: that an endpoint may have restarted was noticed when the last open connection was closed. A connection that was opened in the same moment, while the loss of the earlier ones was still being read, counted as one that had stayed open.

Now only a connection that has been open for a second shows that the process at the address is the same. Requests on connections that its endpoint has closed reach nobody, so that nothing is lost by the doubt; a cold time ends it.

--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -42,6 +42,8 @@
 _USER_TIMEOUT_MS = 2_500
 #: Maximum idle time of a reusable connection if the peer does not announce one.
 _DEFAULT_REUSE_LIMIT_S = 4.0
+#: Age up to which a connection may have been opened after its peer's process restarted.
+_RECENTLY_OPENED_S = 1.0
 #: An idle connection is closed this long before the idle timeout that the peer announced.
 _REUSE_MARGIN_S = 0.6
 
@@ -418,7 +420,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle: deque[OutboundConnection] = deque()
         self._closed = False
-        #: Called when the peer has closed the last open connection.
+        #: Called when the peer has closed a connection, and all that remain were opened just now.
         self.on_all_closed: Callable[[], None] = _ignore
         self.pending: dict[OutboundConnection, _ConnectionAttempt] = {}
         #: When each open connection was opened.
@@ -429,6 +431,11 @@
         """When the oldest of the open connections was opened; None without any."""
         return min(self._opened_s.values(), default=None)
 
+    def has_connection_since(self, time_s: float) -> bool:
+        """Return whether a connection is open that was opened by a given time."""
+        oldest_s = self.oldest_open_s
+        return oldest_s is not None and oldest_s <= time_s
+
     @property
     def idle_count(self) -> int:
         """Number of idle connections."""
@@ -528,9 +535,17 @@
         if connection in self._idle:
             self._idle.remove(connection)
             closed_by_peer = True
-        if closed_by_peer and not self._opened_s:
+        if closed_by_peer and not self._has_connection_from_before():
             self.on_all_closed()
 
+    def _has_connection_from_before(self) -> bool:
+        """Return whether a connection is open that the peer's process has had for some time.
+
+        Others may have been opened after it restarted, before the loss of the earlier ones was
+        noticed.
+        """
+        return self.has_connection_since(self._reactor.seconds() - _RECENTLY_OPENED_S)
+
 
 class ExchangeHandle:
     """Cancels an exchange in progress."""
