A gateway is ready once it could borrow tokens

What callers saw: a gateway that was cut off from the store 70 ms after its start refused all prompts with budget_unreachable (77 of 240 requests of platform/standins/demo.py without its line wait_connected()).

Cause, by the lines of such runs: the gateway called itself ready when it had its configuration. The first message to a member of the table went out with the next digest, up to 0.3 s later, and until the membership has settled (0.3 s) no tokens are held ahead of demand. Hearing a peer alone was tried and is not enough (4 of 10 runs still failed): a gateway that knows itself alone counts as a holder, and has nobody to ask.

A gateway is now ready once the membership has settled and it hears a peer or knows of none; 1 s after its start at the latest, so that silent members delay it only shortly. A member that is new in the table is sent a digest at once.

test_gateway_cut_off_from_the_store_as_soon_as_all_are_ready_serves_prompts failed before (0 of 30 served, 27 asked for). Looked for elsewhere: a gateway in a mesh learns the holders and its peers by the same two steps; larger fleets hear an aggregator. Cost: a restarted gateway takes new connections 0.3 s later.

The callbacks of EndpointBook are set by EndpointReporter now.

--- a/turnward/gateway/endpoint_reporter.py
+++ b/turnward/gateway/endpoint_reporter.py
@@ -65,6 +65,18 @@
         self._log = log
         self.feedback_exchange = FeedbackExchange(clock, self.handle_peer_feedback)
 
+    def listen_to_endpoints(self) -> None:
+        """Report the changes of all endpoints from now on."""
+        endpoints = self._endpoints
+        endpoints.on_speed_class = self.report_speed_class
+        endpoints.on_unresponsive = self.report_unresponsive
+        endpoints.on_responsive = self.report_responsive
+        endpoints.on_feedback = self.report_feedback
+        endpoints.on_rate_limit = self.report_rate_limit
+        endpoints.costs.rates.on_change = self.report_rate
+        endpoints.costs.lanes.on_change = self.report_lanes
+        endpoints.costs.lanes.on_long_prompt = self.count_long_prompt
+
     def report_speed_class(
         self, record: EndpointRecord, gaps: EventGaps, usual_gaps: EventGaps
     ) -> None:
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -215,6 +215,8 @@
         self.membership_version = 0
         self.last_member_change_s = clock()
         self.members_read = False
+        #: Called when a member is added.
+        self.on_member_added: Callable[[], None] = lambda: None
 
     def add(self, address: str) -> None:
         """Add an address at which a peer may listen."""
@@ -240,6 +242,7 @@
             peer.is_member = True
             self._member_count += 1
             self._membership_changed()
+            self.on_member_added()
 
     def list_member(self, node: str, address: str, zone: str, link_mbit_per_s: float = 0.0) -> None:
         """Add or update a peer from its row in the members' table.
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -86,6 +86,8 @@
 _FINAL_WRITE_S = 0.1
 #: Time after a failed call to the store in which removed entries are assumed to have expired.
 _OUTAGE_EXPIRY_S = 2.5
+#: Longest time for which a process that starts is not ready because it can't borrow tokens yet.
+_LENDERS_WAIT_S = 1.0
 #: Age of the last confirmation of the configuration above which the store counts as unreachable.
 _STORE_UNREACHABLE_AFTER_S = 3.0
 #: Timeout of connections to endpoints.
@@ -181,6 +183,8 @@
         self._feed_health: dict[str, bool] = {}
         self._store_failed_s = -1e9
         self._store_reachable_since_s = reactor.seconds()
+        self._knows_lenders = False
+        self._lenders_awaited_until_s = reactor.seconds() + _LENDERS_WAIT_S
         self._stopping = False
         self._stop_started_s = 0.0
         self._stop_check: task.LoopingCall | None = None
@@ -214,14 +218,7 @@
         self._feedback_exchange = reporter.feedback_exchange
         self.endpoints.entries_stale = self._store_failing
         self._limits.on_peer_limit = reporter.report_peer_rate_limit
-        self.endpoints.on_speed_class = reporter.report_speed_class
-        self.endpoints.on_unresponsive = reporter.report_unresponsive
-        self.endpoints.on_responsive = reporter.report_responsive
-        rates.on_change = reporter.report_rate
-        self.endpoints.costs.lanes.on_change = reporter.report_lanes
-        self.endpoints.costs.lanes.on_long_prompt = reporter.count_long_prompt
-        self.endpoints.on_feedback = reporter.report_feedback
-        self.endpoints.on_rate_limit = reporter.report_rate_limit
+        reporter.listen_to_endpoints()
         self.holders = RendezvousHolders(self.book, reactor.seconds, settings.budget_holders)
         self.accounts = PrepaidAccounts(
             reactor,
@@ -266,6 +263,8 @@
             log,
             self._rng,
         )
+        # A new member can lend, and borrow, once both have heard each other.
+        self.book.on_member_added = self.peers.announce_soon
         self._connect_lenders()
         self.forwarder = self._make_forwarder()
         self.callers = InboundFactory(
@@ -301,7 +300,19 @@
     @property
     def ready(self) -> bool:
         """Whether the process is ready to serve new connections."""
-        return self.state.complete and not self._stopping
+        return self.state.complete and not self._stopping and self._can_borrow()
+
+    def _can_borrow(self) -> bool:
+        """Return whether this router knows the holders of tokens and hears a peer, if there is one.
+
+        Until then it could not borrow tokens if it were cut off from the store.
+        """
+        if self._knows_lenders or self._reactor.seconds() >= self._lenders_awaited_until_s:
+            return True
+        alone = not self.book.members
+        hears_peer = self.peers.overlay.live_routers > 1
+        self._knows_lenders = self.holders.settled and (alone or hears_peer)
+        return self._knows_lenders
 
     # Construction.
 
--- a/turnward/gateway/tests/harness.py
+++ b/turnward/gateway/tests/harness.py
@@ -65,6 +65,9 @@
     def close(self):
         """Do nothing; no connection is open."""
 
+    def has_connection_since(self, time_s):
+        return False
+
 
 class Endpoint:
     """A scripted endpoint.
@@ -228,6 +231,8 @@
     #: Switches of gateways started after they are set.
     mechanisms = Mechanisms()
     load_controls = LoadControls()
+    #: Addresses of other routers that gateways know from their settings.
+    seeds = ("10.1.0.1:9", "10.1.0.2:9")
 
     def __init__(self, routes=None, pools=None, workspaces=None, **route_fields):
         self.network = MemoryNetwork()
@@ -296,7 +301,7 @@
             ready_address=f"{host}:{READY_PORT}",
             store_address="10.0.0.1:1",
             peers_port=PEERS_PORT,
-            seeds=["10.1.0.1:9", "10.1.0.2:9"],
+            seeds=list(self.seeds),
             budget_reserve_share=self.budget_reserve_share,
             mechanisms=self.mechanisms,
             load_controls=self.load_controls,
