A router that was paused spares engines that may have restarted

PauseDetector tells a pause of 0.5 s or more at the moment of a decision, before any timer has run. Entries then may be out of date for 6 s, in which a poll that nobody answers fails. For 1 s, in which the store or a peer tells what has changed, an endpoint of a pool with a cold time counts as possibly cold unless a connection from before the pause is still open. Pools without a cold time are not concerned.

--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -20,6 +20,7 @@
 from turnward.gateway.engine_costs import COST_OF_QUEUED_MS, ChoiceRule, EngineCosts
 from turnward.gateway.engine_speed import EventGaps, GapSums, next_speed_class, usual_gaps
 from turnward.gateway.outcomes import Reason
+from turnward.gateway.pauses import Pause
 from turnward.gateway.peer_book import EndpointLoad
 from turnward.gateway.pool_probes import PoolProbes
 from turnward.gateway.prompt_lanes import PromptLanesBase
@@ -176,12 +177,17 @@
         self._removed: OrderedDict[str, _RemovedEndpoint] = OrderedDict()
         self._restart_suspicions = RestartSuspicions(clock)
         self._probes = PoolProbes(clock, rng)
+        #: Called with an endpoint that has closed its connections, and whether it counts as cold.
+        self.on_restart_suspected: Callable[[EndpointRecord, bool], None] = _ignore_change
         #: Called with the name and the endpoints of a pool none of which responds any more.
         self.on_unresponsive: Callable[[str, list[EndpointRecord]], None] = _ignore_change
         #: Called with an endpoint that responds, and how long none of its pool did, in seconds.
         self.on_responsive: Callable[[EndpointRecord, float], None] = _ignore_change
         #: Returns whether the entries may be out of date because the store can't be read.
         self.entries_stale: Callable[[], bool] = lambda: False
+        #: Returns the pause of this process after which entries are still being updated, if any.
+        #: An endpoint may have restarted during it, unless a connection has stayed open.
+        self.resumed_lately: Callable[[], Pause | None] = lambda: None
         #: Called with the record, its gaps and the usual ones when its speed class has changed.
         self.on_speed_class: Callable[[EndpointRecord, EventGaps, EventGaps], None]
         self.on_speed_class = _ignore_change
@@ -380,14 +386,19 @@
     def _suspect_restart(self, record: EndpointRecord) -> None:
         """Suspect that an endpoint has restarted, and is cold."""
         cold_s = self._cold_s(record.entry.pool)
-        if cold_s > 0:
-            self._restart_suspicions.note(record.entry.pool, record.incarnation, cold_s)
+        if cold_s <= 0:
+            return
+        if self._restart_suspicions.note(record.entry.pool, record.incarnation, cold_s):
+            self.on_restart_suspected(record, self._may_have_restarted(record))
 
     def _may_have_restarted(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint may have restarted without its entry telling."""
         if not self.entries_stale():
             return False
         pool = record.entry.pool
+        pause = self.resumed_lately()
+        if pause is not None and not record.pool.has_connection_since(pause.began_s):
+            return self._cold_s(pool) > 0
         endpoints = len(self._by_pool.get(pool, ()))
         return self._restart_suspicions.is_suspected(pool, record.incarnation, endpoints)
 
--- a/turnward/gateway/endpoint_reporter.py
+++ b/turnward/gateway/endpoint_reporter.py
@@ -69,6 +69,7 @@
         """Report the changes of all endpoints from now on."""
         endpoints = self._endpoints
         endpoints.on_speed_class = self.report_speed_class
+        endpoints.on_restart_suspected = self.report_suspected_restart
         endpoints.on_unresponsive = self.report_unresponsive
         endpoints.on_responsive = self.report_responsive
         endpoints.on_feedback = self.report_feedback
@@ -106,6 +107,16 @@
             prompt_tokens_per_ms=round(change.prompt_tokens_per_ms, 1),
         )
 
+    def report_suspected_restart(self, record: EndpointRecord, counts_as_cold: bool) -> None:
+        """Report an endpoint that has closed its connections, as after a restart."""
+        self._log.belief(
+            "endpoint.suspected",
+            endpoint=record.incarnation,
+            pool=record.entry.pool,
+            counts_as_cold=counts_as_cold,
+            entries=self._state.endpoints_version,
+        )
+
     def report_unresponsive(self, pool: str, endpoints: list[EndpointRecord]) -> None:
         """Report a pool whose endpoints lose all requests without a response."""
         self._metrics.pools_unresponsive.labels(pool).inc()
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -33,6 +33,7 @@
 from turnward.gateway.member_ranks import MemberRanks
 from turnward.gateway.members import MEMBERS_TABLE, Member, encode_member
 from turnward.gateway.metrics import GatewayMetrics
+from turnward.gateway.pauses import CHECK_INTERVAL_S, Pause, PauseDetector
 from turnward.gateway.peer_book import DIGEST_LAYOUT, Digest, PeerBook
 from turnward.gateway.peers import PeerSynchronizer
 from turnward.gateway.prepaid import WITHHELD_SHARE_PER_PRIORITY, PrepaidAccounts
@@ -88,6 +89,10 @@
 _OUTAGE_EXPIRY_S = 2.5
 #: Longest time for which a process that starts is not ready because it can't borrow tokens yet.
 _LENDERS_WAIT_S = 1.0
+#: Time after a pause of the process within which polls fail that the store no longer answers.
+_STALE_AFTER_PAUSE_S = 6.0
+#: Time after a pause within which the store or a peer tells of entries that have changed.
+_CATCH_UP_S = 1.0
 #: Age of the last confirmation of the configuration above which the store counts as unreachable.
 _STORE_UNREACHABLE_AFTER_S = 3.0
 #: Timeout of connections to endpoints.
@@ -216,7 +221,9 @@
             reactor.seconds, self.state, self.endpoints, dialect, ranks, metrics, log
         )
         self._feedback_exchange = reporter.feedback_exchange
-        self.endpoints.entries_stale = self._store_failing
+        self._pauses = PauseDetector(reactor.seconds)
+        self.endpoints.entries_stale = self._entries_may_be_stale
+        self.endpoints.resumed_lately = self._resumed_lately
         self._limits.on_peer_limit = reporter.report_peer_rate_limit
         reporter.listen_to_endpoints()
         self.holders = RendezvousHolders(self.book, reactor.seconds, settings.budget_holders)
@@ -422,9 +429,14 @@
 
         return on_health
 
-    def _store_failing(self) -> bool:
-        """Return whether calls to the store fail."""
-        return not all(self._feed_health.values())
+    def _entries_may_be_stale(self) -> bool:
+        """Return whether entries may be out of date, as calls to the store fail or soon may."""
+        failing = not all(self._feed_health.values())
+        return failing or self._pauses.latest_within(_STALE_AFTER_PAUSE_S) is not None
+
+    def _resumed_lately(self) -> Pause | None:
+        """Return the pause after which entries may still be about to be updated, if any."""
+        return self._pauses.latest_within(_CATCH_UP_S)
 
     def _make_reread_listener(self, table: str):
         def on_reread(reread: Reread) -> None:
@@ -471,6 +483,7 @@
         self._quarantine_rows.start()
         defer.ensureDeferred(self._write_member_row())
         self._start_repeating(self._run_housekeeping, _HOUSEKEEPING_INTERVAL_S)
+        self._start_repeating(self._pauses.note_running, CHECK_INTERVAL_S)
         self._start_repeating(self._log_statistics, _STATISTICS_INTERVAL_S)
 
     def _start_repeating(self, function, interval_s: float) -> task.LoopingCall:
--- a/turnward/gateway/restart_suspicions.py
+++ b/turnward/gateway/restart_suspicions.py
@@ -26,9 +26,11 @@
     --------
     >>> suspicions = RestartSuspicions(lambda: 0.0)
     >>> suspicions.note("pool", "e-1", duration_s=3.0)
+    True
     >>> suspicions.is_suspected("pool", "e-1", endpoints=3)
     True
     >>> suspicions.note("pool", "e-2", duration_s=3.0)
+    True
     >>> suspicions.is_suspected("pool", "e-1", endpoints=3)
     False
     """
@@ -38,9 +40,13 @@
         #: By pool and incarnation, when the suspicion ends.
         self._until_s: dict[str, dict[str, float]] = {}
 
-    def note(self, pool: str, incarnation: str, duration_s: float) -> None:
-        """Suspect for some time that an endpoint has restarted."""
-        self._until_s.setdefault(pool, {})[incarnation] = self._clock() + duration_s
+    def note(self, pool: str, incarnation: str, duration_s: float) -> bool:
+        """Suspect for some time that an endpoint has restarted; return whether this is news."""
+        by_incarnation = self._until_s.setdefault(pool, {})
+        now_s = self._clock()
+        known = by_incarnation.get(incarnation, now_s) > now_s
+        by_incarnation[incarnation] = now_s + duration_s
+        return not known
 
     def is_suspected(self, pool: str, incarnation: str, endpoints: int) -> bool:
         """Return whether one of a pool's ``endpoints`` may have restarted."""
--- a/turnward/gateway/tests/test_endpoint_restarts.py
+++ b/turnward/gateway/tests/test_endpoint_restarts.py
@@ -13,6 +13,7 @@
     abort_connection,
     answer_head,
     answer_ok,
+    answered,
 )
 from turnward.gateway.tests.test_choice import ENGINE, ChoiceSimulation, prompt
 
@@ -197,3 +198,38 @@
     # Three seconds' worth, more than may arrive while 60 requests are served.
     assert len(restarted.requests) - before <= 3 * traits.requests_per_s
     assert statuses.count(200) >= 30
+
+
+@pytest.mark.parametrize("pause_s", [0.8, 4.5])
+def test_engine_restarted_while_a_router_was_paused_is_spared_while_it_is_cold(pause_s):
+    # The router resumes with requests that arrived meanwhile, and sends them before a feed tells it
+    # that the store has become unreachable. After the longer pause it also drops its idle
+    # connections itself, before it can notice that the engine has closed them.
+    traits = WarmUpTraits(cold_s=3.0, requests_per_s=4.0)
+    harness = Harness(pools=[EndpointPool(name="pool", warm_up=traits)], attempts=1)
+    restarted, other = harness.endpoint(answer_ok), harness.endpoint(answer_ok)
+    harness.announce(restarted, born_ms=1_000)
+    harness.announce(other, born_ms=1_000)
+    harness.ready()
+    for _ in range(8):
+        harness.ask()
+    assert restarted.requests
+    machine = harness.machines[0]
+    callers = [harness.connect() for _ in range(20)]
+    machine.freeze()
+    harness.clients[0].faults.unavailable = True
+    for connection in list(restarted.factory.connections):
+        connection.transport.abortConnection()
+    harness.network.advance(pause_s)
+    before = len(restarted.requests)
+    for caller in callers:
+        caller.transport.write(harness.request_bytes())
+    harness.network.advance(0.1)
+    machine.wake()
+    assert harness.network.advance_until(lambda: all(map(answered, callers)))
+    assert len(restarted.requests) - before <= traits.requests_per_s
+    if pause_s < 1.0:
+        # The connections to the other engine show that it has not restarted.
+        assert {caller.status for caller in callers} == {200}
+    harness.network.advance(1.0)
+    assert harness.ask().status == 200
