An unresponsive pool is reported once, not with each response

One endpoint responded and named a rate limit, so that it took few requests; between them only unresponsive endpoints accepted requests. Each finding began an episode and each response of the limited endpoint ended it. Such lines use up the budget of those that change a belief.

An episode ends when an endpoint that was unresponsive responds, or when for 5 s no request finds the pool unresponsive. What is sent where does not depend on it.

--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -337,8 +337,9 @@
 
     def _note_response(self, record: EndpointRecord) -> None:
         """Note that an endpoint responds, and so its pool is in use again."""
+        recovered = record.availability.unresponsive
         record.availability.note_response()
-        lasted_s = self._probes.end(record.entry.pool)
+        lasted_s = self._probes.end(record.entry.pool) if recovered else None
         if lasted_s is not None:
             self.on_responsive(record, lasted_s)
 
--- a/turnward/gateway/pool_probes.py
+++ b/turnward/gateway/pool_probes.py
@@ -13,7 +13,9 @@
 
 #: Time between two probes of a pool by one router. Each probe that fails costs its caller an
 #: unknown result, and the workspace the tokens of the request; each interval delays the recovery.
-PROBE_INTERVAL_S = 0.5
+_PROBE_INTERVAL_S = 0.5
+#: Time without a request that finds no endpoint responsive after which the next one is news.
+_EPISODE_GAP_S = 5.0
 #: Range of the random factor of the interval, so that routers do not all probe at once.
 _JITTER = (0.8, 1.2)
 
@@ -45,18 +47,25 @@
     def __init__(self, clock: Callable[[], float], rng: random.Random):
         self._clock = clock
         self._rng = rng
+        #: When each pool was first and last found unresponsive, while no endpoint has recovered.
         self._began_s: dict[str, float] = {}
+        self._found_s: dict[str, float] = {}
         self._next_probe_s: dict[str, float] = {}
 
     def begin(self, pool: str) -> bool:
         """Note that no endpoint of a pool responds; return whether this is news."""
-        if pool in self._began_s:
-            return False
-        self._began_s[pool] = self._clock()
-        return True
+        now_s = self._clock()
+        known = pool in self._began_s and now_s - self._found_s[pool] < _EPISODE_GAP_S
+        self._found_s[pool] = now_s
+        if not known:
+            self._began_s[pool] = now_s
+        return not known
 
     def end(self, pool: str) -> float | None:
-        """Note that an endpoint responded; return how long none did, None if one always did."""
+        """Note that an unresponsive endpoint responded; return how long none did.
+
+        Returns None if another one always did.
+        """
         began_s = self._began_s.pop(pool, None)
         return None if began_s is None else self._clock() - began_s
 
@@ -66,4 +75,4 @@
 
     def note_probe(self, pool: str) -> None:
         """Note that a request is sent to probe the pool."""
-        self._next_probe_s[pool] = self._clock() + PROBE_INTERVAL_S * self._rng.uniform(*_JITTER)
+        self._next_probe_s[pool] = self._clock() + _PROBE_INTERVAL_S * self._rng.uniform(*_JITTER)
--- a/turnward/gateway/tests/test_unresponsive_pools.py
+++ b/turnward/gateway/tests/test_unresponsive_pools.py
@@ -8,10 +8,12 @@
 from turnward.gateway import Workspace
 from turnward.gateway.availability import Availability
 from turnward.gateway.tests.harness import (
+    DIALECT,
     ENGINE_POOL,
     KEY,
     Harness,
     abort_connection,
+    answer_head,
     answer_ok,
     answered,
     never_answer,
@@ -27,6 +29,11 @@
 MAX_PROBES_PER_S = 3
 
 
+def answer_with_limit(endpoint, request):
+    """Answer, and name a rate limit."""
+    request.answer(200, [*answer_head(request), (DIALECT.rate_limit, b"4")], b"fine")
+
+
 def make_harness(*behaviours, **fields):
     harness = Harness(pools=(ENGINE_POOL,), **fields)
     endpoints = [harness.endpoint(behave) for behave in behaviours]
@@ -117,6 +124,15 @@
     assert len(refused) >= len(callers) - 2 * MAX_PROBES_PER_S
 
 
+def test_pool_with_one_limited_endpoint_that_responds_is_reported_once():
+    """Guards against two lines for each response of an endpoint that takes few requests."""
+    harness, endpoints = make_harness(answer_with_limit, abort_connection, abort_connection)
+    send_requests(harness, 6.0)
+    assert len(endpoints[0].requests) > 5
+    assert len(harness.logs[0].of("pool.unresponsive")) <= 2
+    assert not harness.logs[0].of("pool.responsive")
+
+
 def test_losses_of_requests_sent_together_count_once():
     availability = Availability()
     for _ in range(5):
