Test rig waits for the configuration that it has written

The rig wrote two files and waited until any revision was in force at all three routers. Traced by asking them when the rig said it was ready: in two of six starts beside load all three had revision 11, the first file alone, and 23 three seconds later. No promise was broken: a configuration is in force within seconds, and the rig asked earlier.

The rig now waits for the revision that its last write was accepted with.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -32,7 +32,8 @@
         self.fleet.wait_ready()
         ports = {"9101": self.engines[0], "9102": self.engines[1], "9103": self.service}
         for name in ("treuepunkt", "fellesstilling"):
-            self.fleet.apply_file(self.routers[0], f"examples/{name}.toml", ports)
+            path = f"examples/{name}.toml"
+            self._revision = self.fleet.apply_file(self.routers[0], path, ports)
         self.fleet.wait_until(self._ready)
         self.audit = Audit(self.fleet, self.engines, self.service)
         self.caller = Caller(self.fleet)
@@ -44,7 +45,7 @@
     def _ready(self):
         fleets = [self.fleet.operator(router, "GET", "/fleet")[1] for router in self.routers]
         return all(
-            fleet["revision"] > 0
+            fleet["revision"] >= self._revision
             and fleet["in_force"] == 3
             and all(len(router["buddies"]) == 2 for router in fleet["routers"])
             for fleet in fleets
--- a/tools/local_fleet.py
+++ b/tools/local_fleet.py
@@ -216,9 +216,11 @@
 
     def apply_file(
         self, router: RouterHandle, path: str, ports: dict[str, int], slots: int = 0
-    ) -> None:
+    ) -> int:
         """Apply a resource file with its example ports replaced by those of this fleet.
 
+        Returns the revision of the configuration that holds its resources.
+
         ``slots``, if above 0, replaces the slots of each endpoint.
         """
         text = Path(path).read_text()
@@ -232,6 +234,7 @@
         result = subprocess.run(command, capture_output=True, text=True, timeout=30, check=False)
         if result.returncode:
             raise RuntimeError(f"apply failed: {result.stderr}")
+        return int(re.search(r"revision (\d+)", result.stdout).group(1))
 
     def wait_until(self, condition, limit_s: float = 15.0):
         """Wait until ``condition()`` is true and return its value."""
