--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -121,6 +121,8 @@
             owner.time_limit_reached()
             return
         self._connection_opened()
+        if connection.exchanges == 1:
+            owner.forwarder.links.opened(self.record)
         unavailable_reason = owner.forwarder.endpoints.claim_send(self.record, self._chosen_cold)
         if unavailable_reason is not None:
             # The endpoint became unavailable while the connection was being opened.
@@ -182,6 +184,7 @@
         self._status = status
         self._headers = headers
         owner = self._owner
+        owner.forwarder.links.responded(self.record)
         dialect = owner.forwarder.dialect
         if self._indicates_not_run(status, headers):
             self._handle_not_run(status)
@@ -303,6 +306,7 @@
         if not failure.answered and not failure.reused:
             now_s = self._owner.forwarder.reactor.seconds()
             self.record.availability.note_lost(self._started_s, now_s)
+            self._owner.forwarder.links.failed(self.record)
         self._note_failure(certain=failure.cause is FailureCause.CONNECT)
         self._owner.attempt_failed(self, failure)
 
--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -463,7 +463,7 @@
 
         If none of those that accept requests responds, it is the one to probe, or none.
         """
-        accepting = self._accepting(pool, excluded)
+        accepting = self.accepting(pool, excluded)
         if not _all_unresponsive(accepting):
             return accepting
         if self._probes.begin(pool):
@@ -472,7 +472,7 @@
             return []
         return [min(accepting, key=lambda record: record.availability.lost_s)]
 
-    def _accepting(self, pool: str, excluded: set[str]) -> list[EndpointRecord]:
+    def accepting(self, pool: str, excluded: set[str]) -> list[EndpointRecord]:
         """Return the endpoints that accept requests, whether or not they respond."""
         now_s = self._clock()
         candidates = [
@@ -519,7 +519,7 @@
     def shortage(self, pool: str) -> PoolShortage | None:
         """Return why no endpoint of a pool accepts requests; None if one does."""
         now_s = self._clock()
-        if _all_unresponsive(self._accepting(pool, set())):
+        if _all_unresponsive(self.accepting(pool, set())):
             wait_s = self._probes.wait_s(pool)
             return PoolShortage(Reason.ENDPOINTS_UNRESPONSIVE, wait_s) if wait_s > 0 else None
         shortages = [
--- a/turnward/gateway/engine_costs.py
+++ b/turnward/gateway/engine_costs.py
@@ -13,6 +13,7 @@
 
 from turnward.gateway.endpoint_record import EndpointRecord
 from turnward.gateway.engine_speed import SpeedClass
+from turnward.gateway.mechanisms import Mechanisms
 from turnward.gateway.peer_book import EndpointLoad
 from turnward.gateway.prompt_lanes import NoPromptLanes, PromptLanesBase
 from turnward.gateway.prompts import Prompt
@@ -63,6 +64,20 @@
     rests: bool = True
     weighs_pace: bool = True
 
+    @classmethod
+    def from_mechanisms(cls, mechanisms: Mechanisms) -> "ChoiceRule":
+        """Return the rule of a router with some mechanisms switched off."""
+        rule = cls(
+            reread_weight=mechanisms.reread_weight,
+            rests=mechanisms.rests,
+            weighs_pace=mechanisms.weighs_pace,
+        )
+        if not mechanisms.agreed_homes:
+            rule = msgspec.structs.replace(rule, preferred_endpoints=0)
+        if not mechanisms.zone_cost:
+            rule = msgspec.structs.replace(rule, zone_cost_ms=0.0)
+        return rule
+
 
 class EngineCosts:
     """Costs of prompts at the engines of a pool.
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -10,19 +10,20 @@
 import msgspec
 from twisted.internet import defer
 
-from turnward.admission import AdmissionRule
 from turnward.gateway.attempt import EndpointAttempt
 from turnward.gateway.availability import UnavailableReason
 from turnward.gateway.choice import EndpointBook, EndpointChoice
 from turnward.gateway.configuration import Route, Workspace
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.endpoint_record import EndpointRecord
+from turnward.gateway.forwarding_rules import ForwardingRules
+from turnward.gateway.link_monitor import LinkMonitor
 from turnward.gateway.outcomes import NOT_RUN_STATUSES, NoRetryReason, Outcome, Reason
 from turnward.gateway.pool_admission import PoolAdmission
 from turnward.gateway.prepaid import BudgetRefusal, PrepaidAccounts
 from turnward.gateway.progress import StreamProgress
 from turnward.gateway.prompts import Prompt, parse_prompt_parts
-from turnward.gateway.retries import RetryBudgetRule, RetryBudgetShare
+from turnward.gateway.retries import RetryBudgetShare
 from turnward.gateway.retry_after import RetryAfterEstimator
 from turnward.gateway.state import FleetState
 from turnward.gateway.token_pacing import PacedRefusal
@@ -40,7 +41,7 @@
 from turnward.ledger import Reservation
 from turnward.quarantine import Quarantine, Verdict
 
-__all__ = ["Forwarder", "ForwardedRequest", "ForwardingRules"]
+__all__ = ["Forwarder", "ForwardedRequest"]
 
 #: A larger request body is streamed instead of kept, so the request cannot be retried.
 _REPLAY_LIMIT_BYTES = 262_144
@@ -55,31 +56,6 @@
 _MIN_SEND_S = 0.02
 
 
-class ForwardingRules(msgspec.Struct, frozen=True, kw_only=True):
-    """Limits and switches of the forwarder.
-
-    Attributes
-    ----------
-    repeats : RetryBudgetRule
-        Limits of the retry budget.
-    looks_for_others : bool
-        Whether a retry requires that another endpoint accepts requests.
-    stale_after_s : float
-        Seconds since the configuration was last confirmed after which an unknown route or key is
-        answered with 503 instead of 404 or 401.
-    retry_after_s : float
-        Default and minimum of the ``Retry-After`` header, in seconds.
-    admission : AdmissionRule
-        Limits of the queue at a pool's endpoints.
-    """
-
-    repeats: RetryBudgetRule = RetryBudgetRule()
-    looks_for_others: bool = True
-    stale_after_s: float = 3.0
-    retry_after_s: float = 0.25
-    admission: AdmissionRule = AdmissionRule()
-
-
 class Forwarder:
     """Forwards requests, and holds the state that they share.
 
@@ -101,6 +77,8 @@
         Tracks contents that crash the endpoints that run them.
     live_routers : callable
         Returns the largest number of routers that may be live.
+    links : LinkMonitor
+        Told which endpoints can be reached.
     log, metrics
         Where requests and attempts are recorded.
     rng : random.Random
@@ -122,6 +100,7 @@
         accounts: PrepaidAccounts | None,
         quarantine: Quarantine,
         live_routers: Callable[[], int],
+        links: LinkMonitor,
         log,
         metrics,
         rng,
@@ -134,6 +113,7 @@
         self.accounts = accounts
         self.quarantine = quarantine
         self.live_routers = live_routers
+        self.links = links
         self.log = log
         self.metrics = metrics
         self.rng = rng
--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -66,6 +66,9 @@
         self.prompt_speed = self._pool_gauge(
             "prompt_tokens_per_ms", "Prompt tokens that a usual engine processes in 1 ms."
         )
+        self.links_lost = self._pool_gauge(
+            "links_lost", "1 while this router reaches no endpoint of the pool."
+        )
         self.tokens_strandable = self._gauge(
             "tokens_strandable", "Prepaid tokens that a crash of the process would strand."
         )
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -126,6 +126,9 @@
         Rate limits that endpoints announced lately.
     accounts : tuple of AccountUpdate
         Contents of the rows of workspaces' tokens that the router has written lately.
+    unreached : tuple of str or None
+        Pools of which the router can reach no endpoint; None from versions of this software that
+        don't tell.
     """
 
     layout: int
@@ -147,6 +150,7 @@
     limits: tuple[RateLimitUpdate, ...] = ()
     endpoints_era: int = 0
     accounts: tuple[AccountUpdate, ...] = ()
+    unreached: tuple[str, ...] | None = None
 
     @property
     def endpoints_as_of(self) -> RowVersion:
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -180,6 +180,8 @@
         self.refused_count = 0
         self._pending_announcement = None
         self.stopping = False
+        #: Returns the pools of which this router reaches no endpoint.
+        self.unreached_pools: Callable[[], tuple[str, ...]] = tuple
 
     def start(self) -> None:
         """Start sending digests."""
@@ -247,6 +249,7 @@
             words=self._feedback_exchange.updates(),
             limits=self._limits.announced(),
             accounts=self._accounts.updates.announced(),
+            unreached=self.unreached_pools(),
         )
 
     def _any_peer_short(self) -> bool:
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -24,12 +24,13 @@
     Reread,
     TableFeed,
 )
-from turnward.gateway.forwarding import Forwarder, ForwardingRules
+from turnward.gateway.forwarding import Forwarder
+from turnward.gateway.forwarding_rules import ForwardingRules
 from turnward.gateway.holder_client import LENDING_WAIT_S, HolderClient
 from turnward.gateway.holders import RendezvousHolders
 from turnward.gateway.lenders import HolderLenders, PeerLenders
+from turnward.gateway.link_monitor import LinkMonitor
 from turnward.gateway.logs import GatewayLog
-from turnward.gateway.mechanisms import Mechanisms
 from turnward.gateway.member_ranks import MemberRanks
 from turnward.gateway.members import MEMBERS_TABLE, Member, encode_member
 from turnward.gateway.metrics import GatewayMetrics
@@ -115,19 +116,6 @@
     return f"{node}@{uuid.uuid4().hex[:10]}"
 
 
-def _choice_rule(mechanisms: Mechanisms) -> ChoiceRule:
-    rule = ChoiceRule(
-        reread_weight=mechanisms.reread_weight,
-        rests=mechanisms.rests,
-        weighs_pace=mechanisms.weighs_pace,
-    )
-    if not mechanisms.agreed_homes:
-        rule = msgspec.structs.replace(rule, preferred_endpoints=0)
-    if not mechanisms.zone_cost:
-        rule = msgspec.structs.replace(rule, zone_cost_ms=0.0)
-    return rule
-
-
 class SourcesBase(ABC):
     """Defines which tables of the store hold the configuration and the endpoints."""
 
@@ -209,7 +197,7 @@
             self._make_pool,
             lambda: self.peers.overlay.loads(),
             self._rng,
-            _choice_rule(settings.mechanisms),
+            ChoiceRule.from_mechanisms(settings.mechanisms),
             self._warm_up_traits,
             WarmUpShares(ranks),
             dialect,
@@ -226,6 +214,7 @@
         self.endpoints.resumed_lately = self._resumed_lately
         self._limits.on_peer_limit = reporter.report_peer_rate_limit
         reporter.listen_to_endpoints()
+        self._links = LinkMonitor(reactor.seconds, self.endpoints, self.book, metrics, log)
         self.holders = RendezvousHolders(self.book, reactor.seconds, settings.budget_holders)
         self.accounts = PrepaidAccounts(
             reactor,
@@ -270,6 +259,7 @@
             log,
             self._rng,
         )
+        self.peers.unreached_pools = self._links.links.lost_pools
         # A new member can lend, and borrow, once both have heard each other.
         self.book.on_member_added = self.peers.announce_soon
         self._connect_lenders()
@@ -392,6 +382,7 @@
             self.accounts,
             self.quarantine,
             lambda: self.book.max_router_count,
+            self._links,
             self._log,
             self._metrics,
             self._rng,
