--- /dev/null
+++ b/turnward/gateway/tests/test_unreached_endpoints.py
@@ -0,0 +1,107 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""A router that reaches no endpoint serves requests by way of the routers that do."""
+
+import pytest
+
+from turnward.gateway import EndpointPool, RetryPolicy
+from turnward.gateway.tests.harness import Harness, answer_ok, answered
+
+#: Time between two requests at one router.
+INTERVAL_S = 0.15
+#: Time after the loss of the links from which requests must be served.
+SERVED_AFTER_S = 3.0
+#: Least share served at a router without links, of the share served at the others.
+MIN_SHARE_OF_OTHERS = 2 / 3
+#: Deadlines of callers.
+SHORT_DEADLINE_MS = b"800"
+LONG_DEADLINE_MS = b"1500"
+
+
+class Links:
+    """Breaks and restores the links of routers to all endpoints."""
+
+    def __init__(self, harness, how):
+        self._harness = harness
+        self._how = how
+
+    def _pairs(self, gateways):
+        for gateway in gateways:
+            for endpoint in self._harness.endpoints:
+                yield self._harness.machines[gateway].host, endpoint.machine.host
+
+    def cut(self, *gateways):
+        network = self._harness.network
+        for pair in self._pairs(gateways):
+            if self._how == "silent":
+                network.cut(*pair)
+                continue
+            network.refuse(*pair)
+            if self._how == "reset":
+                network.reset(*pair)
+
+    def heal(self, *gateways):
+        network = self._harness.network
+        for pair in self._pairs(gateways):
+            network.heal(*pair)
+            network.accept(*pair)
+
+
+def make_harness(gateways=3, **route_fields):
+    fields = {"repeat": RetryPolicy.ONCE, "attempts": 1, **route_fields}
+    harness = Harness(pools=(EndpointPool(name="pool"),), **fields)
+    for _ in range(4):
+        harness.endpoint(answer_ok)
+    harness.ready(gateways)
+    harness.network.advance(1.5)
+    return harness
+
+
+def send_everywhere(harness, duration_s, deadline_ms=LONG_DEADLINE_MS):
+    """Send requests to all routers in turn; return the callers of each."""
+    callers = [[] for _ in harness.gateways]
+    for _ in range(round(duration_s / INTERVAL_S)):
+        for gateway in range(len(harness.gateways)):
+            headers = ((b"Deadline-Ms", deadline_ms),)
+            callers[gateway].append(harness.send(gateway, headers=headers))
+            harness.network.advance(INTERVAL_S / len(harness.gateways))
+    harness.network.advance(1.6)
+    return callers
+
+
+def served_share(callers):
+    return sum(caller.status == 200 for caller in callers) / len(callers)
+
+
+@pytest.mark.parametrize("how", ["silent", "reset", "new_refused"])
+@pytest.mark.parametrize("deadline_ms", [SHORT_DEADLINE_MS, LONG_DEADLINE_MS])
+def test_router_without_links_to_endpoints_serves_as_others_do(how, deadline_ms):
+    harness = make_harness()
+    send_everywhere(harness, 1.0)
+    Links(harness, how).cut(0)
+    send_everywhere(harness, SERVED_AFTER_S - 1.6)
+    cut_off, *others = send_everywhere(harness, 4.0, deadline_ms)
+    share = min(served_share(callers) for callers in others)
+    assert share == 1.0
+    assert served_share(cut_off) >= MIN_SHARE_OF_OTHERS * share
+
+
+@pytest.mark.parametrize("how", ["silent", "reset"])
+def test_routers_of_which_most_have_no_links_are_served_by_the_one_that_has(how):
+    harness = make_harness(gateways=4)
+    send_everywhere(harness, 1.0)
+    Links(harness, how).cut(0, 1, 2)
+    send_everywhere(harness, SERVED_AFTER_S - 1.6)
+    *cut_off, other = send_everywhere(harness, 4.0)
+    assert served_share(other) == 1.0
+    assert min(map(served_share, cut_off)) >= MIN_SHARE_OF_OTHERS
+
+
+def test_pool_that_no_router_reaches_is_refused_at_once():
+    harness = make_harness()
+    send_everywhere(harness, 1.0)
+    Links(harness, "silent").cut(0, 1, 2)
+    send_everywhere(harness, 4.0)
+    caller = harness.send(headers=((b"Deadline-Ms", LONG_DEADLINE_MS),))
+    harness.network.advance(0.1)
+    assert answered(caller)
+    assert caller.status == 503
--- a/turnward/standins/network.py
+++ b/turnward/standins/network.py
@@ -65,6 +65,7 @@
         self.clock = _SortedClock()
         self._machines: dict[str, MemoryMachine] = {}
         self._cuts: set[frozenset[str]] = set()
+        self._refused: set[frozenset[str]] = set()
 
     def machine(self, host: str, link_mbit_per_s: float | None = None) -> "MemoryMachine":
         """Return a new machine at an IP number; its link is as wide as named, or takes no time."""
@@ -88,6 +89,25 @@
         """Tell whether two machines are cut off from each other."""
         return frozenset((one, other)) in self._cuts
 
+    def refuse(self, one: str, other: str) -> None:
+        """Refuse new connections between two machines; open ones live on."""
+        self._refused.add(frozenset((one, other)))
+
+    def accept(self, one: str, other: str) -> None:
+        """Accept new connections between two machines again."""
+        self._refused.discard(frozenset((one, other)))
+
+    def is_refused(self, one: str, other: str) -> bool:
+        """Tell whether new connections between two machines are refused."""
+        return frozenset((one, other)) in self._refused
+
+    def reset(self, one: str, other: str) -> None:
+        """Reset the open connections between two machines."""
+        for machine in (self._machines[one], self._machines[other]):
+            for connection in list(machine.connections):
+                if connection.peer.host in (one, other) and connection.host in (one, other):
+                    connection.break_off()
+
     def advance(self, seconds: float, step_s: float = 0.005) -> None:
         """Let time pass in small steps."""
         end_s = self.clock.seconds() + seconds
@@ -362,7 +382,7 @@
             return
         other = self._machine.network.find(self._host)
         factory = other.listeners.get(self._port) if other is not None and other.alive else None
-        if factory is None:
+        if factory is None or self._machine.network.is_refused(self._machine.host, self._host):
             self._fail(error.ConnectionRefusedError())
             return
         self._over = True
@@ -487,6 +507,15 @@
 
     # Packets.
 
+    @property
+    def host(self) -> str:
+        """IP number of this end."""
+        return self._machine.host
+
+    def break_off(self):
+        """End this end alone, as a reset from the network does."""
+        self._machine.callLater(0, self._lose, error.ConnectionLost())
+
     def vanish(self):
         """End with the process; the other end is reset."""
         if not self.disconnected:
