A gateway that reaches no endpoint of a pool has a peer run its requests

What callers saw: 503 after up to six connections that were not established, or endpoints_unresponsive at once, at gateways whose links to all endpoints were cut; first attempts there were served 3 of 47 and 0 of 26 times, at the others 236 of 238 and 224 of 226.

Cause: a gateway concludes from its own links alone that a pool is down, and has no path to it but its own links. The class: a local observation taken for the state of the fleet.

Change: links are told from endpoints by connections on which nothing is sent; digests name the pools that are not reached; a request of such a pool is handed whole to a peer that reaches it, which runs and charges it as its own.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -38,12 +38,16 @@
 
     Attributes
     ----------
+    is_relay : bool
+        Whether a peer, rather than an endpoint, gets the request.
     sent : bool
         Whether any byte may have been sent.
     reused : bool
         Whether the connection had carried an earlier exchange.
     """
 
+    is_relay = False
+
     def __init__(self, owner, record: EndpointRecord, chosen_cold: bool = False):
         self._owner = owner
         self._chosen_cold = chosen_cold
@@ -70,6 +74,11 @@
         self.reused = False
         self._started_s = 0.0
 
+    @property
+    def destination(self) -> str:
+        """Where the request is sent, for logs."""
+        return self.record.incarnation
+
     def start(self) -> None:
         """Request a connection and add the attempt to the endpoint's load."""
         owner = self._owner
@@ -306,10 +315,18 @@
         if not failure.answered and not failure.reused:
             now_s = self._owner.forwarder.reactor.seconds()
             self.record.availability.note_lost(self._started_s, now_s)
-            self._owner.forwarder.links.failed(self.record)
+        self._note_links(failure)
         self._note_failure(certain=failure.cause is FailureCause.CONNECT)
         self._owner.attempt_failed(self, failure)
 
+    def _note_links(self, failure: ExchangeFailure) -> None:
+        links = self._owner.forwarder.links
+        if failure.cause is FailureCause.CONNECT:
+            waited_s = self._owner.forwarder.reactor.seconds() - self._started_s
+            links.failed(self.record, waited_s)
+        elif not failure.answered:
+            links.suspect(self.record)
+
     # Load and health of the endpoint.
 
     def _prefill_ended(self) -> None:
--- a/turnward/gateway/availability.py
+++ b/turnward/gateway/availability.py
@@ -221,6 +221,13 @@
         """Record that the endpoint sent a response of any kind."""
         self._losses = 0
 
+    def forgive_failures(self) -> None:
+        """Forget the failures, which this router's own links have caused."""
+        self._losses = 0
+        self.failures = 0
+        self._suspected_until_s = 0.0
+        self._probing = False
+
     def succeeded(self) -> bool:
         """Record a response; return True if the endpoint was marked down until now."""
         recovered, self.marked_down = self.marked_down, False
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -23,6 +23,9 @@
 from turnward.gateway.prepaid import BudgetRefusal, PrepaidAccounts
 from turnward.gateway.progress import StreamProgress
 from turnward.gateway.prompts import Prompt, parse_prompt_parts
+from turnward.gateway.relay import Relay, RelayServer
+from turnward.gateway.relay_note import RelayNote
+from turnward.gateway.relayable_request import RelayableRequest
 from turnward.gateway.retries import RetryBudgetShare
 from turnward.gateway.retry_after import RetryAfterEstimator
 from turnward.gateway.state import FleetState
@@ -79,6 +82,8 @@
         Returns the largest number of routers that may be live.
     links : LinkMonitor
         Told which endpoints can be reached.
+    relay : Relay
+        Has peers run requests whose endpoints can't be reached.
     log, metrics
         Where requests and attempts are recorded.
     rng : random.Random
@@ -101,6 +106,7 @@
         quarantine: Quarantine,
         live_routers: Callable[[], int],
         links: LinkMonitor,
+        relay: Relay,
         log,
         metrics,
         rng,
@@ -114,12 +120,14 @@
         self.quarantine = quarantine
         self.live_routers = live_routers
         self.links = links
+        self.relay = relay
         self.log = log
         self.metrics = metrics
         self.rng = rng
         self.never_forwarded = dialect.never_forwarded
         self.refuses_new_requests = False
         self.open_requests: set[ForwardedRequest] = set()
+        self.relayed_requests: set[ForwardedRequest] = set()
         self._retry_budgets: dict[str, RetryBudgetShare] = {}
         self.pool_admission = PoolAdmission(rules.admission, state, endpoints)
         self.retry_after_estimator = RetryAfterEstimator(
@@ -127,9 +135,19 @@
         )
 
     def handle(self, request: InboundRequest) -> None:
-        """Start a request."""
+        """Start a request of a caller."""
         ForwardedRequest(self, request).start()
 
+    def handle_relayed(self, request: InboundRequest, note: RelayNote) -> None:
+        """Start a request that a peer relays."""
+        ForwardedRequest(self, request, note).start()
+
+    def withdraw_from_endpoints(self, pool: str) -> None:
+        """Relay the requests of a pool that wait for a connection to an endpoint."""
+        for request in list(self.open_requests):
+            if request.pool == pool and request.withdraw_from_endpoint():
+                self.relay.take_over(request)
+
     def note_endpoint_crashed(self, record: EndpointRecord) -> None:
         """Report the runs abandoned just before an endpoint may have crashed to the quarantine.
 
@@ -148,37 +166,30 @@
         return retry_budget
 
 
-class ForwardedRequest:
+class ForwardedRequest(RelayableRequest):
     """One request from its arrival to its response."""
 
-    def __init__(self, forwarder: Forwarder, request: InboundRequest):
-        self._forwarder = forwarder
-        self._request = request
+    def __init__(
+        self, forwarder: Forwarder, request: InboundRequest, note: RelayNote | None = None
+    ):
+        super().__init__(forwarder, request, note)
         self._started_s = request.received_s
         self._route: Route | None = None
         self._workspace: Workspace | None = None
-        self._pool = ""
         self._prompt = Prompt()
         self._request_id = b""
         self._content = ""
         self._deadline_s = 0.0
-        self._reservation = None
         self._retry_reservations: list[Reservation] = []
         self._pending_reservation: defer.Deferred | None = None
         self._timer = None
         self._body: list[bytes] = []
         self._body_bytes = 0
-        self._replayable = True
         self._chunked_to_endpoint = False
-        self._attempt: EndpointAttempt | None = None
-        self._attempts = 0
-        self._tried: set[str] = set()
-        self._may_have_run = False
         self._queue_excess_s = 0.0
         self._paced_delay_s = 0.0
         self._on_trial = False
         self._progress = StreamProgress()
-        self._ended = False
 
     # Admission.
 
@@ -197,6 +208,9 @@
         if forwarder.refuses_new_requests:
             self._refuse(503, Reason.STOPPING)
             return
+        if self._note is not None and RelayServer.is_full(len(forwarder.relayed_requests)):
+            self._refuse(503, Reason.RELAYS_FULL)
+            return
         if not forwarder.state.complete:
             self._refuse(503, Reason.NO_CONFIGURATION)
             return
@@ -207,6 +221,8 @@
         ):
             request.on_disconnect = self._caller_disconnected
             forwarder.open_requests.add(self)
+            if self._note is not None:
+                forwarder.relayed_requests.add(self)
             self._reserve()
 
     def _find_route(self, host: bytes) -> bool:
@@ -335,27 +351,31 @@
         if self._deadline_s - self._now_s() < _MIN_SEND_S:
             self.time_limit_reached()
             return
-        if not self._pool:
-            self._pool = self._route.choose_pool(forwarder.rng)
+        if not self.pool:
+            self.pool = self._route.choose_pool(forwarder.rng)
             self._content = self._fingerprint_content()
-            if self._refuse_if_quarantined():
+            if forwarder.relay.take_over(self) or self._refuse_if_quarantined():
                 return
-            forwarder.retry_budget(self._pool).note_request()
+            forwarder.retry_budget(self.pool).note_request()
+            self.first_attempt_s = self._now_s()
+        elif forwarder.relay.take_over(self):
+            return
         routes = forwarder.state.routes
-        pool = routes.pools.get(self._pool)
+        pool = routes.pools.get(self.pool)
         choice = forwarder.endpoints.choose(
-            self._pool,
+            self.pool,
             self._prompt,
             pool.engine if pool is not None else None,
             self._tried,
-            routes.pause_targets_s.get(self._pool),
+            routes.pause_targets_s.get(self.pool),
         )
         if choice is None:
-            self._give_up(Reason.NO_ENDPOINT)
+            if not forwarder.relay.take_over_unserved(self):
+                self._give_up(Reason.NO_ENDPOINT)
             return
         record = choice.record
         if not self._tried:
-            excess_s = forwarder.pool_admission.excess_s(self._pool, self.priority, choice)
+            excess_s = forwarder.pool_admission.excess_s(self.pool, self.priority, choice)
             if excess_s:
                 self._refuse_overload(choice, excess_s)
                 return
@@ -366,7 +386,7 @@
             content=self._content,
             route=self._route.name,
             workspace=self._workspace.name if self._workspace is not None else "",
-            pool=self._pool,
+            pool=self.pool,
             endpoint=record.incarnation,
             cost_ms=choice.cost_ms,
             candidates=choice.candidates,
@@ -396,13 +416,8 @@
         forwarder = self._forwarder
         dialect = forwarder.dialect
         request = self._request
-        headers = end_to_end_headers(request.headers, forwarder.never_forwarded)
-        last_id = self._progress.last_id
-        if last_id is not None:
-            headers = [item for item in headers if item[0] != dialect.last_event_id]
-            headers.append((dialect.last_event_id, last_id))
-        left_ms = max(1, int((self._deadline_s - self._now_s()) * 1_000))
-        headers.append((dialect.deadline_ms, b"%d" % left_ms))
+        headers = self.headers_for(forwarder.never_forwarded)
+        headers.append((dialect.deadline_ms, b"%d" % self.left_ms))
         headers.append((dialect.expected_endpoint, record.endpoint_id.encode()))
         headers.append((dialect.priority, b"%d" % self.priority))
         if self._workspace is not None:
@@ -461,6 +476,8 @@
     def _attempt_unsent(self, attempt: "EndpointAttempt", how: str, **fields) -> None:
         """Try another endpoint after an attempt that sent nothing."""
         self._end_attempt(attempt, how, **fields)
+        if how == "unreachable" and self._forwarder.relay.take_over_unreached(self):
+            return
         if self._may_retry(is_retry=False, ran=False):
             self._dispatch()
         else:
@@ -480,6 +497,9 @@
             forwarder.quarantine.record_abort(
                 self._content, attempt.record.incarnation, attempt.sent_s
             )
+        self._lost_after_send(attempt, failure)
+
+    def _lost_after_send(self, attempt, failure: ExchangeFailure) -> None:
         self._may_have_run = True
         self._end_attempt(attempt, "lost", cause=failure.cause, answered=failure.answered)
         if self._may_retry(is_retry=True, ran=True):
@@ -525,9 +545,9 @@
             "attempt.not_repeated",
             request=self._request_id.decode("latin-1"),
             route=self._route.name,
-            pool=self._pool,
+            pool=self.pool,
             why=no_retry_reason,
-            attempts=self._attempts,
+            attempts=self.attempts,
             attempts_allowed=self._route.attempts,
             left_s=round(self._deadline_s - self._now_s(), 3),
         )
@@ -547,13 +567,14 @@
             return NoRetryReason.NO_TIME_LEFT
         if not is_retry and len(self._tried) >= _MAX_ENDPOINTS_TRIED:
             return NoRetryReason.ENDPOINTS_TRIED
-        if is_retry and self._attempts >= self._route.attempts:
+        if is_retry and self.attempts >= self._route.attempts:
             return NoRetryReason.ATTEMPTS_USED
         if self._forwarder.quarantine.is_quarantined(self._content):
             return NoRetryReason.QUARANTINED
         forwarder = self._forwarder
         check_others = forwarder.rules.looks_for_others
-        if check_others and not forwarder.endpoints.has_other(self._pool, self._tried):
+        has_other = forwarder.endpoints.has_other(self.pool, self._tried)
+        if check_others and not has_other and not forwarder.relay.has_path_around(self.pool):
             return NoRetryReason.NO_OTHER_ENDPOINT
         return None
 
@@ -562,7 +583,7 @@
         if ran and not self._reserve_for_retry():
             return NoRetryReason.NO_TOKENS
         forwarder = self._forwarder
-        if not forwarder.retry_budget(self._pool).take(forwarder.live_routers()):
+        if not forwarder.retry_budget(self.pool).take(forwarder.live_routers()):
             return NoRetryReason.RETRY_BUDGET
         return None
 
@@ -584,9 +605,9 @@
 
     def count_attempt(self) -> None:
         """Count an attempt that is being sent."""
-        self._attempts += 1
+        self.attempts += 1
 
-    def _end_attempt(self, attempt: "EndpointAttempt", how: str, **fields) -> None:
+    def _end_attempt(self, attempt, how: str, **fields) -> None:
         self._attempt = None
         attempt.ended = True
         self._forwarder.log.failure(
@@ -594,17 +615,17 @@
             request=self._request_id.decode("latin-1"),
             content=self._content,
             route=self._route.name,
-            pool=self._pool,
-            endpoint=attempt.record.incarnation,
+            pool=self.pool,
+            endpoint=attempt.destination,
             how=how,
             sent=attempt.sent,
             reused=attempt.reused,
-            attempt=self._attempts,
+            attempt=self.attempts,
             events=self._progress.events,
             left_s=round(self._deadline_s - self._now_s(), 3),
             **fields,
         )
-        self._forwarder.metrics.attempts_failed.labels(self._pool, how).inc()
+        self._forwarder.metrics.attempts_failed.labels(self.pool, how).inc()
 
     # Response to the caller.
 
@@ -618,11 +639,6 @@
         """Whether an interrupted stream may be resumed at another endpoint."""
         return self._route.streams and self._route.resumable
 
-    @property
-    def head_sent(self) -> bool:
-        """Whether the response head has been sent to the caller."""
-        return self._request.head_sent
-
     def send_response_head(self, status: int, headers: HeaderList, length: int | None) -> None:
         """Forward a response head."""
         self._request.on_pause = self._pause
@@ -651,10 +667,10 @@
         if status < 300 and not self._may_have_run:
             used = self._prompt.tokens + self._progress.events * self._event_tokens()
         outcome = Outcome.SERVED if status < 400 else Outcome.ENDPOINT_ERROR
-        self._end(outcome, status, used_tokens=used, endpoint=attempt.record.incarnation)
+        self._end(outcome, status, used_tokens=used, endpoint=attempt.destination)
 
     def _event_tokens(self) -> int:
-        pool = self._forwarder.state.routes.pools.get(self._pool)
+        pool = self._forwarder.state.routes.pools.get(self.pool)
         engine = pool.engine if pool is not None else None
         return engine.event_tokens if engine is not None else self._prompt.output_tokens
 
@@ -672,7 +688,7 @@
         """Return why the whole pool accepts no requests; the given reason if some endpoint does."""
         if reason not in _ENDPOINT_REASONS:
             return reason
-        shortage = self._forwarder.endpoints.shortage(self._pool)
+        shortage = self._forwarder.endpoints.shortage(self.pool)
         return shortage.reason if shortage is not None else reason
 
     def _refuse(self, status: int, reason: Reason, **fields) -> None:
@@ -694,19 +710,19 @@
                 "content.tried",
                 request=self._request_id.decode("latin-1"),
                 content=self._content,
-                pool=self._pool,
+                pool=self.pool,
             )
             return False
         confirmed = quarantine.verdict(self._content) is Verdict.CONFIRMED
         reason = Reason.CRASHES_ENDPOINTS if confirmed else Reason.MAY_CRASH_ENDPOINTS
-        self._forwarder.metrics.requests_quarantined.labels(self._pool, reason).inc()
+        self._forwarder.metrics.requests_quarantined.labels(self.pool, reason).inc()
         self._refuse(503, reason)
         return True
 
     def _refuse_overload(self, choice: EndpointChoice, excess_s: float) -> None:
         """Refuse a request because the queues of all endpoints are too long."""
         self._queue_excess_s = excess_s
-        self._forwarder.metrics.requests_overloaded.labels(self._pool).inc()
+        self._forwarder.metrics.requests_overloaded.labels(self.pool).inc()
         excess_ms = round(excess_s * 1_000, 1)
         self._refuse(503, Reason.OVERLOADED, queue_ms=choice.queue_ms, over_ms=excess_ms)
 
@@ -726,7 +742,7 @@
         if reason in (Reason.CRASHES_ENDPOINTS, Reason.MAY_CRASH_ENDPOINTS):
             return round(forwarder.quarantine.quarantine_left_s(self._content), 1)
         return forwarder.retry_after_estimator.retry_after_s(
-            reason, self._pool, self._queue_excess_s
+            reason, self.pool, self._queue_excess_s
         )
 
     def _fail(self, status: int, reason: Reason) -> None:
@@ -803,6 +819,7 @@
         self._ended = True
         forwarder = self._forwarder
         forwarder.open_requests.discard(self)
+        forwarder.relayed_requests.discard(self)
         if self._on_trial:
             forwarder.quarantine.end_trial(self._content)
         if self._timer is not None and self._timer.active():
@@ -821,13 +838,13 @@
             content=self._content,
             route=route,
             workspace=self._workspace.name if self._workspace is not None else "",
-            pool=self._pool,
+            pool=self.pool,
             outcome=outcome,
             status=status,
             took_ms=round(duration_s * 1_000, 1),
             first_event_ms=round((first - self._started_s) * 1_000, 1) if first else None,
             longest_pause_ms=round(progress.longest_pause_s * 1_000, 1) if first else None,
-            attempts=self._attempts,
+            attempts=self.attempts,
             events=self._progress.events,
             prompt_tokens=self._prompt.tokens,
             output_tokens=self._prompt.output_tokens,
@@ -835,16 +852,17 @@
             configuration=forwarder.state.configuration_version,
             endpoints=forwarder.state.endpoints_version,
             unconfirmed_s=round(min(1e6, forwarder.state.unconfirmed_for_s()), 2),
+            relayed_by=self.relayed_by,
             **fields,
         )
 
     def _record_metrics(self, outcome: Outcome, duration_s: float) -> None:
         metrics = self._forwarder.metrics
-        metrics.requests.labels(self._pool, outcome).inc()
-        metrics.request_seconds.labels(self._pool).observe(duration_s)
+        metrics.requests.labels(self.pool, outcome).inc()
+        metrics.request_seconds.labels(self.pool).observe(duration_s)
         if self._progress.first_s is not None:
             first_s = self._progress.first_s - self._started_s
-            metrics.first_event_seconds.labels(self._pool).observe(first_s)
+            metrics.first_event_seconds.labels(self.pool).observe(first_s)
 
     def _settle(self, used_tokens: int | None) -> int:
         """Settle the reservations; unknown use is charged in full."""
@@ -860,12 +878,15 @@
     def _now_s(self) -> float:
         return self._forwarder.reactor.seconds()
 
-    # Properties used by attempts.
+    def _last_event_id(self) -> bytes | None:
+        return self._progress.last_id
 
     @property
-    def forwarder(self) -> Forwarder:
-        """The forwarder."""
-        return self._forwarder
+    def left_ms(self) -> int:
+        """Time left until the deadline, in whole milliseconds and at least 1."""
+        return max(1, int((self._deadline_s - self._now_s()) * 1_000))
+
+    # Properties used by attempts.
 
     @property
     def request_id(self) -> bytes:
@@ -882,16 +903,6 @@
         """Size and parts of the prompt."""
         return self._prompt
 
-    @property
-    def method(self) -> bytes:
-        """The HTTP method."""
-        return self._request.method
-
-    @property
-    def body_complete(self) -> bool:
-        """Whether the whole request body has been received."""
-        return self._request.body_complete
-
     @property
     def must_run_once(self) -> bool:
         """Whether the request must not run twice."""
--- a/turnward/gateway/forwarding_rules.py
+++ b/turnward/gateway/forwarding_rules.py
@@ -5,6 +5,7 @@
 
 from turnward.admission import AdmissionRule
 from turnward.gateway.retries import RetryBudgetRule
+from turnward.gateway.settings import GatewaySettings
 
 __all__ = ["ForwardingRules"]
 
@@ -32,3 +33,18 @@
     stale_after_s: float = 3.0
     retry_after_s: float = 0.25
     admission: AdmissionRule = AdmissionRule()
+
+    @classmethod
+    def from_settings(cls, settings: GatewaySettings) -> "ForwardingRules":
+        """Return the rules of a router."""
+        mechanisms = settings.mechanisms
+        repeats = RetryBudgetRule(
+            settings.repeat_ratio, settings.repeat_window_s, settings.repeat_slack
+        )
+        if not mechanisms.repeats:
+            repeats = RetryBudgetRule(0.0, settings.repeat_window_s, 0.0)
+        return cls(
+            repeats=repeats,
+            looks_for_others=mechanisms.looks_for_others,
+            admission=AdmissionRule() if mechanisms.admission else AdmissionRule(shares=()),
+        )
--- a/turnward/gateway/link_monitor.py
+++ b/turnward/gateway/link_monitor.py
@@ -1,10 +1,12 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Reports when this router loses its links to a pool's endpoints, and what its peers tell."""
+"""Finds out and reports when this router loses its links to a pool's endpoints."""
 
+import random
 from collections.abc import Callable
 
 from turnward.gateway.choice import EndpointBook
 from turnward.gateway.endpoint_record import EndpointRecord
+from turnward.gateway.link_probes import LinkProbes
 from turnward.gateway.peer_book import PeerBook
 from turnward.gateway.pool_links import PoolLinks
 
@@ -16,12 +18,14 @@
 
     Parameters
     ----------
-    clock : callable
-        Monotonic clock in seconds.
+    reactor
+        Twisted's reactor.
     endpoints : EndpointBook
         The endpoints of each pool.
     book : PeerBook
         Peers, whose digests name the pools that they reach no endpoint of.
+    rng : random.Random
+        Chooses the endpoints to probe.
     metrics, log
         Receivers of the reports.
 
@@ -32,13 +36,23 @@
     """
 
     def __init__(
-        self, clock: Callable[[], float], endpoints: EndpointBook, book: PeerBook, metrics, log
+        self,
+        reactor,
+        endpoints: EndpointBook,
+        book: PeerBook,
+        rng: random.Random,
+        metrics,
+        log,
     ):
+        self._reactor = reactor
         self._endpoints = endpoints
         self._book = book
         self._metrics = metrics
         self._log = log
-        self.links = PoolLinks(clock, self._count_accepting)
+        self.links = PoolLinks(reactor.seconds, self._count_accepting)
+        self._probes = LinkProbes(reactor, endpoints, self.links, self._probed, rng)
+        #: Called soon after the links to a pool are lost, with its name.
+        self.on_lost: Callable[[str], None] = lambda pool: None
 
     def _count_accepting(self, pool: str) -> int:
         return len(self._endpoints.accepting(pool, set()))
@@ -50,6 +64,8 @@
         if lost_for_s is None:
             return
         self._metrics.links_lost.labels(pool).set(0)
+        for each in self._endpoints.accepting(pool, set()):
+            each.availability.forgive_failures()
         self._log.belief(
             "pool.links_regained",
             pool=pool,
@@ -61,11 +77,28 @@
         """Record a response of an endpoint."""
         self.links.note_responded(record.entry.pool)
 
-    def failed(self, record: EndpointRecord) -> None:
-        """Record an endpoint that can't be reached, or lost a request without a response."""
+    def failed(self, record: EndpointRecord, waited_s: float) -> None:
+        """Record an endpoint that can't be reached, and how long that took to show."""
+        self._note_failed(record, waited_s)
+        self._probes.suspect(record.entry.pool)
+
+    def suspect(self, record: EndpointRecord) -> None:
+        """Check the links to the pool of an endpoint that lost a request without a response."""
+        self._probes.suspect(record.entry.pool)
+
+    def _probed(self, record: EndpointRecord, opened: bool, waited_s: float) -> None:
+        if opened:
+            self.opened(record)
+        else:
+            self._note_failed(record, waited_s)
+
+    def _note_failed(self, record: EndpointRecord, waited_s: float) -> None:
         pool = record.entry.pool
-        if not self.links.note_failed(pool, record.incarnation):
+        if not self.links.note_failed(pool, record.incarnation, waited_s):
             return
+        for other in {each.entry.pool for each in self._endpoints.all()}:
+            self._probes.suspect(other)
+        self._reactor.callLater(0, self.on_lost, pool)
         self._metrics.links_lost.labels(pool).set(1)
         digests = [peer.digest for peer in self._book.live()]
         unreached = sum(pool in (digest.unreached or ()) for digest in digests)
--- a/turnward/gateway/members.py
+++ b/turnward/gateway/members.py
@@ -21,11 +21,14 @@
         Availability zone of the router.
     link_mbit_per_s : float
         Bandwidth of the machine's network link; 0 if the settings do not contain it.
+    takes_relays : bool
+        Whether the router runs requests that other routers relay to it.
     """
 
     address: str
     zone: str
     link_mbit_per_s: float = 0.0
+    takes_relays: bool = False
 
 
 def encode_member(member: Member) -> bytes:
--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -96,6 +96,9 @@
         self.pools_unresponsive = self._counter(
             "pools_unresponsive", "Times that no endpoint of a pool responded.", ["pool"]
         )
+        self.requests_relayed = self._counter(
+            "requests_relayed", "Requests handed to a peer, and how that ended.", ["pool", "how"]
+        )
         self.requests_paced = self._counter(
             "requests_paced",
             "Requests refused, since tokens are protected for the most urgent ones.",
--- a/turnward/gateway/outcomes.py
+++ b/turnward/gateway/outcomes.py
@@ -40,6 +40,7 @@
     ENDPOINTS_RATE_LIMITED = "endpoints_limited"
     ENDPOINTS_UNRESPONSIVE = "endpoints_unresponsive"
     OVERLOADED = "overloaded"
+    RELAYS_FULL = "relays_full"
     CRASHES_ENDPOINTS = "ends_endpoints"
     MAY_CRASH_ENDPOINTS = "may_end_endpoints"
     TIME_LIMIT = "time_limit"
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -128,7 +128,7 @@
         Contents of the rows of workspaces' tokens that the router has written lately.
     unreached : tuple of str or None
         Pools of which the router can reach no endpoint; None from versions of this software that
-        don't tell.
+        run no relayed requests.
     """
 
     layout: int
@@ -159,7 +159,13 @@
 
 
 class Peer:
-    """A peer, and the latest digest received from it."""
+    """A peer, and the latest digest received from it.
+
+    Attributes
+    ----------
+    takes_relays : bool
+        Whether it runs requests that are relayed to it, by its digest or else by its row.
+    """
 
     __slots__ = (
         "address",
@@ -169,6 +175,7 @@
         "link_mbit_per_s",
         "node",
         "received_s",
+        "takes_relays",
         "zone",
     )
 
@@ -181,6 +188,7 @@
         self.is_member = False
         self.zone = ""
         self.link_mbit_per_s = 0.0
+        self.takes_relays = False
 
 
 class PeerBook:
@@ -248,7 +256,14 @@
             self._membership_changed()
             self.on_member_added()
 
-    def list_member(self, node: str, address: str, zone: str, link_mbit_per_s: float = 0.0) -> None:
+    def list_member(
+        self,
+        node: str,
+        address: str,
+        zone: str,
+        link_mbit_per_s: float = 0.0,
+        takes_relays: bool = False,
+    ) -> None:
         """Add or update a peer from its row in the members' table.
 
         If the row names a new address, a new process of the node runs there, and its peers at other
@@ -256,6 +271,9 @@
         before the present one, which replaces nothing.
         """
         self.add_member(address, zone, link_mbit_per_s, node)
+        peer = self._peers.get(address)
+        if peer is not None and peer.digest is None:
+            peer.takes_relays = takes_relays
         listed = self._listed.get(node)
         if address in (listed, self._listed_before.get(node)):
             return
@@ -292,6 +310,7 @@
         peer = self._peers[digest.address]
         peer.digest = digest
         peer.received_s = self._clock()
+        peer.takes_relays = digest.unreached is not None
         return peer
 
     def knows(self, address: str) -> bool:
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -25,6 +25,7 @@
 from turnward.gateway.packing import PackedCache, unpack
 from turnward.gateway.peer_book import DIGEST_LAYOUT, OLDEST_DIGEST_LAYOUT, Digest, PeerBook
 from turnward.gateway.rate_limits import RateLimits
+from turnward.gateway.relay_note import RELAY_PREFIX
 from turnward.gateway.state import EndpointsSnapshot, FleetState
 from turnward.http1 import Http1Error, HttpCaller, InboundRequest
 from turnward.quarantine import Quarantine
@@ -180,6 +181,8 @@
         self.refused_count = 0
         self._pending_announcement = None
         self.stopping = False
+        #: Called with each request that a peer relays.
+        self.on_relayed: Callable[[InboundRequest], None] = _answer_not_found
         #: Returns the pools of which this router reaches no endpoint.
         self.unreached_pools: Callable[[], tuple[str, ...]] = tuple
 
@@ -371,7 +374,10 @@
         self._state.adopt_endpoints(snapshot, f"peer {address}")
 
     def serve(self, request: InboundRequest) -> None:
-        """Answer a peer's request for state, a loan or a return of tokens."""
+        """Answer a peer's request for state, a loan or a return of tokens, or run a relayed one."""
+        if request.target.startswith(RELAY_PREFIX):
+            self.on_relayed(request)
+            return
         state = self._state
         orders = state.announced_zone_orders()
         if request.target == CONFIGURATION_PATH and state.routes and orders is not None:
@@ -433,6 +439,10 @@
         return reply.body if reply.status == 200 else None
 
 
+def _answer_not_found(request: InboundRequest) -> None:
+    request.answer(404, [])
+
+
 def _decode_body(request: InboundRequest, layout: type, handle: Callable) -> None:
     """Receive the body of a request, decode and handle it; answer 400 if it is invalid."""
     chunks: list[bytes] = []
--- a/turnward/gateway/pool_links.py
+++ b/turnward/gateway/pool_links.py
@@ -12,11 +12,14 @@
 
 __all__ = ["PoolLinks"]
 
-#: Endpoints that must fail, one after the other, before the links to their pool count as lost. A
-#: single endpoint may have crashed.
-_FAILED_TO_LOSE = 2
+#: Endpoints that must fail, with none reached in between, before the links to their pool count as
+#: lost; all of a smaller pool. Some endpoints may have crashed at the same time.
+_FAILED_TO_LOSE = 4
 #: Time after which the failure of an endpoint no longer counts.
 _FAILURE_LIFETIME_S = 5.0
+#: Time without an answer to a connection from which the network counts as silent. A host that is
+#: reached refuses within a round trip.
+_SILENT_S = 0.2
 #: Pools announced to peers at most, so that a message fits a datagram.
 _MAX_ANNOUNCED = 16
 
@@ -32,12 +35,15 @@
         When a connection was last opened, and when an endpoint last responded.
     lost_s : float or None
         Since when the links count as lost.
+    silent : bool
+        Whether the latest connection that failed was not answered, rather than refused.
     """
 
     failed_s: dict[str, float]
     opened_s: float = -1e9
     responded_s: float = -1e9
     lost_s: float | None = None
+    silent: bool = False
 
 
 class PoolLinks:
@@ -52,8 +58,8 @@
 
     Examples
     --------
-    >>> links = PoolLinks(lambda: 10.0, lambda pool: 3)
-    >>> links.note_failed("pool", "e-1"), links.note_failed("pool", "e-2")
+    >>> links = PoolLinks(lambda: 10.0, lambda pool: 2)
+    >>> links.note_failed("pool", "e-1", 0.5), links.note_failed("pool", "e-2", 0.5)
     (False, True)
     >>> links.is_lost("pool"), links.lost_pools()
     (True, ('pool',))
@@ -86,8 +92,11 @@
         """Record a response, which may have come on a connection opened long before."""
         self._of(pool).responded_s = self._clock()
 
-    def note_failed(self, pool: str, endpoint: str) -> bool:
-        """Record that an endpoint can't be reached; return True if this loses the pool's links."""
+    def note_failed(self, pool: str, endpoint: str, waited_s: float) -> bool:
+        """Record that an endpoint can't be reached; return True if this loses the pool's links.
+
+        ``waited_s`` is how long the connection took to fail.
+        """
         now_s = self._clock()
         links = self._of(pool)
         links.failed_s = {
@@ -96,6 +105,7 @@
             if now_s - failed_s < _FAILURE_LIFETIME_S
         }
         links.failed_s[endpoint] = now_s
+        links.silent = waited_s >= _SILENT_S
         required = min(_FAILED_TO_LOSE, max(1, self._endpoint_count(pool)))
         if links.lost_s is not None or len(links.failed_s) < required:
             return False
@@ -111,6 +121,10 @@
         links = self._links.get(pool)
         return links is not None and links.lost_s is not None
 
+    def is_silent(self, pool: str) -> bool:
+        """Return whether no endpoint of a pool even refuses connections."""
+        return self.is_lost(pool) and self._links[pool].silent
+
     def lost_pools(self) -> tuple[str, ...]:
         """Return the pools of which no endpoint can be reached, to announce to peers."""
         lost = sorted(pool for pool, links in self._links.items() if links.lost_s is not None)
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -67,6 +67,17 @@
 #: While the store is unreachable, fraction of the tokens held when it was last reached that is
 #: withheld for more urgent requests: per priority level, and at most.
 WITHHELD_SHARE_PER_PRIORITY = 0.15
+#: How a router sizes its grants; see ``docs/decisions``.
+GRANT_SIZING = SizingRule(
+    horizon_s=60.0,
+    minimum_tokens=2_000,
+    share=0.5,
+    floor_share=0.5,
+    bias_corrected=True,
+    idle_return_s=4.0,
+    near_limit_refresh_s=1.0,
+    default_refresh_s=3.0,
+)
 _MAX_WITHHELD_SHARE = 0.5
 #: Target rate of the row reads of all routers together; each router reads a row at least once
 #: per ``_MAX_REFRESH_S``.
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -9,7 +9,6 @@
 import msgspec
 from twisted.internet import defer, task
 
-from turnward.admission import AdmissionRule
 from turnward.gateway.choice import EndpointBook
 from turnward.gateway.configuration import WarmUpTraits
 from turnward.gateway.dialect import Dialect
@@ -37,11 +36,12 @@
 from turnward.gateway.pauses import CHECK_INTERVAL_S, Pause, PauseDetector
 from turnward.gateway.peer_book import DIGEST_LAYOUT, Digest, PeerBook
 from turnward.gateway.peers import PeerSynchronizer
-from turnward.gateway.prepaid import WITHHELD_SHARE_PER_PRIORITY, PrepaidAccounts
+from turnward.gateway.prepaid import GRANT_SIZING, WITHHELD_SHARE_PER_PRIORITY, PrepaidAccounts
 from turnward.gateway.prompt_lanes import make_prompt_lanes
 from turnward.gateway.quarantine_rows import QuarantineRows
 from turnward.gateway.rate_limits import RateLimits
-from turnward.gateway.retries import RetryBudgetRule
+from turnward.gateway.relay import Relay, RelayServer
+from turnward.gateway.relay_note import limits_with_relays
 from turnward.gateway.service_rates import make_service_rates
 from turnward.gateway.settings import GatewaySettings
 from turnward.gateway.spend_bounds import make_spend_bounds
@@ -55,7 +55,6 @@
     InboundRequest,
     OutboundPool,
 )
-from turnward.ledger import SizingRule
 from turnward.pacing import make_token_pacer
 from turnward.quarantine import Quarantine, QuarantineChange, QuarantineRule
 from turnward.rows import (
@@ -98,17 +97,6 @@
 _STORE_UNREACHABLE_AFTER_S = 3.0
 #: Timeout of connections to endpoints.
 _CONNECT_TIMEOUT_S = 0.5
-#: Sizing of the grants of prepaid tokens; see ``docs/decisions``.
-_GRANT_SIZING = SizingRule(
-    horizon_s=60.0,
-    minimum_tokens=2_000,
-    share=0.5,
-    floor_share=0.5,
-    bias_corrected=True,
-    idle_return_s=4.0,
-    near_limit_refresh_s=1.0,
-    default_refresh_s=3.0,
-)
 
 
 def new_incarnation(node: str) -> str:
@@ -214,14 +202,24 @@
         self.endpoints.resumed_lately = self._resumed_lately
         self._limits.on_peer_limit = reporter.report_peer_rate_limit
         reporter.listen_to_endpoints()
-        self._links = LinkMonitor(reactor.seconds, self.endpoints, self.book, metrics, log)
+        self._links = LinkMonitor(reactor, self.endpoints, self.book, self._rng, metrics, log)
+        self.relay = Relay(
+            reactor,
+            self.book,
+            settings.zone,
+            self._links.links,
+            self._rng,
+            metrics,
+            log,
+            self._log_exception,
+        )
         self.holders = RendezvousHolders(self.book, reactor.seconds, settings.budget_holders)
         self.accounts = PrepaidAccounts(
             reactor,
             store,
             settings.node,
             self.incarnation,
-            _GRANT_SIZING,
+            GRANT_SIZING,
             log,
             lambda: self.book.max_router_count,
             make_spend_bounds(settings.load_controls),
@@ -259,11 +257,11 @@
             log,
             self._rng,
         )
-        self.peers.unreached_pools = self._links.links.lost_pools
         # A new member can lend, and borrow, once both have heard each other.
         self.book.on_member_added = self.peers.announce_soon
         self._connect_lenders()
         self.forwarder = self._make_forwarder()
+        self._connect_relay()
         self.callers = InboundFactory(
             reactor,
             self.forwarder.handle,
@@ -271,6 +269,13 @@
             self._log_malformed_request,
             self._log_exception,
         )
+        self._peer_server = InboundFactory(
+            reactor,
+            self.peers.serve,
+            InboundLimits(),
+            self._log_malformed_request,
+            self._log_exception,
+        )
         store.eras.listen(self._handle_store_rollback)
         self._feeds = [
             TableFeed(
@@ -339,6 +344,12 @@
             peers = PeerLenders(self.book, call, self._reactor.seconds)
             self.accounts.lenders = HolderLenders(self.holders, peers, self._reactor.seconds)
 
+    def _connect_relay(self) -> None:
+        """Let peers run requests for this router, and this router for them."""
+        self.peers.on_relayed = RelayServer(self.forwarder.handle_relayed, self._log).serve
+        self.peers.unreached_pools = self._links.links.lost_pools
+        self._links.on_lost = self.forwarder.withdraw_from_endpoints
+
     def _announce_account(self) -> None:
         """Announce a written account row, which a rollback of the store would lose."""
         if self._store.eras.known is not None:
@@ -361,28 +372,17 @@
         return endpoint_pool.warm_up if endpoint_pool is not None else None
 
     def _make_forwarder(self) -> Forwarder:
-        settings = self._settings
-        retry_rule = RetryBudgetRule(
-            settings.repeat_ratio, settings.repeat_window_s, settings.repeat_slack
-        )
-        if not settings.mechanisms.repeats:
-            retry_rule = RetryBudgetRule(0.0, settings.repeat_window_s, 0.0)
-        admission = AdmissionRule() if settings.mechanisms.admission else AdmissionRule(shares=())
-        rules = ForwardingRules(
-            repeats=retry_rule,
-            looks_for_others=settings.mechanisms.looks_for_others,
-            admission=admission,
-        )
         return Forwarder(
             self._reactor,
             self._dialect,
-            rules,
+            ForwardingRules.from_settings(self._settings),
             self.state,
             self.endpoints,
             self.accounts,
             self.quarantine,
             lambda: self.book.max_router_count,
             self._links,
+            self.relay,
             self._log,
             self._metrics,
             self._rng,
@@ -455,8 +455,7 @@
         self._listen(self._settings.callers_address, self.callers)
         ready = InboundFactory(self._reactor, self._serve_ready, InboundLimits())
         self._listen(self._settings.ready_address, ready)
-        peers = InboundFactory(self._reactor, self.peers.serve, InboundLimits())
-        self._listen(self.peers_address, peers)
+        self._listen(self.peers_address, self._peer_server)
         host, _, _ = self.peers_address.rpartition(":")
         self._ports.append(
             self._reactor.listenUDP(self._settings.peers_port, self.peers.exchange, interface=host)
@@ -493,7 +492,9 @@
         """Write this process's row in the table of members, in which peers find its address."""
         key = RowKey(MEMBERS_TABLE, "", self._settings.node)
         settings = self._settings
-        member = Member(self.peers_address, settings.zone, settings.link_mbit_per_s)
+        member = Member(
+            self.peers_address, settings.zone, settings.link_mbit_per_s, takes_relays=True
+        )
         value = encode_member(member)
         while not self._stopping:
             try:
@@ -580,6 +581,7 @@
     def _configuration_changed(self, source: str) -> None:
         configuration = self.state.routes.configuration
         self.callers.limits = configuration.limits
+        self._peer_server.limits = limits_with_relays(configuration.limits)
         self.accounts.set_limits(self.state.routes.workspaces, configuration.version)
         self._log.event(
             "configuration.adopted",
--- /dev/null
+++ b/turnward/gateway/relay.py
@@ -0,0 +1,231 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Relays requests to peers while this router reaches no endpoint of their pool.
+
+The peer runs the request as its own: route, key, tokens, quarantine, admission and attempts are its
+decisions, and it alone charges the workspace. This router holds no tokens meanwhile and passes the
+response on. A relayed request is never relayed again.
+"""
+
+import random
+from collections.abc import Callable
+
+from turnward.gateway.outcomes import NOT_RUN_STATUSES, Outcome, Reason
+from turnward.gateway.peer_book import PeerBook
+from turnward.gateway.pool_links import PoolLinks
+from turnward.gateway.relay_attempt import RelayAttempt, RelayRefusal
+from turnward.gateway.relay_note import RelayNote, RelayNoteError
+from turnward.gateway.relay_peers import RelayPeers
+from turnward.http1 import ExchangeFailure, InboundRequest, OutboundPool
+
+__all__ = ["Relay", "RelayServer"]
+
+#: Timeout of connections to peers.
+_CONNECT_TIMEOUT_S = 0.3
+#: Peers tried for one request.
+_MAX_PEERS_TRIED = 3
+#: Endpoints that can't be reached after which a request is relayed, if none was in between.
+_UNREACHED_TO_RELAY = 2
+#: Time spent on a single endpoint after which a request is relayed, if none responded meanwhile.
+_SLOW_CONNECT_S = 0.25
+#: Relayed requests that one router runs at a time, so that a peer can't use up its memory.
+_MAX_RELAYED = 256
+#: Refusals that concern the peer alone; another one may serve the request.
+_REASONS_OF_THE_PEER = frozenset(
+    (
+        "",
+        Reason.ENDPOINTS_UNRESPONSIVE,
+        Reason.NO_CONFIGURATION,
+        Reason.NO_ENDPOINT,
+        Reason.RELAYS_FULL,
+        Reason.STALE_CONFIGURATION,
+        Reason.STOPPING,
+    )
+)
+
+
+class Relay:
+    """The requests that this router relays.
+
+    Parameters
+    ----------
+    reactor
+        Twisted's reactor.
+    book : PeerBook
+        The known peers.
+    zone : str
+        This router's availability zone.
+    links : PoolLinks
+        Tells which pools this router reaches.
+    rng : random.Random
+        Decides between equal peers.
+    metrics, log
+        Where relayed requests are recorded.
+    on_error : callable
+        Called with an exception raised while a response is processed.
+
+    Attributes
+    ----------
+    peers : RelayPeers
+        Chooses the peers.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        book: PeerBook,
+        zone: str,
+        links: PoolLinks,
+        rng: random.Random,
+        metrics,
+        log,
+        on_error: Callable[[Exception], None],
+    ):
+        self._reactor = reactor
+        self._own_address = book.own_address
+        self._links = links
+        self._metrics = metrics
+        self._log = log
+        self._on_error = on_error
+        self._pools: dict[str, OutboundPool] = {}
+        self.peers = RelayPeers(book, zone, reactor.seconds, rng)
+
+    # Decisions.
+
+    def take_over(self, request) -> bool:
+        """Relay or refuse a request whose pool can't be reached; return False otherwise."""
+        if not self._links.is_lost(request.pool):
+            return False
+        if self._begin(request, "links_lost"):
+            return True
+        # An attempt costs nothing while connections are refused at once.
+        if not request.relayed_by and not self._links.is_silent(request.pool):
+            return False
+        request.give_up_unreached()
+        return True
+
+    def take_over_unserved(self, request) -> bool:
+        """Relay a request that no endpoint accepts, if none of the pool responds to this router."""
+        return request.pool_unresponsive and self._begin(request, "unresponsive")
+
+    def take_over_unreached(self, request) -> bool:
+        """Relay a request that could not be sent, if this router's links are the likely cause."""
+        if self._links.opened_since(request.pool, request.first_attempt_s):
+            return False
+        waited_s = self._reactor.seconds() - request.first_attempt_s
+        silent = not self._links.responded_since(request.pool, request.first_attempt_s)
+        slow = waited_s >= _SLOW_CONNECT_S and silent
+        return (slow or request.endpoints_tried >= _UNREACHED_TO_RELAY) and self._begin(
+            request, "unreached"
+        )
+
+    def has_path_around(self, pool: str) -> bool:
+        """Return whether a peer seems to reach a pool that this router can't reach."""
+        return self._links.is_lost(pool) and self.peers.has_path(pool)
+
+    def _begin(self, request, cause: str) -> bool:
+        if not request.relayable or len(request.peers_tried) >= _MAX_PEERS_TRIED:
+            return False
+        address = self.peers.choose(request.pool, request.peers_tried)
+        if address is None:
+            return False
+        request.peers_tried.add(address)
+        note = RelayNote(self._own_address, request.attempts)
+        attempt = RelayAttempt(request, self, address, note)
+        self._metrics.requests_relayed.labels(request.pool, "sent").inc()
+        self._log.event(
+            "request.relayed",
+            request=request.request_id.decode("latin-1"),
+            pool=request.pool,
+            peer=address,
+            cause=cause,
+            attempts=request.attempts,
+            peers_tried=len(request.peers_tried),
+            left_ms=request.left_ms,
+        )
+        request.begin_relay(attempt)
+        attempt.start(self._pool_of(address))
+        return True
+
+    def _pool_of(self, address: str) -> OutboundPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            host, _, port = address.rpartition(":")
+            pool = OutboundPool(
+                self._reactor, (host, int(port)), _CONNECT_TIMEOUT_S, self._on_error
+            )
+            self._pools[address] = pool
+        pool.trim(self._reactor.seconds())
+        return pool
+
+    # Results.
+
+    def refused(self, request, attempt: RelayAttempt, refusal: RelayRefusal) -> None:
+        """Handle a response of the peer's own."""
+        unforwarded = refusal.status in NOT_RUN_STATUSES or not refusal.reason
+        if not refusal.reason:
+            self.peers.note_unreachable(attempt.address)
+        elif refusal.reason == Reason.ENDPOINTS_UNRESPONSIVE:
+            self.peers.note_refused(attempt.address, request.pool)
+        if not unforwarded or refusal.reason not in _REASONS_OF_THE_PEER:
+            self._metrics.requests_relayed.labels(request.pool, "refused").inc()
+            request.answer_for_peer(attempt, refusal, outcome_of(refusal.status))
+            return
+        self._metrics.requests_relayed.labels(request.pool, "turned_away").inc()
+        request.end_relay(attempt, "not_run", status=refusal.status, reason=refusal.reason)
+        self._try_another(request)
+
+    def lost(self, request, attempt: RelayAttempt, failure: ExchangeFailure) -> None:
+        """Handle the loss of the peer; what was sent to it may have run."""
+        self.peers.note_unreachable(attempt.address)
+        self._metrics.requests_relayed.labels(request.pool, "lost").inc()
+        if failure.sent:
+            request.relay_lost(attempt, failure)
+            return
+        request.end_relay(attempt, "unreachable", cause=failure.cause)
+        self._try_another(request)
+
+    def _try_another(self, request) -> None:
+        if self._begin(request, "peer_refused"):
+            return
+        if self._links.is_lost(request.pool):
+            request.give_up_unreached()
+        else:
+            request.return_to_endpoints()
+
+
+def outcome_of(status: int) -> Outcome:
+    """Return how a request ended that a peer answered with a status of its own."""
+    if status == 504:
+        return Outcome.TIME_LIMIT
+    return Outcome.UNKNOWN if status >= 500 and status not in NOT_RUN_STATUSES else Outcome.REFUSED
+
+
+class RelayServer:
+    """Runs the requests that peers relay to this router.
+
+    Parameters
+    ----------
+    handle : callable
+        Starts a request, with the note that came with it.
+    log
+        Where malformed requests are recorded.
+    """
+
+    def __init__(self, handle: Callable[[InboundRequest, RelayNote], None], log):
+        self._handle = handle
+        self._log = log
+
+    def serve(self, request: InboundRequest) -> None:
+        """Start a relayed request."""
+        try:
+            note = RelayNote.take_from(request)
+        except RelayNoteError as failure:
+            self._log.failure("relay.malformed", cause=str(failure))
+            request.answer(400, [])
+            return
+        self._handle(request, note)
+
+    @staticmethod
+    def is_full(relayed_requests: int) -> bool:
+        """Return whether no further relayed request is run now."""
+        return relayed_requests >= _MAX_RELAYED
--- a/turnward/gateway/table_listeners.py
+++ b/turnward/gateway/table_listeners.py
@@ -200,4 +200,10 @@
                 self._unreadable_rows.mark_unreadable(row, failure)
                 continue
             self._unreadable_rows.mark_readable(row.key)
-            self._book.list_member(row.key.key, member.address, member.zone, member.link_mbit_per_s)
+            self._book.list_member(
+                row.key.key,
+                member.address,
+                member.zone,
+                member.link_mbit_per_s,
+                member.takes_relays,
+            )
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -454,10 +454,19 @@
         if connection is not None:
             connection.begin(exchange)
             return ExchangeHandle(connection, None)
+        return self.open(exchange)
+
+    def open(
+        self, exchange: ExchangeBase, connect_timeout_s: float | None = None
+    ) -> "ExchangeHandle":
+        """Run an exchange on a new connection."""
         connection_attempt = _ConnectionAttempt(self, exchange)
         host, port = self._address
         connection_attempt.connector = self._reactor.connectTCP(
-            host, port, connection_attempt, timeout=self._connect_timeout_s
+            host,
+            port,
+            connection_attempt,
+            timeout=self._connect_timeout_s if connect_timeout_s is None else connect_timeout_s,
         )
         return ExchangeHandle(None, connection_attempt)
 
