All gateways together keep to the rejections that a brittle endpoint bears

What callers would see: endpoints that say that they crash if they have to reject more than N requests in a second for want of room, and do, since nothing reads the header.

A request that no endpoint may be sent from here goes to a peer.

The other routes of a request don't change while no endpoint names the header. Known limit: a gateway that was idle at the pool for 30 s, or has just started, learns of it with its first response.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -140,6 +140,7 @@
             owner.attempt_unavailable(self, unavailable_reason)
             return
         self.sent = True
+        owner.forwarder.endpoints.brittle.note_sent(self.record)
         self.sent_s = owner.forwarder.reactor.seconds()
         self.reused = connection.exchanges > 1
         owner.count_attempt()
@@ -195,7 +196,10 @@
         owner = self._owner
         owner.forwarder.links.responded(self.record)
         dialect = owner.forwarder.dialect
-        if self._indicates_not_run(status, headers):
+        not_run = self._indicates_not_run(status, headers)
+        rejected = not_run and status != _MISDIRECTED_STATUS
+        owner.forwarder.endpoints.brittle.note_response(self.record, headers, rejected)
+        if not_run:
             self._handle_not_run(status)
             return
         sealed = header_value(headers, dialect.answer_seal) is not None
@@ -242,6 +246,7 @@
         if self.ended:
             return
         owner = self._owner
+        owner.forwarder.endpoints.brittle.note_heard(self.record)
         if self._buffered is not None:
             self._buffer(data)
             return
--- a/turnward/gateway/availability.py
+++ b/turnward/gateway/availability.py
@@ -51,6 +51,7 @@
     BACKOFF = "rests"
     RATE_LIMITED = "limited"
     COLD = "cold"
+    BRITTLE = "brittle"
 
 
 class Availability:
--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -4,7 +4,6 @@
 The costs of engines are those of ``engine_costs``; a plain service costs its running requests.
 """
 
-import math
 import random
 from collections import OrderedDict
 from collections.abc import Callable, Mapping
@@ -13,6 +12,7 @@
 import msgspec
 
 from turnward.gateway.availability import Availability, UnavailableReason
+from turnward.gateway.brittle_pools import BrittlePools
 from turnward.gateway.configuration import EndpointEntry, EngineTraits, WarmUpTraits
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.endpoint_feedback import parse_feedback
@@ -23,6 +23,7 @@
 from turnward.gateway.pauses import Pause
 from turnward.gateway.peer_book import EndpointLoad
 from turnward.gateway.pool_probes import PoolProbes
+from turnward.gateway.pool_shortage import NO_ENDPOINT, PoolShortage
 from turnward.gateway.prompt_lanes import PromptLanesBase
 from turnward.gateway.prompts import Prompt
 from turnward.gateway.rate_limits import RateLimits
@@ -31,7 +32,7 @@
 from turnward.gateway.warm_up import WarmUp, WarmUpShares
 from turnward.http1 import HeaderList, header_values
 
-__all__ = ["ChoiceRule", "EndpointBook", "EndpointChoice", "PoolShortage"]
+__all__ = ["ChoiceRule", "EndpointBook", "EndpointChoice"]
 
 #: Range of the random addition that breaks ties between similar costs.
 _TIE_MS = 0.5
@@ -89,24 +90,6 @@
         return cls(record.entry.address, record.warm_up, record.availability)
 
 
-class PoolShortage(msgspec.Struct, frozen=True):
-    """Why no endpoint of a pool accepts requests, and how long until one does.
-
-    Attributes
-    ----------
-    reason : Reason
-        Why the endpoint that accepts requests first does not accept them now.
-    available_in_s : float
-        Time until it does; infinite if none will.
-    """
-
-    reason: Reason
-    available_in_s: float
-
-
-_NO_ENDPOINT = PoolShortage(Reason.NO_ENDPOINT, math.inf)
-
-
 class EndpointBook:
     """The known endpoints, and the choice among them.
 
@@ -177,6 +160,8 @@
         self._removed: OrderedDict[str, _RemovedEndpoint] = OrderedDict()
         self._restart_suspicions = RestartSuspicions(clock)
         self._probes = PoolProbes(clock, rng)
+        #: Bounds the requests that brittle endpoints may have to reject.
+        self.brittle: BrittlePools | None = None
         #: Called with an endpoint that has closed its connections, and whether it counts as cold.
         self.on_restart_suspected: Callable[[EndpointRecord, bool], None] = _ignore_change
         #: Called with the name and the endpoints of a pool none of which responds any more.
@@ -365,6 +350,8 @@
         unavailable_reason = record.availability.unavailable_reason(self._clock())
         if unavailable_reason is not None:
             return unavailable_reason
+        if self.brittle is not None and not self.brittle.permits(record):
+            return UnavailableReason.BRITTLE
         if not chosen_cold and not self._claim_cold_send(record):
             return UnavailableReason.COLD
         if self._limits is None:
@@ -482,6 +469,7 @@
             and record.incarnation not in excluded
             and self._is_present(record, now_s)
             and self._is_within_limit(record)
+            and (self.brittle is None or self.brittle.permits(record))
         ]
         traits = self._warm_up_of(pool)
         if traits is None:
@@ -529,8 +517,15 @@
             and record.availability.unavailable_reason(now_s)
             not in (UnavailableReason.REPLACED, UnavailableReason.DRAINING)
         ]
-        first = min(shortages, key=lambda shortage: shortage.available_in_s, default=_NO_ENDPOINT)
-        return first if first.available_in_s > 0 else None
+        first = min(shortages, key=lambda shortage: shortage.available_in_s, default=NO_ENDPOINT)
+        if first.available_in_s > 0:
+            return first
+        return PoolShortage(Reason.ENDPOINTS_BRITTLE, 0.0) if self.is_withheld(pool) else None
+
+    def is_withheld(self, pool: str) -> bool:
+        """Return whether no endpoint of a pool may be sent a request, as some are brittle."""
+        brittle = self.brittle is not None and self.brittle.withholds(self._by_pool.get(pool, ()))
+        return brittle and not self.accepting(pool, set())
 
     def _shortage_of(self, record: EndpointRecord, now_s: float) -> PoolShortage:
         """Return why an endpoint accepts no requests, and for how long."""
--- a/turnward/gateway/dialect.py
+++ b/turnward/gateway/dialect.py
@@ -30,6 +30,9 @@
     rate_limit : bytes
         In a response: the requests per second, a decimal number, that the endpoint accepts from
         all routers together, for as long as its responses carry the header.
+    brittle : bytes
+        In a response: the requests in one second that the endpoint can reject for want of room; if
+        it has to reject more, it crashes.
     last_event_id : bytes
         Id of the last event that the sender has received; the stream resumes after it.
     token_count : bytes
@@ -53,6 +56,7 @@
     answer_seal: bytes = b"answer-seal"
     draining: bytes = b"endpoint-leaving"
     rate_limit: bytes = b"endpoint-limit"
+    brittle: bytes = b"endpoint-brittle"
     last_event_id: bytes = b"last-event-id"
     token_count: bytes = b"token-count"
     prompt_parts: bytes = b"prompt-parts"
--- a/turnward/gateway/endpoint_reporter.py
+++ b/turnward/gateway/endpoint_reporter.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from turnward.gateway.availability import UnavailableReason
+from turnward.gateway.brittle_pools import BrittlePools
 from turnward.gateway.choice import EndpointBook
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.endpoint_record import EndpointRecord
@@ -13,6 +14,7 @@
 from turnward.gateway.prompt_lanes import PoolLanes
 from turnward.gateway.service_rates import RateChange
 from turnward.gateway.state import FleetState
+from turnward.gateway.warm_up import WarmUpShares
 from turnward.http1 import HeaderList, header_value
 
 __all__ = ["EndpointReporter"]
@@ -65,9 +67,15 @@
         self._log = log
         self.feedback_exchange = FeedbackExchange(clock, self.handle_peer_feedback)
 
-    def listen_to_endpoints(self) -> None:
-        """Report the changes of all endpoints from now on."""
+    def listen_to_endpoints(self, shares: WarmUpShares) -> None:
+        """Report the changes of all endpoints from now on, also of brittle ones.
+
+        ``shares`` divides what a brittle endpoint bears among the routers.
+        """
         endpoints = self._endpoints
+        endpoints.brittle = BrittlePools(
+            self._clock, shares, self._dialect.brittle, self.report_brittle
+        )
         endpoints.on_speed_class = self.report_speed_class
         endpoints.on_restart_suspected = self.report_suspected_restart
         endpoints.on_unresponsive = self.report_unresponsive
@@ -136,6 +144,10 @@
             lasted_s=round(lasted_s, 3),
         )
 
+    def report_brittle(self, pool: str, rejections_per_s: float) -> None:
+        """Report a pool whose endpoints crash if they have to reject many requests."""
+        self._log.belief("pool.brittle", pool=pool, rejections_per_s=rejections_per_s)
+
     def report_lanes(self, lanes: PoolLanes) -> None:
         """Report that the size of a pool's lane of long prompts has changed."""
         self._metrics.lane_engines.labels(lanes.pool).set(lanes.lane_engines)
--- a/turnward/gateway/outcomes.py
+++ b/turnward/gateway/outcomes.py
@@ -38,6 +38,7 @@
     ENDPOINTS_COLD = "endpoints_cold"
     ENDPOINTS_BACKING_OFF = "endpoints_resting"
     ENDPOINTS_RATE_LIMITED = "endpoints_limited"
+    ENDPOINTS_BRITTLE = "endpoints_brittle"
     ENDPOINTS_UNRESPONSIVE = "endpoints_unresponsive"
     OVERLOADED = "overloaded"
     RELAYS_FULL = "relays_full"
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -179,6 +179,7 @@
         ranks = MemberRanks(self.book)
         self._limits = RateLimits(reactor.seconds, ranks, self.incarnation)
         rates = make_service_rates(settings.load_controls)
+        shares = WarmUpShares(ranks)
         self.endpoints = EndpointBook(
             settings.zone,
             reactor.seconds,
@@ -187,7 +188,7 @@
             self._rng,
             ChoiceRule.from_mechanisms(settings.mechanisms),
             self._warm_up_traits,
-            WarmUpShares(ranks),
+            shares,
             dialect,
             self._limits,
             rates,
@@ -201,7 +202,7 @@
         self.endpoints.entries_stale = self._entries_may_be_stale
         self.endpoints.resumed_lately = self._resumed_lately
         self._limits.on_peer_limit = reporter.report_peer_rate_limit
-        reporter.listen_to_endpoints()
+        reporter.listen_to_endpoints(shares)
         self._links = LinkMonitor(reactor, self.endpoints, self.book, self._rng, metrics, log)
         self.relay = Relay(
             reactor,
--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -33,6 +33,7 @@
 _REASONS_OF_THE_PEER = frozenset(
     (
         "",
+        Reason.ENDPOINTS_BRITTLE,
         Reason.ENDPOINTS_UNRESPONSIVE,
         Reason.NO_CONFIGURATION,
         Reason.NO_ENDPOINT,
@@ -104,8 +105,10 @@
         return True
 
     def take_over_unserved(self, request) -> bool:
-        """Relay a request that no endpoint accepts, if none of the pool responds to this router."""
-        return request.pool_unresponsive and self._begin(request, "unresponsive")
+        """Relay a request that no endpoint accepts, if one may accept it from a peer."""
+        if request.pool_unresponsive:
+            return self._begin(request, "unresponsive")
+        return request.pool_withheld and self._begin(request, "brittle")
 
     def take_over_unreached(self, request) -> bool:
         """Relay a request that could not be sent, if this router's links are the likely cause."""
--- a/turnward/gateway/relayable_request.py
+++ b/turnward/gateway/relayable_request.py
@@ -71,6 +71,11 @@
         shortage = self._forwarder.endpoints.shortage(self.pool)
         return shortage is not None and shortage.reason is Reason.ENDPOINTS_UNRESPONSIVE
 
+    @property
+    def pool_withheld(self) -> bool:
+        """Whether the endpoints of its pool are brittle, and others may send them requests now."""
+        return self._forwarder.endpoints.is_withheld(self.pool)
+
     @property
     def endpoints_tried(self) -> int:
         """Number of endpoints that were chosen for it."""
