An unresponsive pool is told to peers, and not probed with calls that run once

Connections open there, so the links don't count as lost; the gateways handed requests to each other, as their digests named lost links alone, and each probe of the pool was a caller's request that was lost.

Change: the digest also names pools that are unresponsive, and a request that must not run twice goes to a peer rather than probe such a pool, but for one each 2.5 s.

--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -522,6 +522,11 @@
             return first
         return PoolShortage(Reason.ENDPOINTS_BRITTLE, 0.0) if self.is_withheld(pool) else None
 
+    def unresponsive_pools(self) -> list[str]:
+        """Return the pools whose endpoints that accept requests are all unresponsive."""
+        active = self._probes.active()
+        return [pool for pool in active if _all_unresponsive(self.accepting(pool, set()))]
+
     def is_withheld(self, pool: str) -> bool:
         """Return whether no endpoint of a pool may be sent a request, as some are brittle."""
         brittle = self.brittle is not None and self.brittle.withholds(self._by_pool.get(pool, ()))
--- a/turnward/gateway/link_monitor.py
+++ b/turnward/gateway/link_monitor.py
@@ -12,6 +12,9 @@
 
 __all__ = ["LinkMonitor"]
 
+#: Pools announced to peers at most, so that a message fits a datagram.
+_MAX_ANNOUNCED = 16
+
 
 class LinkMonitor:
     """Watches the links to all pools.
@@ -57,6 +60,11 @@
     def _count_accepting(self, pool: str) -> int:
         return len(self._endpoints.accepting(pool, set()))
 
+    def unreached_pools(self) -> tuple[str, ...]:
+        """Return the pools that this router is no path to, to announce to peers."""
+        unreached = {*self.links.lost_pools(), *self._endpoints.unresponsive_pools()}
+        return tuple(sorted(unreached)[:_MAX_ANNOUNCED])
+
     def opened(self, record: EndpointRecord) -> None:
         """Record a connection that was opened to an endpoint."""
         pool = record.entry.pool
--- a/turnward/gateway/pool_links.py
+++ b/turnward/gateway/pool_links.py
@@ -20,8 +20,6 @@
 #: Time without an answer to a connection from which the network counts as silent. A host that is
 #: reached refuses within a round trip.
 _SILENT_S = 0.2
-#: Pools announced to peers at most, so that a message fits a datagram.
-_MAX_ANNOUNCED = 16
 
 
 class _Links(msgspec.Struct):
@@ -62,7 +60,7 @@
     >>> links.note_failed("pool", "e-1", 0.5), links.note_failed("pool", "e-2", 0.5)
     (False, True)
     >>> links.is_lost("pool"), links.lost_pools()
-    (True, ('pool',))
+    (True, ['pool'])
     >>> links.note_opened("pool")
     0.0
     >>> links.is_lost("pool")
@@ -125,10 +123,9 @@
         """Return whether no endpoint of a pool even refuses connections."""
         return self.is_lost(pool) and self._links[pool].silent
 
-    def lost_pools(self) -> tuple[str, ...]:
-        """Return the pools of which no endpoint can be reached, to announce to peers."""
-        lost = sorted(pool for pool, links in self._links.items() if links.lost_s is not None)
-        return tuple(lost[:_MAX_ANNOUNCED])
+    def lost_pools(self) -> list[str]:
+        """Return the pools of which no endpoint can be reached."""
+        return sorted(pool for pool, links in self._links.items() if links.lost_s is not None)
 
     def opened_since(self, pool: str, time_s: float) -> bool:
         """Return whether a connection to a pool was opened since a given time."""
--- a/turnward/gateway/pool_probes.py
+++ b/turnward/gateway/pool_probes.py
@@ -69,6 +69,10 @@
         began_s = self._began_s.pop(pool, None)
         return None if began_s is None else self._clock() - began_s
 
+    def active(self) -> list[str]:
+        """Return the pools that were found unresponsive, and no endpoint has recovered since."""
+        return list(self._began_s)
+
     def wait_s(self, pool: str) -> float:
         """Return the time until a request may probe the pool."""
         return max(0.0, self._next_probe_s.get(pool, 0.0) - self._clock())
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -348,7 +348,7 @@
     def _connect_relay(self) -> None:
         """Let peers run requests for this router, and this router for them."""
         self.peers.on_relayed = RelayServer(self.forwarder.handle_relayed, self._log).serve
-        self.peers.unreached_pools = self._links.links.lost_pools
+        self.peers.unreached_pools = self._links.unreached_pools
         self._links.on_lost = self.forwarder.withdraw_from_endpoints
 
     def _announce_account(self) -> None:
--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -6,6 +6,7 @@
 response on. A relayed request is never relayed again.
 """
 
+import math
 import random
 from collections.abc import Callable
 
@@ -27,6 +28,9 @@
 _UNREACHED_TO_RELAY = 2
 #: Time spent on a single endpoint after which a request is relayed, if none responded meanwhile.
 _SLOW_CONNECT_S = 0.25
+#: Time between two requests that must not run twice and probe an unresponsive pool nevertheless. It
+#: bounds how late the recovery of a pool that gets no others is noticed.
+_PROBE_INTERVAL_S = 2.5
 #: Relayed requests that one router runs at a time, so that a peer can't use up its memory.
 _MAX_RELAYED = 256
 #: Refusals that concern the peer alone; another one may serve the request.
@@ -88,6 +92,8 @@
         self._log = log
         self._on_error = on_error
         self._pools: dict[str, OutboundPool] = {}
+        #: When a request that must not run twice may next probe each pool.
+        self._next_probe_s: dict[str, float] = {}
         self.peers = RelayPeers(book, zone, reactor.seconds, rng)
 
     # Decisions.
@@ -95,7 +101,7 @@
     def take_over(self, request) -> bool:
         """Relay or refuse a request whose pool can't be reached; return False otherwise."""
         if not self._links.is_lost(request.pool):
-            return False
+            return self._spare_from_probing(request)
         if self._begin(request, "links_lost"):
             return True
         # An attempt costs nothing while connections are refused at once.
@@ -104,6 +110,25 @@
         request.give_up_unreached()
         return True
 
+    def _spare_from_probing(self, request) -> bool:
+        """Relay a request that must not run twice, rather than probe an unresponsive pool with it.
+
+        Now and then one does probe, since a pool may get no others.
+        """
+        pool = request.pool
+        if not request.must_run_once:
+            return False
+        if pool not in request.forwarder.endpoints.unresponsive_pools():
+            return False
+        now_s = self._reactor.seconds()
+        next_probe_s = self._next_probe_s.get(pool, -math.inf)
+        if next_probe_s <= now_s < next_probe_s + _PROBE_INTERVAL_S:
+            self._next_probe_s[pool] = now_s + _PROBE_INTERVAL_S
+            return False
+        if now_s >= next_probe_s:
+            self._next_probe_s[pool] = now_s + _PROBE_INTERVAL_S
+        return self._begin(request, "unresponsive")
+
     def take_over_unserved(self, request) -> bool:
         """Relay a request that no endpoint accepts, if one may accept it from a peer."""
         if request.pool_unresponsive:
