--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -113,7 +113,7 @@
     def _spare_from_probing(self, request) -> bool:
         """Relay a request that must not run twice, rather than probe an unresponsive pool with it.
 
-        Now and then one does probe, since a pool may get no others.
+        Now and then one does probe, since a pool may get no others; the first one does not.
         """
         pool = request.pool
         if not request.must_run_once:
@@ -121,12 +121,11 @@
         if pool not in request.forwarder.endpoints.unresponsive_pools():
             return False
         now_s = self._reactor.seconds()
-        next_probe_s = self._next_probe_s.get(pool, -math.inf)
-        if next_probe_s <= now_s < next_probe_s + _PROBE_INTERVAL_S:
+        overdue_s = now_s - self._next_probe_s.get(pool, -math.inf)
+        if overdue_s >= 0:
             self._next_probe_s[pool] = now_s + _PROBE_INTERVAL_S
+        if 0 <= overdue_s < _PROBE_INTERVAL_S:
             return False
-        if now_s >= next_probe_s:
-            self._next_probe_s[pool] = now_s + _PROBE_INTERVAL_S
         return self._begin(request, "unresponsive")
 
     def take_over_unserved(self, request) -> bool:
