A peer that refuses a relayed request spends no attempt; none is left waiting

Found by reading. And a request that waited for a connection when the links were lost, with no peer to go to and connections refused at once, was withdrawn and then left until its deadline. Now it is withdrawn only for a peer, or to be refused to its origin, and starts anew.

--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -144,9 +144,11 @@
 
     def withdraw_from_endpoints(self, pool: str) -> None:
         """Relay the requests of a pool that wait for a connection to an endpoint."""
+        if not self.relay.has_path_around(pool):
+            return
         for request in list(self.open_requests):
-            if request.pool == pool and request.withdraw_from_endpoint():
-                self.relay.take_over(request)
+            if request.pool == pool:
+                request.withdraw_from_endpoint()
 
     def note_endpoint_crashed(self, record: EndpointRecord) -> None:
         """Report the runs abandoned just before an endpoint may have crashed to the quarantine.
--- a/turnward/gateway/relayable_request.py
+++ b/turnward/gateway/relayable_request.py
@@ -130,7 +130,9 @@
         self._attempt = attempt
 
     def end_relay(self, attempt: RelayAttempt, how: str, **fields) -> None:
-        """Record that a peer does not run the request."""
+        """Record that a peer does not run the request, so no attempt was spent on it."""
+        if attempt.sent:
+            self.attempts -= 1
         self._end_attempt(attempt, how, **fields)
 
     def relay_lost(self, attempt: RelayAttempt, failure: ExchangeFailure) -> None:
@@ -141,7 +143,7 @@
         self, attempt: RelayAttempt, refusal: RelayRefusal, outcome: Outcome
     ) -> None:
         """Pass on a response of the peer's own, unless an earlier attempt may have run."""
-        self._end_attempt(attempt, "not_run", status=refusal.status, reason=refusal.reason)
+        self._end_attempt(attempt, "refused", status=refusal.status, reason=refusal.reason)
         if self._may_have_run:
             self._give_up(Reason.CONNECTION_LOST)
             return
@@ -169,14 +171,18 @@
         self._released_tokens = 0
         self._dispatch()
 
-    def withdraw_from_endpoint(self) -> bool:
-        """Cancel an attempt that has sent nothing; return False if there is none."""
+    def withdraw_from_endpoint(self) -> None:
+        """Start anew if the attempt waits for a connection and a peer may run the request.
+
+        One that was relayed here is refused instead, so that its origin tries another peer.
+        """
         attempt = self._attempt
-        if attempt is None or attempt.sent or attempt.is_relay:
-            return False
+        waits = attempt is not None and not attempt.sent and not attempt.is_relay
+        if not waits or not (self.relayable or self.relayed_by):
+            return
         attempt.cancel()
         self._end_attempt(attempt, "withdrawn")
-        return True
+        self._dispatch()
 
     @property
     @abstractmethod
--- a/turnward/gateway/tests/test_relayed_requests.py
+++ b/turnward/gateway/tests/test_relayed_requests.py
@@ -155,6 +155,26 @@
     assert len(received(harness)) == 1
 
 
+def test_refusal_of_a_peer_spends_no_attempt():
+    harness = make_harness(abort_connection, gateways=3, repeat=RetryPolicy.ANY, attempts=2)
+    # The peers' digests are as of before the second router was stopped.
+    refusing = harness.gateways[1].forwarder
+    refusing.refuses_new_requests = True
+    for number in range(6):
+        harness.ask(path=b"/a/%d" % number, headers=((b"Deadline-Ms", b"900"),))
+    turned_away = {
+        line["request"]
+        for line in harness.logs[0].of("attempt.failed")
+        if line.get("reason") == "stopping"
+    }
+    assert turned_away
+    ids = [
+        header_value(request.headers, DIALECT.request_id).decode() for request in received(harness)
+    ]
+    # Later ones may find the pool unresponsive, which loses every request.
+    assert max(ids.count(request_id) for request_id in turned_away) == 2
+
+
 def test_caller_that_leaves_ends_the_run_at_the_endpoint():
     harness = make_harness(never_answer)
     caller = harness.send()
