Lines of streams name their software version, and the request that began them

The lines collected in the incident name the endpoint of each attempt but not its version, which the adapter decoded and dropped, and nothing says that a request resumes a stream. Entries, attempt.chosen and request.ended have the version now; resumes names the request that brought the first event. No decision changes. What concerns streams moves out of forwarding.py into a module of its own.

--- a/turnward/gateway/configuration.py
+++ b/turnward/gateway/configuration.py
@@ -192,6 +192,8 @@
     born_ms : int or None
         When the endpoint's process started, in milliseconds since 1970 by its own clock; it
         differs after a restart under the same ``endpoint_id``. None if not specified.
+    version : str
+        Version of the endpoint's software; empty if not specified.
     """
 
     endpoint_id: str
@@ -202,6 +204,7 @@
     leaving: bool = False
     cold_left_s: float = 0.0
     born_ms: int | None = None
+    version: str = ""
 
     @property
     def incarnation(self) -> str:
--- a/turnward/gateway/dialect.py
+++ b/turnward/gateway/dialect.py
@@ -35,6 +35,8 @@
         it has to reject more, it crashes.
     last_event_id : bytes
         Id of the last event that the sender has received; the stream resumes after it.
+    resumes : bytes
+        Id of the request that brought the first event of a stream that its caller resumes.
     token_count : bytes
         Prompt tokens and maximum output tokens, separated by a comma.
     prompt_parts : bytes
@@ -58,6 +60,7 @@
     rate_limit: bytes = b"endpoint-limit"
     brittle: bytes = b"endpoint-brittle"
     last_event_id: bytes = b"last-event-id"
+    resumes: bytes = b"resumes"
     token_count: bytes = b"token-count"
     prompt_parts: bytes = b"prompt-parts"
     priority: bytes = b"request-priority"
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -13,7 +13,7 @@
 from turnward.gateway.attempt import EndpointAttempt
 from turnward.gateway.availability import UnavailableReason
 from turnward.gateway.choice import EndpointBook, EndpointChoice
-from turnward.gateway.configuration import Route, Workspace
+from turnward.gateway.configuration import Workspace
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.endpoint_record import EndpointRecord
 from turnward.gateway.forwarding_rules import ForwardingRules
@@ -21,11 +21,10 @@
 from turnward.gateway.outcomes import NOT_RUN_STATUSES, NoRetryReason, Outcome, Reason
 from turnward.gateway.pool_admission import PoolAdmission
 from turnward.gateway.prepaid import BudgetRefusal, PrepaidAccounts
-from turnward.gateway.progress import StreamProgress
 from turnward.gateway.prompts import Prompt, parse_prompt_parts
 from turnward.gateway.relay import Relay, RelayServer
 from turnward.gateway.relay_note import RelayNote
-from turnward.gateway.relayable_request import RelayableRequest
+from turnward.gateway.resumable_request import ResumableRequest
 from turnward.gateway.retries import RetryBudgetShare
 from turnward.gateway.retry_after import RetryAfterEstimator
 from turnward.gateway.state import FleetState
@@ -168,7 +167,7 @@
         return retry_budget
 
 
-class ForwardedRequest(RelayableRequest):
+class ForwardedRequest(ResumableRequest):
     """One request from its arrival to its response."""
 
     def __init__(
@@ -176,7 +175,6 @@
     ):
         super().__init__(forwarder, request, note)
         self._started_s = request.received_s
-        self._route: Route | None = None
         self._workspace: Workspace | None = None
         self._prompt = Prompt()
         self._request_id = b""
@@ -191,7 +189,6 @@
         self._queue_excess_s = 0.0
         self._paced_delay_s = 0.0
         self._on_trial = False
-        self._progress = StreamProgress()
 
     # Admission.
 
@@ -390,6 +387,7 @@
             workspace=self._workspace.name if self._workspace is not None else "",
             pool=self.pool,
             endpoint=record.incarnation,
+            **{**self.stream_fields, "version": record.entry.version},
             cost_ms=choice.cost_ms,
             candidates=choice.candidates,
             queue_ms=choice.queue_ms,
@@ -631,16 +629,6 @@
 
     # Response to the caller.
 
-    @property
-    def streams(self) -> bool:
-        """Whether the response is an event stream."""
-        return self._route.streams
-
-    @property
-    def resumable(self) -> bool:
-        """Whether an interrupted stream may be resumed at another endpoint."""
-        return self._route.streams and self._route.resumable
-
     def send_response_head(self, status: int, headers: HeaderList, length: int | None) -> None:
         """Forward a response head."""
         self._request.on_pause = self._pause
@@ -651,14 +639,6 @@
         """Forward a part of a response body."""
         self._request.write(data)
 
-    def may_continue_with(self, first_id: bytes | None) -> bool:
-        """Return whether an event may follow the last one forwarded."""
-        return self._progress.may_continue_with(first_id)
-
-    def note_events(self, count: int, last_id: bytes | None) -> None:
-        """Count forwarded events."""
-        self._progress.note(count, last_id, self._now_s())
-
     def finish_response(self, attempt: "EndpointAttempt", status: int) -> None:
         """Finish a complete response."""
         self._attempt = None
@@ -855,6 +835,7 @@
             endpoints=forwarder.state.endpoints_version,
             unconfirmed_s=round(min(1e6, forwarder.state.unconfirmed_for_s()), 2),
             relayed_by=self.relayed_by,
+            **self.stream_fields,
             **fields,
         )
 
@@ -880,9 +861,6 @@
     def _now_s(self) -> float:
         return self._forwarder.reactor.seconds()
 
-    def _last_event_id(self) -> bytes | None:
-        return self._progress.last_id
-
     @property
     def left_ms(self) -> int:
         """Time left until the deadline, in whole milliseconds and at least 1."""
