A stream goes on only at the software version that began it

Callers got streams whose events two software versions had written: after a loss inside one answer, by way of a peer, or when they resumed a stream at any gateway.

Cause: the version of an endpoint was decoded at the boundary and dropped, and the header that names the request which began a stream was read nowhere, so that any endpoint of the pool could continue any stream. Class: a field that a decision needs is lost at the boundary.

The first event binds a stream to its version; four routers that its id selects are told, and asked when it is resumed. Unknown beside several versions is refused as not run. Nothing is told or asked while a pool has had one version for longer than a stream may last. It holds because what is lost makes a version unknown, never wrong.

--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -11,12 +11,12 @@
 
 import msgspec
 
-from turnward.gateway.availability import Availability, UnavailableReason
+from turnward.gateway.availability import UnavailableReason
 from turnward.gateway.brittle_pools import BrittlePools
 from turnward.gateway.configuration import EndpointEntry, EngineTraits, WarmUpTraits
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.endpoint_feedback import parse_feedback
-from turnward.gateway.endpoint_record import EndpointRecord
+from turnward.gateway.endpoint_record import EndpointRecord, RemovedRecord
 from turnward.gateway.engine_costs import COST_OF_QUEUED_MS, ChoiceRule, EngineCosts
 from turnward.gateway.engine_speed import EventGaps, GapSums, next_speed_class, usual_gaps
 from turnward.gateway.outcomes import Reason
@@ -77,19 +77,6 @@
     cold: bool = False
 
 
-class _RemovedEndpoint(msgspec.Struct, frozen=True):
-    """State of a removed endpoint, kept in case its entry returns."""
-
-    address: str
-    warm_up: WarmUp
-    availability: Availability
-
-    @classmethod
-    def from_record(cls, record: EndpointRecord) -> "_RemovedEndpoint":
-        """Return the state to keep of a record."""
-        return cls(record.entry.address, record.warm_up, record.availability)
-
-
 class EndpointBook:
     """The known endpoints, and the choice among them.
 
@@ -157,12 +144,14 @@
         self._limits = limits
         self._drained: frozenset[str] = frozenset()
         self._entries_known = False
-        self._removed: OrderedDict[str, _RemovedEndpoint] = OrderedDict()
+        self._removed: OrderedDict[str, RemovedRecord] = OrderedDict()
         self._restart_suspicions = RestartSuspicions(clock)
         self._probes = PoolProbes(clock, rng)
         #: Bounds the requests that brittle endpoints may have to reject.
         self.brittle: BrittlePools | None = None
-        #: Called with an endpoint that has closed its connections, and whether it counts as cold.
+        #: Called with an endpoint that has closed its connections.
+        self.on_connections_closed: Callable[[EndpointRecord], None] = _ignore_change
+        #: Called with one that may be cold after a restart, and whether it counts as cold.
         self.on_restart_suspected: Callable[[EndpointRecord, bool], None] = _ignore_change
         #: Called with the name and the endpoints of a pool none of which responds any more.
         self.on_unresponsive: Callable[[str, list[EndpointRecord]], None] = _ignore_change
@@ -284,7 +273,7 @@
     def _remove(self, record: EndpointRecord) -> None:
         record.pool.close()
         del self._records[record.incarnation]
-        self._removed[record.incarnation] = _RemovedEndpoint.from_record(record)
+        self._removed[record.incarnation] = RemovedRecord.from_record(record)
         while len(self._removed) > _MAX_REMOVED:
             self._removed.popitem(last=False)
 
@@ -373,6 +362,7 @@
 
     def _suspect_restart(self, record: EndpointRecord) -> None:
         """Suspect that an endpoint has restarted, and is cold."""
+        self.on_connections_closed(record)
         cold_s = self._cold_s(record.entry.pool)
         if cold_s <= 0:
             return
--- a/turnward/gateway/configuration.py
+++ b/turnward/gateway/configuration.py
@@ -24,6 +24,12 @@
 ]
 
 
+#: Time limits of its route within which a caller resumes a stream for the last time.
+_TRIES_PER_STREAM = 2
+#: Time for which an endpoint may serve on after its entry is gone.
+_SERVES_ON_S = 10.0
+
+
 class RetryPolicy:
     """Whether a request of a route may run more than once; values of ``Route.repeat``."""
 
@@ -222,6 +228,16 @@
     return targets_s
 
 
+def _stream_limits_s(routes: tuple[Route, ...]) -> dict[str, float]:
+    """Return for how long a stream of each pool may be resumed after its version has left."""
+    limits_s: dict[str, float] = {}
+    for route in routes:
+        limit_s = _TRIES_PER_STREAM * route.time_limit_s + _SERVES_ON_S
+        for weighted in route.pools if route.streams else ():
+            limits_s[weighted.pool] = max(limits_s.get(weighted.pool, 0.0), limit_s)
+    return limits_s
+
+
 def _shortest_targets_s(routes: tuple[Route, ...]) -> dict[str, float]:
     """Return the shortest response time target of the routes of each pool."""
     targets_s: dict[str, float] = {}
@@ -276,6 +292,7 @@
         self.pools = {pool.name: pool for pool in configuration.pools}
         self.workspaces = {workspace.name: workspace for workspace in configuration.workspaces}
         self.pause_targets_s = _pause_targets_s(configuration.routes)
+        self.stream_limits_s = _stream_limits_s(configuration.routes)
         self.targets_s = _shortest_targets_s(configuration.routes)
         self.most_urgent_priorities = _most_urgent_priorities(configuration.routes)
 
--- a/turnward/gateway/endpoint_record.py
+++ b/turnward/gateway/endpoint_record.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from functools import partial
 
+import msgspec
+
 from turnward.gateway.abandoned_runs import AbandonedRuns
 from turnward.gateway.availability import Availability
 from turnward.gateway.configuration import EndpointEntry
@@ -13,7 +15,7 @@
 from turnward.gateway.warm_up import WarmUp
 from turnward.http1 import HeaderList
 
-__all__ = ["EndpointRecord"]
+__all__ = ["EndpointRecord", "RemovedRecord"]
 
 #: Limit of prompt parts remembered per endpoint.
 _MAX_PARTS = 1_500
@@ -136,3 +138,16 @@
     def may_return(self, now_s: float) -> bool:
         """Return whether its lapsed entry may still return."""
         return self.lapsed_s is not None and now_s - self.lapsed_s < _LAPSE_GRACE_S
+
+
+class RemovedRecord(msgspec.Struct, frozen=True):
+    """State of a removed endpoint, kept in case its entry returns."""
+
+    address: str
+    warm_up: WarmUp
+    availability: Availability
+
+    @classmethod
+    def from_record(cls, record: EndpointRecord) -> "RemovedRecord":
+        """Return the state to keep of a record."""
+        return cls(record.entry.address, record.warm_up, record.availability)
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -13,7 +13,6 @@
 from turnward.gateway.attempt import EndpointAttempt
 from turnward.gateway.availability import UnavailableReason
 from turnward.gateway.choice import EndpointBook, EndpointChoice
-from turnward.gateway.configuration import Workspace
 from turnward.gateway.dialect import Dialect
 from turnward.gateway.endpoint_record import EndpointRecord
 from turnward.gateway.forwarding_rules import ForwardingRules
@@ -29,6 +28,7 @@
 from turnward.gateway.retry_after import RetryAfterEstimator
 from turnward.gateway.state import FleetState
 from turnward.gateway.token_pacing import PacedRefusal
+from turnward.gateway.version_keeper import VersionKeeper
 from turnward.hashing import fingerprint
 from turnward.http1 import (
     ExchangeFailure,
@@ -79,6 +79,8 @@
         Tracks contents that crash the endpoints that run them.
     live_routers : callable
         Returns the largest number of routers that may be live.
+    versions : VersionKeeper
+        Decides which endpoints may continue a stream.
     links : LinkMonitor
         Told which endpoints can be reached.
     relay : Relay
@@ -104,6 +106,7 @@
         accounts: PrepaidAccounts | None,
         quarantine: Quarantine,
         live_routers: Callable[[], int],
+        versions: VersionKeeper,
         links: LinkMonitor,
         relay: Relay,
         log,
@@ -118,6 +121,7 @@
         self.accounts = accounts
         self.quarantine = quarantine
         self.live_routers = live_routers
+        self.versions = versions
         self.links = links
         self.relay = relay
         self.log = log
@@ -175,9 +179,6 @@
     ):
         super().__init__(forwarder, request, note)
         self._started_s = request.received_s
-        self._workspace: Workspace | None = None
-        self._prompt = Prompt()
-        self._request_id = b""
         self._content = ""
         self._deadline_s = 0.0
         self._retry_reservations: list[Reservation] = []
@@ -350,27 +351,23 @@
         if self._deadline_s - self._now_s() < _MIN_SEND_S:
             self.time_limit_reached()
             return
-        if not self.pool:
+        is_first = not self.pool
+        if is_first:
             self.pool = self._route.choose_pool(forwarder.rng)
             self._content = self._fingerprint_content()
-            if forwarder.relay.take_over(self) or self._refuse_if_quarantined():
-                return
+        self._with_version(lambda: self._begin_attempt(is_first))
+
+    def _begin_attempt(self, is_first: bool) -> None:
+        forwarder = self._forwarder
+        if forwarder.relay.take_over(self) or (is_first and self._refuse_if_quarantined()):
+            return
+        if is_first:
             forwarder.retry_budget(self.pool).note_request()
             self.first_attempt_s = self._now_s()
-        elif forwarder.relay.take_over(self):
-            return
-        routes = forwarder.state.routes
-        pool = routes.pools.get(self.pool)
-        choice = forwarder.endpoints.choose(
-            self.pool,
-            self._prompt,
-            pool.engine if pool is not None else None,
-            self._tried,
-            routes.pause_targets_s.get(self.pool),
-        )
+        choice = self._choose_endpoint()
         if choice is None:
             if not forwarder.relay.take_over_unserved(self):
-                self._give_up(Reason.NO_ENDPOINT)
+                self._give_up(self._no_endpoint_reason)
             return
         record = choice.record
         if not self._tried:
@@ -573,7 +570,7 @@
             return NoRetryReason.QUARANTINED
         forwarder = self._forwarder
         check_others = forwarder.rules.looks_for_others
-        has_other = forwarder.endpoints.has_other(self.pool, self._tried)
+        has_other = forwarder.endpoints.has_other(self.pool, self._excluded)
         if check_others and not has_other and not forwarder.relay.has_path_around(self.pool):
             return NoRetryReason.NO_OTHER_ENDPOINT
         return None
--- a/turnward/gateway/members.py
+++ b/turnward/gateway/members.py
@@ -23,12 +23,15 @@
         Bandwidth of the machine's network link; 0 if the settings do not contain it.
     takes_relays : bool
         Whether the router runs requests that other routers relay to it.
+    keeps_versions : bool
+        Whether it resumes streams at the software version that began them.
     """
 
     address: str
     zone: str
     link_mbit_per_s: float = 0.0
     takes_relays: bool = False
+    keeps_versions: bool = False
 
 
 def encode_member(member: Member) -> bytes:
--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -96,6 +96,11 @@
         self.pools_unresponsive = self._counter(
             "pools_unresponsive", "Times that no endpoint of a pool responded.", ["pool"]
         )
+        self.streams_resumed = self._counter(
+            "streams_resumed",
+            "Streams resumed beside several software versions, by whether theirs is known.",
+            ["pool", "origin"],
+        )
         self.requests_relayed = self._counter(
             "requests_relayed", "Requests handed to a peer, and how that ended.", ["pool", "how"]
         )
--- a/turnward/gateway/outcomes.py
+++ b/turnward/gateway/outcomes.py
@@ -40,6 +40,8 @@
     ENDPOINTS_RATE_LIMITED = "endpoints_limited"
     ENDPOINTS_BRITTLE = "endpoints_brittle"
     ENDPOINTS_UNRESPONSIVE = "endpoints_unresponsive"
+    NO_SAME_VERSION = "no_endpoint_of_version"
+    VERSION_UNKNOWN = "version_unknown"
     OVERLOADED = "overloaded"
     RELAYS_FULL = "relays_full"
     CRASHES_ENDPOINTS = "ends_endpoints"
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -129,6 +129,8 @@
     unreached : tuple of str or None
         Pools of which the router can reach no endpoint; None from versions of this software that
         run no relayed requests.
+    keeps_versions : bool
+        Whether the router resumes streams at the software version that began them.
     """
 
     layout: int
@@ -151,6 +153,7 @@
     endpoints_era: int = 0
     accounts: tuple[AccountUpdate, ...] = ()
     unreached: tuple[str, ...] | None = None
+    keeps_versions: bool = False
 
     @property
     def endpoints_as_of(self) -> RowVersion:
@@ -165,6 +168,8 @@
     ----------
     takes_relays : bool
         Whether it runs requests that are relayed to it, by its digest or else by its row.
+    keeps_versions : bool
+        Whether it resumes streams at the software version that began them, likewise.
     """
 
     __slots__ = (
@@ -172,6 +177,7 @@
         "digest",
         "is_member",
         "is_replaced",
+        "keeps_versions",
         "link_mbit_per_s",
         "node",
         "received_s",
@@ -189,6 +195,7 @@
         self.zone = ""
         self.link_mbit_per_s = 0.0
         self.takes_relays = False
+        self.keeps_versions = False
 
 
 class PeerBook:
@@ -263,6 +270,7 @@
         zone: str,
         link_mbit_per_s: float = 0.0,
         takes_relays: bool = False,
+        keeps_versions: bool = False,
     ) -> None:
         """Add or update a peer from its row in the members' table.
 
@@ -274,6 +282,7 @@
         peer = self._peers.get(address)
         if peer is not None and peer.digest is None:
             peer.takes_relays = takes_relays
+            peer.keeps_versions = keeps_versions
         listed = self._listed.get(node)
         if address in (listed, self._listed_before.get(node)):
             return
@@ -311,6 +320,7 @@
         peer.digest = digest
         peer.received_s = self._clock()
         peer.takes_relays = digest.unreached is not None
+        peer.keeps_versions = digest.keeps_versions
         return peer
 
     def knows(self, address: str) -> bool:
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -27,6 +27,7 @@
 from turnward.gateway.rate_limits import RateLimits
 from turnward.gateway.relay_note import RELAY_PREFIX
 from turnward.gateway.state import EndpointsSnapshot, FleetState
+from turnward.gateway.stream_version_exchange import STREAM_VERSION_PATH, StreamVersionNotice
 from turnward.http1 import Http1Error, HttpCaller, InboundRequest
 from turnward.quarantine import Quarantine
 from turnward.rows import RowVersion
@@ -70,14 +71,14 @@
 
     def __init__(
         self,
-        on_message: Callable[[Digest | FleetSummary], None],
+        on_message: Callable[[Digest | FleetSummary | StreamVersionNotice], None],
         on_rejected: Callable[[str, int | None], None],
     ):
         self._on_message = on_message
         self._on_rejected = on_rejected
         #: Supported layouts.
         self.layouts = range(OLDEST_DIGEST_LAYOUT, DIGEST_LAYOUT + 1)
-        self._decoder = msgspec.msgpack.Decoder(Digest | FleetSummary)
+        self._decoder = msgspec.msgpack.Decoder(Digest | FleetSummary | StreamVersionNotice)
 
     def send(self, data: bytes, address: str) -> None:
         """Send a datagram; on an error it is dropped."""
@@ -183,6 +184,10 @@
         self.stopping = False
         #: Called with each request that a peer relays.
         self.on_relayed: Callable[[InboundRequest], None] = _answer_not_found
+        #: Called with each question which software version began a stream.
+        self.on_stream_question: Callable[[InboundRequest], None] = _answer_not_found
+        #: Called with what a peer tells of the versions that began streams.
+        self.on_stream_versions: Callable[[StreamVersionNotice], None] = lambda notice: None
         #: Returns the pools of which this router reaches no endpoint.
         self.unreached_pools: Callable[[], tuple[str, ...]] = tuple
 
@@ -253,14 +258,18 @@
             limits=self._limits.announced(),
             accounts=self._accounts.updates.announced(),
             unreached=self.unreached_pools(),
+            keeps_versions=True,
         )
 
     def _any_peer_short(self) -> bool:
         since_s = self._reactor.seconds() - _SHORTAGE_LIFETIME_S
         return any(peer.digest.short and peer.received_s >= since_s for peer in self._book.live())
 
-    def receive(self, message: Digest | FleetSummary) -> None:
+    def receive(self, message: Digest | FleetSummary | StreamVersionNotice) -> None:
         """Merge a message from a peer, and fetch state that is newer elsewhere."""
+        if isinstance(message, StreamVersionNotice):
+            self.on_stream_versions(message)
+            return
         if message.address != self._book.own_address:
             self._layouts[message.address] = message.layout
             self._state.adopt_announced_zone_orders(message.zone_orders, f"peer {message.address}")
@@ -374,7 +383,7 @@
         self._state.adopt_endpoints(snapshot, f"peer {address}")
 
     def serve(self, request: InboundRequest) -> None:
-        """Answer a peer's request for state, a loan or a return of tokens, or run a relayed one."""
+        """Answer a peer's request for state or tokens, or about a stream, or run a relayed one."""
         if request.target.startswith(RELAY_PREFIX):
             self.on_relayed(request)
             return
@@ -392,6 +401,8 @@
             _decode_body(request, LoanAsk, self._lend)
         elif request.target == RETURNS_PATH:
             _decode_body(request, LoanReturn, self._accept_return)
+        elif request.target == STREAM_VERSION_PATH:
+            self.on_stream_question(request)
         else:
             request.answer(404, [])
 
--- /dev/null
+++ b/turnward/gateway/pool_version_rows.py
@@ -0,0 +1,131 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Stores which software versions each pool has had lately, for routers that start later.
+
+A router that has just started sees in the table of endpoints which versions are present, but not
+which ones left it shortly before and still own streams. The rows change only when a version
+appears, or can have no streams any more.
+"""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+from twisted.internet import defer, task
+
+from turnward.gateway.unreadable_rows import ROW_DECODE_ERRORS, UnreadableRows
+from turnward.rows import (
+    RowChange,
+    RowKey,
+    RowStoreError,
+    StoredRow,
+    VersionConflictError,
+    VersionedStoreBase,
+    VersionedTransaction,
+)
+from turnward.software_versions import PoolVersions
+
+__all__ = ["PoolVersionRows"]
+
+POOL_VERSIONS_TABLE = "pool_versions"
+_CHECK_INTERVAL_S = 1.0
+#: Routers that write a row, one after the other while it differs; the first may have crashed.
+_WRITERS = 4
+_DELAY_PER_RANK_S = 0.5
+#: Range of the random delay before a failed read is retried.
+_RETRY_DELAY_S = (0.3, 0.9)
+
+
+class PoolVersionRows:
+    """Reads the stored versions at startup, and keeps the rows up to date.
+
+    Parameters
+    ----------
+    reactor
+        Twisted's reactor.
+    store : VersionedStoreBase
+        Holds a row for each pool with streams.
+    versions : PoolVersions
+        What this router knows.
+    rank_for : callable
+        Returns how many members rank before this router for a key.
+    unreadable_rows : UnreadableRows
+        Records rows that can't be decoded.
+    rng : random.Random
+        Draws the delays of retries.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        store: VersionedStoreBase,
+        versions: PoolVersions,
+        rank_for: Callable[[str], int],
+        unreadable_rows: UnreadableRows,
+        rng: random.Random,
+    ):
+        self._reactor = reactor
+        self._store = store
+        self._versions = versions
+        self._rank_for = rank_for
+        self._unreadable_rows = unreadable_rows
+        self._rng = rng
+        self._recorded: dict[str, frozenset[str]] = {}
+        self._writing: set[str] = set()
+
+    def start(self) -> None:
+        """Read the rows, and check from then on whether they are up to date."""
+        defer.ensureDeferred(self._read())
+
+    def handle_rollback(self) -> None:
+        """Write rows again that the rollback of the store may have lost."""
+        self._recorded.clear()
+
+    async def _read(self) -> None:
+        while True:
+            try:
+                table = await self._store.read_table(POOL_VERSIONS_TABLE)
+                break
+            except RowStoreError:
+                await task.deferLater(self._reactor, self._rng.uniform(*_RETRY_DELAY_S))
+        self._recorded = {row.key.key: self._decode(row) for row in table.rows if not row.gone}
+        self._versions.add_recorded(self._recorded)
+        check = task.LoopingCall(self._check)
+        check.clock = self._reactor
+        check.start(_CHECK_INTERVAL_S)
+
+    def _decode(self, row: StoredRow) -> frozenset[str]:
+        try:
+            return frozenset(msgspec.json.decode(row.value, type=list[str]) if row.value else ())
+        except ROW_DECODE_ERRORS as error:
+            self._unreadable_rows.mark_unreadable(row, error)
+            return frozenset()
+
+    def _check(self) -> None:
+        """Write the rows that differ from what is known."""
+        for pool, versions in self._versions.recordable().items():
+            rank = self._rank_for(pool)
+            due = versions != self._recorded.get(pool) and rank < _WRITERS
+            if due and pool not in self._writing:
+                self._writing.add(pool)
+                writing = task.deferLater(self._reactor, rank * _DELAY_PER_RANK_S)
+                writing.addCallback(lambda _, pool=pool: defer.ensureDeferred(self._write(pool)))
+                writing.addErrback(lambda failure: failure.trap(RowStoreError))
+                writing.addBoth(lambda _, pool=pool: self._writing.discard(pool))
+
+    async def _write(self, pool: str) -> None:
+        """Write a pool's row unless another router has done so; a failure is tried again later."""
+        key = RowKey(POOL_VERSIONS_TABLE, "", pool)
+        row = await self._store.read_row(key)
+        stored = frozenset() if row.gone else self._decode(row)
+        if stored - self._recorded.get(pool, frozenset()):
+            self._versions.add_recorded({pool: stored})
+        versions = self._versions.recordable().get(pool, frozenset())
+        if versions != stored:
+            value = msgspec.json.encode(sorted(versions))
+            change = RowChange(key, value, 0 if row.gone else row.version)
+            try:
+                await self._store.transact(VersionedTransaction((change,)))
+            except VersionConflictError:
+                # Another router has just written the row; the next check compares again.
+                return
+        self._recorded[pool] = versions
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -2,7 +2,6 @@
 """A gateway process: creates its components, starts and stops them."""
 
 import random
-import traceback
 import uuid
 from abc import ABC, abstractmethod
 
@@ -31,12 +30,15 @@
 from turnward.gateway.link_monitor import LinkMonitor
 from turnward.gateway.logs import GatewayLog
 from turnward.gateway.member_ranks import MemberRanks
-from turnward.gateway.members import MEMBERS_TABLE, Member, encode_member
+from turnward.gateway.member_row import MemberRow
+from turnward.gateway.members import MEMBERS_TABLE, Member
 from turnward.gateway.metrics import GatewayMetrics
 from turnward.gateway.pauses import CHECK_INTERVAL_S, Pause, PauseDetector
 from turnward.gateway.peer_book import DIGEST_LAYOUT, Digest, PeerBook
 from turnward.gateway.peers import PeerSynchronizer
+from turnward.gateway.pool_version_rows import PoolVersionRows
 from turnward.gateway.prepaid import GRANT_SIZING, WITHHELD_SHARE_PER_PRIORITY, PrepaidAccounts
+from turnward.gateway.process_logs import ProcessLogs
 from turnward.gateway.prompt_lanes import make_prompt_lanes
 from turnward.gateway.quarantine_rows import QuarantineRows
 from turnward.gateway.rate_limits import RateLimits
@@ -47,7 +49,7 @@
 from turnward.gateway.spend_bounds import make_spend_bounds
 from turnward.gateway.state import FleetState
 from turnward.gateway.table_listeners import MembersListener
-from turnward.gateway.unreadable_rows import UnreadableRow
+from turnward.gateway.version_keeper import VersionKeeper
 from turnward.gateway.warm_up import WarmUpShares
 from turnward.http1 import (
     InboundFactory,
@@ -57,14 +59,7 @@
 )
 from turnward.pacing import make_token_pacer
 from turnward.quarantine import Quarantine, QuarantineChange, QuarantineRule
-from turnward.rows import (
-    RowChange,
-    RowKey,
-    RowStoreError,
-    VersionConflictError,
-    VersionedStoreBase,
-    VersionedTransaction,
-)
+from turnward.rows import VersionedStoreBase
 
 __all__ = ["GatewayProcess", "SourcesBase", "new_incarnation"]
 
@@ -159,6 +154,7 @@
         self._dialect = dialect
         self._store = store
         self._log = log
+        self._logs = ProcessLogs(log)
         self._metrics = metrics
         self._ports: list = []
         self._feed_health: dict[str, bool] = {}
@@ -173,7 +169,7 @@
         self.incarnation = incarnation
         self.state = FleetState(reactor.seconds)
         self.state.add_listener(self._state_changed)
-        self.state.unreadable_rows.on_unreadable = self._log_unreadable_row
+        self.state.unreadable_rows.on_unreadable = self._logs.unreadable_row
         self.book = PeerBook(self.peers_address, reactor.seconds)
         self._add_seeds()
         ranks = MemberRanks(self.book)
@@ -199,10 +195,7 @@
         )
         self._feedback_exchange = reporter.feedback_exchange
         self._pauses = PauseDetector(reactor.seconds)
-        self.endpoints.entries_stale = self._entries_may_be_stale
-        self.endpoints.resumed_lately = self._resumed_lately
-        self._limits.on_peer_limit = reporter.report_peer_rate_limit
-        reporter.listen_to_endpoints(shares)
+        self._connect_endpoints(reporter, shares)
         self._links = LinkMonitor(reactor, self.endpoints, self.book, self._rng, metrics, log)
         self.relay = Relay(
             reactor,
@@ -212,7 +205,7 @@
             self._rng,
             metrics,
             log,
-            self._log_exception,
+            self._logs.exception,
         )
         self.holders = RendezvousHolders(self.book, reactor.seconds, settings.budget_holders)
         self.accounts = PrepaidAccounts(
@@ -258,24 +251,34 @@
             log,
             self._rng,
         )
-        # A new member can lend, and borrow, once both have heard each other.
-        self.book.on_member_added = self.peers.announce_soon
         self._connect_lenders()
+        self._versions = VersionKeeper.from_fleet(
+            reactor.seconds, self.state, self.book, self.peers, self.endpoints
+        )
+        self._pool_version_rows = PoolVersionRows(
+            reactor,
+            store,
+            self._versions.pools,
+            ranks.rank_for,
+            self.state.unreadable_rows,
+            self._rng,
+        )
+        self._member_row = self._make_member_row()
         self.forwarder = self._make_forwarder()
         self._connect_relay()
         self.callers = InboundFactory(
             reactor,
             self.forwarder.handle,
             InboundLimits(),
-            self._log_malformed_request,
-            self._log_exception,
+            self._logs.malformed_request,
+            self._logs.exception,
         )
         self._peer_server = InboundFactory(
             reactor,
             self.peers.serve,
             InboundLimits(),
-            self._log_malformed_request,
-            self._log_exception,
+            self._logs.malformed_request,
+            self._logs.exception,
         )
         store.eras.listen(self._handle_store_rollback)
         self._feeds = [
@@ -336,6 +339,8 @@
     def _connect_lenders(self) -> None:
         """Let the accounts request tokens from holders and borrow them from peers."""
         call = self.peers.call
+        # A new member can lend, and borrow, once both have heard each other.
+        self.book.on_member_added = self.peers.announce_soon
         self.accounts.refusals.on_refused = self._metrics.count_budget_refusal
         self.accounts.on_written = self._announce_account
         self.accounts.holder_client = HolderClient(
@@ -345,6 +350,26 @@
             peers = PeerLenders(self.book, call, self._reactor.seconds)
             self.accounts.lenders = HolderLenders(self.holders, peers, self._reactor.seconds)
 
+    def _connect_endpoints(self, reporter: EndpointReporter, shares: WarmUpShares) -> None:
+        """Let the endpoints' book know how current its entries are, and report its changes."""
+        self.endpoints.entries_stale = self._entries_may_be_stale
+        self.endpoints.resumed_lately = self._resumed_lately
+        self._limits.on_peer_limit = reporter.report_peer_rate_limit
+        reporter.listen_to_endpoints(shares)
+
+    def _make_member_row(self) -> MemberRow:
+        settings = self._settings
+        member = Member(
+            self.peers_address,
+            settings.zone,
+            settings.link_mbit_per_s,
+            takes_relays=True,
+            keeps_versions=True,
+        )
+        return MemberRow(
+            self._reactor, self._store, settings.node, member, self._rng, lambda: self._stopping
+        )
+
     def _connect_relay(self) -> None:
         """Let peers run requests for this router, and this router for them."""
         self.peers.on_relayed = RelayServer(self.forwarder.handle_relayed, self._log).serve
@@ -364,7 +389,7 @@
     def _make_pool(self, address: str, on_head) -> OutboundPool:
         host, _, port = address.rpartition(":")
         return OutboundPool(
-            self._reactor, (host, int(port)), _CONNECT_TIMEOUT_S, self._log_exception, on_head
+            self._reactor, (host, int(port)), _CONNECT_TIMEOUT_S, self._logs.exception, on_head
         )
 
     def _warm_up_traits(self, pool: str) -> WarmUpTraits | None:
@@ -382,6 +407,7 @@
             self.accounts,
             self.quarantine,
             lambda: self.book.max_router_count,
+            self._versions,
             self._links,
             self.relay,
             self._log,
@@ -447,7 +473,8 @@
         self._metrics.store_rollbacks.inc()
         self._log.belief("store.returned", era=era)
         self._quarantine_rows.handle_rollback()
-        defer.ensureDeferred(self._write_member_row())
+        self._pool_version_rows.handle_rollback()
+        self._member_row.write()
 
     # Start.
 
@@ -472,7 +499,8 @@
         self.peers.start()
         self.accounts.start()
         self._quarantine_rows.start()
-        defer.ensureDeferred(self._write_member_row())
+        self._pool_version_rows.start()
+        self._member_row.write()
         self._start_repeating(self._run_housekeeping, _HOUSEKEEPING_INTERVAL_S)
         self._start_repeating(self._pauses.note_running, CHECK_INTERVAL_S)
         self._start_repeating(self._log_statistics, _STATISTICS_INTERVAL_S)
@@ -489,24 +517,6 @@
             self._reactor.listenTCP(int(port), factory, backlog=1_024, interface=host)
         )
 
-    async def _write_member_row(self) -> None:
-        """Write this process's row in the table of members, in which peers find its address."""
-        key = RowKey(MEMBERS_TABLE, "", self._settings.node)
-        settings = self._settings
-        member = Member(
-            self.peers_address, settings.zone, settings.link_mbit_per_s, takes_relays=True
-        )
-        value = encode_member(member)
-        while not self._stopping:
-            try:
-                row = await self._store.read_row(key)
-                if row.value != value or row.gone:
-                    change = RowChange(key, value, 0 if row.gone else row.version)
-                    await self._store.transact(VersionedTransaction((change,)))
-                return
-            except (RowStoreError, VersionConflictError):
-                await task.deferLater(self._reactor, self._rng.uniform(0.3, 0.9))
-
     # Serving.
 
     def _serve_ready(self, request: InboundRequest) -> None:
@@ -535,14 +545,6 @@
         metrics.tokens_free.set(self.accounts.free_tokens())
         request.answer(200, [(b"content-type", metrics.content_type)], metrics.text())
 
-    def _log_exception(self, failure: Exception) -> None:
-        where = traceback.extract_tb(failure.__traceback__)[-1:]
-        self._log.failure(
-            "process.fault",
-            cause=f"{type(failure).__name__}: {failure}",
-            where=[f"{frame.filename.rpartition('/')[2]}:{frame.lineno}" for frame in where],
-        )
-
     def _quarantine_changed(self, change: QuarantineChange) -> None:
         """Log and store that a content has been quarantined or released."""
         self._quarantine_rows.handle_change(change)
@@ -558,19 +560,6 @@
         else:
             self._log.belief("content.cleared", content=change.content, own=change.local)
 
-    def _log_malformed_request(self, refusal) -> None:
-        self._log.failure("request.malformed", status=refusal.status, reason=refusal.reason)
-
-    def _log_unreadable_row(self, row: UnreadableRow) -> None:
-        self._log.failure(
-            "row.unreadable",
-            table=row.key.table,
-            key=row.key.key,
-            version=row.version,
-            reason=row.reason,
-            cause=row.cause,
-        )
-
     def _state_changed(self, kind: str, source: str) -> None:
         handlers = {
             "configuration": self._configuration_changed,
@@ -596,6 +585,7 @@
         since_failure_s = self._reactor.seconds() - self._store_failed_s
         self.endpoints.set_entries(self.state.endpoints, since_failure_s <= _OUTAGE_EXPIRY_S)
         entries = self.state.endpoints.values()
+        self._versions.set_entries(entries)
         self._log.event(
             "endpoints.adopted",
             version=self.state.endpoints_version,
--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -152,11 +152,11 @@
     def _begin(self, request, cause: str) -> bool:
         if not request.relayable or len(request.peers_tried) >= _MAX_PEERS_TRIED:
             return False
-        address = self.peers.choose(request.pool, request.peers_tried)
+        address = self.peers.choose(request.pool, request.peers_tried, request.bound_version)
         if address is None:
             return False
         request.peers_tried.add(address)
-        note = RelayNote(self._own_address, request.attempts)
+        note = RelayNote(self._own_address, request.attempts, request.bound_version)
         attempt = RelayAttempt(request, self, address, note)
         self._metrics.requests_relayed.labels(request.pool, "sent").inc()
         self._log.event(
--- a/turnward/gateway/relay_attempt.py
+++ b/turnward/gateway/relay_attempt.py
@@ -152,7 +152,7 @@
         dialect = owner.forwarder.dialect
         headers = without_relay_note(owner.headers_for(frozenset((dialect.deadline_ms,))))
         headers.append((dialect.deadline_ms, b"%d" % owner.left_ms))
-        headers.append(self._note.header())
+        headers.extend(self._note.headers())
         body = b"".join(owner.body)
         if body or self.method in (b"POST", b"PUT", b"PATCH"):
             headers.append((b"content-length", b"%d" % len(body)))
--- a/turnward/gateway/relay_note.py
+++ b/turnward/gateway/relay_note.py
@@ -7,7 +7,13 @@
 
 import msgspec
 
-from turnward.http1 import HeaderList, InboundLimits, InboundRequest, header_values
+from turnward.http1 import (
+    HeaderList,
+    InboundLimits,
+    InboundRequest,
+    header_value,
+    header_values,
+)
 
 __all__ = [
     "RELAY_PREFIX",
@@ -21,6 +27,7 @@
 #: Room in the head of a relayed request for what it has beyond the caller's.
 _ADDED_HEAD_BYTES = 1_024
 _HEADER = b"relayed-by"
+_VERSION_HEADER = b"relayed-stream-version"
 
 
 class RelayNoteError(Exception):
@@ -36,18 +43,21 @@
         Address of the router that received the request from its caller.
     attempts : int
         Attempts made so far, which count against those that the route allows.
+    version : str
+        Software version that began the stream; empty if it begins anew, or any may go on.
 
     Examples
     --------
     >>> RelayNote.decode(RelayNote("10.0.0.1:82", 1).encode())
-    RelayNote(origin='10.0.0.1:82', attempts=1)
+    RelayNote(origin='10.0.0.1:82', attempts=1, version='')
     """
 
     origin: str
     attempts: int
+    version: str = ""
 
     def encode(self) -> bytes:
-        """Return the value of the header."""
+        """Return the value of the header with origin and attempts."""
         return b"%b %d" % (self.origin.encode(), self.attempts)
 
     @classmethod
@@ -64,9 +74,12 @@
             raise RelayNoteError(f"malformed note of a relayed request: {value[:80]!r}")
         return cls(origin.decode("latin-1"), int(attempts))
 
-    def header(self) -> tuple[bytes, bytes]:
-        """Return the header that carries the note."""
-        return (_HEADER, self.encode())
+    def headers(self) -> HeaderList:
+        """Return the headers that carry the note."""
+        headers = [(_HEADER, self.encode())]
+        if self.version:
+            headers.append((_VERSION_HEADER, self.version.encode()))
+        return headers
 
     @classmethod
     def take_from(cls, request: InboundRequest) -> "RelayNote":
@@ -80,7 +93,10 @@
         values = header_values(request.headers, _HEADER)
         if len(values) != 1:
             raise RelayNoteError(f"{len(values)} notes on a relayed request")
-        note = cls.decode(values[0])
+        version = header_value(request.headers, _VERSION_HEADER) or b""
+        note = msgspec.structs.replace(
+            cls.decode(values[0]), version=version.decode(errors="replace")
+        )
         request.headers = without_relay_note(request.headers)
         request.target = request.target.removeprefix(RELAY_PREFIX)
         return note
@@ -103,4 +119,4 @@
 
 def without_relay_note(headers: HeaderList) -> HeaderList:
     """Return the headers without any note of a relayed request."""
-    return [item for item in headers if item[0] != _HEADER]
+    return [item for item in headers if item[0] not in (_HEADER, _VERSION_HEADER)]
--- a/turnward/gateway/relay_peers.py
+++ b/turnward/gateway/relay_peers.py
@@ -52,12 +52,17 @@
         #: Until when each peer is avoided, by address and pool; the pool is "" for all of them.
         self._avoided_until_s: dict[tuple[str, str], float] = {}
 
-    def choose(self, pool: str, excluded: set[str]) -> str | None:
-        """Return the address of the best path to a pool; None if no peer seems to be one."""
+    def choose(self, pool: str, excluded: set[str], version: str = "") -> str | None:
+        """Return the address of the best path to a pool; None if no peer seems to be one.
+
+        With ``version``, only peers count that would keep to it.
+        """
         paths = [
             peer
             for peer in self._sample()
-            if peer.address not in excluded and self._is_path(peer, pool)
+            if peer.address not in excluded
+            and (peer.keeps_versions or not version)
+            and self._is_path(peer, pool)
         ]
         chosen = min(paths, key=self._cost, default=None)
         return chosen.address if chosen is not None else None
--- a/turnward/gateway/relayable_request.py
+++ b/turnward/gateway/relayable_request.py
@@ -76,6 +76,11 @@
         """Whether the endpoints of its pool are brittle, and others may send them requests now."""
         return self._forwarder.endpoints.is_withheld(self.pool)
 
+    @property
+    @abstractmethod
+    def bound_version(self) -> str:
+        """Software version at which its stream must go on; empty if any will do."""
+
     @property
     def endpoints_tried(self) -> int:
         """Number of endpoints that were chosen for it."""
--- a/turnward/gateway/resumable_request.py
+++ b/turnward/gateway/resumable_request.py
@@ -1,11 +1,19 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The part of a forwarded request that concerns its event stream, and where the stream began."""
 
-from turnward.gateway.configuration import Route
+from abc import abstractmethod
+from collections.abc import Callable
+
+from turnward.gateway.choice import EndpointChoice
+from turnward.gateway.configuration import Route, Workspace
+from turnward.gateway.endpoint_record import EndpointRecord
+from turnward.gateway.outcomes import Reason
 from turnward.gateway.progress import StreamProgress
+from turnward.gateway.prompts import Prompt
 from turnward.gateway.relay_note import RelayNote
 from turnward.gateway.relayable_request import RelayableRequest
 from turnward.http1 import header_value
+from turnward.software_versions import StreamKey, stream_key
 
 __all__ = ["ResumableRequest"]
 
@@ -26,8 +34,12 @@
     def __init__(self, forwarder, request, note: RelayNote | None):
         super().__init__(forwarder, request, note)
         self._route: Route | None = None
+        self._workspace: Workspace | None = None
+        self._prompt = Prompt()
+        self._request_id = b""
         self._progress = StreamProgress()
-        self._stream_version = ""
+        #: Software version that began the stream; empty if not known.
+        self._stream_version = note.version if note is not None else ""
 
     @property
     def streams(self) -> bool:
@@ -51,11 +63,113 @@
         return self._progress.may_continue_with(first_id)
 
     def note_events(self, count: int, last_id: bytes | None) -> None:
-        """Count forwarded events."""
-        attempt = self._attempt
-        if not self._progress.events and not attempt.is_relay:
-            self._stream_version = attempt.record.entry.version
+        """Count forwarded events; the first one decides which endpoints may continue the stream."""
+        if not self._progress.events and not self._attempt.is_relay:
+            self._note_first_event(self._attempt.record)
         self._progress.note(count, last_id, self._forwarder.reactor.seconds())
 
+    def _note_first_event(self, record: EndpointRecord) -> None:
+        if self._resumed_by_caller or not self.resumable:
+            self._stream_version = self._stream_version or record.entry.version
+            return
+        versions = self._forwarder.versions
+        self._stream_version = versions.note_first_event(self._stream_key, record)
+
     def _last_event_id(self) -> bytes | None:
         return self._progress.last_id
+
+    # Where the stream goes on.
+
+    @property
+    def _resumed_by_caller(self) -> bool:
+        """Whether the caller has events of the stream from an earlier request."""
+        headers = self._request.headers
+        return header_value(headers, self._forwarder.dialect.last_event_id) is not None
+
+    @property
+    def _stream_key(self) -> StreamKey:
+        """Key of the stream, by the request that brought its first event."""
+        resumes = header_value(self._request.headers, self._forwarder.dialect.resumes)
+        workspace = self._workspace.name if self._workspace is not None else ""
+        return stream_key(workspace, resumes or self._request_id)
+
+    @property
+    def _continues(self) -> bool:
+        """Whether the caller has events that the next one must fit to."""
+        return self.streams and (self._progress.events > 0 or self._resumed_by_caller)
+
+    @property
+    def bound_version(self) -> str:
+        """See ``RelayableRequest.bound_version``."""
+        bound = self._continues and self._forwarder.versions.is_mixed(self.pool)
+        return self._stream_version if bound else ""
+
+    @property
+    def _excluded(self) -> set[str]:
+        """Endpoints that must not be tried: those that were, and those of other versions."""
+        version = self.bound_version
+        if not version:
+            return self._tried
+        return self._tried | self._forwarder.versions.unfit(self.pool, version)
+
+    def _choose_endpoint(self) -> EndpointChoice | None:
+        """Return the endpoint to try next; None if none accepts the request."""
+        forwarder = self._forwarder
+        pool = forwarder.state.routes.pools.get(self.pool)
+        traits = pool.engine if pool is not None else None
+        pause_target_s = forwarder.state.routes.pause_targets_s.get(self.pool)
+        excluded = self._excluded
+        choose = forwarder.endpoints.choose
+        if self.resumable and not self._continues:
+            # A stream that begins at the last endpoint of a version could not go on elsewhere.
+            preferred = excluded | forwarder.versions.lonely(self.pool)
+            choice = choose(self.pool, self._prompt, traits, preferred, pause_target_s)
+            if choice is not None or preferred == excluded:
+                return choice
+        return choose(self.pool, self._prompt, traits, excluded, pause_target_s)
+
+    def _with_version(self, proceed: Callable[[], None]) -> None:
+        """Call ``proceed`` once the version that began the stream is known, if it matters."""
+        versions = self._forwarder.versions
+        if self._stream_version or not self._continues or not versions.is_mixed(self.pool):
+            proceed()
+            return
+        asked_s = self._forwarder.reactor.seconds()
+
+        def found(version: str) -> None:
+            self._log_origin(version, asked_s)
+            if self._ended:
+                return
+            if not version:
+                self._give_up(Reason.VERSION_UNKNOWN)
+                return
+            self._stream_version = version
+            proceed()
+
+        versions.find(self._stream_key).addCallback(found)
+
+    def _log_origin(self, version: str, asked_s: float) -> None:
+        waited_s = self._forwarder.reactor.seconds() - asked_s
+        self._forwarder.metrics.streams_resumed.labels(
+            self.pool, "known" if version else "unknown"
+        ).inc()
+        self._forwarder.log.event(
+            "stream.origin",
+            request=self._request_id.decode("latin-1"),
+            pool=self.pool,
+            own=self._progress.events > 0,
+            waited_ms=round(waited_s * 1_000, 1),
+            **{**self.stream_fields, "version": version},
+        )
+
+    @property
+    def _no_endpoint_reason(self) -> Reason:
+        """Why no endpoint was found."""
+        version = self.bound_version
+        if version and not self._forwarder.versions.has(self.pool, version):
+            return Reason.NO_SAME_VERSION
+        return Reason.NO_ENDPOINT
+
+    @abstractmethod
+    def _give_up(self, reason: Reason) -> None:
+        """End a request that the last endpoint did not run."""
--- a/turnward/gateway/state.py
+++ b/turnward/gateway/state.py
@@ -10,6 +10,7 @@
 from turnward.gateway.unreadable_rows import UnreadableRows
 from turnward.gateway.zone_orders import ZoneOrder, ZoneOrders
 from turnward.rows import RowVersion
+from turnward.software_versions import UNKNOWN_VERSION
 
 __all__ = ["EndpointsSnapshot", "FleetState"]
 
@@ -21,17 +22,20 @@
     ----------
     version, era : int
         Number and era of the version.
+    names_versions : bool
+        Whether entries have their software versions; builds that do not know them send none.
     """
 
     version: int
     entries: tuple[EndpointEntry, ...]
     era: int = 0
+    names_versions: bool = False
 
     @classmethod
     def at(cls, version: int, entries: tuple[EndpointEntry, ...]) -> "EndpointsSnapshot":
         """Return a snapshot for a version of the store."""
         version = RowVersion(version)
-        return cls(version.number, entries, version.era)
+        return cls(version.number, entries, version.era, names_versions=True)
 
     @property
     def as_of(self) -> RowVersion:
@@ -85,6 +89,10 @@
         """Whether everything that is needed to serve requests is known."""
         return self.routes is not None and self.endpoints_version > 0 and self.zone_orders_known
 
+    def stream_limit_s(self, pool: str) -> float:
+        """Return how long a stream of a pool may be resumed; 0 if it has none."""
+        return self.routes.stream_limits_s.get(pool, 0.0) if self.routes is not None else 0.0
+
     def add_listener(self, listener: Callable[[str, str], None]) -> None:
         """Call ``listener(kind, source)`` after each change.
 
@@ -172,7 +180,8 @@
             self._removed_endpoints.begin_rollback_recovery(now_s)
         if recovered:
             self._removed_endpoints.end_rollback_recovery()
-        entries = {entry.endpoint_id: self._latest_entry(entry) for entry in snapshot.entries}
+        known_versions = self._software_versions(snapshot)
+        entries = {entry.endpoint_id: self._latest_entry(entry) for entry in known_versions}
         self._removed_endpoints.mark_rewritten(entries[name] for name in written if name in entries)
         entries = self._removed_endpoints.mark_draining(entries, now_s)
         self._removed_endpoints.record_view(self.endpoints, entries, now_s)
@@ -183,6 +192,16 @@
             self._notify_listeners("endpoints", source)
         return True
 
+    def _software_versions(self, snapshot: EndpointsSnapshot) -> Iterable[EndpointEntry]:
+        """Return entries with their software versions, from earlier ones if they lack them."""
+        if snapshot.names_versions:
+            return snapshot.entries
+        versions = {entry.incarnation: entry.version for entry in self.endpoints.values()}
+        return [
+            msgspec.structs.replace(entry, version=versions.get(entry.incarnation, UNKNOWN_VERSION))
+            for entry in snapshot.entries
+        ]
+
     def _latest_entry(self, entry: EndpointEntry) -> EndpointEntry:
         """Return the known entry instead if the given one belongs to an earlier process.
 
--- a/turnward/gateway/table_listeners.py
+++ b/turnward/gateway/table_listeners.py
@@ -206,4 +206,5 @@
                 member.zone,
                 member.link_mbit_per_s,
                 member.takes_relays,
+                member.keeps_versions,
             )
--- /dev/null
+++ b/turnward/gateway/version_keeper.py
@@ -0,0 +1,176 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Decides which endpoints may continue a stream, by the software version that began it."""
+
+from collections.abc import Callable, Iterable
+
+from twisted.internet import defer
+
+from turnward.gateway.choice import EndpointBook
+from turnward.gateway.configuration import EndpointEntry
+from turnward.gateway.endpoint_record import EndpointRecord
+from turnward.gateway.member_ring import MemberRing
+from turnward.gateway.peer_book import PeerBook
+from turnward.gateway.peers import PeerSynchronizer
+from turnward.gateway.restart_suspicions import RestartSuspicions
+from turnward.gateway.state import FleetState
+from turnward.gateway.stream_version_exchange import StreamVersionExchange
+from turnward.software_versions import (
+    UNKNOWN_VERSION,
+    PoolVersions,
+    StreamKey,
+    StreamVersions,
+    UntoldStreams,
+)
+
+__all__ = ["VersionKeeper"]
+
+#: Time after an endpoint has closed its connections in which its process may be another one, of
+#: which the entry does not tell yet; and the same while entries can't be read.
+_REGISTRATION_S = 5.0
+_STALE_REGISTRATION_S = 60.0
+#: Connections that are closed at once when a process ends.
+_CLOSED_BY_END = 2
+#: Endpoints of a version with which a stream can be resumed if one of them ends.
+_MIN_ENDPOINTS = 2
+
+
+class VersionKeeper:
+    """The software versions of endpoints, pools and streams, as known to one router.
+
+    Parameters
+    ----------
+    clock : callable
+        Monotonic clock in seconds.
+    stream_limit_s : callable
+        Returns how long a stream of a pool may last, in seconds; 0 for pools without streams.
+    streams : StreamVersions
+        Versions of streams that this router knows.
+    exchange : StreamVersionExchange
+        Shares them with other routers.
+    entries_stale : callable
+        Returns whether entries may be out of date because the store can't be read.
+
+    Attributes
+    ----------
+    pools : PoolVersions
+        Versions of each pool.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        stream_limit_s: Callable[[str], float],
+        streams: StreamVersions,
+        exchange: StreamVersionExchange,
+        entries_stale: Callable[[], bool],
+    ):
+        self._stream_limit_s = stream_limit_s
+        self._streams = streams
+        self._exchange = exchange
+        self._entries_stale = entries_stale
+        self._untold = UntoldStreams(clock)
+        self._suspicions = RestartSuspicions(clock)
+        #: Incarnations of the endpoints, by pool and version.
+        self._incarnations: dict[str, dict[str, set[str]]] = {}
+        self._lonely: dict[str, frozenset[str]] = {}
+        self.pools = PoolVersions(clock, stream_limit_s)
+
+    @classmethod
+    def from_fleet(
+        cls,
+        clock: Callable[[], float],
+        state: FleetState,
+        book: PeerBook,
+        peers: PeerSynchronizer,
+        endpoints: EndpointBook,
+    ) -> "VersionKeeper":
+        """Return the keeper of a router that shares what it knows with its peers."""
+        streams = StreamVersions(clock)
+        exchange = StreamVersionExchange(
+            book.own_address, MemberRing(book), streams, peers.exchange.send, peers.call
+        )
+        peers.on_stream_versions = exchange.receive
+        peers.on_stream_question = exchange.serve
+        keeper = cls(clock, state.stream_limit_s, streams, exchange, endpoints.entries_stale)
+        endpoints.on_connections_closed = keeper.note_connections_closed
+        return keeper
+
+    def set_entries(self, entries: Iterable[EndpointEntry]) -> None:
+        """Replace the known endpoints, and tell of streams once their pool has two versions."""
+        self._incarnations = {}
+        staying: dict[str, dict[str, set[str]]] = {}
+        for entry in entries:
+            _add(self._incarnations, entry)
+            if not entry.leaving:
+                _add(staying, entry)
+        self._lonely = {pool: _lonely_in(by_version) for pool, by_version in staying.items()}
+        self.pools.set_present(self._incarnations)
+        for pool in self._incarnations:
+            if self.pools.is_mixed(pool):
+                self._exchange.tell(self._untold.take(pool))
+
+    def note_connections_closed(self, record: EndpointRecord) -> None:
+        """Record that an endpoint has closed all connections, and may have restarted.
+
+        If entries are read, one connection that is closed is the end of a response rather than
+        that of a process.
+        """
+        if self._entries_stale():
+            duration_s = _STALE_REGISTRATION_S
+        elif record.pool.closed_at_once >= _CLOSED_BY_END:
+            duration_s = _REGISTRATION_S
+        else:
+            return
+        self._suspicions.note(record.entry.pool, record.incarnation, duration_s)
+
+    def is_mixed(self, pool: str) -> bool:
+        """Return whether streams of more than one version may be resumed in a pool."""
+        return self.pools.is_mixed(pool)
+
+    def has(self, pool: str, version: str) -> bool:
+        """Return whether a pool has endpoints of a version."""
+        return version in self._incarnations.get(pool, ())
+
+    def unfit(self, pool: str, version: str) -> set[str]:
+        """Return the endpoints that must not continue a stream that a version began."""
+        if not self.pools.is_mixed(pool):
+            return set()
+        by_version = self._incarnations.get(pool, {})
+        unfit = {name for other in by_version.keys() - {version} for name in by_version[other]}
+        same = by_version.get(version, ())
+        return unfit.union(name for name in same if self._may_have_restarted(pool, name))
+
+    def lonely(self, pool: str) -> frozenset[str]:
+        """Return the endpoints that are the last of their version, if others are not."""
+        return self._lonely.get(pool, frozenset())
+
+    def _may_have_restarted(self, pool: str, incarnation: str) -> bool:
+        endpoints = sum(map(len, self._incarnations.get(pool, {}).values()))
+        return self._suspicions.is_suspected(pool, incarnation, endpoints)
+
+    def note_first_event(self, key: StreamKey, record: EndpointRecord) -> str:
+        """Record which version began a stream; return it, or an empty text if it is uncertain."""
+        pool, version = record.entry.pool, record.entry.version
+        if version == UNKNOWN_VERSION or self._may_have_restarted(pool, record.incarnation):
+            return ""
+        self._streams.note(key, version)
+        if self.pools.is_mixed(pool):
+            self._exchange.tell([(key, version)])
+        else:
+            self._untold.add(pool, key, version, self._stream_limit_s(pool))
+        return version
+
+    def find(self, key: StreamKey) -> "defer.Deferred[str]":
+        """Return the version that began a stream, empty if no router knows it."""
+        return self._exchange.find(key)
+
+
+def _add(by_pool: dict[str, dict[str, set[str]]], entry: EndpointEntry) -> None:
+    by_version = by_pool.setdefault(entry.pool, {})
+    by_version.setdefault(entry.version, set()).add(entry.incarnation)
+
+
+def _lonely_in(by_version: dict[str, set[str]]) -> frozenset[str]:
+    """Return the endpoints of versions with too few of them, unless all versions have too few."""
+    few = [names for names in by_version.values() if len(names) < _MIN_ENDPOINTS]
+    return frozenset().union(*few) if len(few) < len(by_version) else frozenset()
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -44,6 +44,10 @@
 _DEFAULT_REUSE_LIMIT_S = 4.0
 #: Age up to which a connection may have been opened after its peer's process restarted.
 _RECENTLY_OPENED_S = 1.0
+#: Time within which connections that a peer closes count as closed at once.
+_AT_ONCE_S = 0.25
+#: Most closed connections that are remembered.
+_MAX_CLOSED = 8
 #: An idle connection is closed this long before the idle timeout that the peer announced.
 _REUSE_MARGIN_S = 0.6
 
@@ -423,6 +427,8 @@
         #: Called when the peer has closed a connection, and all that remain were opened just now.
         self.on_all_closed: Callable[[], None] = _ignore
         self.pending: dict[OutboundConnection, _ConnectionAttempt] = {}
+        #: When the peer has closed connections lately.
+        self._closed_s: deque[float] = deque(maxlen=_MAX_CLOSED)
         #: When each open connection was opened.
         self._opened_s: dict[OutboundConnection, float] = {}
 
@@ -436,6 +442,12 @@
         oldest_s = self.oldest_open_s
         return oldest_s is not None and oldest_s <= time_s
 
+    @property
+    def closed_at_once(self) -> int:
+        """Number of connections that the peer has closed just now."""
+        since_s = self._reactor.seconds() - _AT_ONCE_S
+        return sum(closed_s >= since_s for closed_s in self._closed_s)
+
     @property
     def idle_count(self) -> int:
         """Number of idle connections."""
@@ -544,6 +556,8 @@
         if connection in self._idle:
             self._idle.remove(connection)
             closed_by_peer = True
+        if closed_by_peer:
+            self._closed_s.append(self._reactor.seconds())
         if closed_by_peer and not self._has_connection_from_before():
             self.on_all_closed()
 
--- /dev/null
+++ b/turnward/software_versions/__init__.py
@@ -0,0 +1,19 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Which software version wrote a stream, and whether its pool has others, without I/O."""
+
+from turnward.software_versions.pool_versions import UNKNOWN_VERSION, PoolVersions
+from turnward.software_versions.stream_versions import (
+    StreamKey,
+    StreamVersions,
+    UntoldStreams,
+    stream_key,
+)
+
+__all__ = [
+    "UNKNOWN_VERSION",
+    "PoolVersions",
+    "StreamKey",
+    "StreamVersions",
+    "UntoldStreams",
+    "stream_key",
+]
