Gateways tell each other which endpoints may have restarted as another version

Cause: only a gateway whose own connections were closed suspected the restart. The suspicion now travels in digests and sums, at once at first, for pools with several versions alone.

test_gateway_without_connections_is_told_that_an_endpoint_may_have_restarted failed with the merging left out.

--- a/turnward/gateway/overlay.py
+++ b/turnward/gateway/overlay.py
@@ -25,6 +25,7 @@
     sum_loads,
 )
 from turnward.gateway.rate_limit import RateLimitUpdate
+from turnward.gateway.restart_suspicions import RestartSuspicion
 from turnward.gateway.zone_orders import ZoneOrder
 from turnward.hashing import rendezvous_weight
 from turnward.quarantine import EMPTY_QUARANTINE_UPDATE, QuarantineUpdate
@@ -78,6 +79,8 @@
         Feedback of endpoints, such as draining or backoff, that the aggregator received lately.
     limits : tuple of RateLimitUpdate
         Rate limits of endpoints that the aggregator received lately.
+    restarted : tuple of RestartSuspicion
+        Endpoints of pools with several software versions that may have restarted.
     """
 
     layout: int
@@ -95,6 +98,7 @@
     words: tuple[FeedbackUpdate, ...] = ()
     limits: tuple[RateLimitUpdate, ...] = ()
     endpoints_era: int = 0
+    restarted: tuple[RestartSuspicion, ...] = ()
 
     @property
     def endpoints_as_of(self) -> RowVersion:
@@ -445,6 +449,7 @@
             self._own_digest.words,
             self._own_digest.limits,
             endpoints.endpoints_era,
+            self._own_digest.restarted,
         )
 
     def _summarize_fleet(self) -> FleetSummary:
@@ -478,6 +483,7 @@
             self._own_digest.words,
             self._own_digest.limits,
             endpoints.endpoints_era,
+            self._own_digest.restarted,
         )
 
 
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -9,6 +9,7 @@
 from turnward.gateway.feedback_exchange import FeedbackUpdate
 from turnward.gateway.loans import LoanOffer
 from turnward.gateway.rate_limit import RateLimitUpdate
+from turnward.gateway.restart_suspicions import RestartSuspicion
 from turnward.gateway.zone_orders import ZoneOrder
 from turnward.quarantine import EMPTY_QUARANTINE_UPDATE, QuarantineUpdate
 from turnward.rows import RowVersion
@@ -131,6 +132,8 @@
         run no relayed requests.
     keeps_versions : bool
         Whether the router resumes streams at the software version that began them.
+    restarted : tuple of RestartSuspicion
+        Endpoints of pools with several software versions that may have restarted.
     """
 
     layout: int
@@ -154,6 +157,7 @@
     accounts: tuple[AccountUpdate, ...] = ()
     unreached: tuple[str, ...] | None = None
     keeps_versions: bool = False
+    restarted: tuple[RestartSuspicion, ...] = ()
 
     @property
     def endpoints_as_of(self) -> RowVersion:
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -26,6 +26,7 @@
 from turnward.gateway.peer_book import DIGEST_LAYOUT, OLDEST_DIGEST_LAYOUT, Digest, PeerBook
 from turnward.gateway.rate_limits import RateLimits
 from turnward.gateway.relay_note import RELAY_PREFIX
+from turnward.gateway.restart_suspicions import RestartSuspicion
 from turnward.gateway.state import EndpointsSnapshot, FleetState
 from turnward.gateway.stream_version_exchange import STREAM_VERSION_PATH, StreamVersionNotice
 from turnward.http1 import Http1Error, HttpCaller, InboundRequest
@@ -186,6 +187,12 @@
         self.on_relayed: Callable[[InboundRequest], None] = _answer_not_found
         #: Called with each question which software version began a stream.
         self.on_stream_question: Callable[[InboundRequest], None] = _answer_not_found
+        #: Returns the endpoints that may have restarted as another software version.
+        self.suspected_restarts: Callable[[], tuple[RestartSuspicion, ...]] = tuple
+        #: Called with what a peer tells of the same.
+        self.on_suspected_restarts: Callable[[tuple[RestartSuspicion, ...]], None] = (
+            lambda suspicions: None
+        )
         #: Called with what a peer tells of the versions that began streams.
         self.on_stream_versions: Callable[[StreamVersionNotice], None] = lambda notice: None
         #: Returns the pools of which this router reaches no endpoint.
@@ -259,6 +266,7 @@
             accounts=self._accounts.updates.announced(),
             unreached=self.unreached_pools(),
             keeps_versions=True,
+            restarted=self.suspected_restarts(),
         )
 
     def _any_peer_short(self) -> bool:
@@ -276,6 +284,7 @@
             self._quarantine.merge(message.quarantine)
             self._feedback_exchange.merge(message.words)
             self._limits.merge(message.limits)
+            self.on_suspected_restarts(message.restarted)
         if isinstance(message, Digest):
             self._receive_digest(message)
         elif message.address != self._book.own_address:
--- a/turnward/gateway/restart_suspicions.py
+++ b/turnward/gateway/restart_suspicions.py
@@ -6,14 +6,24 @@
 network is the likelier cause, and none of them is suspected.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
-__all__ = ["RestartSuspicions"]
+import msgspec
+
+__all__ = ["RestartSuspicion", "RestartSuspicions"]
 
 #: Largest share of a pool that is suspected at the same time.
 _MAX_SHARE = 0.5
 
 
+class RestartSuspicion(msgspec.Struct, frozen=True, array_like=True):
+    """An endpoint that may have restarted, and for how much longer; array on the wire."""
+
+    pool: str
+    incarnation: str
+    left_ms: int
+
+
 class RestartSuspicions:
     """Suspected restarts of endpoints, as seen by this router.
 
@@ -48,12 +58,29 @@
         by_incarnation[incarnation] = now_s + duration_s
         return not known
 
+    def merge(self, suspicion: RestartSuspicion) -> None:
+        """Add what another router suspects."""
+        by_incarnation = self._until_s.setdefault(suspicion.pool, {})
+        until_s = self._clock() + suspicion.left_ms / 1_000
+        by_incarnation[suspicion.incarnation] = max(
+            until_s, by_incarnation.get(suspicion.incarnation, until_s)
+        )
+
+    def left_ms(self, pool: str, incarnation: str) -> int:
+        """Return for how much longer an endpoint is suspected, in milliseconds."""
+        until_s = self._until_s.get(pool, {}).get(incarnation, 0.0)
+        return max(0, round((until_s - self._clock()) * 1_000))
+
     def is_suspected(self, pool: str, incarnation: str, endpoints: int) -> bool:
         """Return whether one of a pool's ``endpoints`` may have restarted."""
+        return incarnation in self.suspected(pool, endpoints)
+
+    def suspected(self, pool: str, endpoints: int) -> Collection[str]:
+        """Return which of a pool's ``endpoints`` may have restarted."""
         by_incarnation = self._until_s.get(pool)
         if not by_incarnation:
-            return False
+            return ()
         now_s = self._clock()
         for ended in [name for name, until_s in by_incarnation.items() if until_s <= now_s]:
             del by_incarnation[ended]
-        return incarnation in by_incarnation and len(by_incarnation) <= _MAX_SHARE * endpoints
+        return by_incarnation.keys() if len(by_incarnation) <= _MAX_SHARE * endpoints else ()
--- a/turnward/gateway/resumable_request.py
+++ b/turnward/gateway/resumable_request.py
@@ -121,10 +121,9 @@
         excluded = self._excluded
         choose = forwarder.endpoints.choose
         if self.resumable and not self._continues:
-            # A stream that begins at the last endpoint of a version could not go on elsewhere.
-            preferred = excluded | forwarder.versions.lonely(self.pool)
-            choice = choose(self.pool, self._prompt, traits, preferred, pause_target_s)
-            if choice is not None or preferred == excluded:
+            avoided = excluded | forwarder.versions.unpreferred(self.pool)
+            choice = choose(self.pool, self._prompt, traits, avoided, pause_target_s)
+            if choice is not None or avoided == excluded:
                 return choice
         return choose(self.pool, self._prompt, traits, excluded, pause_target_s)
 
--- a/turnward/gateway/tests/test_software_versions.py
+++ b/turnward/gateway/tests/test_software_versions.py
@@ -300,6 +300,22 @@
     assert all(each == {b"v1"} for each in resumed)
 
 
+def test_gateway_without_connections_is_told_that_an_endpoint_may_have_restarted():
+    harness = make_harness(["v1", "v1", "v2", "v2", "v2"], gateways=2)
+    begun = [b"begun-%d" % number for number in range(10)]
+    of_v1 = [name for name in begun if versions_in(harness.ask(request_id=name)) == {b"v1"}]
+    for endpoint in harness.endpoints:
+        endpoint.behave.breaks, endpoint.behave.broken_after_s = True, 5.0
+    for _ in range(12):
+        harness.send()
+    harness.network.advance(0.1)
+    restart_as(harness.endpoints[0], "v2")
+    harness.network.advance(0.1)
+    resumed = [versions_in(resume(harness, name, gateway=1)) for name in of_v1 * 4]
+    assert len(resumed) >= 8
+    assert all(each == {b"v1"} for each in resumed)
+
+
 def test_entries_that_an_older_build_copies_without_versions_continue_no_stream():
     harness = make_harness(["v1", "v2", "v2"])
     state = harness.gateways[0].state
--- a/turnward/gateway/version_keeper.py
+++ b/turnward/gateway/version_keeper.py
@@ -1,7 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Decides which endpoints may continue a stream, by the software version that began it."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
+from itertools import islice
 
 from twisted.internet import defer
 
@@ -11,7 +12,7 @@
 from turnward.gateway.member_ring import MemberRing
 from turnward.gateway.peer_book import PeerBook
 from turnward.gateway.peers import PeerSynchronizer
-from turnward.gateway.restart_suspicions import RestartSuspicions
+from turnward.gateway.restart_suspicions import RestartSuspicion, RestartSuspicions
 from turnward.gateway.state import FleetState
 from turnward.gateway.stream_version_exchange import StreamVersionExchange
 from turnward.software_versions import (
@@ -30,6 +31,8 @@
 _STALE_REGISTRATION_S = 60.0
 #: Connections that are closed at once when a process ends.
 _CLOSED_BY_END = 2
+#: Bounds the size of a message.
+_MAX_TOLD = 16
 #: Endpoints of a version with which a stream can be resumed if one of them ends.
 _MIN_ENDPOINTS = 2
 
@@ -54,6 +57,8 @@
     ----------
     pools : PoolVersions
         Versions of each pool.
+    on_suspected : callable
+        Called when an endpoint may have restarted as another version.
     """
 
     def __init__(
@@ -74,6 +79,7 @@
         self._incarnations: dict[str, dict[str, set[str]]] = {}
         self._lonely: dict[str, frozenset[str]] = {}
         self.pools = PoolVersions(clock, stream_limit_s)
+        self.on_suspected: Callable[[], None] = lambda: None
 
     @classmethod
     def from_fleet(
@@ -92,6 +98,9 @@
         peers.on_stream_versions = exchange.receive
         peers.on_stream_question = exchange.serve
         keeper = cls(clock, state.stream_limit_s, streams, exchange, endpoints.entries_stale)
+        peers.on_suspected_restarts = keeper.merge_suspected
+        peers.suspected_restarts = keeper.suspected
+        keeper.on_suspected = peers.announce_soon
         endpoints.on_connections_closed = keeper.note_connections_closed
         return keeper
 
@@ -121,7 +130,24 @@
             duration_s = _REGISTRATION_S
         else:
             return
-        self._suspicions.note(record.entry.pool, record.incarnation, duration_s)
+        pool = record.entry.pool
+        if self._suspicions.note(pool, record.incarnation, duration_s) and self.is_mixed(pool):
+            self.on_suspected()
+
+    def suspected(self) -> tuple[RestartSuspicion, ...]:
+        """Return the endpoints of mixed pools that may have restarted, to tell peers."""
+        suspicions = (
+            RestartSuspicion(pool, incarnation, self._suspicions.left_ms(pool, incarnation))
+            for pool in self._incarnations
+            if self.is_mixed(pool)
+            for incarnation in self._restarted(pool)
+        )
+        return tuple(islice(suspicions, _MAX_TOLD))
+
+    def merge_suspected(self, suspicions: Iterable[RestartSuspicion]) -> None:
+        """Add what a peer suspects; it may have had connections to the endpoints."""
+        for suspicion in suspicions:
+            self._suspicions.merge(suspicion)
 
     def is_mixed(self, pool: str) -> bool:
         """Return whether streams of more than one version may be resumed in a pool."""
@@ -137,21 +163,27 @@
             return set()
         by_version = self._incarnations.get(pool, {})
         unfit = {name for other in by_version.keys() - {version} for name in by_version[other]}
-        same = by_version.get(version, ())
-        return unfit.union(name for name in same if self._may_have_restarted(pool, name))
+        return unfit.union(self._restarted(pool))
+
+    def unpreferred(self, pool: str) -> frozenset[str]:
+        """Return the endpoints at which streams should not begin, as they could hardly go on.
 
-    def lonely(self, pool: str) -> frozenset[str]:
-        """Return the endpoints that are the last of their version, if others are not."""
-        return self._lonely.get(pool, frozenset())
+        These are the last of their version, if others are not, and those whose version is
+        uncertain.
+        """
+        if not self.pools.is_mixed(pool):
+            return frozenset()
+        return self._lonely.get(pool, frozenset()).union(self._restarted(pool))
 
-    def _may_have_restarted(self, pool: str, incarnation: str) -> bool:
+    def _restarted(self, pool: str) -> Collection[str]:
+        """Return the endpoints that may have restarted as another version."""
         endpoints = sum(map(len, self._incarnations.get(pool, {}).values()))
-        return self._suspicions.is_suspected(pool, incarnation, endpoints)
+        return self._suspicions.suspected(pool, endpoints)
 
     def note_first_event(self, key: StreamKey, record: EndpointRecord) -> str:
         """Record which version began a stream; return it, or an empty text if it is uncertain."""
         pool, version = record.entry.pool, record.entry.version
-        if version == UNKNOWN_VERSION or self._may_have_restarted(pool, record.incarnation):
+        if version == UNKNOWN_VERSION or record.incarnation in self._restarted(pool):
             return ""
         self._streams.note(key, version)
         if self.pools.is_mixed(pool):
