Lost attempts are logged with the parts of their prompts

The lines of the incident can't tell whether the attempts that had begun without an event share a part. attempt.failed names the parts now, as hashes, but for the last.

--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -619,6 +619,7 @@
             reused=attempt.reused,
             attempt=self.attempts,
             events=self._progress.events,
+            parts=self._prompt.shared_part_ids,
             left_s=round(self._deadline_s - self._now_s(), 3),
             **fields,
         )
--- a/turnward/gateway/prompts.py
+++ b/turnward/gateway/prompts.py
@@ -17,10 +17,13 @@
         Hash of the ids of all parts up to and including this one.
     tokens : int
         Size of this part alone.
+    part_id : str
+        Hash of the part's own id, wherever it stands, in hexadecimal.
     """
 
     prefix_hash: int
     tokens: int
+    part_id: str = ""
 
 
 class Prompt(msgspec.Struct, frozen=True):
@@ -40,6 +43,11 @@
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the parts that other prompts may share: all but the last."""
+        return tuple(part.part_id for part in self.parts[:-1])
+
     @property
     def shared_tokens(self) -> int:
         """Tokens of the parts that other prompts may share: all but the last."""
@@ -63,5 +71,6 @@
         if not tokens.isdigit():
             return ()
         prefix_hash = zlib.crc32(name.encode(), prefix_hash)
-        parts.append(PromptPart(prefix_hash, int(tokens)))
+        part_id = f"{zlib.crc32(name.encode()):08x}"
+        parts.append(PromptPart(prefix_hash, int(tokens), part_id))
     return tuple(parts)
