--- a/turnward/gateway/tests/crash_simulation.py
+++ b/turnward/gateway/tests/crash_simulation.py
@@ -51,7 +51,7 @@
     def _run(self, endpoint, request) -> None:
         body = endpoint.bodies[-1]
         self._simulation.record_send(body)
-        if body in self._simulation.crashing:
+        if self._simulation.is_fatal(request, body):
             endpoint.machine.callLater(CRASH_DELAY_S, self.crash, body)
             return
         endpoint.machine.callLater(EVENT_INTERVAL_S, self._start_response, request)
@@ -130,6 +130,10 @@
         """Return the zone in which an endpoint announces itself."""
         return "z"
 
+    def is_fatal(self, request, body: bytes) -> bool:
+        """Return whether a request crashes the endpoint that runs it."""
+        return body in self.crashing
+
     def record_send(self, body: bytes) -> None:
         """Record a request that has reached an endpoint."""
         self.sends.append((self.now_s, body))
