Prompt parts that crash endpoints are held back after three crashes

Callers lost their streams with one endpoint after the other to requests that share one part of their prompts: 19 endpoints in the incident, 9 to 85 attempts with each.

Cause: the quarantine knows whole contents, and no two of these are alike. Class: the whole is counted where a piece is the cause.

Parts are evidence as contents are: the runs that had not got past their first events at a crash accuse their parts, each run that does clears them at all gateways. Runs that had begun count first. Losses of contents at endpoints that a part has crashed are dropped.

--- a/turnward/gateway/abandoned_runs.py
+++ b/turnward/gateway/abandoned_runs.py
@@ -28,11 +28,14 @@
         Fingerprint of the request's content.
     sent_s, abandoned_s : float
         When the request was sent and when its connection was closed.
+    parts : tuple of str
+        Shared parts of its prompt, unless its response had got past the first events.
     """
 
     content: str
     sent_s: float
     abandoned_s: float
+    parts: tuple[str, ...] = ()
 
 
 class AbandonedRuns:
--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -20,6 +20,8 @@
 _BUFFER_LIMIT_BYTES = 65_536
 #: 421 Misdirected Request: another endpoint now has the address.
 _MISDIRECTED_STATUS = 421
+#: Events of a response after which its beginning can't crash the endpoint any more.
+_FIRST_EVENTS = 3
 #: Longest idle time of a pooled connection that carries a request which must not run twice.
 _RUN_ONCE_MAX_IDLE_S = 1.0
 
@@ -44,6 +46,8 @@
         Whether any byte may have been sent.
     reused : bool
         Whether the connection had carried an earlier exchange.
+    began : bool
+        Whether any byte of the response has arrived.
     """
 
     is_relay = False
@@ -64,11 +68,13 @@
         self._in_load = False
         self._opening = False
         self._event_s: float | None = None
+        self._events = 0
         self._paused_since_event = False
         self.record = record
         self.method = owner.method
         self.response_id = (owner.forwarder.dialect.request_id, owner.request_id)
         self.ended = False
+        self.began = False
         self.sent = False
         self.sent_s = 0.0
         self.reused = False
@@ -79,6 +85,11 @@
         """Where the request is sent, for logs."""
         return self.record.incarnation
 
+    @property
+    def progressed(self) -> bool:
+        """Whether the run has got past the first events of its response."""
+        return self._events >= _FIRST_EVENTS
+
     def start(self) -> None:
         """Request a connection and add the attempt to the endpoint's load."""
         owner = self._owner
@@ -104,10 +115,14 @@
         self._remove_from_load()
         if self.sent:
             now_s = self._owner.forwarder.reactor.seconds()
-            self.record.abandoned.note(AbandonedRun(self._owner.content, self.sent_s, now_s))
+            self.record.abandoned.note(self._abandoned_run(now_s))
         if self._handle is not None:
             self._handle.cancel()
 
+    def _abandoned_run(self, now_s: float) -> AbandonedRun:
+        parts = () if self.progressed else self._owner.prompt.shared_part_ids
+        return AbandonedRun(self._owner.content, self.sent_s, now_s, parts)
+
     def pause(self) -> None:
         """Stop reading the response."""
         self._paused_since_event = True
@@ -195,6 +210,7 @@
         self._headers = headers
         owner = self._owner
         owner.forwarder.links.responded(self.record)
+        owner.forwarder.quarantines.parts.note_response(self.record.incarnation, self.sent_s)
         dialect = owner.forwarder.dialect
         not_run = self._indicates_not_run(status, headers)
         rejected = not_run and status != _MISDIRECTED_STATUS
@@ -264,6 +280,7 @@
             return
         self._record_event_gap(events.count)
         self._prefill_ended()
+        self._note_progress(events.count)
         owner.note_events(events.count, events.last_id)
         owner.send_response_body(events.data)
 
@@ -282,6 +299,12 @@
         self._event_s = now_s
         self._paused_since_event = False
 
+    def _note_progress(self, count: int) -> None:
+        progressed = self.progressed
+        self._events += count
+        if self.progressed and not progressed:
+            self._owner.note_progress()
+
     def _declared_length(self) -> int | None:
         length = header_value(self._headers, b"content-length")
         return int(length) if length is not None else None
@@ -305,6 +328,8 @@
             self.exchange_failed(ExchangeFailure(FailureCause.CLOSED, True, True, self.reused))
             return
         self._finish(failed=self._status >= 500)
+        if self._status < 300 and not self.progressed:
+            owner.note_progress()
         if self._may_retry and owner.retry_after_error(self, self._status):
             return
         if self._buffered is not None:
@@ -318,6 +343,7 @@
         if self.ended:
             return
         self._remove_from_load()
+        self.began = failure.answered
         if not failure.answered and not failure.reused:
             now_s = self._owner.forwarder.reactor.seconds()
             self.record.availability.note_lost(self._started_s, now_s)
--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -405,6 +405,10 @@
         """Return the record of one start of an endpoint."""
         return self._records.get(incarnation)
 
+    def size(self, pool: str) -> int:
+        """Return the number of a pool's endpoints."""
+        return len(self._by_pool.get(pool, ()))
+
     def incarnations_with_entry(self) -> set[str]:
         """Return the incarnations of the endpoints that have an entry now."""
         return {record.incarnation for record in self._records.values() if record.lapsed_s is None}
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -21,9 +21,10 @@
 from turnward.gateway.pool_admission import PoolAdmission
 from turnward.gateway.prepaid import BudgetRefusal, PrepaidAccounts
 from turnward.gateway.prompts import Prompt, parse_prompt_parts
+from turnward.gateway.quarantined_request import QuarantinedRequest
+from turnward.gateway.quarantines import Quarantines
 from turnward.gateway.relay import Relay, RelayServer
 from turnward.gateway.relay_note import RelayNote
-from turnward.gateway.resumable_request import ResumableRequest
 from turnward.gateway.retries import RetryBudgetShare
 from turnward.gateway.retry_after import RetryAfterEstimator
 from turnward.gateway.state import FleetState
@@ -41,7 +42,7 @@
     header_values,
 )
 from turnward.ledger import Reservation
-from turnward.quarantine import Quarantine, Verdict
+from turnward.quarantine import LostRun
 
 __all__ = ["Forwarder", "ForwardedRequest"]
 
@@ -75,8 +76,8 @@
         Chooses endpoints and tracks their state.
     accounts : PrepaidAccounts or None
         Prepaid token budgets of workspaces; None if requests are not charged.
-    quarantine : Quarantine
-        Tracks contents that crash the endpoints that run them.
+    quarantines : Quarantines
+        Track what crashes the endpoints that run it.
     live_routers : callable
         Returns the largest number of routers that may be live.
     versions : VersionKeeper
@@ -104,7 +105,7 @@
         state: FleetState,
         endpoints: EndpointBook,
         accounts: PrepaidAccounts | None,
-        quarantine: Quarantine,
+        quarantines: Quarantines,
         live_routers: Callable[[], int],
         versions: VersionKeeper,
         links: LinkMonitor,
@@ -119,7 +120,8 @@
         self.state = state
         self.endpoints = endpoints
         self.accounts = accounts
-        self.quarantine = quarantine
+        self.quarantines = quarantines
+        self.quarantine = quarantines.contents
         self.live_routers = live_routers
         self.versions = versions
         self.links = links
@@ -159,8 +161,17 @@
         Otherwise a request whose callers disconnect before it crashes the engine would never be
         suspected.
         """
-        for run in record.abandoned.take(self.reactor.seconds()):
+        runs = record.abandoned.take(self.reactor.seconds())
+        for run in runs:
             self.quarantine.record_abort(run.content, record.incarnation, run.sent_s)
+        lost = [LostRun(run.parts, run.sent_s, began=False) for run in runs]
+        if lost:
+            self.quarantines.crashes.note_lost(record, lost)
+
+    def withdraw_fatal(self) -> None:
+        """Give up the runs that are likely to crash their endpoints."""
+        for request in list(self.open_requests):
+            request.withdraw_if_fatal()
 
     def retry_budget(self, pool: str) -> RetryBudgetShare:
         """Return this router's share of a pool's retry budget."""
@@ -171,7 +182,7 @@
         return retry_budget
 
 
-class ForwardedRequest(ResumableRequest):
+class ForwardedRequest(QuarantinedRequest):
     """One request from its arrival to its response."""
 
     def __init__(
@@ -179,7 +190,6 @@
     ):
         super().__init__(forwarder, request, note)
         self._started_s = request.received_s
-        self._content = ""
         self._deadline_s = 0.0
         self._retry_reservations: list[Reservation] = []
         self._pending_reservation: defer.Deferred | None = None
@@ -189,7 +199,6 @@
         self._chunked_to_endpoint = False
         self._queue_excess_s = 0.0
         self._paced_delay_s = 0.0
-        self._on_trial = False
 
     # Admission.
 
@@ -490,10 +499,7 @@
         if failure.cause in _CONNECTION_ENDED_CAUSES:
             # The content may have crashed the endpoint. Other routers need to know, since it may be
             # sent again to any of them under another request id.
-            forwarder = self._forwarder
-            forwarder.quarantine.record_abort(
-                self._content, attempt.record.incarnation, attempt.sent_s
-            )
+            self._record_loss(attempt)
         self._lost_after_send(attempt, failure)
 
     def _lost_after_send(self, attempt, failure: ExchangeFailure) -> None:
@@ -566,7 +572,7 @@
             return NoRetryReason.ENDPOINTS_TRIED
         if is_retry and self.attempts >= self._route.attempts:
             return NoRetryReason.ATTEMPTS_USED
-        if self._forwarder.quarantine.is_quarantined(self._content):
+        if self._is_quarantined:
             return NoRetryReason.QUARANTINED
         forwarder = self._forwarder
         check_others = forwarder.rules.looks_for_others
@@ -679,26 +685,6 @@
         self._send_error(status, reason, headers)
         self._end(Outcome.REFUSED, status, reason=reason, used_tokens=0, **fields)
 
-    def _refuse_if_quarantined(self) -> bool:
-        """Refuse a request whose content crashes, or may crash, endpoints; tell whether it is."""
-        quarantine = self._forwarder.quarantine
-        if not quarantine.is_quarantined(self._content):
-            return False
-        self._on_trial = quarantine.begin_trial(self._content)
-        if self._on_trial:
-            self._forwarder.log.belief(
-                "content.tried",
-                request=self._request_id.decode("latin-1"),
-                content=self._content,
-                pool=self.pool,
-            )
-            return False
-        confirmed = quarantine.verdict(self._content) is Verdict.CONFIRMED
-        reason = Reason.CRASHES_ENDPOINTS if confirmed else Reason.MAY_CRASH_ENDPOINTS
-        self._forwarder.metrics.requests_quarantined.labels(self.pool, reason).inc()
-        self._refuse(503, reason)
-        return True
-
     def _refuse_overload(self, choice: EndpointChoice, excess_s: float) -> None:
         """Refuse a request because the queues of all endpoints are too long."""
         self._queue_excess_s = excess_s
@@ -720,7 +706,7 @@
         if reason is Reason.BUDGET_PACED:
             return forwarder.retry_after_estimator.paced_retry_after_s(self._paced_delay_s)
         if reason in (Reason.CRASHES_ENDPOINTS, Reason.MAY_CRASH_ENDPOINTS):
-            return round(forwarder.quarantine.quarantine_left_s(self._content), 1)
+            return round(self._quarantine_left_s(), 1)
         return forwarder.retry_after_estimator.retry_after_s(
             reason, self.pool, self._queue_excess_s
         )
@@ -800,8 +786,7 @@
         forwarder = self._forwarder
         forwarder.open_requests.discard(self)
         forwarder.relayed_requests.discard(self)
-        if self._on_trial:
-            forwarder.quarantine.end_trial(self._content)
+        self._end_trial()
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         tokens = self._settle(used_tokens)
@@ -871,11 +856,6 @@
         """The request id."""
         return self._request_id
 
-    @property
-    def content(self) -> str:
-        """Fingerprint of the request's content."""
-        return self._content
-
     @property
     def prompt(self) -> Prompt:
         """Size and parts of the prompt."""
--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -81,6 +81,9 @@
         self.contents_quarantined = self._gauge(
             "contents_held", "Contents held back, since their runs ended endpoints."
         )
+        self.parts_quarantined = self._gauge(
+            "parts_held", "Prompt parts held back, since they crashed endpoints."
+        )
         self.requests = self._counter("requests", "Requests ended.", ["pool", "outcome"])
         self.attempts_failed = self._counter(
             "attempts_failed", "Sends that brought no answer to pass on.", ["pool", "how"]
--- a/turnward/gateway/overlay.py
+++ b/turnward/gateway/overlay.py
@@ -81,6 +81,8 @@
         Rate limits of endpoints that the aggregator received lately.
     restarted : tuple of RestartSuspicion
         Endpoints of pools with several software versions that may have restarted.
+    begun_parts, lost_parts : QuarantineUpdate
+        The same as ``quarantine``, for prompt parts: of runs whose response had begun, and of all.
     """
 
     layout: int
@@ -99,6 +101,8 @@
     limits: tuple[RateLimitUpdate, ...] = ()
     endpoints_era: int = 0
     restarted: tuple[RestartSuspicion, ...] = ()
+    begun_parts: QuarantineUpdate = EMPTY_QUARANTINE_UPDATE
+    lost_parts: QuarantineUpdate = EMPTY_QUARANTINE_UPDATE
 
     @property
     def endpoints_as_of(self) -> RowVersion:
@@ -450,6 +454,8 @@
             self._own_digest.limits,
             endpoints.endpoints_era,
             self._own_digest.restarted,
+            self._own_digest.begun_parts,
+            self._own_digest.lost_parts,
         )
 
     def _summarize_fleet(self) -> FleetSummary:
@@ -484,6 +490,8 @@
             self._own_digest.limits,
             endpoints.endpoints_era,
             self._own_digest.restarted,
+            self._own_digest.begun_parts,
+            self._own_digest.lost_parts,
         )
 
 
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -134,6 +134,8 @@
         Whether the router resumes streams at the software version that began them.
     restarted : tuple of RestartSuspicion
         Endpoints of pools with several software versions that may have restarted.
+    begun_parts, lost_parts : QuarantineUpdate
+        The same as ``quarantine``, for prompt parts: of runs whose response had begun, and of all.
     """
 
     layout: int
@@ -158,6 +160,8 @@
     unreached: tuple[str, ...] | None = None
     keeps_versions: bool = False
     restarted: tuple[RestartSuspicion, ...] = ()
+    begun_parts: QuarantineUpdate = EMPTY_QUARANTINE_UPDATE
+    lost_parts: QuarantineUpdate = EMPTY_QUARANTINE_UPDATE
 
     @property
     def endpoints_as_of(self) -> RowVersion:
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -24,13 +24,13 @@
 from turnward.gateway.overlay import FleetSummary, Overlay
 from turnward.gateway.packing import PackedCache, unpack
 from turnward.gateway.peer_book import DIGEST_LAYOUT, OLDEST_DIGEST_LAYOUT, Digest, PeerBook
+from turnward.gateway.quarantines import Quarantines
 from turnward.gateway.rate_limits import RateLimits
 from turnward.gateway.relay_note import RELAY_PREFIX
 from turnward.gateway.restart_suspicions import RestartSuspicion
 from turnward.gateway.state import EndpointsSnapshot, FleetState
 from turnward.gateway.stream_version_exchange import STREAM_VERSION_PATH, StreamVersionNotice
 from turnward.http1 import Http1Error, HttpCaller, InboundRequest
-from turnward.quarantine import Quarantine
 from turnward.rows import RowVersion
 
 __all__ = ["PeerDatagramProtocol", "PeerSynchronizer"]
@@ -131,8 +131,8 @@
         Returns this router's own ``EndpointLoad`` list.
     accounts : PrepaidAccounts
         Reports a shortage of tokens and loan offers, and grants loans.
-    quarantine : Quarantine
-        Its updates are announced, and those of peers are merged into it.
+    quarantines : Quarantines
+        Their updates are announced, and those of peers are merged into them.
     feedback : FeedbackExchange
         Endpoints' feedback; announced and merged likewise.
     limits : RateLimits
@@ -151,7 +151,7 @@
         book: PeerBook,
         loads,
         accounts,
-        quarantine: Quarantine,
+        quarantines: Quarantines,
         feedback: FeedbackExchange,
         limits: RateLimits,
         log,
@@ -159,7 +159,8 @@
     ):
         self._rng = rng
         self._accounts = accounts
-        self._quarantine = quarantine
+        self._quarantine = quarantines.contents
+        self._parts = quarantines.parts
         self._feedback_exchange = feedback
         self._limits = limits
         self._reactor = reactor
@@ -267,6 +268,8 @@
             unreached=self.unreached_pools(),
             keeps_versions=True,
             restarted=self.suspected_restarts(),
+            begun_parts=self._parts.begun.make_update(),
+            lost_parts=self._parts.lost.make_update(),
         )
 
     def _any_peer_short(self) -> bool:
@@ -282,6 +285,7 @@
             self._layouts[message.address] = message.layout
             self._state.adopt_announced_zone_orders(message.zone_orders, f"peer {message.address}")
             self._quarantine.merge(message.quarantine)
+            self._parts.merge(message.begun_parts, message.lost_parts)
             self._feedback_exchange.merge(message.words)
             self._limits.merge(message.limits)
             self.on_suspected_restarts(message.restarted)
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -40,7 +40,7 @@
 from turnward.gateway.prepaid import GRANT_SIZING, WITHHELD_SHARE_PER_PRIORITY, PrepaidAccounts
 from turnward.gateway.process_logs import ProcessLogs
 from turnward.gateway.prompt_lanes import make_prompt_lanes
-from turnward.gateway.quarantine_rows import QuarantineRows
+from turnward.gateway.quarantines import Quarantines
 from turnward.gateway.rate_limits import RateLimits
 from turnward.gateway.relay import Relay, RelayServer
 from turnward.gateway.relay_note import limits_with_relays
@@ -58,7 +58,7 @@
     OutboundPool,
 )
 from turnward.pacing import make_token_pacer
-from turnward.quarantine import Quarantine, QuarantineChange, QuarantineRule
+from turnward.quarantine import QuarantineRule
 from turnward.rows import VersionedStoreBase
 
 __all__ = ["GatewayProcess", "SourcesBase", "new_incarnation"]
@@ -229,15 +229,17 @@
             pacer=make_token_pacer(settings.load_controls.token_pacing, reactor.seconds),
             started_s=started_s,
         )
-        self.quarantine = Quarantine(
-            reactor.seconds,
+        self._quarantines = Quarantines(
+            reactor,
             QuarantineRule.from_heartbeat(settings.endpoint_heartbeat_ms / 1_000),
-            self._quarantine_changed,
             ranks.rank_for,
+            self.endpoints,
+            store,
+            self.state.unreadable_rows,
+            self._rng,
+            log,
         )
-        self._quarantine_rows = QuarantineRows(
-            reactor, store, self.quarantine, self.state.unreadable_rows, self._rng
-        )
+        self.quarantine = self._quarantines.contents
         self.peers = PeerSynchronizer(
             reactor,
             self._identity(),
@@ -245,7 +247,7 @@
             self.book,
             self.endpoints.loads,
             self.accounts,
-            self.quarantine,
+            self._quarantines,
             self._feedback_exchange,
             self._limits,
             log,
@@ -375,6 +377,8 @@
         self.peers.on_relayed = RelayServer(self.forwarder.handle_relayed, self._log).serve
         self.peers.unreached_pools = self._links.unreached_pools
         self._links.on_lost = self.forwarder.withdraw_from_endpoints
+        self._quarantines.crashes.on_suspects = self.peers.announce_soon
+        self._quarantines.on_part_held = self.forwarder.withdraw_fatal
 
     def _announce_account(self) -> None:
         """Announce a written account row, which a rollback of the store would lose."""
@@ -405,7 +409,7 @@
             self.state,
             self.endpoints,
             self.accounts,
-            self.quarantine,
+            self._quarantines,
             lambda: self.book.max_router_count,
             self._versions,
             self._links,
@@ -472,7 +476,7 @@
         """Rewrite the rows of this router that the store may have lost."""
         self._metrics.store_rollbacks.inc()
         self._log.belief("store.returned", era=era)
-        self._quarantine_rows.handle_rollback()
+        self._quarantines.handle_rollback()
         self._pool_version_rows.handle_rollback()
         self._member_row.write()
 
@@ -498,7 +502,7 @@
             feed.start()
         self.peers.start()
         self.accounts.start()
-        self._quarantine_rows.start()
+        self._quarantines.start()
         self._pool_version_rows.start()
         self._member_row.write()
         self._start_repeating(self._run_housekeeping, _HOUSEKEEPING_INTERVAL_S)
@@ -538,6 +542,7 @@
         metrics.zones_drained.set(len(self.state.zone_orders.drained))
         metrics.set_unreadable_rows(self.state.unreadable_rows.counts())
         metrics.contents_quarantined.set(self.quarantine.quarantined_count)
+        metrics.parts_quarantined.set(self._quarantines.parts.held_count)
         metrics.peer_messages_refused.set(self.peers.refused_count)
         metrics.endpoints_limited.set(self._limits.limited_count)
         metrics.set_pool_rates(self.endpoints.costs.rates.pools())
@@ -545,21 +550,6 @@
         metrics.tokens_free.set(self.accounts.free_tokens())
         request.answer(200, [(b"content-type", metrics.content_type)], metrics.text())
 
-    def _quarantine_changed(self, change: QuarantineChange) -> None:
-        """Log and store that a content has been quarantined or released."""
-        self._quarantine_rows.handle_change(change)
-        if change.quarantined:
-            self._log.belief(
-                "content.held",
-                content=change.content,
-                verdict=change.verdict,
-                endpoints=change.endpoints,
-                own=change.local,
-                held_s=round(self.quarantine.quarantine_left_s(change.content), 1),
-            )
-        else:
-            self._log.belief("content.cleared", content=change.content, own=change.local)
-
     def _state_changed(self, kind: str, source: str) -> None:
         handlers = {
             "configuration": self._configuration_changed,
@@ -611,7 +601,7 @@
         now_s = self._reactor.seconds()
         if self.state.unconfirmed_for_s() > _STORE_UNREACHABLE_AFTER_S:
             self._store_reachable_since_s = now_s
-        self.quarantine.record_live_incarnations(
+        self._quarantines.record_live_incarnations(
             self.endpoints.incarnations_with_entry(), self._store_reachable_since_s
         )
         self.endpoints.drop_lapsed()
--- a/turnward/gateway/quarantine_rows.py
+++ b/turnward/gateway/quarantine_rows.py
@@ -22,7 +22,7 @@
     VersionedTransaction,
 )
 
-__all__ = ["QuarantineRow", "QuarantineRows"]
+__all__ = ["QUARANTINE_TABLE", "QuarantineRow", "QuarantineRows"]
 
 QUARANTINE_TABLE = "quarantine"
 #: Range of the random delay before a failed store call is retried, so that routers do not retry at
@@ -73,6 +73,8 @@
         Records rows that can't be decoded.
     rng : random.Random
         Draws the delays of retries.
+    table : str
+        Table of the rows.
     """
 
     def __init__(
@@ -82,7 +84,9 @@
         quarantine: Quarantine,
         unreadable_rows: UnreadableRows,
         rng: random.Random,
+        table: str = QUARANTINE_TABLE,
     ):
+        self._table = table
         self._reactor = reactor
         self._store = store
         self._quarantine = quarantine
@@ -124,7 +128,7 @@
     async def _read_rows(self) -> None:
         while True:
             try:
-                table = await self._store.read_table(QUARANTINE_TABLE)
+                table = await self._store.read_table(self._table)
             except RowStoreError:
                 await self._wait_before_retry()
                 continue
@@ -166,7 +170,7 @@
 
     async def _write(self, content: str) -> None:
         """Write or remove a content's row according to its current verdict."""
-        key = RowKey(QUARANTINE_TABLE, "", content)
+        key = RowKey(self._table, "", content)
         row = await self._store.read_row(key)
         now_s = self._store.time_floor_s()
         if now_s is None:
--- a/turnward/gateway/tests/crash_simulation.py
+++ b/turnward/gateway/tests/crash_simulation.py
@@ -52,7 +52,7 @@
         body = endpoint.bodies[-1]
         self._simulation.record_send(body)
         if self._simulation.is_fatal(request, body):
-            endpoint.machine.callLater(CRASH_DELAY_S, self.crash, body)
+            self._simulation.begin_crash(self, request, body)
             return
         endpoint.machine.callLater(EVENT_INTERVAL_S, self._start_response, request)
 
@@ -103,8 +103,12 @@
         Crashes in order of time.
     sends : list of tuple of float and bytes
         Time and body of each request that reached an endpoint.
+    crash_delay_s : float
+        Delay between the start of a run and the crash.
     """
 
+    crash_delay_s = CRASH_DELAY_S
+
     def __init__(
         self,
         gateways: int,
@@ -134,6 +138,10 @@
         """Return whether a request crashes the endpoint that runs it."""
         return body in self.crashing
 
+    def begin_crash(self, endpoint: CrashingEndpoint, request, body: bytes) -> None:
+        """Let an endpoint crash on a request."""
+        endpoint.endpoint.machine.callLater(self.crash_delay_s, endpoint.crash, body)
+
     def record_send(self, body: bytes) -> None:
         """Record a request that has reached an endpoint."""
         self.sends.append((self.now_s, body))
--- a/turnward/quarantine/__init__.py
+++ b/turnward/quarantine/__init__.py
@@ -9,12 +9,16 @@
     QuarantineUpdate,
     Verdict,
 )
-from turnward.quarantine.quarantine import Quarantine, QuarantineRule
+from turnward.quarantine.parts import LostRun, PartQuarantine
+from turnward.quarantine.quarantine import Quarantine
+from turnward.quarantine.rule import QuarantineRule
 
 __all__ = [
     "EMPTY_QUARANTINE_UPDATE",
     "AbortedRun",
     "CompletedRun",
+    "LostRun",
+    "PartQuarantine",
     "Quarantine",
     "QuarantineChange",
     "QuarantineRule",
--- a/turnward/quarantine/quarantine.py
+++ b/turnward/quarantine/quarantine.py
@@ -36,8 +36,6 @@
 from collections.abc import Callable, Iterable, Sequence
 from collections.abc import Set as AbstractSet
 
-import msgspec
-
 from turnward.quarantine.messages import (
     EMPTY_QUARANTINE_UPDATE,
     AbortedRun,
@@ -46,12 +44,11 @@
     QuarantineUpdate,
     Verdict,
 )
+from turnward.quarantine.rule import QuarantineRule
 from turnward.quarantine.suspects import Abort, Suspect, age_ms, explained_endpoints
 
-__all__ = ["Quarantine", "QuarantineRule"]
+__all__ = ["Quarantine"]
 
-#: Missed heartbeats after which the entry of an endpoint expires.
-_MISSED_HEARTBEATS = 3
 #: Common aborts from which on a content that is not suspicious itself explains those of another.
 _MIN_COMMON_ABORTS = 2
 #: Time between the last abort and a trial, in which all routers receive all aborts.
@@ -62,45 +59,9 @@
 _TRIAL_TIMEOUT_S = 5.0
 #: Number of contents remembered as answered.
 _MAX_ANSWERED = 4_096
-#: Time within which all routers learn that an entry has expired: a poll interval of 1 s and two
-#: levels of aggregators, with a margin.
-_REMOVAL_PROPAGATION_S = 6.4
 #: Time for which a content is announced after its evidence changed. It spans many messages, since
 #: most of them may be lost.
 _ANNOUNCE_S = 5.0
-#: Most recently changed contents in one message, which bounds its size when an endpoint with many
-#: runs crashes.
-_MAX_ANNOUNCED = 32
-
-
-class QuarantineRule(msgspec.Struct, frozen=True, kw_only=True):
-    """When and for how long a content is quarantined.
-
-    Attributes
-    ----------
-    min_endpoints : int
-        Number of incarnations that must have aborted its runs.
-    quarantine_s : float
-        Seconds after the last abort at which the quarantine expires. A further abort renews it.
-    retention_s : float
-        Seconds after which an abort is forgotten.
-    survival_s : float
-        Seconds after an abort, with the store reachable throughout, at which an endpoint that
-        still has an entry is known to have survived.
-    max_contents : int
-        Most contents that are remembered; each takes less than 1 KB.
-    """
-
-    min_endpoints: int = 3
-    quarantine_s: float = 600.0
-    retention_s: float = 3_600.0
-    survival_s: float = 10.0
-    max_contents: int = 1_024
-
-    @classmethod
-    def from_heartbeat(cls, heartbeat_s: float) -> "QuarantineRule":
-        """Return the rule for endpoints that renew their entries at this interval."""
-        return cls(survival_s=_MISSED_HEARTBEATS * heartbeat_s + _REMOVAL_PROPAGATION_S)
 
 
 class Quarantine:
@@ -180,12 +141,30 @@
     def record_live_incarnations(self, live: AbstractSet[str], reachable_since_s: float) -> None:
         """Record which incarnations have entries, and since when the store has been reachable."""
         before_s = self._clock() - self._rule.survival_s
-        if reachable_since_s > before_s:
-            return
-        dropped = [suspect.drop_survived(live, before_s) for suspect in self._suspects.values()]
+        if reachable_since_s <= before_s:
+            self.drop_aborts_at(live, before_s)
+
+    def drop_aborts_at(self, endpoints: AbstractSet[str], before_s: float) -> None:
+        """Drop earlier aborts at endpoints that survived them, or that something else crashed."""
+        dropped = [
+            suspect.drop_survived(endpoints, before_s) for suspect in self._suspects.values()
+        ]
         if any(dropped):
             self._update_verdicts(local=True)
 
+    def answered_s(self, content: str) -> float:
+        """Return when this router last got a response to a content; minus infinity if never."""
+        return self._answered.get(content, float("-inf"))
+
+    def confirmed_endpoints(self) -> set[str]:
+        """Return the incarnations that contents which are sure to crash endpoints have crashed."""
+        confirmed = (
+            self._suspects[content]
+            for content in self._quarantined
+            if self.verdict(content) is Verdict.CONFIRMED
+        )
+        return {endpoint for suspect in confirmed for endpoint in suspect.aborts}
+
     def is_quarantined(self, content: str) -> bool:
         """Return whether a content may not be sent to endpoints now."""
         return self.quarantine_left_s(content) > 0
@@ -278,7 +257,7 @@
         """Return the contents whose evidence changed recently, the newest first."""
         changed = []
         for content, suspect in reversed(self._suspects.items()):
-            if suspect.updated_s < now_s - _ANNOUNCE_S or len(changed) == _MAX_ANNOUNCED:
+            if suspect.updated_s < now_s - _ANNOUNCE_S or len(changed) == self._rule.max_announced:
                 break
             changed.append(content)
         return changed
@@ -387,6 +366,8 @@
 
     def _may_explain(self, suspect: Suspect, other: Suspect) -> bool:
         """Return whether another content is suspicious, or shares several aborts with this one."""
+        if self._rule.one_cause:
+            return suspect.aborts.keys() <= other.aborts.keys()
         if self._is_suspicious(other):
             return True
         common = self._explained_endpoints(suspect, (other,))
