An endpoint at the address of a crashed one does not answer for it

Both had sent a request to the address of a crashed endpoint, which another had taken over, and got 421; they took that for a response of the crashed one, and dropped its crash as evidence.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -210,10 +210,11 @@
         self._headers = headers
         owner = self._owner
         owner.forwarder.links.responded(self.record)
-        owner.forwarder.quarantines.parts.note_response(self.record.incarnation, self.sent_s)
         dialect = owner.forwarder.dialect
         not_run = self._indicates_not_run(status, headers)
         rejected = not_run and status != _MISDIRECTED_STATUS
+        if rejected or not not_run:
+            owner.forwarder.quarantines.parts.note_response(self.record.incarnation, self.sent_s)
         brittle = owner.forwarder.endpoints.brittle
         brittle.note_response(self.record, headers, self.sent_s, rejected)
         if not_run:
--- a/turnward/gateway/tests/test_crashing_parts.py
+++ b/turnward/gateway/tests/test_crashing_parts.py
@@ -10,7 +10,7 @@
 import pytest
 
 from turnward.gateway.tests.crash_simulation import CrashSimulation
-from turnward.gateway.tests.harness import DIALECT, answer_head
+from turnward.gateway.tests.harness import DIALECT, ENDPOINT_PORT, answer_head
 from turnward.http1 import header_value
 
 #: Time within which all routers have to know of a crash.
@@ -201,6 +201,26 @@
     assert not any(log.of("part.held") for log in harness.logs)
 
 
+def test_endpoint_that_takes_over_the_address_of_a_crashed_one_does_not_answer_for_it():
+    simulation = PartSimulation(gateways=1, endpoints=6)
+    for turn in range(2):
+        simulation.send_fatal(turn)
+        simulation.harness.network.advance(0.6)
+    crashed = {crash.endpoint_id for crash in simulation.crashes}
+    for endpoint in simulation.endpoints:
+        machine = endpoint.endpoint.machine
+        if not machine.alive:
+            machine.restart()
+            machine.listenTCP(ENDPOINT_PORT, endpoint.endpoint.factory)
+            endpoint.endpoint.endpoint_id = "another"
+    for turn in range(12):
+        simulation.send_sound(turn)
+        simulation.harness.network.advance(0.2)
+    parts = simulation.harness.gateways[0].forwarder.quarantines.parts
+    part = f"{zlib.crc32(FATAL_PART):08x}"
+    assert {run.endpoint for run in parts.lost.aborted_runs_of(part)} == crashed
+
+
 def test_part_that_all_requests_share_is_never_held_back_for_another_that_crashes():
     simulation = PartSimulation(gateways=4, endpoints=4)
     for turn in range(24):
