Streams keep to their version while the entries of endpoints have lapsed

Cause: versions were known of the entries in the table, while endpoints whose entries have lapsed are chosen for 1.4 s more. They are known of all endpoints in use now.

test_stream_goes_on_at_its_version_at_endpoints_whose_entries_have_lapsed failed before (two versions in one answer) and passes now.

--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -575,7 +575,7 @@
         since_failure_s = self._reactor.seconds() - self._store_failed_s
         self.endpoints.set_entries(self.state.endpoints, since_failure_s <= _OUTAGE_EXPIRY_S)
         entries = self.state.endpoints.values()
-        self._versions.set_entries(entries)
+        self._versions.set_entries(record.entry for record in self.endpoints.all())
         self._log.event(
             "endpoints.adopted",
             version=self.state.endpoints_version,
--- a/turnward/gateway/tests/test_software_versions.py
+++ b/turnward/gateway/tests/test_software_versions.py
@@ -316,6 +316,20 @@
     assert all(each == {b"v1"} for each in resumed)
 
 
+def test_stream_goes_on_at_its_version_at_endpoints_whose_entries_have_lapsed():
+    harness = make_harness(["v1", "v1", "v2", "v2", "v2"], breaks=True)
+    harness.clients[0].faults.unavailable = True
+    harness.network.advance(3.0)
+    for endpoint in harness.endpoints:
+        harness.rows.remove("endpoints", endpoint.endpoint_id)
+    harness.clients[0].faults.unavailable = False
+    state = harness.gateways[0].state
+    assert harness.network.advance_until(lambda: not state.endpoints)
+    callers = [harness.send() for _ in range(10)]
+    harness.network.advance(1.0)
+    assert all(len(versions_in(caller)) == 1 for caller in callers)
+
+
 def test_entries_that_an_older_build_copies_without_versions_continue_no_stream():
     harness = make_harness(["v1", "v2", "v2"])
     state = harness.gateways[0].state
--- a/turnward/gateway/version_keeper.py
+++ b/turnward/gateway/version_keeper.py
@@ -105,7 +105,10 @@
         return keeper
 
     def set_entries(self, entries: Iterable[EndpointEntry]) -> None:
-        """Replace the known endpoints, and tell of streams once their pool has two versions."""
+        """Replace the known endpoints, and tell of streams once their pool has two versions.
+
+        Endpoints that stay in use although their entries have lapsed are among them.
+        """
         self._incarnations = {}
         staying: dict[str, dict[str, set[str]]] = {}
         for entry in entries:
