A peer whose response breaks midway is not avoided; tests of responses without length

Written for responses that end with their connection, which were handled already: a stream that ends inside an event is broken off or resumed, here and by way of a peer. Two of the tests failed for another reason: the request after one whose relayed stream had broken was refused as no_endpoint.

Cause: a relayed response that breaks, as its endpoint broke it, counted as a peer that can't be reached, and the peer was avoided for 3 s. Now it counts only if no byte of a response had come. The two tests failed before and pass now.

--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -202,8 +202,9 @@
         self._try_another(request)
 
     def lost(self, request, attempt: RelayAttempt, failure: ExchangeFailure) -> None:
-        """Handle the loss of the peer; what was sent to it may have run."""
-        self.peers.note_unreachable(attempt.address)
+        """Handle the loss of a response; what was sent to the peer may have run."""
+        if not failure.answered:
+            self.peers.note_unreachable(attempt.address)
         self._metrics.requests_relayed.labels(request.pool, "lost").inc()
         if failure.sent:
             request.relay_lost(attempt, failure)
