A router that all callers come to uses its peers' shares of limited endpoints

Cause: what an endpoint bears is dealt out by the number of routers, not by who has the callers. A request that the own share of rate limits or warm-up does not cover is relayed now, as for brittle endpoints, until peers have refused four in a second too.

--- a/turnward/gateway/outcomes.py
+++ b/turnward/gateway/outcomes.py
@@ -3,7 +3,7 @@
 
 from enum import StrEnum
 
-__all__ = ["NOT_RUN_STATUSES", "NoRetryReason", "Outcome", "Reason"]
+__all__ = ["NOT_RUN_STATUSES", "SHARED_OUT_REASONS", "NoRetryReason", "Outcome", "Reason"]
 
 #: Response statuses that guarantee that the request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -52,6 +52,12 @@
     STOPPING = "stopping"
 
 
+#: Refusals by a router that has used up its own share of what all routers may send together.
+SHARED_OUT_REASONS = frozenset(
+    (Reason.ENDPOINTS_BRITTLE, Reason.ENDPOINTS_COLD, Reason.ENDPOINTS_RATE_LIMITED)
+)
+
+
 class NoRetryReason(StrEnum):
     """Why a request is not retried at another endpoint; written to logs."""
 
--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -8,9 +8,10 @@
 
 import math
 import random
+from collections import deque
 from collections.abc import Callable
 
-from turnward.gateway.outcomes import NOT_RUN_STATUSES, Outcome, Reason
+from turnward.gateway.outcomes import NOT_RUN_STATUSES, SHARED_OUT_REASONS, Outcome, Reason
 from turnward.gateway.peer_book import PeerBook
 from turnward.gateway.pool_links import PoolLinks
 from turnward.gateway.relay_attempt import RelayAttempt, RelayRefusal
@@ -33,11 +34,15 @@
 _PROBE_INTERVAL_S = 2.5
 #: Relayed requests that one router runs at a time, so that a peer can't use up its memory.
 _MAX_RELAYED = 256
+#: Relayed requests that peers may refuse in a window because their shares are used up, too, before
+#: requests are refused here. While most callers come to one router, its peers' shares are free.
+_MAX_SHARES_REFUSED = 4
+_SHARES_WINDOW_S = 1.0
 #: Refusals that concern the peer alone; another one may serve the request.
 _REASONS_OF_THE_PEER = frozenset(
     (
         "",
-        Reason.ENDPOINTS_BRITTLE,
+        *SHARED_OUT_REASONS,
         Reason.ENDPOINTS_UNRESPONSIVE,
         Reason.NO_CONFIGURATION,
         Reason.NO_ENDPOINT,
@@ -92,6 +97,8 @@
         self._log = log
         self._on_error = on_error
         self._pools: dict[str, OutboundPool] = {}
+        #: When peers have refused requests because their shares were used, by pool.
+        self._shares_refused_s: dict[str, deque[float]] = {}
         #: When a request that must not run twice may next probe each pool.
         self._next_probe_s: dict[str, float] = {}
         self.peers = RelayPeers(book, zone, reactor.seconds, rng)
@@ -132,7 +139,17 @@
         """Relay a request that no endpoint accepts, if one may accept it from a peer."""
         if request.pool_unresponsive:
             return self._begin(request, "unresponsive")
-        return request.pool_withheld and self._begin(request, "brittle")
+        if request.pool_withheld:
+            return self._begin(request, "brittle")
+        if not request.pool_share_used or not self._may_ask_for_shares(request.pool):
+            return False
+        return self._begin(request, "share_used")
+
+    def _may_ask_for_shares(self, pool: str) -> bool:
+        """Return whether peers have refused few requests lately because their shares were used."""
+        refused_s = self._shares_refused_s.get(pool, ())
+        since_s = self._reactor.seconds() - _SHARES_WINDOW_S
+        return sum(at_s > since_s for at_s in refused_s) < _MAX_SHARES_REFUSED
 
     def take_over_unreached(self, request) -> bool:
         """Relay a request that could not be sent, if this router's links are the likely cause."""
@@ -193,6 +210,8 @@
             self.peers.note_unreachable(attempt.address)
         elif refusal.reason == Reason.ENDPOINTS_UNRESPONSIVE:
             self.peers.note_refused(attempt.address, request.pool)
+        elif refusal.reason in SHARED_OUT_REASONS:
+            self._note_share_refused(request.pool)
         if not unforwarded or refusal.reason not in _REASONS_OF_THE_PEER:
             self._metrics.requests_relayed.labels(request.pool, "refused").inc()
             request.answer_for_peer(attempt, refusal, outcome_of(refusal.status))
@@ -201,6 +220,10 @@
         request.end_relay(attempt, "not_run", status=refusal.status, reason=refusal.reason)
         self._try_another(request)
 
+    def _note_share_refused(self, pool: str) -> None:
+        refused_s = self._shares_refused_s.setdefault(pool, deque(maxlen=_MAX_SHARES_REFUSED))
+        refused_s.append(self._reactor.seconds())
+
     def lost(self, request, attempt: RelayAttempt, failure: ExchangeFailure) -> None:
         """Handle the loss of a response; what was sent to the peer may have run."""
         if not failure.answered:
--- a/turnward/gateway/relayable_request.py
+++ b/turnward/gateway/relayable_request.py
@@ -4,7 +4,7 @@
 from abc import ABC, abstractmethod
 
 from turnward.gateway.endpoint_record import EndpointRecord
-from turnward.gateway.outcomes import Outcome, Reason
+from turnward.gateway.outcomes import SHARED_OUT_REASONS, Outcome, Reason
 from turnward.gateway.relay_attempt import RelayAttempt, RelayRefusal
 from turnward.gateway.relay_note import RelayNote
 from turnward.http1 import ExchangeFailure, HeaderList, end_to_end_headers
@@ -76,6 +76,12 @@
         """Whether the endpoints of its pool are brittle, and others may send them requests now."""
         return self._forwarder.endpoints.is_withheld(self.pool)
 
+    @property
+    def pool_share_used(self) -> bool:
+        """Whether this router's share of the pool's limited or cold endpoints is used up."""
+        shortage = self._forwarder.endpoints.shortage(self.pool)
+        return shortage is not None and shortage.reason in SHARED_OUT_REASONS
+
     @property
     @abstractmethod
     def bound_version(self) -> str:
