An overloaded router closes new connections that its peers can take

A router that most new connections come to would read more than it can serve in time; a connection that is closed unread counts as an attempt that another node can take.

Each router measures by how much its event loop is late and tells it in digests. In large fleets a router hears few digests and seldom closes any.

--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -136,6 +136,8 @@
         Endpoints of pools with several software versions that may have restarted.
     begun_parts, lost_parts : QuarantineUpdate
         The same as ``quarantine``, for prompt parts: of runs whose response had begun, and of all.
+    delay_ms : int
+        By how much the router's event loop is late; 0 from versions that do not tell.
     """
 
     layout: int
@@ -162,6 +164,7 @@
     restarted: tuple[RestartSuspicion, ...] = ()
     begun_parts: QuarantineUpdate = EMPTY_QUARANTINE_UPDATE
     lost_parts: QuarantineUpdate = EMPTY_QUARANTINE_UPDATE
+    delay_ms: int = 0
 
     @property
     def endpoints_as_of(self) -> RowVersion:
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -188,6 +188,8 @@
         self.on_relayed: Callable[[InboundRequest], None] = _answer_not_found
         #: Called with each question which software version began a stream.
         self.on_stream_question: Callable[[InboundRequest], None] = _answer_not_found
+        #: Returns by how much the event loop is late, in milliseconds.
+        self.delay_ms: Callable[[], int] = int
         #: Returns the endpoints that may have restarted as another software version.
         self.suspected_restarts: Callable[[], tuple[RestartSuspicion, ...]] = tuple
         #: Called with what a peer tells of the same.
@@ -270,6 +272,7 @@
             restarted=self.suspected_restarts(),
             begun_parts=self._parts.begun.make_update(),
             lost_parts=self._parts.lost.make_update(),
+            delay_ms=self.delay_ms(),
         )
 
     def _any_peer_short(self) -> bool:
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -8,6 +8,7 @@
 import msgspec
 from twisted.internet import defer, task
 
+from turnward.gateway import intake
 from turnward.gateway.choice import EndpointBook
 from turnward.gateway.configuration import WarmUpTraits
 from turnward.gateway.dialect import Dialect
@@ -26,6 +27,7 @@
 from turnward.gateway.forwarding_rules import ForwardingRules
 from turnward.gateway.holder_client import LENDING_WAIT_S, HolderClient
 from turnward.gateway.holders import RendezvousHolders
+from turnward.gateway.intake import Intake
 from turnward.gateway.lenders import HolderLenders, PeerLenders
 from turnward.gateway.link_monitor import LinkMonitor
 from turnward.gateway.logs import GatewayLog
@@ -268,20 +270,7 @@
         self._member_row = self._make_member_row()
         self.forwarder = self._make_forwarder()
         self._connect_relay()
-        self.callers = InboundFactory(
-            reactor,
-            self.forwarder.handle,
-            InboundLimits(),
-            self._logs.malformed_request,
-            self._logs.exception,
-        )
-        self._peer_server = InboundFactory(
-            reactor,
-            self.peers.serve,
-            InboundLimits(),
-            self._logs.malformed_request,
-            self._logs.exception,
-        )
+        self._serve_callers_and_peers()
         store.eras.listen(self._handle_store_rollback)
         self._feeds = [
             TableFeed(
@@ -359,6 +348,26 @@
         self._limits.on_peer_limit = reporter.report_peer_rate_limit
         reporter.listen_to_endpoints(shares)
 
+    def _serve_callers_and_peers(self) -> None:
+        """Create the servers of both."""
+        self._intake = Intake(self._reactor.seconds, self.book)
+        self.peers.delay_ms = lambda: self._intake.delay_ms
+        self.callers = InboundFactory(
+            self._reactor,
+            self.forwarder.handle,
+            InboundLimits(),
+            self._logs.malformed_request,
+            self._logs.exception,
+        )
+        self.callers.takes = self._intake.takes
+        self._peer_server = InboundFactory(
+            self._reactor,
+            self.peers.serve,
+            InboundLimits(),
+            self._logs.malformed_request,
+            self._logs.exception,
+        )
+
     def _make_member_row(self) -> MemberRow:
         settings = self._settings
         member = Member(
@@ -507,6 +516,7 @@
         self._member_row.write()
         self._start_repeating(self._run_housekeeping, _HOUSEKEEPING_INTERVAL_S)
         self._start_repeating(self._pauses.note_running, CHECK_INTERVAL_S)
+        self._start_repeating(self._intake.check, intake.CHECK_INTERVAL_S)
         self._start_repeating(self._log_statistics, _STATISTICS_INTERVAL_S)
 
     def _start_repeating(self, function, interval_s: float) -> task.LoopingCall:
--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -547,6 +547,8 @@
         self.limits = limits
         self.connections: set[_InboundConnection] = set()
         self.draining = False
+        #: Returns whether a new connection is served; takes the number of those that are open.
+        self.takes: Callable[[int], bool] = lambda open_connections: True
         self.clock = reactor.seconds
         self._sweep = None
 
@@ -560,8 +562,8 @@
             self._sweep.cancel()
 
     def buildProtocol(self, addr):
-        """Return the protocol of a new connection."""
-        return _InboundConnection(self)
+        """Return the protocol of a new connection; without one it is closed unread."""
+        return _InboundConnection(self) if self.takes(len(self.connections)) else None
 
     def call_soon(self, function) -> None:
         """Call a function after the current event has been processed."""
--- a/turnward/standins/network.py
+++ b/turnward/standins/network.py
@@ -13,7 +13,7 @@
 from twisted.internet import error, task
 from twisted.internet.address import IPv4Address
 from twisted.internet.base import DelayedCall
-from twisted.internet.protocol import connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
 __all__ = ["MemoryMachine", "MemoryNetwork"]
@@ -405,10 +405,13 @@
     client_end = _MemoryTransport(client, near, far)
     server_end = _MemoryTransport(server, far, near)
     client_end.peer, server_end.peer = server_end, client_end
-    server_end.protocol = server_factory.buildProtocol(near)
+    accepted = server_factory.buildProtocol(near)
+    server_end.protocol = accepted or Protocol()
     client_end.protocol = client_factory.buildProtocol(far)
     server_end.protocol.makeConnection(server_end)
     client_end.protocol.makeConnection(client_end)
+    if accepted is None:
+        server_end.loseConnection()
 
 
 class _MemoryHandle:
