--- a/turnward/quarantine/crash_log.py
+++ b/turnward/quarantine/crash_log.py
@@ -9,6 +9,9 @@
 
 #: Crashes that are further apart have no common cause in the network.
 _AT_ONCE_S = 0.5
+#: Time in which no crashed endpoint has restarted. A later response may come from its next process,
+#: of which the entry does not tell yet.
+_RESTART_S = 1.5
 _MAX_CRASHES = 256
 
 
@@ -24,7 +27,7 @@
     Examples
     --------
     >>> log = CrashLog(lambda endpoints: len(endpoints) >= 3)
-    >>> [sorted(log.note(f"engine-{number}", 0.1 * number)) for number in range(3)]
+    >>> [sorted(log.note(f"engine-{number}", 0.04 * number)) for number in range(3)]
     [[], [], ['engine-0', 'engine-1', 'engine-2']]
     >>> log.is_network("engine-0", 0.0), log.is_network("engine-0", 9.0)
     (True, False)
@@ -60,7 +63,7 @@
     def has_survived(self, endpoint: str, sent_s: float) -> bool:
         """Return whether a response to a request shows that an endpoint has not crashed."""
         crashed_s = self._crashed_s.get(endpoint)
-        if crashed_s is None or sent_s <= crashed_s:
+        if crashed_s is None or not crashed_s < sent_s < crashed_s + _RESTART_S:
             return False
         del self._crashed_s[endpoint]
         return True
--- a/turnward/quarantine/parts.py
+++ b/turnward/quarantine/parts.py
@@ -181,7 +181,7 @@
         suspects = list(sent_s)[:_MAX_SUSPECTS_PER_CRASH]
         # The most recently recorded are announced first.
         for part in reversed(suspects):
-            evidence.record_abort(part, endpoint, sent_s[part])
+            evidence.record_abort(part, endpoint, sent_s[part], crashed_s)
         return bool(suspects)
 
     def _is_suspect(self, part: str) -> bool:
--- a/turnward/quarantine/quarantine.py
+++ b/turnward/quarantine/quarantine.py
@@ -115,10 +115,13 @@
 
     # Events at this router.
 
-    def record_abort(self, content: str, endpoint: str, sent_s: float) -> None:
-        """Record that an endpoint closed a connection before the response was complete."""
+    def record_abort(
+        self, content: str, endpoint: str, sent_s: float, aborted_s: float | None = None
+    ) -> None:
+        """Record that an endpoint closed a connection early, by default just now."""
         self.end_trial(content)
-        self._add_abort(content, Abort(endpoint, sent_s, self._clock()), local=True)
+        aborted_s = self._clock() if aborted_s is None else aborted_s
+        self._add_abort(content, Abort(endpoint, sent_s, aborted_s), local=True)
 
     def record_response(self, content: str, success: bool = True) -> None:
         """Record a complete response, which drops the content's aborts so far.
@@ -424,7 +427,8 @@
         return len(suspect.aborts) - len(explained) < self._rule.min_endpoints
 
     def _is_suspicious(self, suspect: Suspect) -> bool:
-        return len(suspect.aborts) >= self._rule.min_endpoints and suspect.was_resent
+        losses = suspect.instants if self._rule.one_cause else len(suspect.aborts)
+        return losses >= self._rule.min_endpoints and suspect.was_resent
 
     def _notify(self, change: QuarantineChange) -> None:
         if self._on_change is not None:
--- a/turnward/quarantine/suspects.py
+++ b/turnward/quarantine/suspects.py
@@ -14,6 +14,8 @@
 #: Reports on a content and an endpoint whose abort times differ by less are taken for the same
 #: abort, since ages leave out network delays.
 _SAME_ABORT_TOLERANCE_S = 1.0
+#: Aborts of several endpoints that are no further apart may have one cause.
+_AT_ONCE_S = 0.1
 #: A request sent this much later than the last abort is known to be a trial.
 _MIN_TRIAL_GAP_S = 0.5
 #: Number of aborts after which a further one may belong to a trial.
@@ -164,6 +166,13 @@
             del self.survived[next(iter(self.survived))]
         return bool(survived)
 
+    @property
+    def instants(self) -> int:
+        """Number of times at which runs were aborted; those at once have one cause."""
+        times_s = [abort.aborted_s for abort in self.in_order()]
+        gaps = itertools.pairwise(times_s)
+        return bool(times_s) + sum(later - earlier > _AT_ONCE_S for earlier, later in gaps)
+
     @property
     def was_resent(self) -> bool:
         """Whether an aborted run had been sent after another one was aborted."""
