Few requests are relayed for shares that peers do not have

All requests that peers turn away count now, and no more are relayed for shares in that second. The test that names this failed before (84 relayed, 45 allowed) and passes now.

--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -34,9 +34,9 @@
 _PROBE_INTERVAL_S = 2.5
 #: Relayed requests that one router runs at a time, so that a peer can't use up its memory.
 _MAX_RELAYED = 256
-#: Relayed requests that peers may refuse in a window because their shares are used up, too, before
-#: requests are refused here. While most callers come to one router, its peers' shares are free.
-_MAX_SHARES_REFUSED = 4
+#: Relayed requests that peers may turn away in a window before no more are relayed for shares.
+#: While most callers come to one router, the shares of its peers are free.
+_MAX_TURNED_AWAY = 4
 _SHARES_WINDOW_S = 1.0
 #: Refusals that concern the peer alone; another one may serve the request.
 _REASONS_OF_THE_PEER = frozenset(
@@ -97,8 +97,8 @@
         self._log = log
         self._on_error = on_error
         self._pools: dict[str, OutboundPool] = {}
-        #: When peers have refused requests because their shares were used, by pool.
-        self._shares_refused_s: dict[str, deque[float]] = {}
+        #: When peers have turned requests away, by pool.
+        self._turned_away_s: dict[str, deque[float]] = {}
         #: When a request that must not run twice may next probe each pool.
         self._next_probe_s: dict[str, float] = {}
         self.peers = RelayPeers(book, zone, reactor.seconds, rng)
@@ -146,10 +146,10 @@
         return self._begin(request, "share_used")
 
     def _may_ask_for_shares(self, pool: str) -> bool:
-        """Return whether peers have refused few requests lately because their shares were used."""
-        refused_s = self._shares_refused_s.get(pool, ())
+        """Return whether peers have turned few requests for a pool away lately."""
+        times_s = self._turned_away_s.get(pool, ())
         since_s = self._reactor.seconds() - _SHARES_WINDOW_S
-        return sum(at_s > since_s for at_s in refused_s) < _MAX_SHARES_REFUSED
+        return sum(at_s > since_s for at_s in times_s) < _MAX_TURNED_AWAY
 
     def take_over_unreached(self, request) -> bool:
         """Relay a request that could not be sent, if this router's links are the likely cause."""
@@ -210,19 +210,18 @@
             self.peers.note_unreachable(attempt.address)
         elif refusal.reason == Reason.ENDPOINTS_UNRESPONSIVE:
             self.peers.note_refused(attempt.address, request.pool)
-        elif refusal.reason in SHARED_OUT_REASONS:
-            self._note_share_refused(request.pool)
         if not unforwarded or refusal.reason not in _REASONS_OF_THE_PEER:
             self._metrics.requests_relayed.labels(request.pool, "refused").inc()
             request.answer_for_peer(attempt, refusal, outcome_of(refusal.status))
             return
+        self._note_turned_away(request.pool)
         self._metrics.requests_relayed.labels(request.pool, "turned_away").inc()
         request.end_relay(attempt, "not_run", status=refusal.status, reason=refusal.reason)
         self._try_another(request)
 
-    def _note_share_refused(self, pool: str) -> None:
-        refused_s = self._shares_refused_s.setdefault(pool, deque(maxlen=_MAX_SHARES_REFUSED))
-        refused_s.append(self._reactor.seconds())
+    def _note_turned_away(self, pool: str) -> None:
+        times_s = self._turned_away_s.setdefault(pool, deque(maxlen=_MAX_TURNED_AWAY))
+        times_s.append(self._reactor.seconds())
 
     def lost(self, request, attempt: RelayAttempt, failure: ExchangeFailure) -> None:
         """Handle the loss of a response; what was sent to the peer may have run."""
--- a/turnward/gateway/tests/test_herded_connections.py
+++ b/turnward/gateway/tests/test_herded_connections.py
@@ -62,3 +62,15 @@
     harness.network.advance(3.0)
     herded = send_to(harness, lambda turn: 1, 8.0)
     assert served_share(herded) >= MIN_SHARE_OF_BEFORE * served_share(spread) * 3 / 4
+
+
+def test_few_requests_are_relayed_for_shares_that_peers_do_not_have():
+    harness = make_harness(4)
+    send_to(harness, lambda turn: turn % 4, 3.0)
+    for gateway in harness.gateways[1:]:
+        gateway.forwarder.refuses_new_requests = True
+    before = len(harness.logs[0].of("request.relayed"))
+    send_to(harness, lambda turn: 0, 6.0)
+    relayed = len(harness.logs[0].of("request.relayed")) - before
+    # Four that are turned away in a second, and two more tries of the last one.
+    assert relayed <= 7.5 * (4 + 2)
