A part that another explains in part is on trial, not held back for good

Cause: only what was at all of a part's crashes could explain them in its place. A part that was beside the crashing one twice and beside another cause twice was sure, and what is sure is never tried. Now another part that is as suspicious explains the crashes they share; if fewer than three are left, the part is on trial, and a run clears it.

test_part_whose_crashes_another_explains_in_part_is_on_trial_and_can_be_cleared failed before.

--- a/turnward/quarantine/quarantine.py
+++ b/turnward/quarantine/quarantine.py
@@ -369,10 +369,9 @@
 
     def _may_explain(self, suspect: Suspect, other: Suspect) -> bool:
         """Return whether another content is suspicious, or shares several aborts with this one."""
-        if self._rule.one_cause:
-            return suspect.aborts.keys() <= other.aborts.keys()
-        if self._is_suspicious(other):
-            return True
+        suspicious = self._is_suspicious(other)
+        if suspicious or self._rule.one_cause:
+            return suspicious
         common = self._explained_endpoints(suspect, (other,))
         return len(common) >= _MIN_COMMON_ABORTS and other.was_resent
 
--- a/turnward/quarantine/rule.py
+++ b/turnward/quarantine/rule.py
@@ -29,8 +29,8 @@
     max_contents : int
         Most contents that are remembered; each takes less than 1 KB.
     one_cause : bool
-        Whether only what was at all of a suspect's aborts may explain them in its place, as parts
-        of prompts that run together are, and aborts at the same time count once.
+        Whether only what is suspicious itself may explain the aborts of a suspect, and aborts at
+        the same time count once, as one of several suspects has caused them.
     max_announced : int
         Most recently changed contents in one message, which bounds its size when an endpoint with
         many runs crashes.
