--- a/turnward/quarantine/parts.py
+++ b/turnward/quarantine/parts.py
@@ -10,7 +10,8 @@
   their own, as the beginning of a response may be lost with its endpoint. A crash that a part
   explains, which is sure by the first evidence, does not count for the second.
 - A run that gets past its first events clears all its parts, at all routers. So a part that many
-  requests share is cleared at once by those that do not crash.
+  requests share is cleared at once by those that do not crash. While no run gets that far, a part
+  is on trial at most.
 - An endpoint that responds to a later request has not crashed, and is no evidence. Nor is one whose
   pool has lost most endpoints at once, at whatever routers: the network is the likelier cause.
 - The last part of a prompt belongs to its request alone, and is left out.
@@ -25,6 +26,7 @@
 from turnward.quarantine.messages import AbortedRun, QuarantineChange, QuarantineUpdate, Verdict
 from turnward.quarantine.quarantine import Quarantine
 from turnward.quarantine.rule import QuarantineRule
+from turnward.quarantine.suspects import Suspect
 
 __all__ = ["LostRun", "PartQuarantine"]
 
@@ -32,6 +34,8 @@
 _JUST_CLEARED_S = 1.0
 #: Most parts that one crash makes suspects at one router.
 _MAX_SUSPECTS_PER_CRASH = 24
+#: Time for which a part is held back that only runs accuse which had not begun.
+_LOST_QUARANTINE_S = 60.0
 #: Most parts that are announced with each message.
 _MAX_ANNOUNCED = 24
 
@@ -100,8 +104,12 @@
     ):
         self._clock = clock
         rule = msgspec.structs.replace(rule, one_cause=True, max_announced=_MAX_ANNOUNCED)
-        self.begun = Quarantine(clock, rule, self._explain_lost, rank_of)
-        self.lost = Quarantine(clock, rule, on_change, rank_of)
+        lost_rule = msgspec.structs.replace(rule, quarantine_s=_LOST_QUARANTINE_S)
+        self.begun = Quarantine(clock, rule, self._explain_lost, rank_of, self._others_progress)
+        self.lost = Quarantine(clock, lost_rule, on_change, rank_of, self._others_progress)
+        self._started_s = clock()
+        #: When a run last got past its first events here.
+        self._progressed_s = float("-inf")
         self._on_change = on_change
         self._crashes = CrashLog(may_be_network)
 
@@ -109,6 +117,15 @@
         self.drop_explained()
         self._on_change(change)
 
+    def _others_progress(self, suspect: Suspect) -> bool:
+        """Return whether runs without a part have got further since its first loss.
+
+        Otherwise it may be what all runs share, and something else the cause. Of losses before this
+        router started others have judged.
+        """
+        first_s = suspect.in_order()[0].aborted_s
+        return first_s < self._started_s or first_s < self._progressed_s
+
     def drop_explained(self) -> None:
         """Drop the evidence of all lost runs at endpoints that a part is sure to have crashed."""
         crashed = self.begun.confirmed_endpoints()
@@ -189,6 +206,7 @@
 
     def record_progress(self, parts: Iterable[str]) -> None:
         """Record that a run has got past its first events."""
+        self._progressed_s = self._clock()
         for part in parts:
             self.begun.record_response(part)
             self.lost.record_response(part)
--- a/turnward/quarantine/quarantine.py
+++ b/turnward/quarantine/quarantine.py
@@ -78,6 +78,8 @@
     rank_of : callable, optional
         Returns this router's rank, from 0, in the order in which routers begin trials of the
         contents that a given endpoint was the first to abort.
+    may_confirm : callable, optional
+        Returns whether a suspect may be confirmed without a failed trial.
 
     Examples
     --------
@@ -96,8 +98,10 @@
         rule: QuarantineRule | None = None,
         on_change: Callable[[QuarantineChange], None] | None = None,
         rank_of: Callable[[str], int] = lambda endpoint: 0,
+        may_confirm: Callable[[Suspect], bool] = lambda suspect: True,
     ):
         self._rank_of = rank_of
+        self._may_confirm = may_confirm
         self._clock = clock
         self._rule = rule or QuarantineRule()
         self._on_change = on_change
@@ -363,7 +367,8 @@
         explained = self._explained_endpoints(
             suspect, (other for other in others if self._may_explain(suspect, other))
         )
-        if suspect.answered or self._has_too_few_unexplained(suspect, explained):
+        tried = suspect.answered or not self._may_confirm(suspect)
+        if tried or self._has_too_few_unexplained(suspect, explained):
             return Verdict.ON_TRIAL
         return Verdict.CONFIRMED
 
