The end of one recovery from a rollback does not end that of the next one

Cause: a feed decides before it sends a read whether that read ends a recovery. When the store is away at that time, the read succeeds only after the next rollback and is the first that shows it. The feed noted the new era, planned another recovery, and then cleared the plan since the earlier one was due. The first table of the new era was taken as complete, so what it lacked became withdrawals as of that era, which went to all peers.

Now the feed decides when the response is there, by the plan as it stands then: a read that was sent before the plan's time, or that shows a further rollback, is provisional.

test_order_stands_when_the_first_recovery_is_due_in_the_outage_of_the_next_rollback failed before in all four cases (the order was out of force for 2 s) and passes now.

--- a/turnward/gateway/feeds.py
+++ b/turnward/gateway/feeds.py
@@ -300,14 +300,13 @@
 
     async def _poll(self) -> None:
         as_of_s = self._reactor.seconds()
-        rollback_ended = self._rollback_ends_s is not None and as_of_s >= self._rollback_ends_s
         if (
             self._needs_reread
             or self._listener.version == 0
             or self._needs_reread_after_outage()
-            or rollback_ended
+            or self._rollback_ended(as_of_s)
         ):
-            await self._read_table(rollback_ended)
+            await self._read_table(as_of_s)
         else:
             hold_s = self._poll_schedule.hold_s(self._hold_s)
             if self._rollback_ends_s is not None:
@@ -326,10 +325,15 @@
         if self._on_answer is not None:
             self._on_answer(as_of_s)
 
-    async def _read_table(self, rollback_ended: bool) -> None:
+    def _rollback_ended(self, as_of_s: float) -> bool:
+        """Return whether a read sent at ``as_of_s`` returns all rows lost in the last rollback."""
+        return self._rollback_ends_s is not None and as_of_s >= self._rollback_ends_s
+
+    async def _read_table(self, as_of_s: float) -> None:
         table = await self._store.read_table(self._table)
+        # The response itself may be the first sign of a further rollback.
         self._record_era(table.version)
-        if rollback_ended:
+        if self._rollback_ended(as_of_s):
             self._rollback_ends_s = None
         else:
             self._schedule_reread_if_earlier_era(table.version)
