Endpoints that an older copy of the store lacks stay in use, and don't count as removed

Cause: the first copy held no entries at all, so all endpoints vanished from the views and were noted as removed, though a recovery was on. When the second copy brought them back, they counted as draining for 5 s. The entries that were written after the rollback clear that only at a gateway whose own feed reads them; gateway 1 learnt of them from peers.

Now, during a recovery, endpoints in use that the copy lacks stay in use, unless a row or a peer tells that they were removed, or the view is older than 10 s. Gateways exchange what the store holds with what was removed, and whether that is provisional, rather than their own conclusions; a gateway that starts asks a peer for it once. Outside a recovery an entry that is ready clears the mark at each gateway.

test_endpoints_missing_from_an_older_copy_stay_in_use (two cases) and test_endpoints_missing_for_good_are_dropped_after_the_recovery failed before.

--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -171,6 +171,8 @@
         self._log = log
         self._fetching: set[bytes] = set()
         self._newest_announced: dict[bytes, int] = {}
+        #: Whether a peer has told whether the store was rolled back shortly before this start.
+        self._knows_recoveries = False
         self._configuration = PackedCache()
         self._endpoints = PackedCache()
         self.overlay = Overlay(book, identity.zone, reactor.seconds, identity.link_mbit_per_s)
@@ -343,7 +345,7 @@
             self._fetch(CONFIGURATION_PATH, configuration_from, self._adopt_configuration)
         elif configuration_version == self._state.configuration_version:
             self._confirm(configuration_version, confirmed_age_s)
-        if endpoints_version > self._state.endpoints_version:
+        if endpoints_version > self._state.endpoints_version or not self._knows_recoveries:
             self._newest_announced[ENDPOINTS_PATH] = endpoints_version
             self._fetch(ENDPOINTS_PATH, endpoints_from, self._adopt_endpoints)
 
@@ -375,10 +377,11 @@
             self._log.failure("peer.fetch_failed", peer=address, what=path.decode(), cause=failure)
 
     def _is_behind(self, path: bytes) -> bool:
-        own = self._state.endpoints_version
         if path == CONFIGURATION_PATH:
-            own = self._state.configuration_version
-        return self._newest_announced[path] > own
+            return self._newest_announced[path] > self._state.configuration_version
+        if not self._knows_recoveries:
+            return True
+        return self._newest_announced[path] > self._state.endpoints_version
 
     def _caller(self, address: str) -> HttpCaller:
         caller = self._callers.get(address)
@@ -396,6 +399,7 @@
 
     def _adopt_endpoints(self, body: bytes, address: str) -> None:
         snapshot = unpack(body, EndpointsSnapshot)
+        self._knows_recoveries = True
         self._state.adopt_endpoints(snapshot, f"peer {address}")
 
     def serve(self, request: InboundRequest) -> None:
@@ -412,7 +416,8 @@
             request.answer(200, [], packed)
         elif request.target == ENDPOINTS_PATH and state.endpoints_version:
             snapshot = state.snapshot()
-            request.answer(200, [], self._endpoints.get(snapshot.as_of, snapshot))
+            key = (snapshot.as_of, snapshot.provisional, snapshot.removed)
+            request.answer(200, [], self._endpoints.get(key, snapshot))
         elif request.target == LOANS_PATH:
             _decode_body(request, LoanAsk, self._lend)
         elif request.target == RETURNS_PATH:
--- a/turnward/gateway/state.py
+++ b/turnward/gateway/state.py
@@ -24,12 +24,19 @@
         Number and era of the version.
     names_versions : bool
         Whether entries have their software versions; builds that do not know them send none.
+    provisional : bool
+        Whether rows that the store lost in a rollback may not have been written again yet.
+    removed : tuple of str
+        Incarnations known to have been removed, or to be draining; other routers tell them while
+        the snapshot is ``provisional``.
     """
 
     version: int
     entries: tuple[EndpointEntry, ...]
     era: int = 0
     names_versions: bool = False
+    provisional: bool = False
+    removed: tuple[str, ...] = ()
 
     @classmethod
     def at(cls, version: int, entries: tuple[EndpointEntry, ...]) -> "EndpointsSnapshot":
@@ -51,7 +58,9 @@
     routes : RouteTable or None
         Routes of the configuration in use; None if there is none yet.
     endpoints : dict
-        Entries by endpoint id.
+        Entries in use by endpoint id.
+    stored_endpoints : dict
+        Entries in the store; during the recovery from a rollback they differ from those in use.
     endpoints_version : RowVersion
         Version of the store that ``endpoints`` was read at; 0 if not read yet.
     unreadable_rows : UnreadableRows
@@ -73,7 +82,9 @@
         self.routes: RouteTable | None = None
         self.row_version = RowVersion(0)
         self.endpoints: dict[str, EndpointEntry] = {}
+        self.stored_endpoints: dict[str, EndpointEntry] = {}
         self.endpoints_version = RowVersion(0)
+        self._endpoints_confirmed_s = clock()
         self.confirmed_s: float | None = None
         self._removed_endpoints = RemovedEndpoints()
         self.zone_orders = ZoneOrders()
@@ -155,6 +166,11 @@
         """Return the orders to announce to other routers; None if not known yet."""
         return self.zone_orders.all() if self.zone_orders_known else None
 
+    @property
+    def recovers_endpoints(self) -> bool:
+        """Whether entries that the store lost in a rollback may not have been written again yet."""
+        return self._removed_endpoints.recovering(self._clock())
+
     def adopt_endpoints(
         self,
         snapshot: EndpointsSnapshot,
@@ -173,24 +189,45 @@
             snapshot of the same version is accepted, too.
         """
         known = self.endpoints_version
-        if snapshot.as_of < known or (snapshot.as_of == known and not recovered):
+        shows_rollback = self._shows_rollback(snapshot)
+        newer = snapshot.as_of > known or (snapshot.as_of == known and recovered)
+        if snapshot.as_of < known and not shows_rollback:
             return False
         now_s = self._clock()
-        if known and snapshot.era > known.era:
-            self._removed_endpoints.begin_rollback_recovery(now_s)
+        removed = self._removed_endpoints
+        if shows_rollback:
+            removed.begin_recovery(snapshot.era, now_s - self._endpoints_confirmed_s, now_s)
+        self._endpoints_confirmed_s = now_s
+        if not newer and not shows_rollback:
+            return False
         if recovered:
-            self._removed_endpoints.end_rollback_recovery()
-        known_versions = self._software_versions(snapshot)
-        entries = {entry.endpoint_id: self._latest_entry(entry) for entry in known_versions}
-        self._removed_endpoints.mark_rewritten(entries[name] for name in written if name in entries)
-        entries = self._removed_endpoints.mark_draining(entries, now_s)
-        self._removed_endpoints.record_view(self.endpoints, entries, now_s)
+            removed.end_recovery()
+        removed.mark_removed(snapshot.removed, now_s)
+        if newer:
+            known_versions = self._software_versions(snapshot)
+            stored = {entry.endpoint_id: self._latest_entry(entry) for entry in known_versions}
+            removed.mark_rewritten(stored[name] for name in written if name in stored)
+            self.stored_endpoints = stored
+            self.endpoints_version = snapshot.as_of
+        self._use_entries(removed.correct(self.stored_endpoints, self.endpoints, now_s), source)
+        return newer
+
+    def _use_entries(self, entries: dict[str, EndpointEntry], source: str) -> None:
+        self._removed_endpoints.record_view(self.endpoints, entries, self._clock())
         changed = entries != self.endpoints
         self.endpoints = entries
-        self.endpoints_version = snapshot.as_of
         if changed:
             self._notify_listeners("endpoints", source)
-        return True
+
+    def _shows_rollback(self, snapshot: EndpointsSnapshot) -> bool:
+        """Return whether a snapshot is the first sign here of a rollback of the store.
+
+        A router that has started since knows only from peers that the store was rolled back.
+        """
+        known = self.endpoints_version
+        if snapshot.era < known.era or not self._removed_endpoints.is_new_recovery(snapshot.era):
+            return False
+        return snapshot.provisional or (known > 0 and snapshot.era > known.era)
 
     def _software_versions(self, snapshot: EndpointsSnapshot) -> Iterable[EndpointEntry]:
         """Return entries with their software versions, from earlier ones if they lack them."""
@@ -213,8 +250,14 @@
         return known if entry.born_ms < known.born_ms else entry
 
     def snapshot(self) -> EndpointsSnapshot:
-        """Return a snapshot of the known endpoints."""
-        return EndpointsSnapshot.at(self.endpoints_version, tuple(self.endpoints.values()))
+        """Return a snapshot of the entries in the store, for other routers."""
+        snapshot = EndpointsSnapshot.at(
+            self.endpoints_version, tuple(self.stored_endpoints.values())
+        )
+        if not self.recovers_endpoints:
+            return snapshot
+        removed = self._removed_endpoints.known()
+        return msgspec.structs.replace(snapshot, provisional=True, removed=removed)
 
     def _notify_listeners(self, kind: str, source: str) -> None:
         for listener in self._listeners:
--- a/turnward/gateway/table_listeners.py
+++ b/turnward/gateway/table_listeners.py
@@ -3,6 +3,8 @@
 
 from collections.abc import Callable, Collection
 
+import msgspec
+
 from turnward.gateway.configuration import Configuration, EndpointEntry
 from turnward.gateway.feeds import FeedListenerBase
 from turnward.gateway.members import decode_member
@@ -117,7 +119,7 @@
     def knows_earlier_era(self, version: int) -> bool:
         """See ``FeedListenerBase.knows_earlier_era``."""
         known = self._state.endpoints_version
-        return known > 0 and known.era < RowVersion(version).era
+        return self._state.recovers_endpoints or (known > 0 and known.era < RowVersion(version).era)
 
     def table_read(self, table: TableChanges) -> None:
         """See ``FeedListenerBase.table_read``."""
@@ -126,7 +128,7 @@
     def rows_changed(self, changes: TableChanges) -> None:
         """See ``FeedListenerBase.rows_changed``."""
         written = [row.key.key for row in changes.rows]
-        self._adopt(dict(self._state.endpoints), changes, written)
+        self._adopt(dict(self._state.stored_endpoints), changes, written)
 
     def _adopt(
         self,
@@ -135,12 +137,16 @@
         written: Collection[str] = (),
         authoritative: bool = False,
     ) -> None:
+        removed = []
         for row in changes.rows:
             entries.pop(row.key.key, None)
             entry = self._read(row)
             if entry is not None:
                 entries[row.key.key] = entry
+            elif row.key.key in self._state.endpoints:
+                removed.append(self._state.endpoints[row.key.key].incarnation)
         snapshot = EndpointsSnapshot.at(changes.version, tuple(entries.values()))
+        snapshot = msgspec.structs.replace(snapshot, removed=tuple(removed))
         self._state.adopt_endpoints(snapshot, "store", written, authoritative)
 
     def _read(self, row: StoredRow) -> EndpointEntry | None:
--- a/turnward/gateway/tests/test_overlapping_rollbacks.py
+++ b/turnward/gateway/tests/test_overlapping_rollbacks.py
@@ -7,11 +7,13 @@
 import pytest
 from twisted.internet import task
 
-from turnward.gateway import Configuration
+from turnward.gateway import Configuration, EndpointEntry, EndpointsSnapshot
 from turnward.gateway.feeds import TableFeed
 from turnward.gateway.removed_endpoints import REWRITE_PERIOD_S
 from turnward.gateway.state import FleetState
 from turnward.gateway.table_listeners import ConfigurationListener
+from turnward.gateway.tests.rollback_simulation import RollbackSimulation
+from turnward.rows import RowVersion
 from turnward.standins import MemoryRows, RowsClient
 
 STEP_S = 0.05
@@ -70,3 +72,103 @@
     followed.rows.put("configuration", ORDER, b"{}")
     followed.run(2 * REWRITE_PERIOD_S)
     assert followed.undrained_since(issued_s) == []
+
+
+def without_endpoints(copy):
+    """Return a copy of the store from before any endpoint had registered."""
+    rows = {key: row for key, row in copy.rows.items() if key.table != "endpoints"}
+    return msgspec.structs.replace(copy, rows=rows, history=(), history_from=copy.version)
+
+
+def requests_served(simulation, duration_s, gateway):
+    """Send requests to one gateway; return how many are answered with 200, and how many not."""
+    first = len(simulation.callers)
+    simulation.reachable_gateways = lambda: [gateway]
+    simulation.run_traffic(duration_s)
+    simulation.run_traffic(0.5)
+    statuses = simulation.statuses(first)[:-5]
+    return statuses.count(200), len(statuses) - statuses.count(200)
+
+
+@pytest.mark.parametrize("reads_store", [True, False])
+def test_endpoints_missing_from_an_older_copy_stay_in_use(reads_store):
+    """A second rollback brings their entries back; the router may hear of both from peers only."""
+    simulation = RollbackSimulation(gateways=3)
+    simulation.run_traffic(6.0)
+    harness = simulation.harness
+    copy = harness.rows.copy()
+    harness.clients[0].faults.unavailable = not reads_store
+    harness.rows.roll_back(without_endpoints(copy))
+    assert requests_served(simulation, 0.6, gateway=0)[1] == 0
+    harness.rows.roll_back(copy)
+    assert requests_served(simulation, 6.0, gateway=0)[1] == 0
+    assert not any(entry.leaving for entry in harness.gateways[0].state.endpoints.values())
+
+
+def test_endpoints_missing_for_good_are_dropped_after_the_recovery():
+    simulation = RollbackSimulation(gateways=3)
+    simulation.run_traffic(6.0)
+    simulation.harness.rows.roll_back(without_endpoints(simulation.harness.rows.copy()))
+    simulation.run_traffic(REWRITE_PERIOD_S - 1.0)
+    assert all(len(gateway.state.endpoints) == 4 for gateway in simulation.harness.gateways)
+    simulation.run_traffic(3.0)
+    assert not any(gateway.state.endpoints for gateway in simulation.harness.gateways)
+
+
+@pytest.mark.parametrize("reads_store", [True, False])
+@pytest.mark.parametrize("end", ["draining", "removed"])
+def test_endpoint_that_ends_during_a_recovery_gets_no_requests_after_the_next_rollback(
+    end, reads_store
+):
+    simulation = RollbackSimulation(gateways=3)
+    simulation.run_traffic(6.0)
+    harness, ended = simulation.harness, simulation.endpoints[0]
+    copy = harness.rows.copy()
+    harness.clients[0].faults.unavailable = not reads_store
+    for first_copy in (without_endpoints(copy), copy):
+        harness.rows.roll_back(first_copy)
+        simulation.run_traffic(0.8)
+        if end == "removed":
+            harness.rows.remove("endpoints", ended.endpoint_id)
+        else:
+            harness.announce(ended, leaving=True)
+        simulation.run_traffic(1.5)
+        requests_before = len(ended.requests)
+        harness.rows.roll_back(copy)
+        simulation.run_traffic(REWRITE_PERIOD_S - 1.0)
+        assert len(ended.requests) == requests_before
+        harness.announce(ended)
+        simulation.run_traffic(3.0)
+        assert len(ended.requests) > requests_before
+
+
+def test_router_started_during_a_recovery_spares_endpoints_that_began_to_drain():
+    """The older copy has their previous entries; only peers know better."""
+    simulation = RollbackSimulation(gateways=3)
+    simulation.run_traffic(6.0)
+    harness, draining = simulation.harness, simulation.endpoints[0]
+    copy = harness.rows.copy()
+    harness.announce(draining, leaving=True)
+    simulation.run_traffic(1.0)
+    harness.rows.roll_back(copy)
+    simulation.run_traffic(0.5)
+    requests_before = len(draining.requests)
+    harness.gateway()
+    simulation.run_traffic(REWRITE_PERIOD_S - 1.5)
+    assert harness.gateways[3].ready
+    assert len(draining.requests) == requests_before
+    simulation.run_traffic(REWRITE_PERIOD_S)
+    assert len(draining.requests) > requests_before
+    states = [gateway.state for gateway in harness.gateways]
+    assert not any(state.endpoints[draining.endpoint_id].leaving for state in states)
+
+
+def test_entries_of_a_router_that_was_long_paused_are_not_kept():
+    """Endpoints may have been removed in the meantime, before the copy was made."""
+    clock = task.Clock()
+    state = FleetState(clock.seconds)
+    entry = EndpointEntry(endpoint_id="e", pool="p", address="10.0.0.1:80")
+    state.adopt_endpoints(EndpointsSnapshot.at(RowVersion.of(1, 50), (entry,)), "store")
+    clock.advance(30.0)
+    state.adopt_endpoints(EndpointsSnapshot.at(RowVersion.of(2, 90), ()), "store")
+    assert state.endpoints == {}
