An outage of the store prolongs the recovery from its rollback

Cause: the recovery ended by the clock. Writers can't reach the store in an outage either, so the first read after it still lacked their rows and was taken as complete.

Now a feed counts only time in which the store answers it: an outage, from the last response to the request that succeeds, is added. Feeds and peers tell the state of each view whether it is provisional, so endpoints are kept for as long. A router that has recovered in an era does not recover again because a slower peer still does. A recovery that a peer tells of counts from the poll that was under way, as that was sent after the rollback.

--- a/turnward/gateway/feeds.py
+++ b/turnward/gateway/feeds.py
@@ -77,7 +77,10 @@
         """Latest known version of the table; with 0 the feed reads the whole table."""
 
     def knows_earlier_era(self, version: int) -> bool:
-        """Return whether any state known here stems from an era before that of a version."""
+        """Return whether state known here stems from an era before that of a version.
+
+        The same if it was received from a peer that recovers from a rollback.
+        """
         return False
 
     @abstractmethod
@@ -313,10 +316,11 @@
                 hold_s = min(hold_s, self._rollback_ends_s - as_of_s)
             changes = await self._store.changes(self._table, self._listener.version, hold_s)
             self._consecutive_history_errors = 0
-            self._record_era(changes.version)
+            self._record_response(changes.version, as_of_s)
             self._changed = bool(changes.rows)
-            self._listener.rows_changed(changes)
-            self._schedule_reread_if_earlier_era(changes.version)
+            self._listener.rows_changed(self._mark_provisional(changes))
+            # The poll was sent after the rollback, as its version is of the same era.
+            self._schedule_reread_if_earlier_era(changes.version, as_of_s)
             # The response is valid as of when it began to arrive. Counted from its end, a version
             # seconds old would pass for the newest, and newly added routes would get a 404.
             as_of_s = self._reactor.seconds() if changes.as_of_s is None else changes.as_of_s
@@ -332,17 +336,26 @@
     async def _read_table(self, as_of_s: float) -> None:
         table = await self._store.read_table(self._table)
         # The response itself may be the first sign of a further rollback.
-        self._record_era(table.version)
+        self._record_response(table.version, as_of_s)
         if self._rollback_ended(as_of_s):
             self._rollback_ends_s = None
         else:
-            self._schedule_reread_if_earlier_era(table.version)
-        provisional = self._rollback_ends_s is not None
+            self._schedule_reread_if_earlier_era(table.version, self._reactor.seconds())
         self._needs_reread = False
         self._changed = True
-        self._listener.table_read(msgspec.structs.replace(table, provisional=provisional))
+        self._listener.table_read(self._mark_provisional(table))
         self._report_reread(table.version)
 
+    def _mark_provisional(self, rows: TableChanges) -> TableChanges:
+        return msgspec.structs.replace(rows, provisional=self._rollback_ends_s is not None)
+
+    def _record_response(self, version: int, sent_s: float) -> None:
+        """Extend the recovery from a rollback by an outage, or begin one."""
+        if self._rollback_ends_s is not None and self._failures:
+            # While the store is away, lost rows cannot be rewritten either.
+            self._rollback_ends_s += sent_s - self._answered_s
+        self._record_era(version)
+
     def _record_era(self, version: int) -> None:
         """Schedule a reread of the table some seconds after a rollback of the store."""
         era = RowVersion(version).era
@@ -350,10 +363,13 @@
             self._rollback_ends_s = self._reactor.seconds() + REWRITE_PERIOD_S
         self._era = era
 
-    def _schedule_reread_if_earlier_era(self, version: int) -> None:
-        """Schedule a reread of the table if state of an earlier era was received from peers."""
+    def _schedule_reread_if_earlier_era(self, version: int, since_s: float) -> None:
+        """Schedule a reread of the table if peers told of a rollback, which was before ``since_s``.
+
+        They know state of an earlier era, or have not recovered themselves.
+        """
         if self._rollback_ends_s is None and self._listener.knows_earlier_era(version):
-            self._rollback_ends_s = self._reactor.seconds() + REWRITE_PERIOD_S
+            self._rollback_ends_s = since_s + REWRITE_PERIOD_S
 
     async def _pause_after_repeated_history_error(self) -> None:
         """Back off if rereading the table did not help, so as not to overload the store."""
--- a/turnward/gateway/removed_endpoints.py
+++ b/turnward/gateway/removed_endpoints.py
@@ -37,7 +37,15 @@
     False
     """
 
-    __slots__ = ("_keeps_view", "_recovery_ends_s", "_recovery_era", "_removed_s", "_rewritten")
+    __slots__ = (
+        "_keeps_view",
+        "_provisional",
+        "_recovered_era",
+        "_recovery_ends_s",
+        "_recovery_era",
+        "_removed_s",
+        "_rewritten",
+    )
 
     def __init__(self):
         #: By incarnation, when it was last draining or was removed.
@@ -46,11 +54,14 @@
         self._rewritten: set[str] = set()
         self._recovery_ends_s = 0.0
         self._recovery_era = 0
+        self._recovered_era = 0
+        #: Whether the latest view was, according to the feed or the peer that it came from.
+        self._provisional = False
         self._keeps_view = False
 
     def recovering(self, now_s: float) -> bool:
         """Return whether rows lost in a rollback may not have been written again yet."""
-        return now_s < self._recovery_ends_s
+        return self._provisional or now_s < self._recovery_ends_s
 
     def is_new_recovery(self, era: int) -> bool:
         """Return whether no recovery has begun here in an era of the store."""
@@ -67,13 +78,22 @@
             Time since the view of the entries was known to be current.
         """
         self._recovery_era = era
+        self._recovered_era = era - 1
         self._recovery_ends_s = now_s + REWRITE_PERIOD_S
         self._keeps_view = view_age_s <= _KEPT_VIEW_AGE_S
         self._rewritten.clear()
 
-    def end_recovery(self) -> None:
-        """Record that all lost rows have been written again."""
+    def end_recovery(self, era: int) -> None:
+        """Record that all rows lost in a rollback have been written again."""
         self._recovery_ends_s = 0.0
+        self._recovered_era = era
+
+    def record_provisional(self, era: int, provisional: bool) -> None:
+        """Record whether the latest view is provisional; peers may recover later than this router.
+
+        An outage prolongs the recovery beyond the usual time.
+        """
+        self._provisional = provisional and era > self._recovered_era
 
     def mark_removed(self, incarnations: Iterable[str], now_s: float) -> None:
         """Record endpoints that have been removed or are draining, as a row or a peer tells."""
--- a/turnward/gateway/state.py
+++ b/turnward/gateway/state.py
@@ -201,7 +201,8 @@
         if not newer and not shows_rollback:
             return False
         if recovered:
-            removed.end_recovery()
+            removed.end_recovery(snapshot.era)
+        removed.record_provisional(snapshot.era, snapshot.provisional)
         removed.mark_removed(snapshot.removed, now_s)
         if newer:
             known_versions = self._software_versions(snapshot)
--- a/turnward/gateway/table_listeners.py
+++ b/turnward/gateway/table_listeners.py
@@ -146,7 +146,9 @@
             elif row.key.key in self._state.endpoints:
                 removed.append(self._state.endpoints[row.key.key].incarnation)
         snapshot = EndpointsSnapshot.at(changes.version, tuple(entries.values()))
-        snapshot = msgspec.structs.replace(snapshot, removed=tuple(removed))
+        snapshot = msgspec.structs.replace(
+            snapshot, removed=tuple(removed), provisional=changes.provisional
+        )
         self._state.adopt_endpoints(snapshot, "store", written, authoritative)
 
     def _read(self, row: StoredRow) -> EndpointEntry | None:
--- a/turnward/gateway/tests/rollback_model.py
+++ b/turnward/gateway/tests/rollback_model.py
@@ -52,7 +52,8 @@
         Time between the last of these outages and that.
     copies : tuple of str
         The copy that the store has after each outage: ``old`` from before both were written,
-        ``previous`` from before the latest write of their writers, or the ``latest``.
+        ``previous`` from before the latest write of their writers, the ``latest``, or ``none`` if
+        it is not rolled back.
     gaps_s, outages_s : tuple of float
         The time until each outage, and its duration.
     alone : str
@@ -76,7 +77,7 @@
             (False, True),
             range(OUTAGES + 1),
             (0.0, READ_S),
-            itertools.product(("old", "previous", "latest"), repeat=OUTAGES),
+            itertools.product(("old", "previous", "latest", "none"), repeat=OUTAGES),
             itertools.product((0.4, 3.0, REWRITE_PERIOD_S + 0.3), repeat=OUTAGES),
             itertools.product((0.2, 4.0), repeat=OUTAGES),
             ("", "store", "all"),
@@ -179,8 +180,9 @@
         self._copies["latest"] = self._rows.copy()
         self._rows.faults.unavailable = True
         self._run(outage_s)
-        self._rows.roll_back(self._copies[copy])
-        self._clock.callLater(REWRITE_DELAY_S, self._rewrite_lost)
+        if copy != "none":
+            self._rows.roll_back(self._copies[copy])
+            self._clock.callLater(REWRITE_DELAY_S, self._rewrite_lost)
         self._rows.faults.unavailable = False
 
     def _rewrite_lost(self) -> None:
--- a/turnward/gateway/tests/test_overlapping_rollbacks.py
+++ b/turnward/gateway/tests/test_overlapping_rollbacks.py
@@ -172,3 +172,35 @@
     clock.advance(30.0)
     state.adopt_endpoints(EndpointsSnapshot.at(RowVersion.of(2, 90), ()), "store")
     assert state.endpoints == {}
+
+
+def test_order_stands_while_an_outage_keeps_its_writer_from_rewriting_it():
+    """The store is away from soon after the rollback until the recovery would have ended."""
+    followed = FollowedOrders()
+    copy = followed.rows.copy()
+    followed.rows.put("configuration", ORDER, b"{}")
+    followed.run(0.5)
+    issued_s = followed.clock.seconds()
+    followed.rows.roll_back(copy)
+    followed.run(0.5)
+    followed.rows.faults.unavailable = True
+    followed.run(2 * REWRITE_PERIOD_S)
+    followed.rows.faults.unavailable = False
+    followed.run(2.0)
+    followed.rows.put("configuration", ORDER, b"{}")
+    followed.run(2 * REWRITE_PERIOD_S)
+    assert followed.undrained_since(issued_s) == []
+
+
+def test_recovery_ends_although_every_other_call_to_the_store_fails():
+    followed = FollowedOrders()
+    copy = followed.rows.copy()
+    followed.rows.put("configuration", ORDER, b"{}")
+    followed.run(0.5)
+    followed.rows.roll_back(copy)
+    for _ in range(round(2 * REWRITE_PERIOD_S / HOLD_S)):
+        followed.run(HOLD_S + 2 * STEP_S)
+        followed.rows.faults.unavailable = True
+        followed.run(2 * STEP_S)
+        followed.rows.faults.unavailable = False
+    assert "north" not in followed.state.zone_orders.drained
