A request lost on links that no endpoint responds on is repeated by a peer

Cause: a connection that opens shows nothing there, so the links never count as lost. Each engine that starts or restarts seems to work until it has lost two requests, and the repeat of a lost request went to another engine over the same links, or to none (attempt.not_repeated, no_other_endpoint).

Now the repeat goes to a peer if no endpoint of the pool has responded here since the first attempt. It counts as before for attempts and the budget of retries.

--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -500,6 +500,7 @@
             # The content may have crashed the endpoint. Other routers need to know, since it may be
             # sent again to any of them under another request id.
             self._record_loss(attempt)
+        self._lost_here = not failure.answered
         self._lost_after_send(attempt, failure)
 
     def _lost_after_send(self, attempt, failure: ExchangeFailure) -> None:
@@ -577,6 +578,7 @@
         forwarder = self._forwarder
         check_others = forwarder.rules.looks_for_others
         has_other = forwarder.endpoints.has_other(self.pool, self._excluded)
+        has_other = has_other or forwarder.relay.may_repeat(self)
         if check_others and not has_other and not forwarder.relay.has_path_around(self.pool):
             return NoRetryReason.NO_OTHER_ENDPOINT
         return None
--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -107,6 +107,8 @@
 
     def take_over(self, request) -> bool:
         """Relay or refuse a request whose pool can't be reached; return False otherwise."""
+        if self.may_repeat(request) and self._begin(request, "lost"):
+            return True
         if not self._links.is_lost(request.pool):
             return self._spare_from_probing(request)
         if self._begin(request, "links_lost"):
@@ -166,6 +168,16 @@
         """Return whether a peer seems to reach a pool that this router can't reach."""
         return self._links.is_lost(pool) and self.peers.has_path(pool)
 
+    def may_repeat(self, request) -> bool:
+        """Return whether a peer is the better choice to repeat a request that was lost here.
+
+        Links that accept connections and then reset them look like endpoints that end.
+        """
+        lost_alone = request.lost_here and not self._links.responded_since(
+            request.pool, request.first_attempt_s
+        )
+        return lost_alone and request.relayable and self.peers.has_path(request.pool)
+
     def _begin(self, request, cause: str) -> bool:
         if not request.relayable or len(request.peers_tried) >= _MAX_PEERS_TRIED:
             return False
--- a/turnward/gateway/relayable_request.py
+++ b/turnward/gateway/relayable_request.py
@@ -44,6 +44,7 @@
         self._reservation = None
         self._released_tokens = 0
         self._may_have_run = False
+        self._lost_here = False
         self._ended = False
         self._replayable = True
         self._tried: set[str] = set()
@@ -65,6 +66,11 @@
         kept = self._replayable and self._request.body_complete
         return self._note is None and kept and self.may_still_send
 
+    @property
+    def lost_here(self) -> bool:
+        """Whether an endpoint that this router sent it to was lost without a response."""
+        return self._lost_here
+
     @property
     def pool_unresponsive(self) -> bool:
         """Whether no endpoint of its pool responds to this router."""
--- a/turnward/gateway/tests/test_unreached_endpoints.py
+++ b/turnward/gateway/tests/test_unreached_endpoints.py
@@ -105,3 +105,30 @@
     harness.network.advance(0.1)
     assert answered(caller)
     assert caller.status == 503
+
+
+def test_router_whose_links_are_reset_after_they_open_serves_as_others_do():
+    """Endpoints start meanwhile, each of which seems to work until it has lost requests."""
+    harness = make_harness(repeat=RetryPolicy.ANY, attempts=2)
+    broken_host = harness.machines[0].host
+
+    def reset_or_answer(endpoint, request):
+        if request._connection.transport.getPeer().host == broken_host:
+            request.abort()
+        else:
+            answer_ok(endpoint, request)
+
+    send_everywhere(harness, 1.0)
+    for endpoint in harness.endpoints:
+        endpoint.behave = reset_or_answer
+    shares = []
+    for _ in range(7):
+        harness.endpoint(reset_or_answer)
+        callers = send_everywhere(harness, 0.9)
+        shares.append(list(map(served_share, callers)))
+    after_contact = shares[1:]
+    broken, *others = (
+        sum(share) / len(after_contact) for share in zip(*after_contact, strict=True)
+    )
+    assert min(others) == 1.0
+    assert broken >= MIN_SHARE_OF_OTHERS
