A peer that refused is asked again once its digest says that it serves

Cause: a peer that refuses as unresponsive is avoided for a second, whatever its digests say. With few peers all are avoided at once.

Now a digest that was sent after the refusal counts: a peer that names the pool in it is no path anyhow, and one that does not may be asked. Where no digests of a peer arrive, as in large fleets, the second stays.

test_peer_that_refused_is_asked_again_once_its_digest_says_that_it_serves failed before for the peer that serves.

--- a/turnward/gateway/relay_peers.py
+++ b/turnward/gateway/relay_peers.py
@@ -16,8 +16,10 @@
 
 #: Peers considered for one request, so that the choice costs the same in a large fleet.
 _SAMPLE_SIZE = 16
-#: Time for which a peer is avoided for a pool that it has refused a request of.
+#: Longest time for which a peer is avoided for a pool that it has refused a request of.
 _REFUSED_S = 1.0
+#: Time from a refusal until a digest that arrives was sent after it.
+_DIGEST_DELAY_S = 0.1
 #: Time for which a peer is avoided that could not be reached, or runs no relayed requests.
 _UNREACHABLE_S = 3.0
 #: Age of a digest up to which what it says counts.
@@ -108,15 +110,23 @@
         now_s = self._clock()
         if not peer.takes_relays or peer.is_replaced:
             return False
-        for avoided_pool in ("", pool):
-            if self._avoided_until_s.get((peer.address, avoided_pool), 0.0) > now_s:
-                return False
+        if self._is_avoided(peer, pool, now_s):
+            return False
         if peer.digest is None:
             return True
         if peer.received_s < now_s - _DIGEST_LIFETIME_S:
             return not self._book.live()
         return not peer.digest.stopping and pool not in (peer.digest.unreached or ())
 
+    def _is_avoided(self, peer: Peer, pool: str, now_s: float) -> bool:
+        """Return whether a peer was unreachable, or refused and has sent no digest since."""
+        if self._avoided_until_s.get((peer.address, ""), 0.0) > now_s:
+            return True
+        until_s = self._avoided_until_s.get((peer.address, pool), 0.0)
+        told_since_s = until_s - _REFUSED_S + _DIGEST_DELAY_S
+        told = peer.digest is not None and peer.received_s > told_since_s
+        return until_s > now_s and not told
+
     def _cost(self, peer: Peer) -> tuple[int, float]:
         other_zone = _ZONE_PREFERENCE if peer.zone != self._zone else 0
         return (self._in_flight[peer.address] + other_zone, self._rng.random())
--- a/turnward/gateway/tests/test_relayed_requests.py
+++ b/turnward/gateway/tests/test_relayed_requests.py
@@ -322,3 +322,17 @@
     assert [harness.ask().status for _ in range(5)] == [200] * 5
     assert len(harness.logs[ORIGIN].of("request.relayed")) == relayed
     assert harness.logs[ORIGIN].of("pool.links_regained")
+
+
+@pytest.mark.parametrize("peer_serves", [True, False])
+def test_peer_that_refused_is_asked_again_once_its_digest_says_that_it_serves(peer_serves):
+    harness = make_harness()
+    if not peer_serves:
+        harness.gateways[1].peers.unreached_pools = lambda: ("pool",)
+        harness.network.advance(0.5)
+    peers = harness.gateways[ORIGIN].forwarder.relay.peers
+    assert peers.has_path("pool") == peer_serves
+    peers.note_refused(harness.gateways[1].peers_address, "pool")
+    assert not peers.has_path("pool")
+    harness.network.advance(0.5)
+    assert peers.has_path("pool") == peer_serves
