While a pool loses requests at several endpoints, few are sent over the same links

Cause: each engine that starts takes two requests before it counts as unresponsive, and makes the pool count as responsive until then. Only requests that must not run twice were spared.

Now a pool is in doubt once two of its endpoints have lost requests and none has responded since. Requests that may run twice are then relayed, but for one each 0.5 s. The quarantine judges a request before it is spared, as a peer would only refuse it.

--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -370,6 +370,8 @@
         forwarder = self._forwarder
         if forwarder.relay.take_over(self) or (is_first and self._refuse_if_quarantined()):
             return
+        if forwarder.relay.spare_from_probing(self):
+            return
         if is_first:
             forwarder.retry_budget(self.pool).note_request()
             self.first_attempt_s = self._now_s()
--- a/turnward/gateway/link_monitor.py
+++ b/turnward/gateway/link_monitor.py
@@ -92,6 +92,7 @@
 
     def suspect(self, record: EndpointRecord) -> None:
         """Check the links to the pool of an endpoint that lost a request without a response."""
+        self.links.note_request_lost(record.entry.pool, record.incarnation)
         self._probes.suspect(record.entry.pool)
 
     def _probed(self, record: EndpointRecord, opened: bool, waited_s: float) -> None:
--- a/turnward/gateway/pool_links.py
+++ b/turnward/gateway/pool_links.py
@@ -15,6 +15,8 @@
 #: Endpoints that must fail, with none reached in between, before the links to their pool count as
 #: lost; all of a smaller pool. Some endpoints may have crashed at the same time.
 _FAILED_TO_LOSE = 4
+#: Endpoints that must lose requests, with no response in between, before a pool is in doubt.
+_LOST_TO_DOUBT = 2
 #: Time after which the failure of an endpoint no longer counts.
 _FAILURE_LIFETIME_S = 5.0
 #: Time without an answer to a connection from which the network counts as silent. A host that is
@@ -35,9 +37,12 @@
         Since when the links count as lost.
     silent : bool
         Whether the latest connection that failed was not answered, rather than refused.
+    request_lost_s : dict
+        When each endpoint last lost a request, since an endpoint last responded, by incarnation.
     """
 
     failed_s: dict[str, float]
+    request_lost_s: dict[str, float]
     opened_s: float = -1e9
     responded_s: float = -1e9
     lost_s: float | None = None
@@ -73,7 +78,7 @@
         self._links: dict[str, _Links] = {}
 
     def _of(self, pool: str) -> _Links:
-        return self._links.setdefault(pool, _Links({}))
+        return self._links.setdefault(pool, _Links({}, {}))
 
     def note_opened(self, pool: str) -> float | None:
         """Record an opened connection; return how long the links were lost, None if they weren't.
@@ -88,7 +93,25 @@
 
     def note_responded(self, pool: str) -> None:
         """Record a response, which may have come on a connection opened long before."""
-        self._of(pool).responded_s = self._clock()
+        links = self._of(pool)
+        links.responded_s = self._clock()
+        links.request_lost_s.clear()
+
+    def note_request_lost(self, pool: str, endpoint: str) -> None:
+        """Record a request that was sent to an endpoint and lost without a response."""
+        self._of(pool).request_lost_s[endpoint] = self._clock()
+
+    def in_doubt(self, pool: str) -> bool:
+        """Return whether endpoints lose requests one after the other, and none responds.
+
+        Links that accept connections and reset them later can't be told from that.
+        """
+        links = self._links.get(pool)
+        if links is None:
+            return False
+        since_s = self._clock() - _FAILURE_LIFETIME_S
+        lost = sum(lost_s > since_s for lost_s in links.request_lost_s.values())
+        return lost >= _LOST_TO_DOUBT
 
     def note_failed(self, pool: str, endpoint: str, waited_s: float) -> bool:
         """Record that an endpoint can't be reached; return True if this loses the pool's links.
--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -32,6 +32,8 @@
 #: Time between two requests that must not run twice and probe an unresponsive pool nevertheless. It
 #: bounds how late the recovery of a pool that gets no others is noticed.
 _PROBE_INTERVAL_S = 2.5
+#: The same for requests that may run twice, while endpoints lose requests and none responds.
+_REPEATABLE_PROBE_INTERVAL_S = 0.5
 #: Relayed requests that one router runs at a time, so that a peer can't use up its memory.
 _MAX_RELAYED = 256
 #: Relayed requests that peers may turn away in a window before no more are relayed for shares.
@@ -110,7 +112,7 @@
         if self.may_repeat(request) and self._begin(request, "lost"):
             return True
         if not self._links.is_lost(request.pool):
-            return self._spare_from_probing(request)
+            return False
         if self._begin(request, "links_lost"):
             return True
         # An attempt costs nothing while connections are refused at once.
@@ -119,21 +121,25 @@
         request.give_up_unreached()
         return True
 
-    def _spare_from_probing(self, request) -> bool:
-        """Relay a request that must not run twice, rather than probe an unresponsive pool with it.
+    def spare_from_probing(self, request) -> bool:
+        """Relay a request rather than probe a pool with it that does not respond here.
 
         Now and then one does probe, since a pool may get no others; the first one does not.
         """
         pool = request.pool
-        if not request.must_run_once:
-            return False
-        if pool not in request.forwarder.endpoints.unresponsive_pools():
+        if request.must_run_once:
+            spared = pool in request.forwarder.endpoints.unresponsive_pools()
+            interval_s = _PROBE_INTERVAL_S
+        else:
+            spared = self._links.in_doubt(pool)
+            interval_s = _REPEATABLE_PROBE_INTERVAL_S
+        if not spared:
             return False
         now_s = self._reactor.seconds()
         overdue_s = now_s - self._next_probe_s.get(pool, -math.inf)
         if overdue_s >= 0:
-            self._next_probe_s[pool] = now_s + _PROBE_INTERVAL_S
-        if 0 <= overdue_s < _PROBE_INTERVAL_S:
+            self._next_probe_s[pool] = now_s + interval_s
+        if 0 <= overdue_s < interval_s:
             return False
         return self._begin(request, "unresponsive")
 
