--- a/turnward/gateway/relay_peers.py
+++ b/turnward/gateway/relay_peers.py
@@ -18,7 +18,7 @@
 _SAMPLE_SIZE = 16
 #: Longest time for which a peer is avoided for a pool that it has refused a request of.
 _REFUSED_S = 1.0
-#: Time from a refusal until a digest that arrives was sent after it.
+#: Time after a refusal from which digests that arrive were sent after it.
 _DIGEST_DELAY_S = 0.1
 #: Time for which a peer is avoided that could not be reached, or runs no relayed requests.
 _UNREACHABLE_S = 3.0
--- a/turnward/gateway/state.py
+++ b/turnward/gateway/state.py
@@ -178,7 +178,10 @@
         written: Collection[str] = (),
         recovered: bool = False,
     ) -> bool:
-        """Replace the known endpoints by a snapshot if it is newer.
+        """Replace the known endpoints by a snapshot if it is newer; return whether it was.
+
+        A provisional one that is not newer still tells a router that has started since that the
+        store was rolled back, and which endpoints were removed before.
 
         Parameters
         ----------
