--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -48,6 +48,8 @@
         Whether the connection had carried an earlier exchange.
     began : bool
         Whether any byte of the response has arrived.
+    connect_ms : float or None
+        Time in which the connection opened; None if it was open before.
     """
 
     is_relay = False
@@ -78,6 +80,7 @@
         self.sent = False
         self.sent_s = 0.0
         self.reused = False
+        self.connect_ms: float | None = None
         self._started_s = 0.0
 
     @property
@@ -158,6 +161,7 @@
         self.sent_s = owner.forwarder.reactor.seconds()
         owner.forwarder.endpoints.brittle.note_sent(self.record, self.sent_s)
         self.reused = connection.exchanges > 1
+        self.connect_ms = connection.connect_ms
         owner.count_attempt()
         self.record.remember(owner.prompt, owner.forwarder.reactor.seconds())
         head = owner.request_head(self.record)
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -496,7 +496,9 @@
         if failure.cause in _CONNECTION_ENDED_CAUSES or failure.cause is FailureCause.CONNECT:
             self._forwarder.note_endpoint_crashed(attempt.record)
         if not failure.sent:
-            self._attempt_unsent(attempt, "unreachable", cause=failure.cause)
+            self._attempt_unsent(
+                attempt, "unreachable", cause=failure.cause, connect_error=failure.connect_error
+            )
             return
         if failure.cause in _CONNECTION_ENDED_CAUSES:
             # The content may have crashed the endpoint. Other routers need to know, since it may be
@@ -627,6 +629,7 @@
             how=how,
             sent=attempt.sent,
             reused=attempt.reused,
+            connect_ms=attempt.connect_ms,
             attempt=self.attempts,
             events=self._progress.events,
             parts=self._prompt.shared_part_ids,
@@ -657,7 +660,13 @@
         if status < 300 and not self._may_have_run:
             used = self._prompt.tokens + self._progress.events * self._event_tokens()
         outcome = Outcome.SERVED if status < 400 else Outcome.ENDPOINT_ERROR
-        self._end(outcome, status, used_tokens=used, endpoint=attempt.destination)
+        self._end(
+            outcome,
+            status,
+            used_tokens=used,
+            endpoint=attempt.destination,
+            connect_ms=attempt.connect_ms,
+        )
 
     def _event_tokens(self) -> int:
         pool = self._forwarder.state.routes.pools.get(self.pool)
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -628,6 +628,7 @@
             "process.figures",
             store_calls=self._metrics.store_call_counts(),
             open_requests=len(self.forwarder.open_requests),
+            delay_ms=self._intake.delay_ms,
             members=self.book.max_router_count,
             live=overlay.live_routers,
             tells_others=overlay.publishes_updates,
--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -249,7 +249,9 @@
         if failure.sent:
             request.relay_lost(attempt, failure)
             return
-        request.end_relay(attempt, "unreachable", cause=failure.cause)
+        request.end_relay(
+            attempt, "unreachable", cause=failure.cause, connect_error=failure.connect_error
+        )
         self._try_another(request)
 
     def _try_another(self, request) -> None:
--- a/turnward/gateway/relay_attempt.py
+++ b/turnward/gateway/relay_attempt.py
@@ -79,6 +79,8 @@
         Whether any byte may have been sent.
     reused : bool
         Whether the connection had carried an earlier exchange.
+    connect_ms : float or None
+        Time in which the connection opened; None if it was open before.
     """
 
     is_relay = True
@@ -102,6 +104,7 @@
         self.ended = False
         self.sent = False
         self.reused = False
+        self.connect_ms: float | None = None
 
     @property
     def destination(self) -> str:
@@ -144,6 +147,7 @@
             return
         self.sent = True
         self.reused = connection.exchanges > 1
+        self.connect_ms = connection.connect_ms
         owner.count_attempt()
         connection.send(self._encode_request(), last=True)
 
--- a/turnward/gateway/tests/test_unreached_endpoints.py
+++ b/turnward/gateway/tests/test_unreached_endpoints.py
@@ -132,3 +132,30 @@
     )
     assert min(others) == 1.0
     assert broken >= MIN_SHARE_OF_OTHERS
+
+
+@pytest.mark.parametrize(
+    ("how", "error"), [("silent", "TimeoutError"), ("new_refused", "ConnectionRefusedError")]
+)
+def test_failed_connection_to_a_peer_is_logged_with_its_error(how, error):
+    harness = make_harness()
+    Links(harness, "silent").cut(0)
+    send_everywhere(harness, 2.0)
+    for peer in (1, 2):
+        hosts = harness.machines[0].host, harness.machines[peer].host
+        (harness.network.cut if how == "silent" else harness.network.refuse)(*hosts)
+    log = harness.logs[0]
+    log.lines.clear()
+    harness.send(headers=((b"Deadline-Ms", LONG_DEADLINE_MS),))
+    harness.network.advance(1.0)
+    failed = [line for line in log.of("attempt.failed") if line["how"] == "unreachable"]
+    assert {line["connect_error"] for line in failed} == {error}
+
+
+def test_relayed_request_is_logged_with_the_time_in_which_its_connection_opened():
+    harness = make_harness()
+    Links(harness, "silent").cut(0)
+    send_everywhere(harness, 4.0)
+    ended = [line for line in harness.logs[0].of("request.ended") if "peer" in line["endpoint"]]
+    assert any(line["connect_ms"] is not None for line in ended)
+    assert any(line["connect_ms"] is None for line in ended)
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -76,12 +76,15 @@
         Whether any byte was received on the connection during the exchange.
     reused : bool
         Whether the connection was used for an earlier exchange.
+    connect_error : str
+        Name of the error because of which no connection was opened; empty if one was.
     """
 
     cause: FailureCause
     sent: bool
     answered: bool
     reused: bool
+    connect_error: str = ""
 
 
 class ResponseMatch(StrEnum):
@@ -163,6 +166,7 @@
         self._paused = False
         self.sent = False
         self.exchanges = 0
+        self.opened_in_s = 0.0
         self.idle_since_s = 0.0
         self.reuse_limit_s = _DEFAULT_REUSE_LIMIT_S
 
@@ -365,6 +369,11 @@
         """Whether an exchange is in progress."""
         return self._exchange is not None
 
+    @property
+    def connect_ms(self) -> float | None:
+        """Time in which the connection opened; None from the second exchange on it on."""
+        return round(self.opened_in_s * 1_000, 1) if self.exchanges == 1 else None
+
     @property
     def usable(self) -> bool:
         """Whether the connection may be used for another exchange."""
@@ -376,9 +385,10 @@
 
     noisy = False
 
-    def __init__(self, pool, exchange):
+    def __init__(self, pool, exchange, started_s: float):
         self._pool = pool
         self.exchange = exchange
+        self.started_s = started_s
         self.connector = None
 
     def buildProtocol(self, addr):
@@ -388,7 +398,7 @@
         return protocol
 
     def clientConnectionFailed(self, connector, reason):
-        self._pool.connect_failed(self)
+        self._pool.connect_failed(self, reason.type.__name__)
 
 
 class OutboundPool:
@@ -472,7 +482,7 @@
         self, exchange: ExchangeBase, connect_timeout_s: float | None = None
     ) -> "ExchangeHandle":
         """Run an exchange on a new connection."""
-        connection_attempt = _ConnectionAttempt(self, exchange)
+        connection_attempt = _ConnectionAttempt(self, exchange, self._reactor.seconds())
         host, port = self._address
         connection_attempt.connector = self._reactor.connectTCP(
             host,
@@ -526,8 +536,10 @@
 
     def connected(self, connection: OutboundConnection) -> None:
         """Start the exchange that the connection was opened for."""
-        self._opened_s[connection] = self._reactor.seconds()
+        now_s = self._reactor.seconds()
+        self._opened_s[connection] = now_s
         connection_attempt = self.pending.pop(connection)
+        connection.opened_in_s = now_s - connection_attempt.started_s
         exchange, connection_attempt.exchange = connection_attempt.exchange, None
         if exchange is None:
             connection.drop()
@@ -535,11 +547,12 @@
             connection_attempt.connection = connection
             connection.begin(exchange)
 
-    def connect_failed(self, connection_attempt: _ConnectionAttempt) -> None:
+    def connect_failed(self, connection_attempt: _ConnectionAttempt, error_name: str) -> None:
         """Fail the exchange; nothing was sent."""
         exchange, connection_attempt.exchange = connection_attempt.exchange, None
         if exchange is not None:
-            exchange.exchange_failed(ExchangeFailure(FailureCause.CONNECT, False, False, False))
+            failure = ExchangeFailure(FailureCause.CONNECT, False, False, False, error_name)
+            exchange.exchange_failed(failure)
 
     def released(self, connection: OutboundConnection) -> None:
         """Add a connection to the idle ones."""
