A gateway without links asks peers which of them reach the pool, and hands requests to these

Cause: in fleets of more than 12 gateways nearly no digests of others arrive, so peers were drawn blindly. The class: what is known of the fleet in a mesh was taken for known in any fleet. Change: a router whose connections to a pool fail asks 16 peers by datagram, again after 0.1 s and then each 0.5 s while the pool is not reached. Answers name known paths too, so that few routers with links are found by all. Peers that said so or served a request come before others. A router of an older build is asked nothing (its row does not say that it answers). note_refused of RelayPeers is now note_unreached: the test that names it is changed in that alone.

--- a/turnward/gateway/link_monitor.py
+++ b/turnward/gateway/link_monitor.py
@@ -14,6 +14,8 @@
 
 #: Pools announced to peers at most, so that a message fits a datagram.
 _MAX_ANNOUNCED = 16
+#: Time for which an endpoint that was reached shows that its pool is.
+_REACHED_LIFETIME_S = 1.0
 
 
 class LinkMonitor:
@@ -56,6 +58,8 @@
         self._probes = LinkProbes(reactor, endpoints, self.links, self._probed, rng)
         #: Called soon after the links to a pool are lost, with its name.
         self.on_lost: Callable[[str], None] = lambda pool: None
+        #: Called with each pool of which an endpoint can't be reached.
+        self.on_failed: Callable[[str], None] = lambda pool: None
 
     def _count_accepting(self, pool: str) -> int:
         return len(self._endpoints.accepting(pool, set()))
@@ -65,6 +69,15 @@
         unreached = {*self.links.lost_pools(), *self._endpoints.unresponsive_pools()}
         return tuple(sorted(unreached)[:_MAX_ANNOUNCED])
 
+    def reaches(self, pool: str) -> bool | None:
+        """Return whether this router reaches a pool; None if that must be tried, which begins."""
+        if pool in self.unreached_pools() or not self._endpoints.accepting(pool, set()):
+            return False
+        if self.links.reached_since(pool, self._reactor.seconds() - _REACHED_LIFETIME_S):
+            return True
+        self._probes.suspect(pool)
+        return None
+
     def opened(self, record: EndpointRecord) -> None:
         """Record a connection that was opened to an endpoint."""
         pool = record.entry.pool
@@ -103,6 +116,7 @@
 
     def _note_failed(self, record: EndpointRecord, waited_s: float) -> None:
         pool = record.entry.pool
+        self.on_failed(pool)
         if not self.links.note_failed(pool, record.incarnation, waited_s):
             return
         for other in {each.entry.pool for each in self._endpoints.all()}:
--- a/turnward/gateway/members.py
+++ b/turnward/gateway/members.py
@@ -25,6 +25,8 @@
         Whether the router runs requests that other routers relay to it.
     keeps_versions : bool
         Whether it resumes streams at the software version that began them.
+    tells_paths : bool
+        Whether it answers which pools it reaches.
     """
 
     address: str
@@ -32,6 +34,7 @@
     link_mbit_per_s: float = 0.0
     takes_relays: bool = False
     keeps_versions: bool = False
+    tells_paths: bool = False
 
 
 def encode_member(member: Member) -> bytes:
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -181,6 +181,8 @@
         Whether it runs requests that are relayed to it, by its digest or else by its row.
     keeps_versions : bool
         Whether it resumes streams at the software version that began them, likewise.
+    tells_paths : bool
+        Whether it answers which pools it reaches, by its row.
     """
 
     __slots__ = (
@@ -193,6 +195,7 @@
         "node",
         "received_s",
         "takes_relays",
+        "tells_paths",
         "zone",
     )
 
@@ -207,6 +210,7 @@
         self.link_mbit_per_s = 0.0
         self.takes_relays = False
         self.keeps_versions = False
+        self.tells_paths = False
 
 
 class PeerBook:
@@ -282,6 +286,7 @@
         link_mbit_per_s: float = 0.0,
         takes_relays: bool = False,
         keeps_versions: bool = False,
+        tells_paths: bool = False,
     ) -> None:
         """Add or update a peer from its row in the members' table.
 
@@ -291,6 +296,8 @@
         """
         self.add_member(address, zone, link_mbit_per_s, node)
         peer = self._peers.get(address)
+        if peer is not None:
+            peer.tells_paths = tells_paths
         if peer is not None and peer.digest is None:
             peer.takes_relays = takes_relays
             peer.keeps_versions = keeps_versions
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -27,6 +27,7 @@
 from turnward.gateway.quarantines import Quarantines
 from turnward.gateway.rate_limits import RateLimits
 from turnward.gateway.relay_note import RELAY_PREFIX
+from turnward.gateway.relay_paths import PathAnswer, PathQuestion
 from turnward.gateway.restart_suspicions import RestartSuspicion
 from turnward.gateway.state import EndpointsSnapshot, FleetState
 from turnward.gateway.stream_version_exchange import STREAM_VERSION_PATH, StreamVersionNotice
@@ -56,8 +57,12 @@
 ENDPOINTS_PATH = b"/state/endpoints/packed"
 
 
+#: What routers send each other as datagrams.
+PeerMessage = Digest | FleetSummary | StreamVersionNotice | PathQuestion | PathAnswer
+
+
 class PeerDatagramProtocol(DatagramProtocol):
-    """Sends and receives digests and summaries as datagrams.
+    """Sends and receives messages as datagrams.
 
     Parameters
     ----------
@@ -72,14 +77,14 @@
 
     def __init__(
         self,
-        on_message: Callable[[Digest | FleetSummary | StreamVersionNotice], None],
+        on_message: Callable[[PeerMessage], None],
         on_rejected: Callable[[str, int | None], None],
     ):
         self._on_message = on_message
         self._on_rejected = on_rejected
         #: Supported layouts.
         self.layouts = range(OLDEST_DIGEST_LAYOUT, DIGEST_LAYOUT + 1)
-        self._decoder = msgspec.msgpack.Decoder(Digest | FleetSummary | StreamVersionNotice)
+        self._decoder = msgspec.msgpack.Decoder(PeerMessage)
 
     def send(self, data: bytes, address: str) -> None:
         """Send a datagram; on an error it is dropped."""
@@ -200,6 +205,9 @@
         )
         #: Called with what a peer tells of the versions that began streams.
         self.on_stream_versions: Callable[[StreamVersionNotice], None] = lambda notice: None
+        #: Called with a peer's question which pools this router reaches, and with an answer.
+        self.on_path_question: Callable[[PathQuestion], None] = lambda question: None
+        self.on_path_answer: Callable[[PathAnswer], None] = lambda answer: None
         #: Returns the pools of which this router reaches no endpoint.
         self.unreached_pools: Callable[[], tuple[str, ...]] = tuple
 
@@ -281,11 +289,22 @@
         since_s = self._reactor.seconds() - _SHORTAGE_LIFETIME_S
         return any(peer.digest.short and peer.received_s >= since_s for peer in self._book.live())
 
-    def receive(self, message: Digest | FleetSummary | StreamVersionNotice) -> None:
+    def send(self, message: PeerMessage, address: str) -> None:
+        """Send a message to a peer."""
+        self.exchange.send(msgspec.msgpack.encode(message), address)
+
+    def receive(self, message: PeerMessage) -> None:
         """Merge a message from a peer, and fetch state that is newer elsewhere."""
         if isinstance(message, StreamVersionNotice):
             self.on_stream_versions(message)
-            return
+        elif isinstance(message, PathQuestion):
+            self.on_path_question(message)
+        elif isinstance(message, PathAnswer):
+            self.on_path_answer(message)
+        else:
+            self._merge(message)
+
+    def _merge(self, message: Digest | FleetSummary) -> None:
         if message.address != self._book.own_address:
             self._layouts[message.address] = message.layout
             self._state.adopt_announced_zone_orders(message.zone_orders, f"peer {message.address}")
--- a/turnward/gateway/pool_links.py
+++ b/turnward/gateway/pool_links.py
@@ -154,6 +154,10 @@
         """Return whether a connection to a pool was opened since a given time."""
         return self._of(pool).opened_s >= time_s
 
+    def reached_since(self, pool: str, time_s: float) -> bool:
+        """Return whether a connection was opened or an endpoint responded since a given time."""
+        return self.opened_since(pool, time_s) or self.responded_since(pool, time_s)
+
     def responded_since(self, pool: str, time_s: float) -> bool:
         """Return whether an endpoint of a pool responded since a given time."""
         return self._of(pool).responded_s >= time_s
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -46,6 +46,7 @@
 from turnward.gateway.rate_limits import RateLimits
 from turnward.gateway.relay import Relay, RelayServer
 from turnward.gateway.relay_note import limits_with_relays
+from turnward.gateway.relay_paths import PathFinder
 from turnward.gateway.service_rates import make_service_rates
 from turnward.gateway.settings import GatewaySettings
 from turnward.gateway.spend_bounds import make_spend_bounds
@@ -376,6 +377,7 @@
             settings.link_mbit_per_s,
             takes_relays=True,
             keeps_versions=True,
+            tells_paths=True,
         )
         return MemberRow(
             self._reactor, self._store, settings.node, member, self._rng, lambda: self._stopping
@@ -386,6 +388,19 @@
         self.peers.on_relayed = RelayServer(self.forwarder.handle_relayed, self._log).serve
         self.peers.unreached_pools = self._links.unreached_pools
         self._links.on_lost = self.forwarder.withdraw_from_endpoints
+        self.paths = PathFinder(
+            self._reactor,
+            self.book,
+            self.relay.peers,
+            self._links.reaches,
+            self._links.unreached_pools,
+            self.peers.send,
+            self._rng,
+            self._log,
+        )
+        self._links.on_failed = self.paths.look_for
+        self.peers.on_path_question = self.paths.receive_question
+        self.peers.on_path_answer = self.paths.receive_answer
         self._quarantines.crashes.on_suspects = self.peers.announce_soon
         self._quarantines.on_part_held = self.forwarder.withdraw_fatal
 
--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -40,6 +40,8 @@
 #: While most callers come to one router, the shares of its peers are free.
 _MAX_TURNED_AWAY = 4
 _SHARES_WINDOW_S = 1.0
+#: Causes of a relay that tell of this router's links, rather than of its share of a pool.
+_UNREACHED_CAUSES = frozenset(("lost", "links_lost", "unreached", "unresponsive"))
 #: Refusals that concern the peer alone; another one may serve the request.
 _REASONS_OF_THE_PEER = frozenset(
     (
@@ -187,7 +189,10 @@
     def _begin(self, request, cause: str) -> bool:
         if not request.relayable or len(request.peers_tried) >= _MAX_PEERS_TRIED:
             return False
-        address = self.peers.choose(request.pool, request.peers_tried, request.bound_version)
+        known_first = cause in _UNREACHED_CAUSES or self._is_in_trouble(request)
+        address = self.peers.choose(
+            request.pool, request.peers_tried, request.bound_version, known_first
+        )
         if address is None:
             return False
         request.peers_tried.add(address)
@@ -208,6 +213,11 @@
         attempt.start(self._pool_of(address))
         return True
 
+    def _is_in_trouble(self, request) -> bool:
+        """Return whether this router itself may not reach the pool, whatever its share of it."""
+        pool = request.pool
+        return self._links.is_lost(pool) or self._links.in_doubt(pool) or request.pool_unresponsive
+
     def _pool_of(self, address: str) -> OutboundPool:
         pool = self._pools.get(address)
         if pool is None:
@@ -221,13 +231,17 @@
 
     # Results.
 
+    def served(self, request, attempt: RelayAttempt) -> None:
+        """Record that an endpoint has responded through a peer."""
+        self.peers.note_path(attempt.address, request.pool)
+
     def refused(self, request, attempt: RelayAttempt, refusal: RelayRefusal) -> None:
         """Handle a response of the peer's own."""
         unforwarded = refusal.status in NOT_RUN_STATUSES or not refusal.reason
         if not refusal.reason:
             self.peers.note_unreachable(attempt.address)
         elif refusal.reason == Reason.ENDPOINTS_UNRESPONSIVE:
-            self.peers.note_refused(attempt.address, request.pool)
+            self.peers.note_unreached(attempt.address, request.pool)
         if not unforwarded or refusal.reason not in _REASONS_OF_THE_PEER:
             self._metrics.requests_relayed.labels(request.pool, "refused").inc()
             request.answer_for_peer(attempt, refusal, outcome_of(refusal.status))
--- a/turnward/gateway/relay_attempt.py
+++ b/turnward/gateway/relay_attempt.py
@@ -179,6 +179,8 @@
         self._status = status
         self._headers = headers
         self._sealed = header_value(headers, owner.forwarder.dialect.answer_seal) is not None
+        if self._sealed:
+            self._relay.served(owner, self)
         if not self._sealed:
             self._buffered = []
         elif owner.head_sent and status != 200:
--- /dev/null
+++ b/turnward/gateway/relay_paths.py
@@ -0,0 +1,231 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Finds the peers that reach a pool which this router can't reach.
+
+A router that loses its links to a pool asks some peers by datagram, and goes on asking while its
+links are lost. The answers also name peers that the recipients themselves know as paths, so that
+few questions find the few routers that reach a pool while most of a fleet does not. The number of
+questions does not depend on the size of the fleet.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from turnward.gateway.peer_book import DIGEST_LAYOUT, Peer, PeerBook
+from turnward.gateway.relay_peers import RelayPeers
+
+__all__ = ["PathAnswer", "PathFinder", "PathQuestion", "PoolPaths"]
+
+#: Peers asked at a time.
+_ASKED_AT_A_TIME = 16
+#: Peers drawn to choose those to ask from.
+_SAMPLE_SIZE = 48
+#: Known paths to a pool from which no further peers are asked.
+_ENOUGH_PATHS = 8
+#: Paths named in an answer for each pool.
+_PATHS_TOLD = 3
+#: Pools in one message, so that it fits a datagram.
+_MAX_POOLS = 16
+#: Interval between questions: at first, and at most. It doubles while few paths are known.
+_FIRST_INTERVAL_S = 0.1
+_MAX_INTERVAL_S = 0.5
+#: Range of the random factor of the interval.
+_JITTER = (0.8, 1.2)
+#: Time for which a pool is asked about after the latest sign that it can't be reached.
+_SUSPICION_S = 0.6
+
+
+class PathQuestion(msgspec.Struct, frozen=True, array_like=True, tag="path_question"):
+    """Message of a router that can't reach some pools: does the recipient reach them?
+
+    Attributes
+    ----------
+    layout : int
+        See ``peer_book.DIGEST_LAYOUT``.
+    address : str
+        Address of the sender.
+    pools : tuple of str
+        The pools.
+    """
+
+    layout: int
+    address: str
+    pools: tuple[str, ...]
+
+
+class PoolPaths(msgspec.Struct, frozen=True, array_like=True):
+    """What a router knows of the paths to a pool.
+
+    Attributes
+    ----------
+    pool : str
+        The pool.
+    reached : bool or None
+        Whether the router itself reaches the pool; None if it has not tried lately.
+    paths : tuple of str
+        Addresses of peers that reach the pool as far as the router knows.
+    """
+
+    pool: str
+    reached: bool | None
+    paths: tuple[str, ...] = ()
+
+
+class PathAnswer(msgspec.Struct, frozen=True, array_like=True, tag="path_answer"):
+    """Answer to a ``PathQuestion``.
+
+    Attributes
+    ----------
+    layout : int
+        See ``peer_book.DIGEST_LAYOUT``.
+    address : str
+        Address of the sender.
+    pools : tuple of PoolPaths
+        What it knows of each pool.
+    """
+
+    layout: int
+    address: str
+    pools: tuple[PoolPaths, ...]
+
+
+class PathFinder:
+    """Asks peers for paths while some pool can't be reached, and answers their questions.
+
+    Parameters
+    ----------
+    reactor
+        Twisted's reactor.
+    book : PeerBook
+        The known peers.
+    peers : RelayPeers
+        Keeps what is learnt.
+    reaches : callable
+        Returns whether this router reaches a pool; None if it has not tried lately, which starts
+        a trial.
+    unreached_pools : callable
+        Returns the pools that this router can't reach.
+    send : callable
+        Sends a message to an address.
+    rng : random.Random
+        Chooses the peers to ask, and adds jitter.
+    log
+        Receiver of what is found.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        book: PeerBook,
+        peers: RelayPeers,
+        reaches: Callable[[str], bool | None],
+        unreached_pools: Callable[[], Iterable[str]],
+        send: Callable[[PathQuestion | PathAnswer, str], None],
+        rng: random.Random,
+        log,
+    ):
+        self._reactor = reactor
+        self._book = book
+        self._peers = peers
+        self._reaches = reaches
+        self._unreached_pools = unreached_pools
+        self._send = send
+        self._rng = rng
+        self._log = log
+        self._suspected_until_s: dict[str, float] = {}
+        self._asking = False
+        self._interval_s = _FIRST_INTERVAL_S
+        #: Peers that others have named as paths and that are not asked yet, by pool.
+        self._named: dict[str, set[str]] = {}
+        #: How many paths were known at the latest questions, by pool.
+        self._found: dict[str, int] = {}
+
+    def look_for(self, pool: str) -> None:
+        """Begin to look for paths to a pool that this router may not reach."""
+        self._suspected_until_s[pool] = self._reactor.seconds() + _SUSPICION_S
+        if not self._asking:
+            self._asking = True
+            self._interval_s = _FIRST_INTERVAL_S
+            self._ask()
+
+    def _ask(self) -> None:
+        pools = self._wanted_pools()
+        self._report(pools)
+        if not pools:
+            self._asking = False
+            self._named.clear()
+            return
+        question = PathQuestion(DIGEST_LAYOUT, self._book.own_address, pools)
+        for address in self._choose_asked(pools):
+            self._send(question, address)
+        self._reactor.callLater(self._interval_s * self._rng.uniform(*_JITTER), self._ask)
+        self._interval_s = min(_MAX_INTERVAL_S, 2 * self._interval_s)
+
+    def _wanted_pools(self) -> tuple[str, ...]:
+        now_s = self._reactor.seconds()
+        self._suspected_until_s = {
+            pool: until_s for pool, until_s in self._suspected_until_s.items() if until_s > now_s
+        }
+        return tuple(sorted({*self._suspected_until_s, *self._unreached_pools()})[:_MAX_POOLS])
+
+    def _report(self, pools: tuple[str, ...]) -> None:
+        """Log the pools to which the first path was found, or the last one was lost."""
+        found = {pool: len(self._peers.known_paths(pool)) for pool in pools}
+        for pool, count in found.items():
+            if bool(count) != bool(self._found.get(pool, 0)):
+                self._log.belief("pool.paths", pool=pool, paths=count)
+        self._found = found
+
+    def _choose_asked(self, pools: tuple[str, ...]) -> list[str]:
+        """Return the peers to ask: those known or named as paths, and others if they are few."""
+        known = {path for pool in pools for path in self._peers.known_paths(pool)}
+        paths = [*known, *(self._take_named(pools) - known)]
+        asked = [path for path in paths if self._tells_paths(path)][:_ASKED_AT_A_TIME]
+        if all(len(self._peers.known_paths(pool)) >= _ENOUGH_PATHS for pool in pools):
+            return asked
+        others = [
+            peer.address
+            for peer in self._peers.draw(_SAMPLE_SIZE)
+            if peer.tells_paths and peer.address not in asked
+        ]
+        others.sort(key=lambda address: self._peers.said_unreached(address, pools))
+        return asked + others[: _ASKED_AT_A_TIME - len(asked)]
+
+    def _take_named(self, pools: tuple[str, ...]) -> set[str]:
+        named: set[str] = set()
+        for pool in pools:
+            named |= self._named.pop(pool, set())
+        return named
+
+    def _tells_paths(self, address: str) -> bool:
+        peer: Peer | None = self._book.get(address)
+        return peer is not None and peer.tells_paths
+
+    # Messages of peers.
+
+    def receive_question(self, question: PathQuestion) -> None:
+        """Answer a peer, which itself is no path to the pools that it asks about."""
+        for pool in question.pools:
+            self._peers.note_unreached(question.address, pool)
+        pools = tuple(
+            PoolPaths(pool, self._reaches(pool), self._paths_to_tell(pool, question.address))
+            for pool in question.pools[:_MAX_POOLS]
+        )
+        answer = PathAnswer(DIGEST_LAYOUT, self._book.own_address, pools)
+        self._send(answer, question.address)
+
+    def _paths_to_tell(self, pool: str, recipient: str) -> tuple[str, ...]:
+        paths = [path for path in self._peers.known_paths(pool) if path != recipient]
+        return tuple(self._rng.sample(paths, min(len(paths), _PATHS_TOLD)))
+
+    def receive_answer(self, answer: PathAnswer) -> None:
+        """Learn from a peer's answer."""
+        for told in answer.pools:
+            if told.reached:
+                self._peers.note_path(answer.address, told.pool)
+            elif told.reached is not None:
+                self._peers.note_unreached(answer.address, told.pool)
+            own_address = self._book.own_address
+            named = {path for path in told.paths if path != own_address}
+            self._named.setdefault(told.pool, set()).update(named)
--- a/turnward/gateway/relay_peers.py
+++ b/turnward/gateway/relay_peers.py
@@ -1,14 +1,16 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Chooses the peer that a request is relayed to.
 
-A peer is a path to a pool unless its digest says that it reaches no endpoint of the pool, or it
-has refused lately. Nothing else has to be told: a peer that turns out to be no path refuses at
-once. In a large fleet a router hears the digests of few others, and learns from refusals alone.
+A peer is known as a path to a pool once it has said so, or has served a request of this router.
+While none is, any peer counts as one unless it, or its digest, has said that it reaches no endpoint
+of the pool: a peer that turns out to be no path refuses at once.
 """
 
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+
+import msgspec
 
 from turnward.gateway.peer_book import Peer, PeerBook
 
@@ -16,9 +18,11 @@
 
 #: Peers considered for one request, so that the choice costs the same in a large fleet.
 _SAMPLE_SIZE = 16
-#: Longest time for which a peer is avoided for a pool that it has refused a request of.
+#: Time for which a peer counts as a path after it said so or served a request.
+_PATH_LIFETIME_S = 2.0
+#: Longest time for which a peer counts as none after it said so or refused a request.
 _REFUSED_S = 1.0
-#: Time after a refusal from which digests that arrive were sent after it.
+#: Time after a peer's word from which digests that arrive were sent after it.
 _DIGEST_DELAY_S = 0.1
 #: Time for which a peer is avoided that could not be reached, or runs no relayed requests.
 _UNREACHABLE_S = 3.0
@@ -28,6 +32,25 @@
 _ZONE_PREFERENCE = 1
 
 
+class _Verdict(msgspec.Struct, frozen=True):
+    """Whether a peer reaches a pool, by its own word.
+
+    Attributes
+    ----------
+    reaches : bool
+        Whether it does.
+    noted_s : float
+        When it said so.
+    """
+
+    reaches: bool
+    noted_s: float
+
+    def counts(self, now_s: float) -> bool:
+        """Return whether it is recent enough."""
+        return now_s - self.noted_s < (_PATH_LIFETIME_S if self.reaches else _REFUSED_S)
+
+
 class RelayPeers:
     """The peers, as paths to pools that this router can't reach.
 
@@ -51,28 +74,55 @@
         self._members: list[Peer] = []
         self._members_version = -1
         self._in_flight: Counter[str] = Counter()
-        #: Until when each peer is avoided, by address and pool; the pool is "" for all of them.
-        self._avoided_until_s: dict[tuple[str, str], float] = {}
-
-    def choose(self, pool: str, excluded: set[str], version: str = "") -> str | None:
+        #: Until when each peer is avoided for all pools.
+        self._avoided_until_s: dict[str, float] = {}
+        #: What each peer has said of itself, by pool and address.
+        self._verdicts: dict[str, dict[str, _Verdict]] = {}
+
+    def choose(
+        self, pool: str, excluded: set[str], version: str = "", known_first: bool = True
+    ) -> str | None:
         """Return the address of the best path to a pool; None if no peer seems to be one.
 
-        With ``version``, only peers count that would keep to it.
+        With ``version``, only peers count that would keep to it. With ``known_first``, peers that
+        are known as paths come before all others.
         """
-        paths = [
-            peer
-            for peer in self._sample()
-            if peer.address not in excluded
-            and (peer.keeps_versions or not version)
-            and self._is_path(peer, pool)
-        ]
-        chosen = min(paths, key=self._cost, default=None)
-        return chosen.address if chosen is not None else None
+        known = [self._book.get(address) for address in self.known_paths(pool)]
+        for candidates in (known if known_first else [], self.draw(_SAMPLE_SIZE)):
+            paths = [
+                peer
+                for peer in candidates
+                if peer.address not in excluded
+                and (peer.keeps_versions or not version)
+                and self._is_path(peer, pool)
+            ]
+            if paths:
+                return min(paths, key=self._cost).address
+        return None
 
     def has_path(self, pool: str) -> bool:
         """Return whether some peer seems to reach a pool."""
         return self.choose(pool, set()) is not None
 
+    def known_paths(self, pool: str) -> list[str]:
+        """Return the addresses of the peers known as paths to a pool."""
+        return [
+            address
+            for address, verdict in self._recent_verdicts(pool).items()
+            if verdict.reaches and self._book.get(address) is not None
+        ]
+
+    def draw(self, count: int) -> list[Peer]:
+        """Return some members at random; all if there are no more."""
+        if self._members_version != self._book.membership_version:
+            self._members = self._book.members
+            self._members_version = self._book.membership_version
+        if len(self._members) <= count:
+            return self._members
+        return self._rng.sample(self._members, count)
+
+    # What is learnt of peers.
+
     def note_started(self, address: str) -> None:
         """Count a request that is relayed to a peer."""
         self._in_flight[address] += 1
@@ -83,49 +133,60 @@
         if self._in_flight[address] <= 0:
             del self._in_flight[address]
 
-    def note_refused(self, address: str, pool: str) -> None:
-        """Avoid a peer that does not serve a pool now."""
-        self._avoid(address, pool, _REFUSED_S)
+    def note_path(self, address: str, pool: str) -> None:
+        """Record that a peer reaches a pool."""
+        self._note(address, pool, reaches=True)
+
+    def note_unreached(self, address: str, pool: str) -> None:
+        """Record that a peer does not reach a pool."""
+        self._note(address, pool, reaches=False)
 
     def note_unreachable(self, address: str) -> None:
         """Avoid a peer that can't be reached, or that runs no relayed requests."""
-        self._avoid(address, "", _UNREACHABLE_S)
-
-    def _avoid(self, address: str, pool: str, duration_s: float) -> None:
         now_s = self._clock()
         self._avoided_until_s = {
-            key: until_s for key, until_s in self._avoided_until_s.items() if until_s > now_s
+            each: until_s for each, until_s in self._avoided_until_s.items() if until_s > now_s
         }
-        self._avoided_until_s[address, pool] = now_s + duration_s
+        self._avoided_until_s[address] = now_s + _UNREACHABLE_S
 
-    def _sample(self) -> list[Peer]:
-        if self._members_version != self._book.membership_version:
-            self._members = self._book.members
-            self._members_version = self._book.membership_version
-        if len(self._members) <= _SAMPLE_SIZE:
-            return self._members
-        return self._rng.sample(self._members, _SAMPLE_SIZE)
+    def said_unreached(self, address: str, pools: Iterable[str]) -> bool:
+        """Return whether a peer has said lately that it reaches none of some pools."""
+        verdicts = (self._recent_verdicts(pool).get(address) for pool in pools)
+        return all(verdict is not None and not verdict.reaches for verdict in verdicts)
+
+    def _note(self, address: str, pool: str, reaches: bool) -> None:
+        verdicts = self._verdicts.setdefault(pool, {})
+        verdicts[address] = _Verdict(reaches, self._clock())
+
+    def _recent_verdicts(self, pool: str) -> dict[str, _Verdict]:
+        """Return the verdicts that still count, and delete the others."""
+        now_s = self._clock()
+        verdicts = self._verdicts.get(pool, {})
+        for address in [each for each, verdict in verdicts.items() if not verdict.counts(now_s)]:
+            del verdicts[address]
+        return verdicts
+
+    # Choice.
 
     def _is_path(self, peer: Peer, pool: str) -> bool:
         now_s = self._clock()
         if not peer.takes_relays or peer.is_replaced:
             return False
-        if self._is_avoided(peer, pool, now_s):
+        if self._avoided_until_s.get(peer.address, 0.0) > now_s:
             return False
+        verdict = self._recent_verdicts(pool).get(peer.address)
+        if verdict is not None and not self._has_told_since(peer, verdict.noted_s):
+            return verdict.reaches
         if peer.digest is None:
             return True
         if peer.received_s < now_s - _DIGEST_LIFETIME_S:
             return not self._book.live()
         return not peer.digest.stopping and pool not in (peer.digest.unreached or ())
 
-    def _is_avoided(self, peer: Peer, pool: str, now_s: float) -> bool:
-        """Return whether a peer was unreachable, or refused and has sent no digest since."""
-        if self._avoided_until_s.get((peer.address, ""), 0.0) > now_s:
-            return True
-        until_s = self._avoided_until_s.get((peer.address, pool), 0.0)
-        told_since_s = until_s - _REFUSED_S + _DIGEST_DELAY_S
-        told = peer.digest is not None and peer.received_s > told_since_s
-        return until_s > now_s and not told
+    @staticmethod
+    def _has_told_since(peer: Peer, time_s: float) -> bool:
+        """Return whether a digest was sent by a peer after a given time."""
+        return peer.digest is not None and peer.received_s > time_s + _DIGEST_DELAY_S
 
     def _cost(self, peer: Peer) -> tuple[int, float]:
         other_zone = _ZONE_PREFERENCE if peer.zone != self._zone else 0
--- a/turnward/gateway/table_listeners.py
+++ b/turnward/gateway/table_listeners.py
@@ -215,4 +215,5 @@
                 member.link_mbit_per_s,
                 member.takes_relays,
                 member.keeps_versions,
+                member.tells_paths,
             )
--- a/turnward/gateway/tests/test_relayed_requests.py
+++ b/turnward/gateway/tests/test_relayed_requests.py
@@ -332,7 +332,7 @@
         harness.network.advance(0.5)
     peers = harness.gateways[ORIGIN].forwarder.relay.peers
     assert peers.has_path("pool") == peer_serves
-    peers.note_refused(harness.gateways[1].peers_address, "pool")
+    peers.note_unreached(harness.gateways[1].peers_address, "pool")
     assert not peers.has_path("pool")
     harness.network.advance(0.5)
     assert peers.has_path("pool") == peer_serves
