A gateway whose own link is busy does not take its peers for unreachable

Cause: its own link. Connections to peers open later and later, 15, 30, 63, 117, 167, 298 ms in half seconds from 5 to 8 s, those to endpoints too (up to 488 ms), then fail with TimeoutError after 0.3 s, never otherwise; at the other gateways they open in 2 to 14 ms (median) throughout. Each peer was then avoided for 3 s, so requests were refused at once and their callers came back at once with their bodies. Change: a peer that was heard since the attempt began, or is heard again, is not avoided. A known path gets 1 s to open, and paths with an open connection come first. Refusals as stopping, full or without a configuration end a known path, too.

--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -14,15 +14,17 @@
 from turnward.gateway.outcomes import NOT_RUN_STATUSES, SHARED_OUT_REASONS, Outcome, Reason
 from turnward.gateway.peer_book import PeerBook
 from turnward.gateway.pool_links import PoolLinks
-from turnward.gateway.relay_attempt import RelayAttempt, RelayRefusal
+from turnward.gateway.relay_attempt import MAX_IDLE_S, RelayAttempt, RelayRefusal
 from turnward.gateway.relay_note import RelayNote, RelayNoteError
 from turnward.gateway.relay_peers import RelayPeers
 from turnward.http1 import ExchangeFailure, InboundRequest, OutboundPool
 
 __all__ = ["Relay", "RelayServer"]
 
-#: Timeout of connections to peers.
+#: Timeout of connections to peers, and to those known as paths: if one of these takes long to
+#: open, the peer is alive and this router's own link is busy.
 _CONNECT_TIMEOUT_S = 0.3
+_KNOWN_CONNECT_TIMEOUT_S = 1.0
 #: Peers tried for one request.
 _MAX_PEERS_TRIED = 3
 #: Endpoints that can't be reached after which a request is relayed, if none was in between.
@@ -57,6 +59,18 @@
 )
 
 
+#: Refusals after which a peer does not serve a pool for some time.
+_REASONS_OF_NO_PATH = frozenset(
+    (
+        Reason.ENDPOINTS_UNRESPONSIVE,
+        Reason.NO_CONFIGURATION,
+        Reason.RELAYS_FULL,
+        Reason.STALE_CONFIGURATION,
+        Reason.STOPPING,
+    )
+)
+
+
 class Relay:
     """The requests that this router relays.
 
@@ -106,6 +120,7 @@
         #: When a request that must not run twice may next probe each pool.
         self._next_probe_s: dict[str, float] = {}
         self.peers = RelayPeers(book, zone, reactor.seconds, rng)
+        self.peers.has_open_connection = self._has_open_connection
 
     # Decisions.
 
@@ -210,7 +225,9 @@
             left_ms=request.left_ms,
         )
         request.begin_relay(attempt)
-        attempt.start(self._pool_of(address))
+        is_known = self.peers.is_known(address, request.pool)
+        timeout_s = _KNOWN_CONNECT_TIMEOUT_S if is_known else _CONNECT_TIMEOUT_S
+        attempt.start(self._pool_of(address), timeout_s)
         return True
 
     def _is_in_trouble(self, request) -> bool:
@@ -218,6 +235,10 @@
         pool = request.pool
         return self._links.is_lost(pool) or self._links.in_doubt(pool) or request.pool_unresponsive
 
+    def _has_open_connection(self, address: str) -> bool:
+        pool = self._pools.get(address)
+        return pool is not None and pool.has_idle(MAX_IDLE_S)
+
     def _pool_of(self, address: str) -> OutboundPool:
         pool = self._pools.get(address)
         if pool is None:
@@ -239,8 +260,8 @@
         """Handle a response of the peer's own."""
         unforwarded = refusal.status in NOT_RUN_STATUSES or not refusal.reason
         if not refusal.reason:
-            self.peers.note_unreachable(attempt.address)
-        elif refusal.reason == Reason.ENDPOINTS_UNRESPONSIVE:
+            self.peers.note_runs_none(attempt.address)
+        elif refusal.reason in _REASONS_OF_NO_PATH:
             self.peers.note_unreached(attempt.address, request.pool)
         if not unforwarded or refusal.reason not in _REASONS_OF_THE_PEER:
             self._metrics.requests_relayed.labels(request.pool, "refused").inc()
@@ -258,7 +279,8 @@
     def lost(self, request, attempt: RelayAttempt, failure: ExchangeFailure) -> None:
         """Handle the loss of a response; what was sent to the peer may have run."""
         if not failure.answered:
-            self.peers.note_unreachable(attempt.address)
+            since_s = self._reactor.seconds() if failure.sent else attempt.started_s
+            self.peers.note_unreachable(attempt.address, since_s)
         self._metrics.requests_relayed.labels(request.pool, "lost").inc()
         if failure.sent:
             request.relay_lost(attempt, failure)
--- a/turnward/gateway/relay_attempt.py
+++ b/turnward/gateway/relay_attempt.py
@@ -17,12 +17,12 @@
     header_value,
 )
 
-__all__ = ["RelayAttempt", "RelayRefusal"]
+__all__ = ["MAX_IDLE_S", "RelayAttempt", "RelayRefusal"]
 
 #: A response up to this size is buffered whole, so that a loss of the peer can still be reported.
 _BUFFER_LIMIT_BYTES = 65_536
 #: Longest idle time of a connection that carries a relayed request.
-_MAX_IDLE_S = 1.0
+MAX_IDLE_S = 1.0
 #: Statuses of a router's own that come without the request's id, before anything is forwarded.
 _UNFORWARDED_STATUSES = frozenset((400, 404, 408, 413, 431))
 
@@ -81,6 +81,8 @@
         Whether the connection had carried an earlier exchange.
     connect_ms : float or None
         Time in which the connection opened; None if it was open before.
+    started_s : float
+        When the attempt began.
     """
 
     is_relay = True
@@ -105,17 +107,19 @@
         self.sent = False
         self.reused = False
         self.connect_ms: float | None = None
+        self.started_s = 0.0
 
     @property
     def destination(self) -> str:
         """Where the request is sent, for logs."""
         return f"peer {self.address}"
 
-    def start(self, pool: OutboundPool) -> None:
+    def start(self, pool: OutboundPool, connect_timeout_s: float) -> None:
         """Request a connection to the peer."""
         self._counted = True
+        self.started_s = self._owner.forwarder.reactor.seconds()
         self._relay.peers.note_started(self.address)
-        handle = pool.start(self, _MAX_IDLE_S)
+        handle = pool.start(self, MAX_IDLE_S, connect_timeout_s)
         if not self.ended:
             self._handle = handle
 
--- a/turnward/gateway/relay_peers.py
+++ b/turnward/gateway/relay_peers.py
@@ -6,6 +6,7 @@
 of the pool: a peer that turns out to be no path refuses at once.
 """
 
+import math
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable
@@ -24,12 +25,15 @@
 _REFUSED_S = 1.0
 #: Time after a peer's word from which digests that arrive were sent after it.
 _DIGEST_DELAY_S = 0.1
-#: Time for which a peer is avoided that could not be reached, or runs no relayed requests.
+#: Longest time for which a peer is avoided that could not be reached, and time for which one is
+#: that runs no relayed requests.
 _UNREACHABLE_S = 3.0
 #: Age of a digest up to which what it says counts.
 _DIGEST_LIFETIME_S = 1.5
 #: Requests that a peer of another zone must have less than one of the own zone to be preferred.
 _ZONE_PREFERENCE = 1
+#: Requests that a peer must have less to be preferred to one with an open connection.
+_OPENING_COST = 2
 
 
 class _Verdict(msgspec.Struct, frozen=True):
@@ -74,10 +78,14 @@
         self._members: list[Peer] = []
         self._members_version = -1
         self._in_flight: Counter[str] = Counter()
-        #: Until when each peer is avoided for all pools.
+        #: Until when each peer that runs no relayed requests is avoided.
         self._avoided_until_s: dict[str, float] = {}
+        #: Since when each peer has not been reached.
+        self._unreachable_since_s: dict[str, float] = {}
         #: What each peer has said of itself, by pool and address.
         self._verdicts: dict[str, dict[str, _Verdict]] = {}
+        #: Returns whether an idle connection to a peer is open.
+        self.has_open_connection: Callable[[str], bool] = lambda address: False
 
     def choose(
         self, pool: str, excluded: set[str], version: str = "", known_first: bool = True
@@ -97,13 +105,18 @@
                 and self._is_path(peer, pool)
             ]
             if paths:
-                return min(paths, key=self._cost).address
+                return min(paths, key=self._cost_known if known_first else self._cost).address
         return None
 
     def has_path(self, pool: str) -> bool:
         """Return whether some peer seems to reach a pool."""
         return self.choose(pool, set()) is not None
 
+    def is_known(self, address: str, pool: str) -> bool:
+        """Return whether a peer is known as a path to a pool."""
+        verdict = self._recent_verdicts(pool).get(address)
+        return verdict is not None and verdict.reaches
+
     def known_paths(self, pool: str) -> list[str]:
         """Return the addresses of the peers known as paths to a pool."""
         return [
@@ -141,14 +154,26 @@
         """Record that a peer does not reach a pool."""
         self._note(address, pool, reaches=False)
 
-    def note_unreachable(self, address: str) -> None:
-        """Avoid a peer that can't be reached, or that runs no relayed requests."""
+    def note_runs_none(self, address: str) -> None:
+        """Avoid a peer that runs no relayed requests."""
         now_s = self._clock()
         self._avoided_until_s = {
             each: until_s for each, until_s in self._avoided_until_s.items() if until_s > now_s
         }
         self._avoided_until_s[address] = now_s + _UNREACHABLE_S
 
+    def note_unreachable(self, address: str, since_s: float) -> None:
+        """Avoid a peer that could not be reached, until it is heard.
+
+        ``since_s`` is when the attempt to reach it began: if it has been heard since, this router's
+        own link is the cause.
+        """
+        from_s = self._clock() - _UNREACHABLE_S
+        self._unreachable_since_s = {
+            each: each_s for each, each_s in self._unreachable_since_s.items() if each_s > from_s
+        }
+        self._unreachable_since_s[address] = since_s
+
     def said_unreached(self, address: str, pools: Iterable[str]) -> bool:
         """Return whether a peer has said lately that it reaches none of some pools."""
         verdicts = (self._recent_verdicts(pool).get(address) for pool in pools)
@@ -172,7 +197,7 @@
         now_s = self._clock()
         if not peer.takes_relays or peer.is_replaced:
             return False
-        if self._avoided_until_s.get(peer.address, 0.0) > now_s:
+        if self._avoided_until_s.get(peer.address, 0.0) > now_s or self._is_unreachable(peer):
             return False
         verdict = self._recent_verdicts(pool).get(peer.address)
         if verdict is not None and not self._has_told_since(peer, verdict.noted_s):
@@ -183,6 +208,16 @@
             return not self._book.live()
         return not peer.digest.stopping and pool not in (peer.digest.unreached or ())
 
+    def _is_unreachable(self, peer: Peer) -> bool:
+        since_s = self._unreachable_since_s.get(peer.address, -math.inf)
+        if since_s <= self._clock() - _UNREACHABLE_S:
+            return False
+        heard_s = peer.received_s if peer.received_s is not None else -math.inf
+        for verdicts in self._verdicts.values():
+            verdict = verdicts.get(peer.address)
+            heard_s = max(heard_s, verdict.noted_s if verdict is not None else -math.inf)
+        return heard_s <= since_s
+
     @staticmethod
     def _has_told_since(peer: Peer, time_s: float) -> bool:
         """Return whether a digest was sent by a peer after a given time."""
@@ -191,3 +226,9 @@
     def _cost(self, peer: Peer) -> tuple[int, float]:
         other_zone = _ZONE_PREFERENCE if peer.zone != self._zone else 0
         return (self._in_flight[peer.address] + other_zone, self._rng.random())
+
+    def _cost_known(self, peer: Peer) -> tuple[int, float]:
+        """Return the cost of a path that many requests may take."""
+        cost, tie_break = self._cost(peer)
+        opening = 0 if self.has_open_connection(peer.address) else _OPENING_COST
+        return (cost + opening, tie_break)
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -463,7 +463,17 @@
         """Number of idle connections."""
         return len(self._idle)
 
-    def start(self, exchange: ExchangeBase, max_idle_s: float | None = None) -> "ExchangeHandle":
+    def has_idle(self, max_idle_s: float) -> bool:
+        """Return whether an open connection has been idle for no longer than a given time."""
+        since_s = self._reactor.seconds() - max_idle_s
+        return bool(self._idle) and self._idle[-1].idle_since_s >= since_s
+
+    def start(
+        self,
+        exchange: ExchangeBase,
+        max_idle_s: float | None = None,
+        connect_timeout_s: float | None = None,
+    ) -> "ExchangeHandle":
         """Run an exchange on an idle connection, or open a new one.
 
         Parameters
@@ -471,12 +481,14 @@
         max_idle_s : float, optional
             Maximum idle time of a connection that is reused, in addition to the peer's
             announced idle timeout.
+        connect_timeout_s : float, optional
+            Time limit for opening a connection, if not that of the pool.
         """
         connection = self._take_idle(max_idle_s)
         if connection is not None:
             connection.begin(exchange)
             return ExchangeHandle(connection, None)
-        return self.open(exchange)
+        return self.open(exchange, connect_timeout_s)
 
     def open(
         self, exchange: ExchangeBase, connect_timeout_s: float | None = None
--- a/turnward/standins/network.py
+++ b/turnward/standins/network.py
@@ -20,6 +20,8 @@
 
 #: Seconds a packet is on its way.
 DELAY_S = 0.001
+#: Bytes of each packet that opens a connection.
+OPENING_BYTES = 60
 #: Bytes under way on a connection above which its writer is asked to pause.
 WINDOW_BYTES = 65_536
 #: Bytes of one connection that go over a link at once, so that connections share it.
@@ -371,12 +373,23 @@
     def begin(self, timeout):
         """Send the opening packet."""
         self._timeout = self._machine.callLater(timeout, self._fail, error.TimeoutError())
-        self._machine.callLater(2 * DELAY_S, self._arrive)
+        self._machine.up.carry(OPENING_BYTES, self._reach)
 
     def disconnect(self):
         """Give the try up."""
         self._fail(error.UserError())
 
+    def _reach(self):
+        """Let the opening packet reach the other machine, and its answer leave there."""
+        other = self._machine.network.find(self._host)
+        if other is None:
+            self._return()
+        else:
+            other.down.carry(OPENING_BYTES, other.up.carry, OPENING_BYTES, self._return)
+
+    def _return(self):
+        self._machine.callLater(2 * DELAY_S, self._machine.down.carry, OPENING_BYTES, self._arrive)
+
     def _arrive(self):
         if self._over or not self._machine.reaches(self._host):
             return
