A repeat after a lost peer is charged

What callers got: a request that was relayed and whose peer was lost after it had been sent was repeated at an own endpoint without tokens, and its workspace was charged nothing for that run. Cause: the origin frees its reservation when it hands a request to a peer. A request that no peer took reserved them again; one that a lost peer may have run went straight to an endpoint. Change: what must still be reserved is kept with the request, and no endpoint is chosen before it is.

--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -291,12 +291,22 @@
         self._timer = self._forwarder.reactor.callLater(
             max(0.0, self._deadline_s - self._now_s()), self.time_limit_reached
         )
-        workspace = self._workspace
-        accounts = self._forwarder.accounts
         tokens = self._prompt.tokens + self._prompt.output_tokens
-        if accounts is None or workspace is None or workspace.prepaid_tokens is None or not tokens:
+        if not self._is_charged or not tokens:
             self._receive_body()
-            return
+        else:
+            self._reserve_tokens(tokens, self._receive_body)
+
+    @property
+    def _is_charged(self) -> bool:
+        workspace = self._workspace
+        has_account = workspace is not None and workspace.prepaid_tokens is not None
+        return has_account and self._forwarder.accounts is not None
+
+    def _reserve_tokens(self, tokens: int, on_reserved: Callable[[], None]) -> None:
+        """Reserve tokens of the workspace; refuse the request if there are none."""
+        workspace = self._workspace
+        accounts = self._forwarder.accounts
         may_retry = self._route.allows_rerun and self._route.attempts > 1
         retry_tokens = self._prompt.output_tokens if may_retry else 0
         result = accounts.reserve(
@@ -304,11 +314,11 @@
         )
         if isinstance(result, defer.Deferred):
             self._pending_reservation = result
-            result.addCallback(self._reserved)
+            result.addCallback(self._reserved, on_reserved)
         else:
-            self._reserved(result)
+            self._reserved(result, on_reserved)
 
-    def _reserved(self, result) -> None:
+    def _reserved(self, result, on_reserved: Callable[[], None]) -> None:
         self._pending_reservation = None
         if isinstance(result, PacedRefusal):
             self._refuse_paced(result)
@@ -325,7 +335,19 @@
         if self._ended:
             self._settle(0)
             return
-        self._receive_body()
+        on_reserved()
+
+    def _reserve_again(self) -> None:
+        """Reserve the tokens that were left to a peer, and go on at the endpoints."""
+        tokens, self._unreserved_tokens = self._unreserved_tokens, 0
+        if not self._may_have_run:
+            self._reserve_tokens(tokens, self._dispatch)
+            return
+        self._reservation = self._forwarder.accounts.reserve_now(self._workspace.name, tokens)
+        if self._reservation is None:
+            self._give_up(Reason.ENDPOINTS_UNRESPONSIVE)
+        else:
+            self._dispatch()
 
     # Request body.
 
@@ -356,6 +378,8 @@
 
     def _dispatch(self) -> None:
         """Start an attempt at an endpoint, or end the request if there is none."""
+        if self._pending_reservation is not None:
+            return
         forwarder = self._forwarder
         if self._deadline_s - self._now_s() < _MIN_SEND_S:
             self.time_limit_reached()
@@ -375,6 +399,9 @@
         if is_first:
             forwarder.retry_budget(self.pool).note_request()
             self.first_attempt_s = self._now_s()
+        if self._unreserved_tokens:
+            self._reserve_again()
+            return
         choice = self._choose_endpoint()
         if choice is None:
             if not forwarder.relay.take_over_unserved(self):
--- a/turnward/gateway/relayable_request.py
+++ b/turnward/gateway/relayable_request.py
@@ -42,7 +42,8 @@
         self._note = note
         self._attempt = None
         self._reservation = None
-        self._released_tokens = 0
+        #: Tokens that a peer reserves, and this router must before an endpoint gets the request.
+        self._unreserved_tokens = 0
         self._may_have_run = False
         self._lost_here = False
         self._ended = False
@@ -142,7 +143,7 @@
     def begin_relay(self, attempt: RelayAttempt) -> None:
         """Hand the request to a peer; the tokens reserved here are free again."""
         if self._reservation is not None and not self._may_have_run:
-            self._released_tokens = self._reservation.tokens
+            self._unreserved_tokens = self._reservation.tokens
             self._settle(0)
         self._attempt = attempt
 
@@ -178,14 +179,7 @@
         self._give_up(Reason.ENDPOINTS_UNRESPONSIVE)
 
     def return_to_endpoints(self) -> None:
-        """Have an endpoint run a request that no peer has taken; tokens are reserved again."""
-        if self._released_tokens:
-            accounts = self._forwarder.accounts
-            self._reservation = accounts.reserve_now(self._workspace.name, self._released_tokens)
-            if self._reservation is None:
-                self._give_up(Reason.ENDPOINTS_UNRESPONSIVE)
-                return
-        self._released_tokens = 0
+        """Have an endpoint run a request that no peer has taken."""
         self._dispatch()
 
     def withdraw_from_endpoint(self) -> None:
