Tokens of requests that a peer will run are reserved by the peer alone

Tokens were reserved at the origin before anything else, from holders that did not answer within 0.25 s over that link, only to be freed when the request was handed to a peer, which reserves its own. Change: with the links to all pools of the route lost and a path known, the origin reserves nothing; a request that no peer takes reserves its tokens before an own endpoint is chosen. A peer's budget_unreachable concerns that peer, so another one is tried. In memory, before: test_router_without_links_and_tokens_serves_by_a_peer_that_has_both and test_peer_without_tokens_is_not_the_last_one_tried failed (503).

--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -294,6 +294,9 @@
         tokens = self._prompt.tokens + self._prompt.output_tokens
         if not self._is_charged or not tokens:
             self._receive_body()
+        elif self._note is None and self._forwarder.relay.has_path_around_all(self._route):
+            self._unreserved_tokens = tokens
+            self._receive_body()
         else:
             self._reserve_tokens(tokens, self._receive_body)
 
--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from turnward.gateway.configuration import Route
 from turnward.gateway.outcomes import NOT_RUN_STATUSES, SHARED_OUT_REASONS, Outcome, Reason
 from turnward.gateway.peer_book import PeerBook
 from turnward.gateway.pool_links import PoolLinks
@@ -49,6 +50,7 @@
     (
         "",
         *SHARED_OUT_REASONS,
+        Reason.BUDGET_UNREACHABLE,
         Reason.ENDPOINTS_UNRESPONSIVE,
         Reason.NO_CONFIGURATION,
         Reason.NO_ENDPOINT,
@@ -191,6 +193,10 @@
         """Return whether a peer seems to reach a pool that this router can't reach."""
         return self._links.is_lost(pool) and self.peers.has_path(pool)
 
+    def has_path_around_all(self, route: Route) -> bool:
+        """Return whether a peer seems to reach each pool of a route, and this router none."""
+        return all(self.has_path_around(weighted.pool) for weighted in route.pools)
+
     def may_repeat(self, request) -> bool:
         """Return whether a peer is the better choice to repeat a request that was lost here.
 
