A gateway that loses requests one after the other asks for paths, and is none itself

In a fleet in which few digests arrive such gateways handed their requests to each other, where they were lost. Cause: peers were asked for paths after failed connections alone, and a router in doubt told that it reaches the pool, since its connections open. Change: two endpoints that lost requests, with no response since, count for both. The test is new (test_routers_whose_links_are_reset_after_they_open_serve_as_others_ do); with requests that are all alike the quarantine holds them back, which is not changed.

--- a/turnward/gateway/link_monitor.py
+++ b/turnward/gateway/link_monitor.py
@@ -58,8 +58,8 @@
         self._probes = LinkProbes(reactor, endpoints, self.links, self._probed, rng)
         #: Called soon after the links to a pool are lost, with its name.
         self.on_lost: Callable[[str], None] = lambda pool: None
-        #: Called with each pool of which an endpoint can't be reached.
-        self.on_failed: Callable[[str], None] = lambda pool: None
+        #: Called with each pool that this router may not reach.
+        self.on_doubt: Callable[[str], None] = lambda pool: None
 
     def _count_accepting(self, pool: str) -> int:
         return len(self._endpoints.accepting(pool, set()))
@@ -71,7 +71,9 @@
 
     def reaches(self, pool: str) -> bool | None:
         """Return whether this router reaches a pool; None if that must be tried, which begins."""
-        if pool in self.unreached_pools() or not self._endpoints.accepting(pool, set()):
+        if pool in self.unreached_pools() or self.links.in_doubt(pool):
+            return False
+        if not self._endpoints.accepting(pool, set()):
             return False
         if self.links.reached_since(pool, self._reactor.seconds() - _REACHED_LIFETIME_S):
             return True
@@ -105,8 +107,11 @@
 
     def suspect(self, record: EndpointRecord) -> None:
         """Check the links to the pool of an endpoint that lost a request without a response."""
-        self.links.note_request_lost(record.entry.pool, record.incarnation)
-        self._probes.suspect(record.entry.pool)
+        pool = record.entry.pool
+        self.links.note_request_lost(pool, record.incarnation)
+        if self.links.in_doubt(pool):
+            self.on_doubt(pool)
+        self._probes.suspect(pool)
 
     def _probed(self, record: EndpointRecord, opened: bool, waited_s: float) -> None:
         if opened:
@@ -116,7 +121,7 @@
 
     def _note_failed(self, record: EndpointRecord, waited_s: float) -> None:
         pool = record.entry.pool
-        self.on_failed(pool)
+        self.on_doubt(pool)
         if not self.links.note_failed(pool, record.incarnation, waited_s):
             return
         for other in {each.entry.pool for each in self._endpoints.all()}:
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -398,7 +398,7 @@
             self._rng,
             self._log,
         )
-        self._links.on_failed = self.paths.look_for
+        self._links.on_doubt = self.paths.look_for
         self.peers.on_path_question = self.paths.receive_question
         self.peers.on_path_answer = self.paths.receive_answer
         self._quarantines.crashes.on_suspects = self.peers.announce_soon
--- a/turnward/gateway/tests/test_unreached_endpoints.py
+++ b/turnward/gateway/tests/test_unreached_endpoints.py
@@ -1,6 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """A router that reaches no endpoint serves requests by way of the routers that do."""
 
+import itertools
+
 import pytest
 
 from turnward.gateway import EndpointPool, RetryPolicy
@@ -15,6 +17,7 @@
 #: Deadlines of callers.
 SHORT_DEADLINE_MS = b"800"
 LONG_DEADLINE_MS = b"1500"
+_numbers = itertools.count()
 
 
 class Links:
@@ -56,13 +59,17 @@
     return harness
 
 
-def send_everywhere(harness, duration_s, deadline_ms=LONG_DEADLINE_MS):
-    """Send requests to all routers in turn; return the callers of each."""
+def send_everywhere(harness, duration_s, deadline_ms=LONG_DEADLINE_MS, alike=True):
+    """Send requests to all routers in turn, of one content or each of its own.
+
+    Returns the callers of each router.
+    """
     callers = [[] for _ in harness.gateways]
     for _ in range(round(duration_s / INTERVAL_S)):
         for gateway in range(len(harness.gateways)):
             headers = ((b"Deadline-Ms", deadline_ms),)
-            callers[gateway].append(harness.send(gateway, headers=headers))
+            path = b"/a/x" if alike else b"/a/%d" % next(_numbers)
+            callers[gateway].append(harness.send(gateway, path=path, headers=headers))
             harness.network.advance(INTERVAL_S / len(harness.gateways))
     harness.network.advance(1.6)
     return callers
@@ -107,29 +114,34 @@
     assert caller.status == 503
 
 
-def test_router_whose_links_are_reset_after_they_open_serves_as_others_do():
-    """Endpoints start meanwhile, each of which seems to work until it has lost requests."""
-    harness = make_harness(repeat=RetryPolicy.ANY, attempts=2)
-    broken_host = harness.machines[0].host
+def serve_with_links_reset_after_they_open(harness, broken, alike=True):
+    """Return the mean share that each router serves, the first ones with broken links.
+
+    Endpoints start meanwhile, each of which seems to work until it has lost requests.
+    """
+    broken_hosts = {machine.host for machine in harness.machines[:broken]}
 
     def reset_or_answer(endpoint, request):
-        if request._connection.transport.getPeer().host == broken_host:
+        if request._connection.transport.getPeer().host in broken_hosts:
             request.abort()
         else:
             answer_ok(endpoint, request)
 
-    send_everywhere(harness, 1.0)
+    send_everywhere(harness, 1.0, alike=alike)
     for endpoint in harness.endpoints:
         endpoint.behave = reset_or_answer
     shares = []
     for _ in range(7):
         harness.endpoint(reset_or_answer)
-        callers = send_everywhere(harness, 0.9)
+        callers = send_everywhere(harness, 0.9, alike=alike)
         shares.append(list(map(served_share, callers)))
     after_contact = shares[1:]
-    broken, *others = (
-        sum(share) / len(after_contact) for share in zip(*after_contact, strict=True)
-    )
+    return [sum(share) / len(after_contact) for share in zip(*after_contact, strict=True)]
+
+
+def test_router_whose_links_are_reset_after_they_open_serves_as_others_do():
+    harness = make_harness(repeat=RetryPolicy.ANY, attempts=2)
+    broken, *others = serve_with_links_reset_after_they_open(harness, 1)
     assert min(others) == 1.0
     assert broken >= MIN_SHARE_OF_OTHERS
 
--- a/turnward/gateway/tests/test_unreached_in_large_fleets.py
+++ b/turnward/gateway/tests/test_unreached_in_large_fleets.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from turnward.gateway import RetryPolicy
 from turnward.gateway.members import MEMBERS_TABLE, Member, encode_member
 from turnward.gateway.tests.test_unreached_endpoints import (
     MIN_SHARE_OF_OTHERS,
@@ -10,6 +11,7 @@
     Links,
     make_harness,
     send_everywhere,
+    serve_with_links_reset_after_they_open,
     served_share,
 )
 
@@ -38,6 +40,14 @@
     assert mean_share(callers[:cut_off]) >= MIN_SHARE_OF_OTHERS * others
 
 
+@pytest.mark.parametrize("broken", [12, 21])
+def test_routers_whose_links_are_reset_after_they_open_serve_as_others_do(broken):
+    harness = make_harness(24, repeat=RetryPolicy.ANY, attempts=2)
+    shares = serve_with_links_reset_after_they_open(harness, broken, alike=False)
+    assert min(shares[broken:]) == 1.0
+    assert sum(shares[:broken]) / broken >= MIN_SHARE_OF_OTHERS
+
+
 def count_hops(harness, how):
     failed = [line for log in harness.logs for line in log.of("attempt.failed")]
     return sum(line["endpoint"].startswith("peer") and line["how"] == how for line in failed)
