--- a/turnward/gateway/tests/test_busy_links.py
+++ b/turnward/gateway/tests/test_busy_links.py
@@ -75,3 +75,13 @@
     callers += send_steadily(harness, 5.0)
     harness.network.advance_until(lambda: all(map(answered, callers)), 8.0)
     assert served_share(callers) >= MIN_SHARE_OF_OTHERS
+
+
+def test_router_whose_link_is_busy_does_not_take_its_links_to_endpoints_for_lost():
+    harness = make_harness(cut_off=0)
+    callers = []
+    for _ in range(3):
+        callers += [send(harness) for _ in range(RUSH)]
+        callers += send_steadily(harness, 1.0)
+    harness.network.advance_until(lambda: all(map(answered, callers)), 10.0)
+    assert not harness.logs[0].of("pool.links_lost")
