--- a/turnward/gateway/link_monitor.py
+++ b/turnward/gateway/link_monitor.py
@@ -70,11 +70,14 @@
         return tuple(sorted(unreached)[:_MAX_ANNOUNCED])
 
     def reaches(self, pool: str) -> bool | None:
-        """Return whether this router reaches a pool; None if that must be tried, which begins."""
-        if pool in self.unreached_pools() or self.links.in_doubt(pool):
-            return False
-        if not self._endpoints.accepting(pool, set()):
+        """Return whether this router reaches a pool; None if that is not known.
+
+        If it has not been tried lately, a trial begins.
+        """
+        if pool in self.unreached_pools() or not self._endpoints.accepting(pool, set()):
             return False
+        if self.links.in_doubt(pool):
+            return None
         if self.links.reached_since(pool, self._reactor.seconds() - _REACHED_LIFETIME_S):
             return True
         self._probes.suspect(pool)
