A busy own link is not taken for lost links to endpoints

Cause: connections that are not answered within 0.5 s count as endpoints that can't be reached; four of them lose the links. A link that is busy for longer delays all of them. Change: the time to the first answer of a round of questions for paths is the delay of the own link. Unanswered connections count only after twice that delay, and wait to be judged until it is known; connections to endpoints and peers get twice the delay, 1.5 s at most, in addition. A router that has heard no peer for a second does as before.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -108,7 +108,9 @@
         self._opening = True
         record.prefill_tokens += self._prefill_tokens
         self._in_load = True
-        handle = record.pool.start(self, _RUN_ONCE_MAX_IDLE_S if owner.must_run_once else None)
+        max_idle_s = _RUN_ONCE_MAX_IDLE_S if owner.must_run_once else None
+        timeout_s = record.pool.connect_timeout_s + owner.forwarder.links.added_timeout_s
+        handle = record.pool.start(self, max_idle_s, timeout_s)
         if not self.ended:
             self._handle = handle
 
--- a/turnward/gateway/link_monitor.py
+++ b/turnward/gateway/link_monitor.py
@@ -2,13 +2,16 @@
 """Finds out and reports when this router loses its links to a pool's endpoints."""
 
 import random
+from collections import deque
 from collections.abc import Callable
 
+import msgspec
+
 from turnward.gateway.choice import EndpointBook
 from turnward.gateway.endpoint_record import EndpointRecord
 from turnward.gateway.link_probes import LinkProbes
 from turnward.gateway.peer_book import PeerBook
-from turnward.gateway.pool_links import PoolLinks
+from turnward.gateway.pool_links import SILENT_S, PoolLinks
 
 __all__ = ["LinkMonitor"]
 
@@ -16,6 +19,31 @@
 _MAX_ANNOUNCED = 16
 #: Time for which an endpoint that was reached shows that its pool is.
 _REACHED_LIFETIME_S = 1.0
+#: Delays of the own link within which a connection opens, while the delay may be growing.
+_DELAYS_TO_OPEN = 2.0
+#: Failures that wait for the delay of the own link at most, and how long they do.
+_MAX_UNJUDGED = 256
+_JUDGED_WITHIN_S = 1.0
+#: Longest time that connections get in addition.
+_MAX_ADDED_TIMEOUT_S = 1.5
+
+
+class _UnjudgedFailure(msgspec.Struct, frozen=True):
+    """A connection that was not answered in time while the delay of the own link was not known.
+
+    Attributes
+    ----------
+    record : EndpointRecord
+        The endpoint.
+    waited_s : float
+        How long the connection was waited for.
+    failed_s : float
+        When it failed.
+    """
+
+    record: EndpointRecord
+    waited_s: float
+    failed_s: float
 
 
 class LinkMonitor:
@@ -55,15 +83,27 @@
         self._metrics = metrics
         self._log = log
         self.links = PoolLinks(reactor.seconds, self._count_accepting)
-        self._probes = LinkProbes(reactor, endpoints, self.links, self._probed, rng)
+        self._probes = LinkProbes(
+            reactor, endpoints, self.links, self._probed, lambda: self.added_timeout_s, rng
+        )
         #: Called soon after the links to a pool are lost, with its name.
         self.on_lost: Callable[[str], None] = lambda pool: None
+        #: Returns the delay of this router's own link, in seconds, and whether it is known yet.
+        self.link_delay_s: Callable[[], float] = lambda: 0.0
+        self.knows_link_delay: Callable[[], bool] = lambda: True
+        #: Connections that were not answered in time, until the delay of the own link is known.
+        self._unjudged: deque[_UnjudgedFailure] = deque(maxlen=_MAX_UNJUDGED)
         #: Called with each pool that this router may not reach.
         self.on_doubt: Callable[[str], None] = lambda pool: None
 
     def _count_accepting(self, pool: str) -> int:
         return len(self._endpoints.accepting(pool, set()))
 
+    @property
+    def added_timeout_s(self) -> float:
+        """Time that connections get in addition to open, as this router's own link is slow."""
+        return min(_MAX_ADDED_TIMEOUT_S, _DELAYS_TO_OPEN * self.link_delay_s())
+
     def unreached_pools(self) -> tuple[str, ...]:
         """Return the pools that this router is no path to, to announce to peers."""
         unreached = {*self.links.lost_pools(), *self._endpoints.unresponsive_pools()}
@@ -116,6 +156,15 @@
             self.on_doubt(pool)
         self._probes.suspect(pool)
 
+    def judge_failures(self) -> None:
+        """Judge the connections that failed while the delay of the own link was not known."""
+        from_s = self._reactor.seconds() - _JUDGED_WITHIN_S
+        unjudged = list(self._unjudged)
+        self._unjudged.clear()
+        for failure in unjudged:
+            if failure.failed_s >= from_s:
+                self._note_failed(failure.record, failure.waited_s)
+
     def _probed(self, record: EndpointRecord, opened: bool, waited_s: float) -> None:
         if opened:
             self.opened(record)
@@ -125,6 +174,11 @@
     def _note_failed(self, record: EndpointRecord, waited_s: float) -> None:
         pool = record.entry.pool
         self.on_doubt(pool)
+        if waited_s >= SILENT_S and not self.knows_link_delay():
+            self._unjudged.append(_UnjudgedFailure(record, waited_s, self._reactor.seconds()))
+            return
+        if SILENT_S <= waited_s <= _DELAYS_TO_OPEN * self.link_delay_s():
+            return
         if not self.links.note_failed(pool, record.incarnation, waited_s):
             return
         for other in {each.entry.pool for each in self._endpoints.all()}:
--- a/turnward/gateway/link_probes.py
+++ b/turnward/gateway/link_probes.py
@@ -65,6 +65,8 @@
     on_result : callable
         Called with each endpoint probed, whether a connection opened, and how long that took in
         seconds.
+    added_timeout_s : callable
+        Returns the time that connections get in addition to open.
     rng : random.Random
         Chooses the endpoints, and adds jitter.
     """
@@ -75,12 +77,14 @@
         endpoints: EndpointBook,
         links: PoolLinks,
         on_result: Callable[[EndpointRecord, bool, float], None],
+        added_timeout_s: Callable[[], float],
         rng: random.Random,
     ):
         self._reactor = reactor
         self._endpoints = endpoints
         self._links = links
         self._on_result = on_result
+        self._added_timeout_s = added_timeout_s
         self._rng = rng
         #: Pools that are being probed, with the probes of the present round that are not over.
         self._pending: dict[str, int] = {}
@@ -101,7 +105,8 @@
         if not probed:
             self._end_round(pool)
         for record in probed:
-            record.pool.open(_Probe(record, self._probe_ended), _CONNECT_TIMEOUT_S)
+            timeout_s = _CONNECT_TIMEOUT_S + self._added_timeout_s()
+            record.pool.open(_Probe(record, self._probe_ended), timeout_s)
 
     def _choose(self, pool: str, count: int) -> list[EndpointRecord]:
         """Return the endpoints to probe, first those that have not failed until all have."""
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -189,6 +189,8 @@
         #: Layout of the latest rejected message from each host.
         self._rejected_layouts: dict[str, int | None] = {}
         self.refused_count = 0
+        #: When the latest message of a peer came.
+        self.received_s = 0.0
         self._pending_announcement = None
         self.stopping = False
         #: Called with each request that a peer relays.
@@ -295,6 +297,7 @@
 
     def receive(self, message: PeerMessage) -> None:
         """Merge a message from a peer, and fetch state that is newer elsewhere."""
+        self.received_s = self._reactor.seconds()
         if isinstance(message, StreamVersionNotice):
             self.on_stream_versions(message)
         elif isinstance(message, PathQuestion):
--- a/turnward/gateway/pool_links.py
+++ b/turnward/gateway/pool_links.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-__all__ = ["PoolLinks"]
+__all__ = ["SILENT_S", "PoolLinks"]
 
 #: Endpoints that must fail, with none reached in between, before the links to their pool count as
 #: lost; all of a smaller pool. Some endpoints may have crashed at the same time.
@@ -21,7 +21,7 @@
 _FAILURE_LIFETIME_S = 5.0
 #: Time without an answer to a connection from which the network counts as silent. A host that is
 #: reached refuses within a round trip.
-_SILENT_S = 0.2
+SILENT_S = 0.2
 
 
 class _Links(msgspec.Struct):
@@ -126,7 +126,7 @@
             if now_s - failed_s < _FAILURE_LIFETIME_S
         }
         links.failed_s[endpoint] = now_s
-        links.silent = waited_s >= _SILENT_S
+        links.silent = waited_s >= SILENT_S
         required = min(_FAILED_TO_LOSE, max(1, self._endpoint_count(pool)))
         if links.lost_s is not None or len(links.failed_s) < required:
             return False
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -399,6 +399,11 @@
             self._log,
         )
         self._links.on_doubt = self.paths.look_for
+        self._links.link_delay_s = lambda: self.paths.link_delay_s
+        self._links.knows_link_delay = lambda: self.paths.knows_link_delay
+        self.paths.heard_s = lambda: self.peers.received_s
+        self.paths.on_link_delay_known = self._links.judge_failures
+        self.relay.added_timeout_s = lambda: self._links.added_timeout_s
         self.peers.on_path_question = self.paths.receive_question
         self.peers.on_path_answer = self.paths.receive_answer
         self._quarantines.crashes.on_suspects = self.peers.announce_soon
--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -123,6 +123,8 @@
         self._next_probe_s: dict[str, float] = {}
         self.peers = RelayPeers(book, zone, reactor.seconds, rng)
         self.peers.has_open_connection = self._has_open_connection
+        #: Returns the time that connections get in addition to open, in seconds.
+        self.added_timeout_s: Callable[[], float] = lambda: 0.0
 
     # Decisions.
 
@@ -233,7 +235,7 @@
         request.begin_relay(attempt)
         is_known = self.peers.is_known(address, request.pool)
         timeout_s = _KNOWN_CONNECT_TIMEOUT_S if is_known else _CONNECT_TIMEOUT_S
-        attempt.start(self._pool_of(address), timeout_s)
+        attempt.start(self._pool_of(address), timeout_s + self.added_timeout_s())
         return True
 
     def _is_in_trouble(self, request) -> bool:
--- a/turnward/gateway/relay_paths.py
+++ b/turnward/gateway/relay_paths.py
@@ -34,6 +34,9 @@
 _JITTER = (0.8, 1.2)
 #: Time for which a pool is asked about after the latest sign that it can't be reached.
 _SUSPICION_S = 0.6
+#: Time without any message of a peer from which no answer is expected: a busy link delays messages
+#: and does not stop them.
+_SILENT_AFTER_S = 1.0
 
 
 class PathQuestion(msgspec.Struct, frozen=True, array_like=True, tag="path_question"):
@@ -47,11 +50,14 @@
         Address of the sender.
     pools : tuple of str
         The pools.
+    number : int
+        Number of the round of questions, which answers repeat.
     """
 
     layout: int
     address: str
     pools: tuple[str, ...]
+    number: int = 0
 
 
 class PoolPaths(msgspec.Struct, frozen=True, array_like=True):
@@ -83,11 +89,14 @@
         Address of the sender.
     pools : tuple of PoolPaths
         What it knows of each pool.
+    number : int
+        Number that the question had.
     """
 
     layout: int
     address: str
     pools: tuple[PoolPaths, ...]
+    number: int = 0
 
 
 class PathFinder:
@@ -140,12 +149,45 @@
         self._named: dict[str, set[str]] = {}
         #: How many paths were known at the latest questions, by pool.
         self._found: dict[str, int] = {}
+        #: When the rounds of questions were sent that are not answered yet, by number.
+        self._unanswered_s: dict[int, float] = {}
+        self._round = 0
+        self._answered_in_s = 0.0
+        #: When this router began to ask.
+        self._began_s = 0.0
+        #: Returns when the latest message of a peer came, in seconds.
+        self.heard_s: Callable[[], float] = lambda: 0.0
+        #: Called when the delay of the own link becomes known.
+        self.on_link_delay_known: Callable[[], None] = lambda: None
+
+    @property
+    def knows_link_delay(self) -> bool:
+        """Whether a question has been answered since this router began to ask, or none will be."""
+        waits = self._asking and self._unanswered_s and not self._answered_in_s
+        return not waits or self._hears_nobody()
+
+    def _hears_nobody(self) -> bool:
+        heard_s = max(self._began_s, self.heard_s())
+        return self._reactor.seconds() - heard_s > _SILENT_AFTER_S
+
+    @property
+    def link_delay_s(self) -> float:
+        """Time that a question and its first answer take, which is the delay of the own link.
+
+        It is 0 if it is not known: if no question was asked lately, or none is ever answered.
+        """
+        if not self._asking or self._hears_nobody():
+            return 0.0
+        now_s = self._reactor.seconds()
+        oldest_s = min(self._unanswered_s.values(), default=now_s)
+        return max(self._answered_in_s, now_s - oldest_s)
 
     def look_for(self, pool: str) -> None:
         """Begin to look for paths to a pool that this router may not reach."""
         self._suspected_until_s[pool] = self._reactor.seconds() + _SUSPICION_S
         if not self._asking:
             self._asking = True
+            self._began_s = self._reactor.seconds()
             self._interval_s = _FIRST_INTERVAL_S
             self._ask()
 
@@ -155,9 +197,15 @@
         if not pools:
             self._asking = False
             self._named.clear()
+            self._unanswered_s.clear()
+            self._answered_in_s = 0.0
             return
-        question = PathQuestion(DIGEST_LAYOUT, self._book.own_address, pools)
-        for address in self._choose_asked(pools):
+        self._round += 1
+        question = PathQuestion(DIGEST_LAYOUT, self._book.own_address, pools, self._round)
+        asked = self._choose_asked(pools)
+        if asked:
+            self._unanswered_s[self._round] = self._reactor.seconds()
+        for address in asked:
             self._send(question, address)
         self._reactor.callLater(self._interval_s * self._rng.uniform(*_JITTER), self._ask)
         self._interval_s = min(_MAX_INTERVAL_S, 2 * self._interval_s)
@@ -212,7 +260,7 @@
             PoolPaths(pool, self._reaches(pool), self._paths_to_tell(pool, question.address))
             for pool in question.pools[:_MAX_POOLS]
         )
-        answer = PathAnswer(DIGEST_LAYOUT, self._book.own_address, pools)
+        answer = PathAnswer(DIGEST_LAYOUT, self._book.own_address, pools, question.number)
         self._send(answer, question.address)
 
     def _paths_to_tell(self, pool: str, recipient: str) -> tuple[str, ...]:
@@ -221,6 +269,7 @@
 
     def receive_answer(self, answer: PathAnswer) -> None:
         """Learn from a peer's answer."""
+        self._note_answered(answer.number)
         for told in answer.pools:
             if told.reached:
                 self._peers.note_path(answer.address, told.pool)
@@ -229,3 +278,15 @@
             own_address = self._book.own_address
             named = {path for path in told.paths if path != own_address}
             self._named.setdefault(told.pool, set()).update(named)
+
+    def _note_answered(self, number: int) -> None:
+        """Measure the time to the first answer of a round; earlier rounds need none any more."""
+        asked_s = self._unanswered_s.get(number)
+        if asked_s is None:
+            return
+        is_first = not self._answered_in_s
+        self._answered_in_s = self._reactor.seconds() - asked_s
+        for each in [each for each in self._unanswered_s if each <= number]:
+            del self._unanswered_s[each]
+        if is_first:
+            self.on_link_delay_known()
--- a/turnward/gateway/tests/test_busy_links.py
+++ b/turnward/gateway/tests/test_busy_links.py
@@ -77,11 +77,32 @@
     assert served_share(callers) >= MIN_SHARE_OF_OTHERS
 
 
-def test_router_whose_link_is_busy_does_not_take_its_links_to_endpoints_for_lost():
-    harness = make_harness(cut_off=0)
+def send_in_rushes(harness, callers_in_rush):
     callers = []
     for _ in range(3):
-        callers += [send(harness) for _ in range(RUSH)]
+        callers += [send(harness) for _ in range(callers_in_rush)]
         callers += send_steadily(harness, 1.0)
-    harness.network.advance_until(lambda: all(map(answered, callers)), 10.0)
+    harness.network.advance_until(lambda: all(map(answered, callers)), 12.0)
+    return callers
+
+
+def test_router_whose_link_is_busy_does_not_take_its_links_to_endpoints_for_lost():
+    harness = make_harness(cut_off=0)
+    send_in_rushes(harness, RUSH)
     assert not harness.logs[0].of("pool.links_lost")
+
+
+def test_router_whose_link_is_very_busy_serves_most_callers():
+    harness = make_harness(cut_off=0)
+    assert served_share(send_in_rushes(harness, 50)) >= MIN_SHARE_OF_OTHERS
+
+
+def test_router_that_hears_no_peer_either_takes_its_links_for_lost():
+    harness = make_harness(cut_off=0, gateways=4)
+    for machine in harness.machines[1:]:
+        harness.network.cut(harness.machines[0].host, machine.host)
+    Links(harness, "silent").cut(0)
+    for _ in range(8):
+        send(harness)
+        harness.network.advance(0.5)
+    assert harness.gateways[0].peers.unreached_pools() == ("pool",)
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -431,7 +431,7 @@
         self._address = address
         self._on_error = on_error
         self._on_head = on_head
-        self._connect_timeout_s = connect_timeout_s
+        self.connect_timeout_s = connect_timeout_s
         self._idle: deque[OutboundConnection] = deque()
         self._closed = False
         #: Called when the peer has closed a connection, and all that remain were opened just now.
@@ -500,7 +500,7 @@
             host,
             port,
             connection_attempt,
-            timeout=self._connect_timeout_s if connect_timeout_s is None else connect_timeout_s,
+            timeout=self.connect_timeout_s if connect_timeout_s is None else connect_timeout_s,
         )
         return ExchangeHandle(None, connection_attempt)
 
