One endpoint that refuses connections has no peer asked for paths

Now a second endpoint must fail with no connection opened in between, or a connection must stay unanswered, where the delay of the own link has to be known.

--- a/turnward/gateway/link_monitor.py
+++ b/turnward/gateway/link_monitor.py
@@ -173,7 +173,8 @@
 
     def _note_failed(self, record: EndpointRecord, waited_s: float) -> None:
         pool = record.entry.pool
-        self.on_doubt(pool)
+        if waited_s >= SILENT_S or self.links.failed_endpoints(pool):
+            self.on_doubt(pool)
         if waited_s >= SILENT_S and not self.knows_link_delay():
             self._unjudged.append(_UnjudgedFailure(record, waited_s, self._reactor.seconds()))
             return
--- a/turnward/gateway/tests/test_unreached_in_large_fleets.py
+++ b/turnward/gateway/tests/test_unreached_in_large_fleets.py
@@ -111,6 +111,16 @@
     assert not any(counts)
 
 
+def test_no_peer_is_asked_because_one_endpoint_refuses_connections():
+    harness = make_harness(24)
+    counts = count_messages(harness)
+    harness.endpoints[0].machine.kill()
+    callers = send_everywhere(harness, 2.0)
+    assert mean_share(callers) == 1.0
+    assert any(log.of("endpoint.lost") for log in harness.logs)
+    assert not any(counts)
+
+
 def test_peers_of_older_builds_are_not_asked():
     harness = make_harness(24)
     for number, gateway in enumerate(harness.gateways):
