Questions for paths say nothing of their sender; what is kept of answers is bounded

A router also asks when one endpoint is silent, so that its question does not mean that it reaches no endpoint of the pool: beside engines that go dark, sound paths would have been given up for a second. Answers on pools that were not asked about are ignored, and rounds that are never answered are forgotten. If no answer has come for five seconds, though peers are heard, the own link counts as fast again: links that are lost would never have been noticed otherwise (new test, with peers that answer no questions).

--- a/turnward/gateway/relay_paths.py
+++ b/turnward/gateway/relay_paths.py
@@ -34,8 +34,11 @@
 _JITTER = (0.8, 1.2)
 #: Time for which a pool is asked about after the latest sign that it can't be reached.
 _SUSPICION_S = 0.6
-#: Time without any message of a peer from which no answer is expected: a busy link delays messages
-#: and does not stop them.
+#: Rounds of questions remembered until they are answered.
+_MAX_UNANSWERED = 16
+#: Time without an answer, or without any message of a peer, from which no answer is expected. A busy
+#: link delays messages and does not stop them.
+_UNANSWERED_AFTER_S = 5.0
 _SILENT_AFTER_S = 1.0
 
 
@@ -153,8 +156,9 @@
         self._unanswered_s: dict[int, float] = {}
         self._round = 0
         self._answered_in_s = 0.0
-        #: When this router began to ask.
+        #: When this router began to ask, and when the latest answer came since.
         self._began_s = 0.0
+        self._answered_s = 0.0
         #: Returns when the latest message of a peer came, in seconds.
         self.heard_s: Callable[[], float] = lambda: 0.0
         #: Called when the delay of the own link becomes known.
@@ -164,11 +168,13 @@
     def knows_link_delay(self) -> bool:
         """Whether a question has been answered since this router began to ask, or none will be."""
         waits = self._asking and self._unanswered_s and not self._answered_in_s
-        return not waits or self._hears_nobody()
+        return not waits or not self._expects_answers()
 
-    def _hears_nobody(self) -> bool:
+    def _expects_answers(self) -> bool:
+        now_s = self._reactor.seconds()
         heard_s = max(self._began_s, self.heard_s())
-        return self._reactor.seconds() - heard_s > _SILENT_AFTER_S
+        answered_s = max(self._began_s, self._answered_s)
+        return now_s - heard_s <= _SILENT_AFTER_S and now_s - answered_s <= _UNANSWERED_AFTER_S
 
     @property
     def link_delay_s(self) -> float:
@@ -176,7 +182,7 @@
 
         It is 0 if it is not known: if no question was asked lately, or none is ever answered.
         """
-        if not self._asking or self._hears_nobody():
+        if not self._asking or not self._expects_answers():
             return 0.0
         now_s = self._reactor.seconds()
         oldest_s = min(self._unanswered_s.values(), default=now_s)
@@ -205,6 +211,8 @@
         asked = self._choose_asked(pools)
         if asked:
             self._unanswered_s[self._round] = self._reactor.seconds()
+        if len(self._unanswered_s) > _MAX_UNANSWERED:
+            del self._unanswered_s[min(self._unanswered_s)]
         for address in asked:
             self._send(question, address)
         self._reactor.callLater(self._interval_s * self._rng.uniform(*_JITTER), self._ask)
@@ -253,9 +261,7 @@
     # Messages of peers.
 
     def receive_question(self, question: PathQuestion) -> None:
-        """Answer a peer, which itself is no path to the pools that it asks about."""
-        for pool in question.pools:
-            self._peers.note_unreached(question.address, pool)
+        """Answer a peer."""
         pools = tuple(
             PoolPaths(pool, self._reaches(pool), self._paths_to_tell(pool, question.address))
             for pool in question.pools[:_MAX_POOLS]
@@ -271,12 +277,14 @@
         """Learn from a peer's answer."""
         self._note_answered(answer.number)
         for told in answer.pools:
+            if told.pool not in self._found:
+                continue
             if told.reached:
                 self._peers.note_path(answer.address, told.pool)
             elif told.reached is not None:
                 self._peers.note_unreached(answer.address, told.pool)
             own_address = self._book.own_address
-            named = {path for path in told.paths if path != own_address}
+            named = {path for path in told.paths[:_PATHS_TOLD] if path != own_address}
             self._named.setdefault(told.pool, set()).update(named)
 
     def _note_answered(self, number: int) -> None:
@@ -285,7 +293,8 @@
         if asked_s is None:
             return
         is_first = not self._answered_in_s
-        self._answered_in_s = self._reactor.seconds() - asked_s
+        self._answered_s = self._reactor.seconds()
+        self._answered_in_s = self._answered_s - asked_s
         for each in [each for each in self._unanswered_s if each <= number]:
             del self._unanswered_s[each]
         if is_first:
--- a/turnward/gateway/tests/test_busy_links.py
+++ b/turnward/gateway/tests/test_busy_links.py
@@ -11,6 +11,8 @@
 LINK_MBIT_PER_S = 2.0
 BODY = b"x" * 12_000
 DEADLINE_MS = b"10000"
+#: Time within which a router must notice that it is cut off.
+CONTACT_S = 3.0
 #: Usual requests in a second at the router with the narrow link, about half of what it carries.
 RATE_PER_S = 10
 #: Callers that come back at the same moment, whose requests keep the link busy for about 1.5 s.
@@ -97,12 +99,30 @@
     assert served_share(send_in_rushes(harness, 50)) >= MIN_SHARE_OF_OTHERS
 
 
+def time_until_links_lost_s(harness, limit_s=8.0):
+    """Cut a router off from the endpoints; return how long it takes that to be its own links."""
+    Links(harness, "silent").cut(0)
+    taken_s = 0.0
+    while not harness.gateways[0].peers.unreached_pools() and taken_s < limit_s:
+        send(harness)
+        harness.network.advance(0.1)
+        taken_s += 0.11
+    return taken_s
+
+
 def test_router_that_hears_no_peer_either_takes_its_links_for_lost():
     harness = make_harness(cut_off=0, gateways=4)
     for machine in harness.machines[1:]:
         harness.network.cut(harness.machines[0].host, machine.host)
-    Links(harness, "silent").cut(0)
-    for _ in range(8):
-        send(harness)
-        harness.network.advance(0.5)
-    assert harness.gateways[0].peers.unreached_pools() == ("pool",)
+    assert time_until_links_lost_s(harness) <= CONTACT_S
+
+
+def test_router_whose_peers_answer_takes_its_links_for_lost_soon():
+    assert time_until_links_lost_s(make_harness(cut_off=0, gateways=4)) <= 1.5
+
+
+def test_router_whose_peers_stop_answering_takes_its_links_for_lost():
+    harness = make_harness(cut_off=0, gateways=4)
+    for gateway in harness.gateways[1:]:
+        gateway.peers.on_path_question = lambda question: None
+    assert time_until_links_lost_s(harness) < 8.0
--- a/turnward/gateway/tests/test_unreached_in_large_fleets.py
+++ b/turnward/gateway/tests/test_unreached_in_large_fleets.py
@@ -5,6 +5,8 @@
 
 from turnward.gateway import RetryPolicy
 from turnward.gateway.members import MEMBERS_TABLE, Member, encode_member
+from turnward.gateway.peer_book import DIGEST_LAYOUT
+from turnward.gateway.relay_paths import PathAnswer, PoolPaths
 from turnward.gateway.tests.test_unreached_endpoints import (
     MIN_SHARE_OF_OTHERS,
     SERVED_AFTER_S,
@@ -111,6 +113,14 @@
     assert not any(counts)
 
 
+def test_answers_about_pools_that_were_not_asked_about_are_ignored():
+    harness = make_harness(24)
+    origin, peer = harness.gateways[:2]
+    told = (PoolPaths("other", True, ("10.1.0.3:82",)),)
+    origin.paths.receive_answer(PathAnswer(DIGEST_LAYOUT, peer.peers_address, told))
+    assert not origin.relay.peers.known_paths("other")
+
+
 def test_no_peer_is_asked_because_one_endpoint_refuses_connections():
     harness = make_harness(24)
     counts = count_messages(harness)
