--- a/turnward/gateway/relay_paths.py
+++ b/turnward/gateway/relay_paths.py
@@ -36,8 +36,8 @@
 _SUSPICION_S = 0.6
 #: Rounds of questions remembered until they are answered.
 _MAX_UNANSWERED = 16
-#: Time without an answer, or without any message of a peer, from which no answer is expected. A busy
-#: link delays messages and does not stop them.
+#: Time without an answer, or without any message of a peer, from which no answer is expected. A
+#: busy link delays messages and does not stop them.
 _UNANSWERED_AFTER_S = 5.0
 _SILENT_AFTER_S = 1.0
 
