--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -837,10 +837,9 @@
         duration_s = self._now_s() - self._started_s
         route = self._route.name if self._route is not None else ""
         self._record_metrics(outcome, duration_s)
-        write = forwarder.log.event if outcome is Outcome.SERVED else forwarder.log.failure
         progress = self._progress
         first = progress.first_s
-        write(
+        forwarder.log.ending(
             "request.ended",
             request=self._request_id.decode("latin-1"),
             content=self._content,
--- a/turnward/gateway/logs.py
+++ b/turnward/gateway/logs.py
@@ -101,8 +101,8 @@
         Steady clock in seconds.
     incarnation : str
         Identifier of the process, written on every line.
-    lines_per_s, failures_per_s, state_changes_per_s : float
-        Rate limits of normal lines, failures and state changes.
+    lines_per_s, failures_per_s, state_changes_per_s, endings_per_s : float
+        Rate limits of normal lines, failures, state changes and ends of requests.
     """
 
     def __init__(
@@ -113,12 +113,14 @@
         lines_per_s: float = 100.0,
         failures_per_s: float = 100.0,
         state_changes_per_s: float = 50.0,
+        endings_per_s: float = 150.0,
     ):
         self._writer = writer
         self._clock = clock
         self._normal = LineBudget(lines_per_s, 2 * lines_per_s)
         self._failures = LineBudget(failures_per_s, 2 * failures_per_s)
         self._state_changes = LineBudget(state_changes_per_s, 4 * state_changes_per_s)
+        self._endings = LineBudget(endings_per_s, 2 * endings_per_s)
         self._dropped: Counter[str] = Counter()
         self._dropped_total = 0
         self._drops_reported_s = clock()
@@ -138,6 +140,13 @@
         """Log a failure."""
         self._log(self._failures, event, fields)
 
+    def ending(self, event: str, **fields) -> None:
+        """Log the end of a request, whatever its outcome.
+
+        Shares of outcomes that are counted in these lines hold also while lines are left out.
+        """
+        self._log(self._endings, event, fields)
+
     def belief(self, event: str, **fields) -> None:
         """Log a change in the known state, such as a lost peer or a quarantined content.
 
--- a/turnward/gateway/tests/harness.py
+++ b/turnward/gateway/tests/harness.py
@@ -45,7 +45,7 @@
     def event(self, event, **fields):
         self.lines.append({"event": event, **fields})
 
-    failure = belief = event
+    failure = belief = ending = event
 
     def flush(self):
         """Do nothing; no line is buffered."""
@@ -308,6 +308,7 @@
             budget_reserve_share=self.budget_reserve_share,
             mechanisms=self.mechanisms,
             load_controls=self.load_controls,
+            link_mbit_per_s=self.links_mbit_per_s.get(len(self.gateways), 0.0),
         )
         log = ListLog()
         client = RowsClient(self.rows, machine)
--- a/turnward/gateway/tests/test_log_events.py
+++ b/turnward/gateway/tests/test_log_events.py
@@ -31,7 +31,7 @@
 PAGE = Path("docs/log-events.md")
 SOURCES = [*Path("turnward/gateway").glob("*.py"), *Path("platform").glob("*.py")]
 LOG_CALL = re.compile(
-    r"""(?:log|write|_log)\.?(?:event|failure|belief)?\(\s*"([a-z]+\.[a-z_]+)\""""
+    r"""(?:log|write|_log)\.?(?:event|failure|belief|ending)?\(\s*"([a-z]+\.[a-z_]+)\""""
 )
 
 
--- a/turnward/gateway/tests/test_logs.py
+++ b/turnward/gateway/tests/test_logs.py
@@ -110,3 +110,14 @@
     for number in range(1_000):
         log.belief("peer.lost", peer=f"p-{number}")
     assert len(read_lines(reader)) == 200
+
+
+def test_ends_of_requests_are_logged_while_normal_lines_are_left_out(pipe):
+    reader, writer = pipe
+    log = GatewayLog(BoundedLineWriter(writer), FakeClock(), "node@1", lines_per_s=10.0)
+    for number in range(100):
+        log.event("attempt.chosen", request=f"r-{number}")
+        log.ending("request.ended", request=f"r-{number}", outcome="served")
+    lines = read_lines(reader)
+    assert sum(line["event"] == "request.ended" for line in lines) == 100
+    assert sum(line["event"] == "attempt.chosen" for line in lines) == 20
