--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -4,6 +4,7 @@
 No label identifies a single request, so that the number of time series stays bounded.
 """
 
+from collections import Counter as Counts
 from collections.abc import Iterable
 
 from prometheus_client import (
@@ -129,6 +130,9 @@
         self.store_rollbacks = self._counter(
             "store_returns", "Times the store came back from an older copy.", []
         )
+        self.link_bytes = self._counter(
+            "link_bytes", "Bytes that the link carried.", ["purpose", "direction"]
+        )
         self.lines_dropped = self._counter("log_lines_left_out", "Log lines left out.", [])
 
     def store_call_counts(self) -> dict[str, int]:
@@ -140,6 +144,15 @@
             if sample.name.endswith("_total")
         }
 
+    def ended_counts(self) -> dict[str, int]:
+        """Return the number of requests that ended, by outcome."""
+        counts: Counts[str] = Counts()
+        for family in self.requests.collect():
+            for sample in family.samples:
+                if sample.name.endswith("_total"):
+                    counts[sample.labels["outcome"]] += int(sample.value)
+        return dict(counts)
+
     def set_unreadable_rows(self, counts: dict[tuple[str, str], int]) -> None:
         """Set the number of rows that cannot be decoded, by table and reason."""
         self.rows_unreadable.clear()
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -12,6 +12,7 @@
 from twisted.internet import defer
 from twisted.internet.protocol import DatagramProtocol
 
+from turnward.byte_count import ByteCount
 from turnward.gateway.configuration import ConfigurationCopy
 from turnward.gateway.feedback_exchange import FeedbackExchange
 from turnward.gateway.loans import (
@@ -82,6 +83,7 @@
     ):
         self._on_message = on_message
         self._on_rejected = on_rejected
+        self.bytes = ByteCount()
         #: Supported layouts.
         self.layouts = range(OLDEST_DIGEST_LAYOUT, DIGEST_LAYOUT + 1)
         self._decoder = msgspec.msgpack.Decoder(PeerMessage)
@@ -95,9 +97,11 @@
             self.transport.write(data, (host, int(port)))
         except OSError:
             return
+        self.bytes.sent += len(data)
 
     def datagramReceived(self, datagram, addr):
         """Decode a message and pass it on."""
+        self.bytes.received += len(datagram)
         try:
             message = self._decoder.decode(datagram)
         except (msgspec.DecodeError, ValueError):
@@ -183,6 +187,8 @@
         self.overlay = Overlay(book, identity.zone, reactor.seconds, identity.link_mbit_per_s)
         self._previously_live: set[str] = set()
         self._callers: dict[str, HttpCaller] = {}
+        #: Bytes of calls to peers.
+        self.call_bytes = ByteCount()
         self.exchange = PeerDatagramProtocol(self.receive, self._record_rejected)
         #: Layout of the latest message from each peer; messages to it use the same.
         self._layouts: dict[str, int] = {}
@@ -409,7 +415,7 @@
         caller = self._callers.get(address)
         if caller is None:
             host, _, port = address.rpartition(":")
-            caller = HttpCaller(self._reactor, (host, int(port)), connect_timeout_s=0.4)
+            caller = HttpCaller(self._reactor, (host, int(port)), 0.4, self.call_bytes)
             self._callers[address] = caller
         return caller
 
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -8,7 +8,8 @@
 import msgspec
 from twisted.internet import defer, task
 
-from turnward.gateway import intake
+from turnward.byte_count import ByteCount
+from turnward.gateway import intake, link_traffic
 from turnward.gateway.choice import EndpointBook
 from turnward.gateway.configuration import WarmUpTraits
 from turnward.gateway.dialect import Dialect
@@ -30,6 +31,7 @@
 from turnward.gateway.intake import Intake
 from turnward.gateway.lenders import HolderLenders, PeerLenders
 from turnward.gateway.link_monitor import LinkMonitor
+from turnward.gateway.link_traffic import LinkTraffic
 from turnward.gateway.logs import GatewayLog
 from turnward.gateway.member_ranks import MemberRanks
 from turnward.gateway.member_row import MemberRow
@@ -198,6 +200,8 @@
         )
         self._feedback_exchange = reporter.feedback_exchange
         self._pauses = PauseDetector(reactor.seconds)
+        #: Bytes of requests to endpoints and their responses.
+        self._endpoint_bytes = ByteCount()
         self._connect_endpoints(reporter, shares)
         self._links = LinkMonitor(reactor, self.endpoints, self.book, self._rng, metrics, log)
         self.relay = Relay(
@@ -368,6 +372,25 @@
             self._logs.malformed_request,
             self._logs.exception,
         )
+        self._traffic = self._make_traffic()
+
+    def _make_traffic(self) -> LinkTraffic:
+        counts = {
+            "callers": self.callers.bytes,
+            "endpoints": self._endpoint_bytes,
+            "relays": self.relay.bytes,
+            "peers": self._peer_server.bytes,
+            "calls": self.peers.call_bytes,
+            "datagrams": self.peers.exchange.bytes,
+            "store": self._store.bytes,
+        }
+        return LinkTraffic(
+            counts,
+            self._settings.link_mbit_per_s,
+            lambda: round(1_000 * self.paths.link_delay_s),
+            self._metrics,
+            self._log,
+        )
 
     def _make_member_row(self) -> MemberRow:
         settings = self._settings
@@ -422,7 +445,12 @@
     def _make_pool(self, address: str, on_head) -> OutboundPool:
         host, _, port = address.rpartition(":")
         return OutboundPool(
-            self._reactor, (host, int(port)), _CONNECT_TIMEOUT_S, self._logs.exception, on_head
+            self._reactor,
+            (host, int(port)),
+            _CONNECT_TIMEOUT_S,
+            self._logs.exception,
+            on_head,
+            self._endpoint_bytes,
         )
 
     def _warm_up_traits(self, pool: str) -> WarmUpTraits | None:
@@ -537,6 +565,7 @@
         self._start_repeating(self._run_housekeeping, _HOUSEKEEPING_INTERVAL_S)
         self._start_repeating(self._pauses.note_running, CHECK_INTERVAL_S)
         self._start_repeating(self._intake.check, intake.CHECK_INTERVAL_S)
+        self._start_repeating(self._traffic.check, link_traffic.CHECK_INTERVAL_S)
         self._start_repeating(self._log_statistics, _STATISTICS_INTERVAL_S)
 
     def _start_repeating(self, function, interval_s: float) -> task.LoopingCall:
@@ -648,6 +677,8 @@
             "process.figures",
             store_calls=self._metrics.store_call_counts(),
             open_requests=len(self.forwarder.open_requests),
+            ended=self._metrics.ended_counts(),
+            link_kb=self._traffic.totals_kb(),
             delay_ms=self._intake.delay_ms,
             members=self.book.max_router_count,
             live=overlay.live_routers,
--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from turnward.byte_count import ByteCount
 from turnward.gateway.configuration import Route
 from turnward.gateway.outcomes import NOT_RUN_STATUSES, SHARED_OUT_REASONS, Outcome, Reason
 from turnward.gateway.peer_book import PeerBook
@@ -117,6 +118,8 @@
         self._log = log
         self._on_error = on_error
         self._pools: dict[str, OutboundPool] = {}
+        #: Bytes of relayed requests and their responses.
+        self.bytes = ByteCount()
         #: When peers have turned requests away, by pool.
         self._turned_away_s: dict[str, deque[float]] = {}
         #: When a request that must not run twice may next probe each pool.
@@ -252,7 +255,11 @@
         if pool is None:
             host, _, port = address.rpartition(":")
             pool = OutboundPool(
-                self._reactor, (host, int(port)), _CONNECT_TIMEOUT_S, self._on_error
+                self._reactor,
+                (host, int(port)),
+                _CONNECT_TIMEOUT_S,
+                self._on_error,
+                byte_count=self.bytes,
             )
             self._pools[address] = pool
         pool.trim(self._reactor.seconds())
--- a/turnward/http1/client.py
+++ b/turnward/http1/client.py
@@ -6,6 +6,7 @@
 import msgspec
 from twisted.internet import defer
 
+from turnward.byte_count import ByteCount
 from turnward.http1.errors import NotSentError, UnansweredError
 from turnward.http1.framing import HeaderList, encode_request_head
 from turnward.http1.outbound import ExchangeBase, OutboundPool
@@ -152,12 +153,25 @@
         IP address and port.
     connect_timeout_s : float
         Time limit for opening a connection.
+    byte_count : ByteCount, optional
+        Counts the bytes of all calls; may be shared with other callers.
     """
 
-    def __init__(self, reactor, address: tuple[str, int], connect_timeout_s: float = 1.0):
+    def __init__(
+        self,
+        reactor,
+        address: tuple[str, int],
+        connect_timeout_s: float = 1.0,
+        byte_count: ByteCount | None = None,
+    ):
         self._reactor = reactor
         self._host = f"{address[0]}:{address[1]}".encode()
-        self._pool = OutboundPool(reactor, address, connect_timeout_s)
+        self._pool = OutboundPool(reactor, address, connect_timeout_s, byte_count=byte_count)
+
+    @property
+    def bytes(self) -> ByteCount:
+        """Bytes of all calls."""
+        return self._pool.bytes
 
     async def call(
         self,
--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -14,6 +14,7 @@
 import msgspec
 from twisted.internet.protocol import Factory, Protocol
 
+from turnward.byte_count import ByteCount
 from turnward.http1.framing import (
     HeaderList,
     encode_response_head,
@@ -288,6 +289,7 @@
             current.caller_disconnected()
 
     def dataReceived(self, data):
+        self._factory.bytes.received += len(data)
         if self._closing or self._pending_refusal is not None:
             return
         if self._next_request_scheduled or (
@@ -366,7 +368,7 @@
     def write(self, request, data) -> None:
         """Send bytes of the current request's response."""
         if request is self._current and not self._closing:
-            self.transport.write(data)
+            self._write(data)
 
     def request_finished(self, request) -> None:
         """Close the connection or proceed to the next request."""
@@ -436,7 +438,7 @@
             self._pending_refusal = request.refusal
             return
         if (header_value(request.headers, b"expect") or b"").lower() == b"100-continue":
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
         try:
             self._factory.handler(request)
         except Exception as failure:
@@ -516,9 +518,13 @@
             (b"content-length", b"%d" % len(body)),
             (b"connection", b"close"),
         ]
-        self.transport.write(encode_response_head(refusal.status, headers) + body)
+        self._write(encode_response_head(refusal.status, headers) + body)
         self.close()
 
+    def _write(self, data: bytes) -> None:
+        self._factory.bytes.sent += len(data)
+        self.transport.write(data)
+
 
 class InboundFactory(Factory):
     """Accepts callers' connections.
@@ -547,6 +553,7 @@
         self.limits = limits
         self.connections: set[_InboundConnection] = set()
         self.draining = False
+        self.bytes = ByteCount()
         #: Returns whether a new connection is served; takes the number of those that are open.
         self.takes: Callable[[int], bool] = lambda open_connections: True
         self.clock = reactor.seconds
--- a/turnward/rows/core.py
+++ b/turnward/rows/core.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from turnward.byte_count import ByteCount
 from turnward.rows.eras import StoreEras
 
 __all__ = [
@@ -89,6 +90,11 @@
         """Eras of the store, as announced in its responses; a store without rollbacks has one."""
         return StoreEras()
 
+    @property
+    def bytes(self) -> ByteCount:
+        """Bytes of all calls; a store that is not called over a network has none."""
+        return ByteCount()
+
     @abstractmethod
     def time_floor_s(self) -> float | None:
         """Return a lower bound of the store's steady clock; None before the first response.
