--- a/turnward/gateway/link_monitor.py
+++ b/turnward/gateway/link_monitor.py
@@ -88,8 +88,10 @@
         )
         #: Called soon after the links to a pool are lost, with its name.
         self.on_lost: Callable[[str], None] = lambda pool: None
-        #: Returns the delay of this router's own link, in seconds, and whether it is known yet.
+        #: Returns the delay of this router's own link in seconds, now and at most lately, and
+        #: whether it is known yet.
         self.link_delay_s: Callable[[], float] = lambda: 0.0
+        self.peak_link_delay_s: Callable[[], float] = lambda: 0.0
         self.knows_link_delay: Callable[[], bool] = lambda: True
         #: Connections that were not answered in time, until the delay of the own link is known.
         self._unjudged: deque[_UnjudgedFailure] = deque(maxlen=_MAX_UNJUDGED)
@@ -178,7 +180,8 @@
         if waited_s >= SILENT_S and not self.knows_link_delay():
             self._unjudged.append(_UnjudgedFailure(record, waited_s, self._reactor.seconds()))
             return
-        if SILENT_S <= waited_s <= _DELAYS_TO_OPEN * self.link_delay_s():
+        delay_s = max(self.link_delay_s(), self.peak_link_delay_s())
+        if SILENT_S <= waited_s <= _DELAYS_TO_OPEN * delay_s:
             return
         if not self.links.note_failed(pool, record.incarnation, waited_s):
             return
--- a/turnward/gateway/link_traffic.py
+++ b/turnward/gateway/link_traffic.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from turnward.byte_count import ByteCount
+from turnward.link_use import LinkUse
 
 __all__ = ["CHECK_INTERVAL_S", "LinkTraffic"]
 
@@ -29,27 +29,32 @@
 
     Parameters
     ----------
-    counts : dict of str to ByteCount
+    counts : dict of str to LinkUse
         The counts by purpose.
     link_mbit_per_s : float
         Bandwidth of the link in each direction; 0 if it is not known.
     delay_ms : callable
         Returns the delay of the link, for the log.
+    accepted : callable
+        Returns the number of callers' connections that were accepted so far, for the log.
     metrics, log
         Receivers of the reports.
     """
 
     def __init__(
         self,
-        counts: dict[str, ByteCount],
+        counts: dict[str, LinkUse],
         link_mbit_per_s: float,
         delay_ms: Callable[[], int],
+        accepted: Callable[[], int],
         metrics,
         log,
     ):
         self._counts = counts
         self._bandwidth_bytes_per_s = link_mbit_per_s * _BYTES_PER_S_PER_MBIT_PER_S
         self._delay_ms = delay_ms
+        self._accepted = accepted
+        self._previously_accepted = 0
         self._metrics = metrics
         self._log = log
         self._previous = self._read()
@@ -69,6 +74,8 @@
 
     def check(self) -> None:
         """Count what was carried since the last call; log it if the link is busy."""
+        accepted = self._accepted() - self._previously_accepted
+        self._previously_accepted += accepted
         reading, previous = self._read(), self._previous
         self._previous = reading
         received = _subtract(reading.received, previous.received)
@@ -86,6 +93,7 @@
             sent_kb={purpose: value // _BYTES_PER_KB for purpose, value in sent.items()},
             share=round(_BUSY_SHARE * busiest_bytes / busy_bytes, 2),
             delay_ms=self._delay_ms(),
+            accepted=accepted,
         )
 
 
--- a/turnward/gateway/metrics.py
+++ b/turnward/gateway/metrics.py
@@ -130,6 +130,9 @@
         self.store_rollbacks = self._counter(
             "store_returns", "Times the store came back from an older copy.", []
         )
+        self.link_delay = self._gauge(
+            "link_delay_seconds", "Time in which the fastest connection opened lately."
+        )
         self.link_bytes = self._counter(
             "link_bytes", "Bytes that the link carried.", ["purpose", "direction"]
         )
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -12,7 +12,6 @@
 from twisted.internet import defer
 from twisted.internet.protocol import DatagramProtocol
 
-from turnward.byte_count import ByteCount
 from turnward.gateway.configuration import ConfigurationCopy
 from turnward.gateway.feedback_exchange import FeedbackExchange
 from turnward.gateway.loans import (
@@ -33,6 +32,7 @@
 from turnward.gateway.state import EndpointsSnapshot, FleetState
 from turnward.gateway.stream_version_exchange import STREAM_VERSION_PATH, StreamVersionNotice
 from turnward.http1 import Http1Error, HttpCaller, InboundRequest
+from turnward.link_use import LinkUse
 from turnward.rows import RowVersion
 
 __all__ = ["PeerDatagramProtocol", "PeerSynchronizer"]
@@ -51,6 +51,9 @@
 #: Timeout for the start of a peer's state, and for each pause during its transfer.
 _STATE_TIMEOUT_S = 1.0
 
+#: Timeout of connections to peers.
+_CONNECT_TIMEOUT_S = 0.4
+
 #: Most hosts remembered for sending messages that cannot be decoded.
 _MAX_REJECTED_HOSTS = 1_000
 
@@ -83,7 +86,7 @@
     ):
         self._on_message = on_message
         self._on_rejected = on_rejected
-        self.bytes = ByteCount()
+        self.link_use = LinkUse()
         #: Supported layouts.
         self.layouts = range(OLDEST_DIGEST_LAYOUT, DIGEST_LAYOUT + 1)
         self._decoder = msgspec.msgpack.Decoder(PeerMessage)
@@ -97,11 +100,11 @@
             self.transport.write(data, (host, int(port)))
         except OSError:
             return
-        self.bytes.sent += len(data)
+        self.link_use.sent += len(data)
 
     def datagramReceived(self, datagram, addr):
         """Decode a message and pass it on."""
-        self.bytes.received += len(datagram)
+        self.link_use.received += len(datagram)
         try:
             message = self._decoder.decode(datagram)
         except (msgspec.DecodeError, ValueError):
@@ -187,8 +190,8 @@
         self.overlay = Overlay(book, identity.zone, reactor.seconds, identity.link_mbit_per_s)
         self._previously_live: set[str] = set()
         self._callers: dict[str, HttpCaller] = {}
-        #: Bytes of calls to peers.
-        self.call_bytes = ByteCount()
+        #: What calls to peers use of the link.
+        self.call_link_use = LinkUse()
         self.exchange = PeerDatagramProtocol(self.receive, self._record_rejected)
         #: Layout of the latest message from each peer; messages to it use the same.
         self._layouts: dict[str, int] = {}
@@ -415,7 +418,9 @@
         caller = self._callers.get(address)
         if caller is None:
             host, _, port = address.rpartition(":")
-            caller = HttpCaller(self._reactor, (host, int(port)), 0.4, self.call_bytes)
+            caller = HttpCaller(
+                self._reactor, (host, int(port)), _CONNECT_TIMEOUT_S, self.call_link_use
+            )
             self._callers[address] = caller
         return caller
 
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -8,8 +8,7 @@
 import msgspec
 from twisted.internet import defer, task
 
-from turnward.byte_count import ByteCount
-from turnward.gateway import intake, link_traffic
+from turnward.gateway import intake, link_traffic, own_link
 from turnward.gateway.choice import EndpointBook
 from turnward.gateway.configuration import WarmUpTraits
 from turnward.gateway.dialect import Dialect
@@ -37,6 +36,7 @@
 from turnward.gateway.member_row import MemberRow
 from turnward.gateway.members import MEMBERS_TABLE, Member
 from turnward.gateway.metrics import GatewayMetrics
+from turnward.gateway.own_link import OwnLink
 from turnward.gateway.pauses import CHECK_INTERVAL_S, Pause, PauseDetector
 from turnward.gateway.peer_book import DIGEST_LAYOUT, Digest, PeerBook
 from turnward.gateway.peers import PeerSynchronizer
@@ -62,6 +62,7 @@
     InboundRequest,
     OutboundPool,
 )
+from turnward.link_use import LinkUse
 from turnward.pacing import make_token_pacer
 from turnward.quarantine import QuarantineRule
 from turnward.rows import VersionedStoreBase
@@ -200,8 +201,7 @@
         )
         self._feedback_exchange = reporter.feedback_exchange
         self._pauses = PauseDetector(reactor.seconds)
-        #: Bytes of requests to endpoints and their responses.
-        self._endpoint_bytes = ByteCount()
+        self._own_link = OwnLink(reactor, self.book, log)
         self._connect_endpoints(reporter, shares)
         self._links = LinkMonitor(reactor, self.endpoints, self.book, self._rng, metrics, log)
         self.relay = Relay(
@@ -348,6 +348,8 @@
 
     def _connect_endpoints(self, reporter: EndpointReporter, shares: WarmUpShares) -> None:
         """Let the endpoints' book know how current its entries are, and report its changes."""
+        #: What requests to endpoints and their responses use of the link.
+        self._endpoint_link_use = LinkUse()
         self.endpoints.entries_stale = self._entries_may_be_stale
         self.endpoints.resumed_lately = self._resumed_lately
         self._limits.on_peer_limit = reporter.report_peer_rate_limit
@@ -373,21 +375,29 @@
             self._logs.exception,
         )
         self._traffic = self._make_traffic()
+        for link_use in (
+            self._endpoint_link_use,
+            self.relay.link_use,
+            self.peers.call_link_use,
+            self._store.link_use,
+        ):
+            link_use.on_opened = self._own_link.note_opened
 
     def _make_traffic(self) -> LinkTraffic:
         counts = {
-            "callers": self.callers.bytes,
-            "endpoints": self._endpoint_bytes,
-            "relays": self.relay.bytes,
-            "peers": self._peer_server.bytes,
-            "calls": self.peers.call_bytes,
-            "datagrams": self.peers.exchange.bytes,
-            "store": self._store.bytes,
+            "callers": self.callers.link_use,
+            "endpoints": self._endpoint_link_use,
+            "relays": self.relay.link_use,
+            "peers": self._peer_server.link_use,
+            "calls": self.peers.call_link_use,
+            "datagrams": self.peers.exchange.link_use,
+            "store": self._store.link_use,
         }
         return LinkTraffic(
             counts,
             self._settings.link_mbit_per_s,
-            lambda: round(1_000 * self.paths.link_delay_s),
+            lambda: self._own_link.delay_ms,
+            lambda: self.callers.accepted,
             self._metrics,
             self._log,
         )
@@ -422,9 +432,11 @@
             self._log,
         )
         self._links.on_doubt = self.paths.look_for
-        self._links.link_delay_s = lambda: self.paths.link_delay_s
+        self._links.link_delay_s = self._link_delay_s
+        self._links.peak_link_delay_s = lambda: self._own_link.peak_delay_s
         self._links.knows_link_delay = lambda: self.paths.knows_link_delay
         self.paths.heard_s = lambda: self.peers.received_s
+        self._own_link.heard_s = lambda: self.peers.received_s
         self.paths.on_link_delay_known = self._links.judge_failures
         self.relay.added_timeout_s = lambda: self._links.added_timeout_s
         self.peers.on_path_question = self.paths.receive_question
@@ -432,6 +444,10 @@
         self._quarantines.crashes.on_suspects = self.peers.announce_soon
         self._quarantines.on_part_held = self.forwarder.withdraw_fatal
 
+    def _link_delay_s(self) -> float:
+        """Return the delay of the own link, by what is known of it."""
+        return max(self._own_link.delay_s, self.paths.link_delay_s)
+
     def _announce_account(self) -> None:
         """Announce a written account row, which a rollback of the store would lose."""
         if self._store.eras.known is not None:
@@ -450,7 +466,7 @@
             _CONNECT_TIMEOUT_S,
             self._logs.exception,
             on_head,
-            self._endpoint_bytes,
+            self._endpoint_link_use,
         )
 
     def _warm_up_traits(self, pool: str) -> WarmUpTraits | None:
@@ -565,6 +581,7 @@
         self._start_repeating(self._run_housekeeping, _HOUSEKEEPING_INTERVAL_S)
         self._start_repeating(self._pauses.note_running, CHECK_INTERVAL_S)
         self._start_repeating(self._intake.check, intake.CHECK_INTERVAL_S)
+        self._start_repeating(self._own_link.check, own_link.CHECK_INTERVAL_S)
         self._start_repeating(self._traffic.check, link_traffic.CHECK_INTERVAL_S)
         self._start_repeating(self._log_statistics, _STATISTICS_INTERVAL_S)
 
@@ -594,6 +611,7 @@
             return
         metrics = self._metrics
         metrics.open_requests.set(len(self.forwarder.open_requests))
+        metrics.link_delay.set(self._own_link.delay_s)
         metrics.lines_dropped.inc(self._log.take_dropped_count())
         metrics.peers_live.set(self.peers.overlay.live_routers - 1)
         metrics.configuration_version.set(self.state.configuration_version)
@@ -680,6 +698,7 @@
             ended=self._metrics.ended_counts(),
             link_kb=self._traffic.totals_kb(),
             delay_ms=self._intake.delay_ms,
+            link_delay_ms=self._own_link.delay_ms,
             members=self.book.max_router_count,
             live=overlay.live_routers,
             tells_others=overlay.publishes_updates,
--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -11,7 +11,6 @@
 from collections import deque
 from collections.abc import Callable
 
-from turnward.byte_count import ByteCount
 from turnward.gateway.configuration import Route
 from turnward.gateway.outcomes import NOT_RUN_STATUSES, SHARED_OUT_REASONS, Outcome, Reason
 from turnward.gateway.peer_book import PeerBook
@@ -20,6 +19,7 @@
 from turnward.gateway.relay_note import RelayNote, RelayNoteError
 from turnward.gateway.relay_peers import RelayPeers
 from turnward.http1 import ExchangeFailure, InboundRequest, OutboundPool
+from turnward.link_use import LinkUse
 
 __all__ = ["Relay", "RelayServer"]
 
@@ -118,8 +118,8 @@
         self._log = log
         self._on_error = on_error
         self._pools: dict[str, OutboundPool] = {}
-        #: Bytes of relayed requests and their responses.
-        self.bytes = ByteCount()
+        #: What relayed requests and their responses use of the link.
+        self.link_use = LinkUse()
         #: When peers have turned requests away, by pool.
         self._turned_away_s: dict[str, deque[float]] = {}
         #: When a request that must not run twice may next probe each pool.
@@ -259,7 +259,7 @@
                 (host, int(port)),
                 _CONNECT_TIMEOUT_S,
                 self._on_error,
-                byte_count=self.bytes,
+                link_use=self.link_use,
             )
             self._pools[address] = pool
         pool.trim(self._reactor.seconds())
--- a/turnward/gateway/tests/test_full_links.py
+++ b/turnward/gateway/tests/test_full_links.py
@@ -6,8 +6,15 @@
 import pytest
 from twisted.internet.protocol import ClientFactory
 
-from turnward.gateway import EndpointPool, RetryPolicy
-from turnward.gateway.tests.harness import CALLERS_PORT, Caller, Harness, answer_ok, answered
+from turnward.gateway import EndpointPool, RetryPolicy, Workspace
+from turnward.gateway.tests.harness import (
+    CALLERS_PORT,
+    READY_PORT,
+    Caller,
+    Harness,
+    answer_ok,
+    answered,
+)
 from turnward.gateway.tests.test_unreached_endpoints import MIN_SHARE_OF_OTHERS, Links
 
 LINK_MBIT_PER_S = 2.0
@@ -22,6 +29,13 @@
 READY_MISSES = 2
 #: Tries of a caller, each after the first at another router.
 TRIES = 2
+#: Workspaces of the callers, few of whose tokens the router holds.
+WORKSPACES = 8
+#: Time for which packets wait at a link that is delayed.
+LINK_DELAY_S = 0.8
+#: Interval in which they are replaced, and the share of the link that they take.
+REFILL_INTERVAL_S = 0.05
+REFILLED_SHARE = 0.75
 #: Usual requests in a second, as a share of what the link carries.
 USUAL = 0.5
 BURST_S = 10.0
@@ -37,6 +51,12 @@
 FACTORS = [1.2, 1.6, 2.5]
 
 
+def answer_and_close(endpoint, request):
+    """Answer, and close the connection."""
+    request.closes = True
+    answer_ok(endpoint, request)
+
+
 class _NarrowHarness(Harness):
     links_mbit_per_s = {0: LINK_MBIT_PER_S}
 
@@ -48,6 +68,7 @@
         super().__init__()
         self._data = data
         self.given_up = False
+        self.refused = False
 
     def connectionMade(self):
         if self.given_up:
@@ -57,8 +78,8 @@
 
     @property
     def closed_unread(self):
-        """Whether the router closed the connection without a response."""
-        return self.closed is not None and not self.received and not self.given_up
+        """Whether the router refused the connection, or closed it without a response."""
+        return self.refused or self.closed is not None and not self.received and not self.given_up
 
     def give_up(self):
         """Reset the connection, or have it reset once it opens."""
@@ -67,6 +88,21 @@
             self.transport.abortConnection()
 
 
+class _TryFactory(ClientFactory):
+    """Opens the connection of a try."""
+
+    def __init__(self, attempt, on_refused):
+        self._attempt = attempt
+        self._on_refused = on_refused
+
+    def buildProtocol(self, address):
+        return self._attempt
+
+    def clientConnectionFailed(self, connector, reason):
+        self._attempt.refused = True
+        self._on_refused()
+
+
 class _ReturningCaller:
     """A caller that gives up without a response, and returns to another router."""
 
@@ -79,23 +115,20 @@
     def _begin(self):
         scene = self._scene
         gateway = scene.busiest if not self.tries else scene.choose_other()
-        headers = ((b"Deadline-Ms", b"%d" % (1_000 * DEADLINE_S)),)
-        data = scene.harness.request_bytes(method=b"POST", body=BODY, headers=headers)
-        attempt = _Try(data)
+        attempt = scene.begin_try(gateway, self._begin_again)
         self.tries.append(attempt)
-        factory = ClientFactory()
-        factory.buildProtocol = lambda address: attempt
-        host = scene.harness.machines[gateway].host
-        scene.next_machine().connectTCP(host, CALLERS_PORT, factory)
         scene.harness.network.clock.callLater(PATIENCE_S, self._check, attempt)
 
+    def _begin_again(self):
+        if len(self.tries) < TRIES:
+            self._begin()
+
     def _check(self, attempt):
-        if answered(attempt) and attempt.status == 200:
+        if attempt.refused or attempt.status == 200:
             return
         if not answered(attempt):
             attempt.give_up()
-        if len(self.tries) < TRIES:
-            self._begin()
+        self._begin_again()
 
     @property
     def served_at_first(self):
@@ -115,11 +148,17 @@
 class Scene:
     """A router with a narrow link among others, and callers that come to it at a rate."""
 
-    def __init__(self, gateways=8, cut_off=0):
+    def __init__(self, gateways=8, cut_off=0, prepaid=False):
+        tokens = 10_000_000 if prepaid else None
+        workspaces = tuple(
+            Workspace(name=f"w{number}", keys=(f"key-{number}",), prepaid_tokens=tokens)
+            for number in range(WORKSPACES)
+        )
         fields = {"repeat": RetryPolicy.ONCE, "attempts": 1, "time_limit_s": 15.0}
-        self.harness = _NarrowHarness(pools=(EndpointPool(name="pool"),), **fields)
+        pools = (EndpointPool(name="pool"),)
+        self.harness = _NarrowHarness(pools=pools, workspaces=workspaces, **fields)
         for _ in range(4):
-            self.harness.endpoint(answer_ok)
+            self.harness.endpoint(answer_and_close)
         self.harness.ready(gateways)
         self.harness.network.advance(1.5)
         self.rng = random.Random(7)
@@ -130,9 +169,16 @@
             Links(self.harness, "silent").cut(*range(cut_off))
 
     def _ask_ready(self):
-        """Ask the router whether it is ready, as a balancer does."""
-        self._misses = 0 if self.harness.gateways[0].ready else self._misses + 1
-        self.harness.network.clock.callLater(READY_INTERVAL_S, self._ask_ready)
+        """Ask the router over its link whether it is ready, as a balancer does."""
+        attempt = _Try(b"GET /ready HTTP/1.1\r\nHost: r\r\n\r\n")
+        factory = _TryFactory(attempt, lambda: None)
+        self.next_machine().connectTCP(self.harness.machines[0].host, READY_PORT, factory)
+        self.harness.network.clock.callLater(READY_INTERVAL_S, self._note_ready, attempt)
+
+    def _note_ready(self, attempt):
+        self._misses = 0 if attempt.status == 200 else self._misses + 1
+        attempt.give_up()
+        self._ask_ready()
 
     @property
     def busiest(self):
@@ -146,6 +192,28 @@
         self._machines += 1
         return self.harness.network.machine(f"10.8.{self._machines // 250}.{self._machines % 250}")
 
+    def begin_try(self, gateway, on_refused):
+        """Send a request of some workspace to a router."""
+        headers = (
+            (b"Deadline-Ms", b"%d" % (1_000 * DEADLINE_S)),
+            *self.harness.prompt(tokens=100, output=10),
+        )
+        key = b"key-%d" % self.rng.randrange(WORKSPACES)
+        data = self.harness.request_bytes(method=b"POST", body=BODY, key=key, headers=headers)
+        attempt = _Try(data)
+        factory = _TryFactory(attempt, on_refused)
+        host = self.harness.machines[gateway].host
+        self.next_machine().connectTCP(host, CALLERS_PORT, factory)
+        return attempt
+
+    def send_patiently(self, count):
+        """Send requests to the router with the narrow link whose callers wait."""
+        tries = []
+        for _ in range(count):
+            tries.append(self.begin_try(0, lambda: None))
+            self.harness.network.advance(0.25)
+        return tries
+
     def send(self, rate_per_s, duration_s):
         """Let callers come at a rate; return them."""
         network = self.harness.network
@@ -210,7 +278,36 @@
     assert served_per_s >= MIN_SHARE_OF_BEFORE * CARRIED_PER_S
 
 
-def test_router_whose_link_is_full_keeps_its_links_to_endpoints():
-    scene = Scene()
-    scene.send(1.2 * CARRIED_PER_S, BURST_S)
-    assert not scene.harness.logs[0].of("pool.links_lost")
+class _StandingQueue:
+    """Keeps packets waiting at a router's link for a constant time, which datagrams pass."""
+
+    def __init__(self, harness, delay_s):
+        harness.network.datagrams_wait = False
+        self._clock = harness.network.clock
+        self._link = harness.machines[0].down
+        self._carry(delay_s)
+        self._refill()
+
+    def _carry(self, duration_s):
+        self._link.carry(round(duration_s * LINK_MBIT_PER_S * 1e6 / 8), lambda: None)
+
+    def _refill(self):
+        self._carry(REFILLED_SHARE * REFILL_INTERVAL_S)
+        self._clock.callLater(REFILL_INTERVAL_S, self._refill)
+
+
+def play_delayed(scene):
+    """Return the lines of a router at whose link packets wait, and tries that are patient."""
+    scene.send(USUAL * CARRIED_PER_S, 2.0)
+    _StandingQueue(scene.harness, LINK_DELAY_S)
+    scene.send_patiently(4)
+    scene.harness.logs[0].lines.clear()
+    tries = scene.send_patiently(24)
+    scene.harness.network.advance(DEADLINE_S)
+    assert share(tries, lambda attempt: attempt.status == 200) >= MIN_SHARE_AFTERWARDS
+    return scene.harness.logs[0], tries
+
+
+def test_router_whose_link_is_delayed_keeps_its_links_to_endpoints():
+    log, _ = play_delayed(Scene())
+    assert not log.of("pool.links_lost")
--- a/turnward/http1/client.py
+++ b/turnward/http1/client.py
@@ -6,10 +6,10 @@
 import msgspec
 from twisted.internet import defer
 
-from turnward.byte_count import ByteCount
 from turnward.http1.errors import NotSentError, UnansweredError
 from turnward.http1.framing import HeaderList, encode_request_head
 from turnward.http1.outbound import ExchangeBase, OutboundPool
+from turnward.link_use import LinkUse
 
 __all__ = ["HttpCaller", "HttpReply"]
 
@@ -153,8 +153,8 @@
         IP address and port.
     connect_timeout_s : float
         Time limit for opening a connection.
-    byte_count : ByteCount, optional
-        Counts the bytes of all calls; may be shared with other callers.
+    link_use : LinkUse, optional
+        Told of the bytes and openings of all connections; may be shared with other callers.
     """
 
     def __init__(
@@ -162,16 +162,16 @@
         reactor,
         address: tuple[str, int],
         connect_timeout_s: float = 1.0,
-        byte_count: ByteCount | None = None,
+        link_use: LinkUse | None = None,
     ):
         self._reactor = reactor
         self._host = f"{address[0]}:{address[1]}".encode()
-        self._pool = OutboundPool(reactor, address, connect_timeout_s, byte_count=byte_count)
+        self._pool = OutboundPool(reactor, address, connect_timeout_s, link_use=link_use)
 
     @property
-    def bytes(self) -> ByteCount:
-        """Bytes of all calls."""
-        return self._pool.bytes
+    def link_use(self) -> LinkUse:
+        """What all calls use of the link."""
+        return self._pool.link_use
 
     async def call(
         self,
--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -14,12 +14,12 @@
 import msgspec
 from twisted.internet.protocol import Factory, Protocol
 
-from turnward.byte_count import ByteCount
 from turnward.http1.framing import (
     HeaderList,
     encode_response_head,
     header_value,
 )
+from turnward.link_use import LinkUse
 
 __all__ = ["InboundFactory", "InboundLimits", "InboundRequest", "Refusal"]
 
@@ -289,7 +289,7 @@
             current.caller_disconnected()
 
     def dataReceived(self, data):
-        self._factory.bytes.received += len(data)
+        self._factory.link_use.received += len(data)
         if self._closing or self._pending_refusal is not None:
             return
         if self._next_request_scheduled or (
@@ -522,7 +522,7 @@
         self.close()
 
     def _write(self, data: bytes) -> None:
-        self._factory.bytes.sent += len(data)
+        self._factory.link_use.sent += len(data)
         self.transport.write(data)
 
 
@@ -552,8 +552,10 @@
         self.handler = handler
         self.limits = limits
         self.connections: set[_InboundConnection] = set()
+        #: Number of connections that were accepted so far.
+        self.accepted = 0
         self.draining = False
-        self.bytes = ByteCount()
+        self.link_use = LinkUse()
         #: Returns whether a new connection is served; takes the number of those that are open.
         self.takes: Callable[[int], bool] = lambda open_connections: True
         self.clock = reactor.seconds
@@ -570,7 +572,10 @@
 
     def buildProtocol(self, addr):
         """Return the protocol of a new connection; without one it is closed unread."""
-        return _InboundConnection(self) if self.takes(len(self.connections)) else None
+        if not self.takes(len(self.connections)):
+            return None
+        self.accepted += 1
+        return _InboundConnection(self)
 
     def call_soon(self, function) -> None:
         """Call a function after the current event has been processed."""
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -18,13 +18,13 @@
 from twisted.internet import error
 from twisted.internet.protocol import ClientFactory, Protocol
 
-from turnward.byte_count import ByteCount
 from turnward.http1.framing import (
     HeaderList,
     connection_tokens,
     header_value,
     keep_alive_s,
 )
+from turnward.link_use import LinkUse
 
 __all__ = [
     "ResponseMatch",
@@ -200,7 +200,7 @@
 
     def dataReceived(self, data):
         """Parse received bytes."""
-        self._pool.bytes.received += len(data)
+        self._pool.link_use.received += len(data)
         if self._exchange is None:
             # Bytes outside an exchange: the connection is in an unknown state.
             self.drop()
@@ -255,7 +255,7 @@
             return
         self.sent = True
         self._request_complete = last
-        self._pool.bytes.sent += len(data)
+        self._pool.link_use.sent += len(data)
         self.transport.write(data)
 
     def pause(self) -> None:
@@ -420,8 +420,8 @@
     on_head : callable, optional
         Called with status and headers of each response head that is received, including interim
         (1xx) and late responses and those without the request's id.
-    byte_count : ByteCount, optional
-        Counts the bytes of all connections; may be shared with other pools.
+    link_use : LinkUse, optional
+        Told of the bytes and openings of all connections; may be shared with other pools.
     """
 
     def __init__(
@@ -431,14 +431,14 @@
         connect_timeout_s: float = 1.0,
         on_error=None,
         on_head: Callable[[int, HeaderList], None] | None = None,
-        byte_count: ByteCount | None = None,
+        link_use: LinkUse | None = None,
     ):
         self._reactor = reactor
         self._address = address
         self._on_error = on_error
         self._on_head = on_head
         self.connect_timeout_s = connect_timeout_s
-        self.bytes = byte_count or ByteCount()
+        self.link_use = link_use or LinkUse()
         self._idle: deque[OutboundConnection] = deque()
         self._closed = False
         #: Called when the peer has closed a connection, and all that remain were opened just now.
@@ -559,6 +559,7 @@
         self._opened_s[connection] = now_s
         connection_attempt = self.pending.pop(connection)
         connection.opened_in_s = now_s - connection_attempt.started_s
+        self.link_use.on_opened(connection.opened_in_s)
         exchange, connection_attempt.exchange = connection_attempt.exchange, None
         if exchange is None:
             connection.drop()
--- a/turnward/rows/core.py
+++ b/turnward/rows/core.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from turnward.byte_count import ByteCount
+from turnward.link_use import LinkUse
 from turnward.rows.eras import StoreEras
 
 __all__ = [
@@ -91,9 +91,9 @@
         return StoreEras()
 
     @property
-    def bytes(self) -> ByteCount:
-        """Bytes of all calls; a store that is not called over a network has none."""
-        return ByteCount()
+    def link_use(self) -> LinkUse:
+        """What all calls use of the link; nothing if the store is not called over a network."""
+        return LinkUse()
 
     @abstractmethod
     def time_floor_s(self) -> float | None:
--- a/turnward/standins/network.py
+++ b/turnward/standins/network.py
@@ -61,6 +61,8 @@
     ----------
     clock : twisted.internet.task.Clock
         Advanced by the test.
+    datagrams_wait : bool
+        Whether datagrams wait behind connections at narrow links, or pass them.
     """
 
     def __init__(self):
@@ -68,6 +70,7 @@
         self._machines: dict[str, MemoryMachine] = {}
         self._cuts: set[frozenset[str]] = set()
         self._refused: set[frozenset[str]] = set()
+        self.datagrams_wait = True
 
     def machine(self, host: str, link_mbit_per_s: float | None = None) -> "MemoryMachine":
         """Return a new machine at an IP number; its link is as wide as named, or takes no time."""
@@ -351,12 +354,16 @@
             if protocol is not None:
                 other.callLater(0, protocol.datagramReceived, data, (machine.host, self._port))
 
+        network = machine.network
+
         def cross():
-            other = machine.network.find(host)
-            down = other.down if other is not None else _OpenLink()
-            machine.network.clock.callLater(DELAY_S, down.carry, len(data), arrive)
+            other = network.find(host)
+            waits = other is not None and network.datagrams_wait
+            down = other.down if waits else _OpenLink()
+            network.clock.callLater(DELAY_S, down.carry, len(data), arrive)
 
-        machine.up.carry(len(data), cross)
+        up = machine.up if network.datagrams_wait else _OpenLink()
+        up.carry(len(data), cross)
 
 
 class _MemoryConnector:
