--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -219,6 +219,8 @@
         #: Called with a peer's question which pools this router reaches, and with an answer.
         self.on_path_question: Callable[[PathQuestion], None] = lambda question: None
         self.on_path_answer: Callable[[PathAnswer], None] = lambda answer: None
+        #: Returns the time that calls get in addition, as this router's own link is slow.
+        self.added_timeout_s: Callable[[], float] = lambda: 0.0
         #: Returns the pools of which this router reaches no endpoint.
         self.unreached_pools: Callable[[], tuple[str, ...]] = tuple
 
@@ -400,7 +402,11 @@
             return
         try:
             reply = await self._caller(address).call(
-                b"GET", path, timeout_s=_STATE_TIMEOUT_S, read_timeout_s=_STATE_TIMEOUT_S
+                b"GET",
+                path,
+                timeout_s=_STATE_TIMEOUT_S + self.added_timeout_s(),
+                read_timeout_s=_STATE_TIMEOUT_S,
+                connect_timeout_s=self._connect_timeout_s,
             )
             if reply.status == 200:
                 apply(reply.body, address)
@@ -414,6 +420,10 @@
             return True
         return self._newest_announced[path] > self._state.endpoints_version
 
+    @property
+    def _connect_timeout_s(self) -> float:
+        return _CONNECT_TIMEOUT_S + self.added_timeout_s()
+
     def _caller(self, address: str) -> HttpCaller:
         caller = self._callers.get(address)
         if caller is None:
@@ -500,7 +510,13 @@
         UnansweredError
             No response was received; the peer may have processed the call.
         """
-        reply = await self._caller(address).call(b"POST", path, body, timeout_s)
+        reply = await self._caller(address).call(
+            b"POST",
+            path,
+            body,
+            timeout_s + self.added_timeout_s(),
+            connect_timeout_s=self._connect_timeout_s,
+        )
         return reply.body if reply.status == 200 else None
 
 
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -173,6 +173,8 @@
         self._live_routers = live_routers
         self._holders = holders or EveryRouterHolds(live_routers)
         self.holder_client: HolderClient | None = None
+        #: Returns the time that requests wait in addition for tokens, as the own link is slow.
+        self.added_wait_s: Callable[[], float] = lambda: 0.0
         self._rule = rule
         self._bounds = bounds or FixedBursts()
         self._loan_rule = loan_rule or LoanRule()
@@ -290,10 +292,15 @@
             self.schedule_update(workspace)
         return waiter.deferred
 
+    @property
+    def _wait_s(self) -> float:
+        """Time that a request waits for the store."""
+        return _WAIT_S + self.added_wait_s()
+
     def _enqueue(self, account: WorkspaceAccount, waiter: WaitingRequest) -> None:
         """Queue a request that waits for tokens, with a time limit."""
         account.waiters.append(waiter)
-        limit_s = _WAIT_S + self._restorer.remaining_wait_s
+        limit_s = self._wait_s + self._restorer.remaining_wait_s
         self._reactor.callLater(limit_s, self._time_out, account.workspace, waiter)
 
     def _log_refusal(
@@ -1025,7 +1032,7 @@
             account.waiters.remove(waiter)
             answer = self._log_refusal(account, waiter.tokens, BudgetRefusal.UNREACHABLE)
             waiter.deferred.callback(answer)
-            if self._reactor.seconds() - self._store_reached_s >= _WAIT_S:
+            if self._reactor.seconds() - self._store_reached_s >= self._wait_s:
                 # Until the store answers, further requests are refused without waiting.
                 self._mark_store_unreachable()
 
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -439,6 +439,8 @@
         self._own_link.heard_s = lambda: self.peers.received_s
         self.paths.on_link_delay_known = self._links.judge_failures
         self.relay.added_timeout_s = lambda: self._links.added_timeout_s
+        self.peers.added_timeout_s = lambda: self._links.added_timeout_s
+        self.accounts.added_wait_s = lambda: self._links.added_timeout_s
         self.peers.on_path_question = self.paths.receive_question
         self.peers.on_path_answer = self.paths.receive_answer
         self._quarantines.crashes.on_suspects = self.peers.announce_soon
--- a/turnward/gateway/tests/test_full_links.py
+++ b/turnward/gateway/tests/test_full_links.py
@@ -311,3 +311,11 @@
 def test_router_whose_link_is_delayed_keeps_its_links_to_endpoints():
     log, _ = play_delayed(Scene())
     assert not log.of("pool.links_lost")
+
+
+def test_router_whose_link_is_delayed_does_not_take_holders_of_tokens_for_silent():
+    log, tries = play_delayed(Scene(gateways=24, prepaid=True))
+    borrowed = len(log.of("prepaid.borrowed"))
+    relayed = [line for line in log.of("request.relayed") if line["cause"] == "link_busy"]
+    assert borrowed + len(relayed) > len(tries) / 2
+    assert not log.of("holder.silent")
--- a/turnward/http1/client.py
+++ b/turnward/http1/client.py
@@ -180,6 +180,7 @@
         body: bytes = b"",
         timeout_s: float = 2.0,
         read_timeout_s: float | None = None,
+        connect_timeout_s: float | None = None,
     ) -> HttpReply:
         """Send a request and return the complete response.
 
@@ -192,6 +193,9 @@
             ``timeout_s`` then applies until the first bytes of the body, and afterwards more bytes
             have to arrive within each ``read_timeout_s``, for a limited total time.
 
+        connect_timeout_s : float, optional
+            Time limit for opening a connection, if not that of the caller.
+
         Raises
         ------
         NotSentError
@@ -205,7 +209,7 @@
             headers.append((b"content-length", b"%d" % len(body)))
         request = encode_request_head(method, target, headers) + body
         call = _Call(method, request, self._reactor.seconds)
-        call.attempt = self._pool.start(call)
+        call.attempt = self._pool.start(call, connect_timeout_s=connect_timeout_s)
         self._pool.trim(self._reactor.seconds())
         limit = _TimeLimit(self._reactor, call, timeout_s, read_timeout_s)
         try:
