--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -302,6 +302,10 @@
     @property
     def ready(self) -> bool:
         """Whether the process is ready to serve new connections."""
+        return self._is_complete and not self._intake.spared
+
+    @property
+    def _is_complete(self) -> bool:
         return self.state.complete and not self._stopping and self._can_borrow()
 
     def _can_borrow(self) -> bool:
@@ -357,7 +361,7 @@
 
     def _serve_callers_and_peers(self) -> None:
         """Create the servers of both."""
-        self._intake = Intake(self._reactor.seconds, self.book)
+        self._intake = Intake(self._reactor.seconds, self.book, lambda: self._own_link.delay_s)
         self.peers.delay_ms = lambda: self._intake.delay_ms
         self.callers = InboundFactory(
             self._reactor,
@@ -582,7 +586,7 @@
         self._member_row.write()
         self._start_repeating(self._run_housekeeping, _HOUSEKEEPING_INTERVAL_S)
         self._start_repeating(self._pauses.note_running, CHECK_INTERVAL_S)
-        self._start_repeating(self._intake.check, intake.CHECK_INTERVAL_S)
+        self._start_repeating(self._check_intake, intake.CHECK_INTERVAL_S)
         self._start_repeating(self._own_link.check, own_link.CHECK_INTERVAL_S)
         self._start_repeating(self._traffic.check, link_traffic.CHECK_INTERVAL_S)
         self._start_repeating(self._log_statistics, _STATISTICS_INTERVAL_S)
@@ -676,6 +680,10 @@
             orders=[msgspec.to_builtins(order) for order in self.state.zone_orders.all()],
         )
 
+    def _check_intake(self) -> None:
+        self._intake.check()
+        self.callers.sheds_connections = self._intake.spared
+
     def _run_housekeeping(self) -> None:
         now_s = self._reactor.seconds()
         if self.state.unconfirmed_for_s() > _STORE_UNREACHABLE_AFTER_S:
--- a/turnward/gateway/tests/test_intake.py
+++ b/turnward/gateway/tests/test_intake.py
@@ -58,3 +58,53 @@
     descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     assert intake.takes(10)
     assert not intake.takes(descriptors // 2)
+
+
+class DelayedLink:
+    """The delay of an own link that a test sets."""
+
+    def __init__(self, intake, clock):
+        self.delay_s = 0.0
+        self._clock = clock
+        self._intake = intake
+        intake._link_delay_s = lambda: self.delay_s
+
+    def last(self, delay_s, duration_s):
+        self.delay_s = delay_s
+        for _ in range(round(duration_s / CHECK_INTERVAL_S)):
+            self._clock.now_s += CHECK_INTERVAL_S
+            for peer in self._intake._book._peers.values():
+                peer.received_s = self._clock.now_s
+            self._intake.check()
+
+
+def test_router_whose_link_stays_busy_is_spared_until_some_time_after():
+    clock, intake = make_intake([0, 10, 20])
+    link = DelayedLink(intake, clock)
+    link.last(0.3, 0.3)
+    assert not intake.spared
+    assert intake.delay_ms == 300
+    link.last(0.3, 0.4)
+    assert intake.spared
+    link.last(0.0, 3.5)
+    assert intake.spared
+    link.last(0.0, 1.0)
+    assert not intake.spared
+
+
+def test_router_whose_link_is_busy_soon_again_is_spared_for_longer():
+    clock, intake = make_intake([0, 10, 20])
+    link = DelayedLink(intake, clock)
+    link.last(0.3, 1.0)
+    link.last(0.0, 5.0)
+    link.last(0.3, 1.0)
+    link.last(0.0, 6.0)
+    assert intake.spared
+    link.last(0.0, 3.0)
+    assert not intake.spared
+
+
+def test_router_whose_link_is_busy_is_not_spared_if_its_peers_are_busy_too():
+    clock, intake = make_intake([300, 400, 20])
+    DelayedLink(intake, clock).last(0.3, 2.0)
+    assert not intake.spared
--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -363,7 +363,7 @@
 
     def must_close(self, request) -> bool:
         """Return whether the connection has to be closed after the response."""
-        return self._factory.draining
+        return self._factory.draining or self._factory.sheds_connections
 
     def write(self, request, data) -> None:
         """Send bytes of the current request's response."""
@@ -555,6 +555,8 @@
         #: Number of connections that were accepted so far.
         self.accepted = 0
         self.draining = False
+        #: Whether connections are closed after the response in progress.
+        self.sheds_connections = False
         self.link_use = LinkUse()
         #: Returns whether a new connection is served; takes the number of those that are open.
         self.takes: Callable[[int], bool] = lambda open_connections: True
