--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -294,12 +294,20 @@
         tokens = self._prompt.tokens + self._prompt.output_tokens
         if not self._is_charged or not tokens:
             self._receive_body()
-        elif self._note is None and self._forwarder.relay.has_path_around_all(self._route):
+        elif self._note is None and self._leaves_tokens_to_peer():
             self._unreserved_tokens = tokens
             self._receive_body()
         else:
             self._reserve_tokens(tokens, self._receive_body)
 
+    def _leaves_tokens_to_peer(self) -> bool:
+        """Return whether a peer is likely to run the request, and to reserve its tokens."""
+        relay = self._forwarder.relay
+        if relay.has_path_around_all(self._route):
+            return True
+        borrows = not self._forwarder.accounts.holds(self._workspace.name)
+        return borrows and relay.may_spare_borrowing(self._route)
+
     @property
     def _is_charged(self) -> bool:
         workspace = self._workspace
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -244,6 +244,10 @@
             return self._reserve_from_holder(request)
         return self._reserve_as_holder(request)
 
+    def holds(self, workspace: str) -> bool:
+        """Return whether this router holds tokens of a workspace."""
+        return self._holders.holds(workspace)
+
     def _holds(self, workspace: str) -> bool:
         """Return whether this router holds tokens of a workspace, and update the ledger to match.
 
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -442,6 +442,7 @@
         self.paths.heard_s = lambda: self.peers.received_s
         self._own_link.heard_s = lambda: self.peers.received_s
         self.paths.on_link_delay_known = self._links.judge_failures
+        self.relay.link_is_busy = lambda: self._own_link.delay_s >= own_link.BUSY_S
         self.relay.added_timeout_s = lambda: self._links.added_timeout_s
         self.peers.added_timeout_s = lambda: self._links.added_timeout_s
         self.accounts.added_wait_s = lambda: self._links.added_timeout_s
--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -45,7 +45,7 @@
 _MAX_TURNED_AWAY = 4
 _SHARES_WINDOW_S = 1.0
 #: Causes of a relay that tell of this router's links, rather than of its share of a pool.
-_UNREACHED_CAUSES = frozenset(("lost", "links_lost", "unreached", "unresponsive"))
+_UNREACHED_CAUSES = frozenset(("lost", "link_busy", "links_lost", "unreached", "unresponsive"))
 #: Refusals that concern the peer alone; another one may serve the request.
 _REASONS_OF_THE_PEER = frozenset(
     (
@@ -128,6 +128,8 @@
         self.peers.has_open_connection = self._has_open_connection
         #: Returns the time that connections get in addition to open, in seconds.
         self.added_timeout_s: Callable[[], float] = lambda: 0.0
+        #: Returns whether packets wait at this router's own link.
+        self.link_is_busy: Callable[[], bool] = lambda: False
 
     # Decisions.
 
@@ -136,7 +138,7 @@
         if self.may_repeat(request) and self._begin(request, "lost"):
             return True
         if not self._links.is_lost(request.pool):
-            return False
+            return request.tokens_left_to_peer and self._begin(request, "link_busy")
         if self._begin(request, "links_lost"):
             return True
         # An attempt costs nothing while connections are refused at once.
@@ -202,6 +204,15 @@
         """Return whether a peer seems to reach each pool of a route, and this router none."""
         return all(self.has_path_around(weighted.pool) for weighted in route.pools)
 
+    def may_spare_borrowing(self, route: Route) -> bool:
+        """Return whether peers should get tokens for a route, as this router's own link is busy.
+
+        A request then crosses the link once, instead of waiting for a loan and for an endpoint.
+        """
+        return self.link_is_busy() and all(
+            self.peers.has_path(weighted.pool) for weighted in route.pools
+        )
+
     def may_repeat(self, request) -> bool:
         """Return whether a peer is the better choice to repeat a request that was lost here.
 
--- a/turnward/gateway/relayable_request.py
+++ b/turnward/gateway/relayable_request.py
@@ -67,6 +67,11 @@
         kept = self._replayable and self._request.body_complete
         return self._note is None and kept and self.may_still_send
 
+    @property
+    def tokens_left_to_peer(self) -> bool:
+        """Whether a peer that runs it reserves its tokens."""
+        return self._unreserved_tokens > 0
+
     @property
     def lost_here(self) -> bool:
         """Whether an endpoint that this router sent it to was lost without a response."""
--- a/turnward/gateway/tests/test_full_links.py
+++ b/turnward/gateway/tests/test_full_links.py
@@ -319,3 +319,16 @@
     relayed = [line for line in log.of("request.relayed") if line["cause"] == "link_busy"]
     assert borrowed + len(relayed) > len(tries) / 2
     assert not log.of("holder.silent")
+
+
+def test_router_whose_link_is_delayed_has_peers_run_requests_whose_tokens_they_hold():
+    scene = Scene(gateways=24, prepaid=True)
+    log, _ = play_delayed(scene)
+    assert {line["cause"] for line in log.of("request.relayed")} == {"link_busy"}
+    served_for_peer = [
+        line
+        for other in scene.harness.logs[1:]
+        for line in other.of("request.ended")
+        if line["relayed_by"] and line["outcome"] == "served"
+    ]
+    assert served_for_peer
