--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -275,7 +275,9 @@
             except ValueError:
                 self._refuse(400, Reason.BAD_REQUEST)
                 return False
-        self._deadline_s = self._started_s + time_limit_s
+        # The caller's time began when it sent the request, which then waited at this router's link.
+        waited_s = self._forwarder.links.own_link_delay_s() if self._note is None else 0.0
+        self._deadline_s = self._started_s + time_limit_s - waited_s
         count = header_value(headers, dialect.token_count)
         if count is None:
             return True
--- a/turnward/gateway/link_monitor.py
+++ b/turnward/gateway/link_monitor.py
@@ -92,6 +92,8 @@
         #: whether it is known yet.
         self.link_delay_s: Callable[[], float] = lambda: 0.0
         self.peak_link_delay_s: Callable[[], float] = lambda: 0.0
+        #: Returns for how long packets wait at this router's own link, in seconds.
+        self.own_link_delay_s: Callable[[], float] = lambda: 0.0
         self.knows_link_delay: Callable[[], bool] = lambda: True
         #: Connections that were not answered in time, until the delay of the own link is known.
         self._unjudged: deque[_UnjudgedFailure] = deque(maxlen=_MAX_UNJUDGED)
--- a/turnward/gateway/own_link.py
+++ b/turnward/gateway/own_link.py
@@ -122,6 +122,12 @@
         """The longest delay of the last few seconds, in which a connection may have waited."""
         return max((delay_s for _, delay_s in self._checked), default=0.0)
 
+    @property
+    def waiting_s(self) -> float:
+        """For how long packets wait at the link; 0 unless it is busy."""
+        delay_s = self.delay_s
+        return delay_s if delay_s >= BUSY_S else 0.0
+
     @property
     def delay_ms(self) -> int:
         """The delay in whole milliseconds."""
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -437,6 +437,7 @@
         )
         self._links.on_doubt = self.paths.look_for
         self._links.link_delay_s = self._link_delay_s
+        self._links.own_link_delay_s = lambda: self._own_link.waiting_s
         self._links.peak_link_delay_s = lambda: self._own_link.peak_delay_s
         self._links.knows_link_delay = lambda: self.paths.knows_link_delay
         self.paths.heard_s = lambda: self.peers.received_s
--- a/turnward/gateway/tests/test_full_links.py
+++ b/turnward/gateway/tests/test_full_links.py
@@ -14,6 +14,7 @@
     Harness,
     answer_ok,
     answered,
+    never_answer,
 )
 from turnward.gateway.tests.test_unreached_endpoints import MIN_SHARE_OF_OTHERS, Links
 
@@ -22,6 +23,8 @@
 DEADLINE_S = 6.0
 #: Requests in a second that the link carries, whose bodies cross it once in each direction.
 CARRIED_PER_S = LINK_MBIT_PER_S * 1e6 / 8 / len(BODY)
+#: Time after its time limit within which a request must be answered, as the users' rules set it.
+HELD_ON_S = 0.5
 #: Time without a response after which a caller gives its connection up.
 PATIENCE_S = 1.0
 #: Interval in which a balancer asks whether a router is ready, and misses that take it out.
@@ -332,3 +335,17 @@
         if line["relayed_by"] and line["outcome"] == "served"
     ]
     assert served_for_peer
+
+
+def test_router_whose_link_is_delayed_answers_soon_after_the_time_limit():
+    scene = Scene()
+    scene.send(USUAL * CARRIED_PER_S, 2.0)
+    _StandingQueue(scene.harness, LINK_DELAY_S)
+    scene.send_patiently(4)
+    for endpoint in scene.harness.endpoints:
+        endpoint.behave = never_answer
+    network = scene.harness.network
+    attempt = scene.begin_try(0, lambda: None)
+    assert network.advance_until(lambda: attempt.transport is not None)
+    network.advance(DEADLINE_S + HELD_ON_S)
+    assert attempt.status in (503, 504)
