--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,163 +1,228 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""A planned stop of a gateway cuts answers that their clients read slowly."""
+"""Streams that clients take up with a long body run at many servers at once."""
 
 import asyncio
 import signal
-import socket
 import sys
-import time
 from pathlib import Path
 
-from standins import Server, encode, run_case
+from standins import Server, read_head, run_case
 
 CASE = Path(__file__).resolve().parent
-HOST_NAME = "desk.example"
-ZONES = ["zone-1", "zone-2", "zone-3"]
-CLIENTS = 12
-#: Size of an answer, and what a client reads in a second: it has the whole answer after 5.4 s.
-ANSWER_BYTES = 800_000
-READ_BYTES_PER_S = 150_000
-READ_STEP_S = 0.02
-#: Receive buffer of a client, and segments as on Ethernet; those of the loopback device are 64 KiB.
-WINDOW_BYTES = 8_192
-SEGMENT_BYTES = 1_460
-WARM_BYTES = 20
-DEADLINE_MS = 15_000
-#: When the gateway gets SIGTERM, after the requests were sent.
-STOP_AFTER_S = 0.5
-
-
-class ReportServer(Server):
-    """Answers with a long report, as fast as it is read."""
+HOST_NAME = "scores.example"
+ZONES = [f"zone-{number}" for number in (1, 1, 1, 2, 2, 2, 3, 4)]
+#: Servers of the service by the version of their software, while it is being replaced.
+OLD_SERVERS, NEW_SERVERS = 8, 2
+KEY = "key-of-the-tenant"
+TENANT = "tenant-1"
+#: Far more than the streams use, so that none is refused for tokens.
+PREPAID_TOKENS = 500_000
+STREAMS = 32
+PROMPT_TOKENS = 200
+EVENTS = 200
+EVENT_TOKENS = 5
+EVENT_S = 0.01
+DEADLINE_MS = 12_000
+MAX_ATTEMPTS = 2
+#: Requests of the rule that may run at more servers than the route allows.
+EXCUSED = 3
+#: A long prompt, sent in chunks; ``maxBodyBytes`` is 4 MiB.
+BODY_BYTES = 400_000
+CHUNK_BYTES = 16_384
+#: Short streams that each gateway has served just before, and the size of their bodies.
+EARLIER_STREAMS = 16
+EARLIER_EVENTS = 5
+EARLIER_BYTES = 100
+#: When gateway 1 is killed, after the streams were asked for.
+KILL_AFTER_S = 0.4
+#: Times that a client takes its stream up, at most.
+MAX_RETRIES = 3
+
+
+class Engine(Server):
+    """Streams events from the one after ``Last-Event-Id``, and counts tokens."""
+
+    read_requests: set[str] = set()
+    tokens = 0
+    out_of: dict[str, int] = {}
 
     async def handle(self, first, headers, body, sealed, writer) -> None:
         """See ``Server.handle``."""
-        size = WARM_BYTES if "/warm" in first else ANSWER_BYTES
-        writer.write(encode(200, sealed, b"x" * size))
-        await writer.drain()
-        self._record.note(f"{self.server_id} has answered {headers['x-request-id']}")
+        request_id = headers["x-request-id"]
+        if request_id not in self.read_requests:
+            self.read_requests.add(request_id)
+            Engine.tokens += int(headers["x-token-count"].split(",")[0])
+        events = int(headers["x-token-count"].split(",")[1]) // EVENT_TOKENS
+        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        lines.append("Keep-Alive: timeout=15")
+        lines += [f"{name}: {value}" for name, value in sealed.items()]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        for number in range(int(headers.get("last-event-id", 0)) + 1, events + 1):
+            if writer.is_closing():
+                return
+            event = b"id: %d\ndata: %s\n\n" % (number, request_id.encode())
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            Engine.tokens += EVENT_TOKENS
+            self.out_of[request_id] = self.out_of.get(request_id, 0) + EVENT_TOKENS
+            await asyncio.sleep(EVENT_S)
+        writer.write(b"0\r\n\r\n")
 
 
-class SlowClient:
-    """Keeps a connection, and reads an answer slowly but steadily."""
+def configuration() -> dict:
+    """Return a configuration with one streaming route and one tenant."""
+    route = {
+        "name": "report",
+        "host": HOST_NAME,
+        "pathPrefix": "/report/",
+        "routeType": "streaming",
+        "timeoutMs": DEADLINE_MS,
+        "sloMs": 1_000,
+        "gapSloMs": 400,
+        "maxAttempts": MAX_ATTEMPTS,
+        "priority": 0,
+        "sticky": True,
+        "resumable": True,
+        "service": "engines",
+    }
+    engine = {"slots": 64, "kvCapacity": 552_156, "stride": EVENT_TOKENS}
+    return {
+        "version": 3,
+        "routes": [route],
+        "services": [{"name": "engines", "maxConns": 370, "engine": engine}],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 4_194_304,
+            "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000,
+        },
+        "tenants": [
+            {"name": TENANT, "apiKeys": [KEY], "priority": 1, "prepaid": PREPAID_TOKENS},
+        ],
+    }
+
+
+class StreamClient:
+    """Asks for one stream, and takes it up at another gateway after a broken connection."""
 
-    def __init__(self, deployment, number: int):
+    def __init__(self, deployment, number: int, events: int = EVENTS, body: int = BODY_BYTES):
+        self._deployment = deployment
+        self._events = events
+        self._body_bytes = body
         self._record = deployment.record
-        self._gateway = deployment.gateways[0]
         self._number = number
-        self._socket = socket.socket()
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
-        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-        self._socket.setblocking(False)
-        self.got_bytes = 0
-        self.outcome = ""
-
-    def _request(self, request_id: str, path: str) -> bytes:
+        self._first_id = ""
+        self._last_event = 0
+        self.whole = False
+        self.refused: list[str] = []
+
+    async def run(self) -> None:
+        """Ask until the stream is whole, or the retries are used up."""
+        for attempt in range(MAX_RETRIES + 1):
+            gateways = self._deployment.gateways
+            gateway = gateways[0] if not attempt else gateways[1 + (self._number + attempt) % 7]
+            request_id = f"stream-{self._number:02}-{attempt}"
+            try:
+                outcome, wait_s = await self.ask(gateway, request_id)
+            except (OSError, asyncio.IncompleteReadError) as failure:
+                outcome, wait_s = f"broken: {failure!r}", 0.1
+            self._record.note(f"client of {request_id}: {outcome}, at event {self._last_event}")
+            if self.whole:
+                return
+            await asyncio.sleep(wait_s)
+
+    async def ask(self, gateway, request_id: str) -> tuple[str, float]:
+        """Send one request and read its events; return what came, and how long to wait."""
+        reader, writer = await asyncio.open_connection(gateway.host, gateway.ports["front"])
         lines = [
-            f"GET {path} HTTP/1.1",
+            "POST /report/x HTTP/1.1",
             f"Host: {HOST_NAME}",
             f"X-Request-Id: {request_id}",
             f"X-Deadline-Ms: {DEADLINE_MS}",
+            f"Authorization: Token {KEY}",
+            "X-Model: m",
+            f"X-Token-Count: {PROMPT_TOKENS},{self._events * EVENT_TOKENS}",
+            f"X-Prompt-Prefix: 5c1e07a2:100,{self._number + 1:x}:100",
+            "Transfer-Encoding: chunked",
         ]
-        return ("\r\n".join(lines) + "\r\n\r\n").encode()
-
-    async def connect(self) -> None:
-        """Open the connection and use it once."""
-        loop = asyncio.get_running_loop()
-        address = (self._gateway.host, self._gateway.ports["front"])
-        await loop.sock_connect(self._socket, address)
-        await loop.sock_sendall(self._socket, self._request(f"warm{self._number:02}", "/r/warm"))
-        data = b""
-        while not data.endswith(b"\r\n\r\n" + b"x" * WARM_BYTES):
-            data += await loop.sock_recv(self._socket, 4_096)
-
-    async def ask(self) -> None:
-        """Send the request, and read the answer at a steady pace."""
-        loop = asyncio.get_running_loop()
-        request_id = f"report{self._number:02}"
-        sent_s = time.monotonic()
-        self._record.note(f"client sends {request_id}")
-        await loop.sock_sendall(self._socket, self._request(request_id, "/r/report"))
-        data = b""
-        length = None
-        while length is None or len(data) < length:
-            await asyncio.sleep(READ_STEP_S)
-            step = int((time.monotonic() - sent_s) * READ_BYTES_PER_S) - len(data)
-            if step <= 0:
-                continue
-            try:
-                part = await loop.sock_recv(self._socket, step)
-            except ConnectionError as failure:
-                self.outcome = f"connection lost: {failure!r}"
-                break
-            if not part:
-                self.outcome = "connection closed"
-                break
-            data += part
-            head, separator, _ = data.partition(b"\r\n\r\n")
-            if separator and length is None:
-                status = head.split()[1].decode()
-                found = [line for line in head.lower().split(b"\r\n") if b"content-length" in line]
-                length = len(head) + 4 + int(found[0].split(b":")[1])
-        else:
-            self.outcome = f"whole answer, status {status}"
-        self.got_bytes = len(data)
-        took_s = time.monotonic() - sent_s
-        self._record.note(
-            f"client of {request_id}: {self.outcome}, {len(data)} of {length} bytes, {took_s:.2f} s"
+        if self._last_event:
+            lines += [f"Last-Event-Id: {self._last_event}", f"Resumes: {self._first_id}"]
+        self._record.note(f"client sends {request_id} to gateway {gateway.number}")
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        for sent in range(0, self._body_bytes, CHUNK_BYTES):
+            size = min(CHUNK_BYTES, self._body_bytes - sent)
+            writer.write(b"%x\r\n%b\r\n" % (size, b"p" * size))
+        writer.write(b"0\r\n\r\n")
+        try:
+            return await self._read(reader, request_id)
+        finally:
+            writer.close()
+
+    async def _read(self, reader, request_id: str) -> tuple[str, float]:
+        status, headers = await read_head(reader)
+        if status != 200:
+            self.refused.append(request_id)
+            body = await reader.readexactly(int(headers.get("content-length", 0)))
+            return f"status {status}, {body.decode()}", float(headers.get("retry-after", 0.1))
+        while size := int(await reader.readline() or b"-1", 16):
+            if size < 0:
+                return "connection closed", 0.1
+            data = await reader.readexactly(size + 2)
+            ids = [int(line[4:]) for line in data.split(b"\n") if line.startswith(b"id: ")]
+            if ids:
+                self._first_id = self._first_id or request_id
+                self._last_event = ids[-1]
+        self.whole = True
+        return "whole", 0.0
+
+
+async def serve_earlier(deployment) -> None:
+    """Have each gateway serve short streams, which leave connections to the servers."""
+    for gateway in deployment.gateways:
+        await asyncio.gather(
+            *(
+                StreamClient(deployment, 100 + number, EARLIER_EVENTS, EARLIER_BYTES).ask(
+                    gateway, f"earlier-{gateway.number}-{number:02}"
+                )
+                for number in range(EARLIER_STREAMS)
+            )
         )
-        self._socket.close()
-
-    @property
-    def cut(self) -> bool:
-        """Whether the answer ended before it was whole."""
-        return not self.outcome.startswith("whole")
-
-
-def configuration() -> dict:
-    """Return a configuration with one route to the reports."""
-    route = {
-        "name": "report",
-        "host": HOST_NAME,
-        "pathPrefix": "/r/",
-        "routeType": "idempotent",
-        "timeoutMs": DEADLINE_MS,
-        "sloMs": 1_000,
-        "maxAttempts": 2,
-        "priority": 1,
-        "service": "reports",
-    }
-    return {"version": 3, "routes": [route], "services": [{"name": "reports", "maxConns": 100}]}
 
 
 async def play(deployment, trouble: bool) -> bool:
-    """Stop a gateway while clients read their answers; return whether an answer was cut."""
+    """Kill a gateway with streams open; return whether requests ran at too many servers."""
     record = deployment.record
-    for number in (1, 2, 3):
-        deployment.servers.append(ReportServer(deployment.store, record, "reports", number))
+    for number in range(1, OLD_SERVERS + NEW_SERVERS + 1):
+        version = "v1" if number <= OLD_SERVERS else "v2"
+        engine = Engine(deployment.store, record, "engines", number, version=version, slots=64)
+        deployment.servers.append(engine)
     await deployment.start(configuration(), ZONES)
-    clients = [SlowClient(deployment, number) for number in range(CLIENTS)]
-    for client in clients:
-        await client.connect()
-    asked = [asyncio.ensure_future(client.ask()) for client in clients]
-    await asyncio.sleep(STOP_AFTER_S)
+    await serve_earlier(deployment)
+    clients = [StreamClient(deployment, number) for number in range(STREAMS)]
+    running = [asyncio.ensure_future(client.run()) for client in clients]
+    await asyncio.sleep(KILL_AFTER_S)
     if trouble:
-        record.note("SIGTERM to gateway 1")
-        deployment.gateways[0].signal(signal.SIGTERM)
-        ended = asyncio.ensure_future(note_end(deployment))
-    await asyncio.gather(*asked)
-    if trouble:
-        await ended
-    cut = sum(client.cut for client in clients)
-    record.note(f"{cut} of {CLIENTS} answers were cut")
-    return cut > 0
-
-
-async def note_end(deployment) -> None:
-    """Record when the stopped gateway has ended."""
-    while deployment.gateways[0].process.poll() is None:
-        await asyncio.sleep(0.02)
-    deployment.record.note("gateway 1 has ended by itself")
+        record.note("SIGKILL to gateway 1")
+        deployment.gateways[0].signal(signal.SIGKILL)
+    await asyncio.gather(*running)
+    await asyncio.sleep(EVENTS * EVENT_S * 2)
+    runs: dict[str, list[int]] = {}
+    for server in deployment.servers:
+        for request_id in server.runs:
+            runs.setdefault(request_id, []).append(server.number)
+    for request_id, servers in sorted(runs.items()):
+        if len(servers) > 1:
+            tokens = Engine.out_of.get(request_id, 0)
+            record.note(f"{request_id} ran at servers {servers}, which handed out {tokens} tokens")
+    refused = {request_id for client in clients for request_id in client.refused}
+    record.note(f"{len(refused & runs.keys())} requests were refused with 503 and ran")
+    for row in deployment.store.rows("prepaid", TENANT):
+        record.note(f"the tenant's row: {deployment.store.text_of(row)}")
+    record.note(f"{Engine.tokens} tokens were used")
+    record.note(f"{sum(client.whole for client in clients)} of {STREAMS} streams are whole")
+    exceeded = sum(len(set(servers)) > MAX_ATTEMPTS for servers in runs.values())
+    record.note(f"{exceeded} requests ran at more than {MAX_ATTEMPTS} servers")
+    return exceeded > EXCUSED
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -59,6 +59,14 @@
         self._file.flush()
 
 
+async def read_head(reader: asyncio.StreamReader) -> tuple[int, dict[str, str]]:
+    """Return the status and the headers of a response."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = head.decode("latin-1").split("\r\n")[:-2]
+    pairs = (line.partition(":") for line in lines)
+    return int(first.split()[1]), {name.lower(): value.strip() for name, _, value in pairs}
+
+
 async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes] | None:
     """Return the first line, the headers (names in lower case) and the body; None at the end."""
     try:
@@ -126,6 +134,11 @@
             if key[:2] == (table, part) and "gone" not in row
         ]
 
+    @staticmethod
+    def text_of(row: dict) -> str:
+        """Return the value of a row as text."""
+        return base64.b64decode(row["value"]).decode()
+
     async def _serve(self, reader, writer) -> None:
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while message := await read_message(reader):
@@ -386,7 +399,8 @@
                 gateway.process.kill()
             if gateway.process is not None:
                 gateway.process.wait()
-        shutil.rmtree(self.folder, ignore_errors=True)
+        if "KEEP" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def run_case(case: Path, play) -> int:
