A stream of a divided route goes on at the pool that began it

What callers would see: on a route that is divided among pools, a stream taken up again, or run by a peer after this router's links were lost, could go on at another service: pieces of two runs, also inside one answer.

Cause: the pool was drawn at random for each request that reaches a router, so also for a caller's next try and for a relayed request.

Evidence: with two pools of one version each, resumptions reached the other pool, and a stream that a peer took over held events of both inside one answer; both tests failed before.

The draw is now a function of the stream's key, which each router computes alike. Other requests are drawn at random as before. Not covered: a route that moves to other pools, or whose weights change, while a stream is open.

--- a/turnward/gateway/configuration.py
+++ b/turnward/gateway/configuration.py
@@ -1,8 +1,6 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Routes, pools and workspaces that operators configure, and the entries of endpoints."""
 
-import random
-
 import msgspec
 
 from turnward.gateway.zone_orders import ZoneOrder
@@ -93,12 +91,27 @@
         """Whether a request that may have run already may be sent again."""
         return self.repeat == RetryPolicy.ANY or (self.streams and self.resumable)
 
-    def choose_pool(self, rng: random.Random) -> str:
-        """Return a random pool, chosen by weight."""
-        if len(self.pools) == 1:
-            return self.pools[0].pool
-        weights = [pool.weight for pool in self.pools]
-        return rng.choices(self.pools, weights)[0].pool
+    def choose_pool(self, draw: float) -> str:
+        """Return the pool at a point of the cumulated weights.
+
+        Parameters
+        ----------
+        draw : float
+            The point, from 0 to below 1.
+
+        Examples
+        --------
+        >>> pools = (WeightedPool("a", 1.0), WeightedPool("b", 3.0))
+        >>> route = Route(name="r", host="h", path_prefix="/", pools=pools)
+        >>> route.choose_pool(0.2), route.choose_pool(0.3)
+        ('a', 'b')
+        """
+        left = draw * sum(weighted.weight for weighted in self.pools)
+        for weighted in self.pools:
+            left -= weighted.weight
+            if left < 0:
+                return weighted.pool
+        return self.pools[-1].pool
 
 
 class EngineTraits(msgspec.Struct, frozen=True, kw_only=True):
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -393,13 +393,12 @@
         """Start an attempt at an endpoint, or end the request if there is none."""
         if self._pending_reservation is not None:
             return
-        forwarder = self._forwarder
         if self._deadline_s - self._now_s() < _MIN_SEND_S:
             self.time_limit_reached()
             return
         is_first = not self.pool
         if is_first:
-            self.pool = self._route.choose_pool(forwarder.rng)
+            self.pool = self._route.choose_pool(self._draw_pool())
             self._content = self._fingerprint_content()
         self._with_version(lambda: self._begin_attempt(is_first))
 
--- a/turnward/gateway/resumable_request.py
+++ b/turnward/gateway/resumable_request.py
@@ -13,7 +13,7 @@
 from turnward.gateway.relay_note import RelayNote
 from turnward.gateway.relayable_request import RelayableRequest
 from turnward.http1 import header_value
-from turnward.software_versions import StreamKey, stream_key
+from turnward.software_versions import StreamKey, key_draw, stream_key
 
 __all__ = ["ResumableRequest"]
 
@@ -80,6 +80,12 @@
 
     # Where the stream goes on.
 
+    def _draw_pool(self) -> float:
+        """Return what selects the pool of a divided route; the same for a stream's requests."""
+        if self.resumable:
+            return key_draw(self._stream_key)
+        return self._forwarder.rng.random()
+
     @property
     def _resumed_by_caller(self) -> bool:
         """Whether the caller has events of the stream from an earlier request."""
--- a/turnward/gateway/tests/test_software_versions.py
+++ b/turnward/gateway/tests/test_software_versions.py
@@ -5,7 +5,13 @@
 
 import msgspec
 
-from turnward.gateway import EndpointsSnapshot, RetryPolicy, Workspace
+from turnward.gateway import (
+    EndpointPool,
+    EndpointsSnapshot,
+    RetryPolicy,
+    WeightedPool,
+    Workspace,
+)
 from turnward.gateway.tests.harness import (
     DIALECT,
     Harness,
@@ -356,3 +362,44 @@
     harness.network.advance_until(lambda: answered(caller))
     assert len(versions_in(caller)) == 1
     assert not is_whole(caller)
+
+
+def make_divided_harness(gateways, breaks=False):
+    """Return a fleet whose route is divided among two pools of one version each."""
+    names = ("one", "two")
+    route = Harness.route(
+        pools=tuple(WeightedPool(name) for name in names),
+        repeat=RetryPolicy.STREAM,
+        resumable=True,
+        attempts=3,
+    )
+    harness = Harness(routes=(route,), pools=tuple(EndpointPool(name=name) for name in names))
+    for name in (*names, *names):
+        harness.endpoint(Engine(f"v_{name}", breaks), pool=name)
+    harness.ready(gateways)
+    harness.network.advance(1.0)
+    return harness
+
+
+def test_caller_resumes_a_stream_of_a_divided_route_at_the_pool_that_began_it():
+    harness = make_divided_harness(gateways=3)
+    begun = [versions_in(harness.ask(request_id=b"begun-%d" % number)) for number in range(12)]
+    assert {b"v_one"} in begun and {b"v_two"} in begun
+    for number, versions in enumerate(begun):
+        resumed = resume(harness, b"begun-%d" % number, gateway=1 + number % 2)
+        assert versions_in(resumed) == versions
+
+
+def test_stream_of_a_divided_route_that_a_peer_takes_over_stays_at_its_pool():
+    for number in range(12):
+        harness = make_divided_harness(gateways=2, breaks=True)
+        for endpoint in harness.endpoints:
+            endpoint.behave.broken_after_s = 1.0
+        caller = harness.send(request_id=b"begun-%d" % number)
+        assert harness.network.advance_until(lambda caller=caller: versions_in(caller))
+        refuse_links(harness, 0)
+        for other in range(6):
+            harness.send(path=b"/a/%d" % other)
+        harness.network.advance_until(lambda caller=caller: answered(caller))
+        assert is_whole(caller)
+        assert len(versions_in(caller)) == 1
--- a/turnward/software_versions/__init__.py
+++ b/turnward/software_versions/__init__.py
@@ -6,6 +6,7 @@
     StreamKey,
     StreamVersions,
     UntoldStreams,
+    key_draw,
     stream_key,
 )
 
@@ -15,5 +16,6 @@
     "StreamKey",
     "StreamVersions",
     "UntoldStreams",
+    "key_draw",
     "stream_key",
 ]
--- a/turnward/software_versions/stream_versions.py
+++ b/turnward/software_versions/stream_versions.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-__all__ = ["StreamKey", "StreamVersions", "UntoldStreams", "stream_key"]
+__all__ = ["StreamKey", "StreamVersions", "UntoldStreams", "key_draw", "stream_key"]
 
 #: Identifies a stream by the workspace and the id of the request that brought its first event.
 StreamKey = bytes
@@ -30,6 +30,18 @@
     return hashlib.blake2b(text, digest_size=_KEY_BYTES).digest()
 
 
+def key_draw(key: StreamKey) -> float:
+    """Return a number from 0 to below 1 that depends on the key alone.
+
+    Examples
+    --------
+    >>> key_draw(bytes(8)), key_draw(bytes((128, 0, 0, 0, 0, 0, 0, 0)))
+    (0.0, 0.5)
+    """
+    # A float can't hold all bits of a key: the largest keys would round up to 1.
+    return int.from_bytes(key[:4], "big") / 2**32
+
+
 class StreamVersions:
     """Bounded memory of versions by stream; the oldest entries are dropped first.
 
