Log lines tell how old the endpoints' table is by which a stream goes on

Where a stream goes on is decided by the endpoints' table. Its version is in the lines, but not when the store or a peer last confirmed it, so a choice by a table that peers have long replaced looks like any other. attempt.chosen, stream.origin and request.ended get endpoints_age_s for streams that go on.

The test failed before with a missing field.

--- a/turnward/gateway/resumable_request.py
+++ b/turnward/gateway/resumable_request.py
@@ -52,11 +52,17 @@
         return self._route.streams and self._route.resumable
 
     @property
-    def stream_fields(self) -> dict[str, str]:
-        """Fields of log lines, where known: the request that began the stream, and its version."""
+    def stream_fields(self) -> dict[str, str | float]:
+        """Fields of log lines, where known: the request that began the stream, and its version.
+
+        With the age of the endpoints' table, if it decides where the stream goes on.
+        """
         resumes = header_value(self._request.headers, self._forwarder.dialect.resumes) or b""
         fields = {"resumes": resumes.decode("latin-1"), "version": self._stream_version}
-        return {name: value for name, value in fields.items() if value}
+        fields = {name: value for name, value in fields.items() if value}
+        if self._continues:
+            fields["endpoints_age_s"] = round(self._forwarder.state.endpoints_age_s(), 3)
+        return fields
 
     def may_continue_with(self, first_id: bytes | None) -> bool:
         """Return whether an event may follow the last one forwarded."""
--- a/turnward/gateway/state.py
+++ b/turnward/gateway/state.py
@@ -166,6 +166,10 @@
         """Return the orders to announce to other routers; None if not known yet."""
         return self.zone_orders.all() if self.zone_orders_known else None
 
+    def endpoints_age_s(self) -> float:
+        """Return the time since the store or a peer told the endpoints in use, or newer ones."""
+        return self._clock() - self._endpoints_confirmed_s
+
     @property
     def recovers_endpoints(self) -> bool:
         """Whether entries that the store lost in a rollback may not have been written again yet."""
--- a/turnward/gateway/tests/test_software_versions.py
+++ b/turnward/gateway/tests/test_software_versions.py
@@ -98,6 +98,17 @@
         assert (line["resumes"], line["version"]) == ("first", "v7")
 
 
+def test_line_tells_how_old_the_table_is_by_which_a_stream_goes_on():
+    harness = make_harness(["v7"])
+    harness.clients[0].faults.unavailable = True
+    harness.network.advance(9.0)
+    resume(harness, b"first")
+    harness.ask()
+    resumed, begun = harness.logs[0].of("attempt.chosen")
+    assert resumed["endpoints_age_s"] >= 3.0
+    assert "endpoints_age_s" not in begun
+
+
 def test_stream_goes_on_inside_one_answer_at_the_version_that_began_it():
     harness = make_harness(["v1", "v1", "v2", "v2", "v2"], breaks=True)
     for _ in range(20):
