A relayed stream is bound to its version by a peer that knows another one only

Callers got streams of two software versions inside one answer: a gateway relayed the rest of a stream of v2 to a peer, with the version, and the peer sent it to v1.

Cause: a stream was bound to its version only where the own table, or the recent past, had two versions. A peer whose table lags behind, by its poll, a pause or a cut, knows v1 alone, took the pool for one of a single version and dropped what the note said. Endpoints that start under new ids are enough for it.

Now a known version binds wherever the pool is mixed or has endpoints of any other version. The test (two peers that keep their table while v2 comes) failed before: two of eight answers held v1 and v2.

--- a/turnward/gateway/resumable_request.py
+++ b/turnward/gateway/resumable_request.py
@@ -107,8 +107,9 @@
     @property
     def bound_version(self) -> str:
         """See ``RelayableRequest.bound_version``."""
-        bound = self._continues and self._forwarder.versions.is_mixed(self.pool)
-        return self._stream_version if bound else ""
+        version = self._stream_version
+        bound = version and self._continues and self._forwarder.versions.binds(self.pool, version)
+        return version if bound else ""
 
     @property
     def _excluded(self) -> set[str]:
--- a/turnward/gateway/version_keeper.py
+++ b/turnward/gateway/version_keeper.py
@@ -160,9 +160,16 @@
         """Return whether a pool has endpoints of a version."""
         return version in self._incarnations.get(pool, ())
 
+    def binds(self, pool: str, version: str) -> bool:
+        """Return whether a stream that a version began must not go on at any endpoint of a pool.
+
+        Another router may know a version that this one does not know yet, and name it.
+        """
+        return self.pools.is_mixed(pool) or self._incarnations.get(pool, {}).keys() != {version}
+
     def unfit(self, pool: str, version: str) -> set[str]:
         """Return the endpoints that must not continue a stream that a version began."""
-        if not self.pools.is_mixed(pool):
+        if not self.binds(pool, version):
             return set()
         by_version = self._incarnations.get(pool, {})
         unfit = {name for other in by_version.keys() - {version} for name in by_version[other]}
