Before a stream goes on, a table that may be out of date is compared with those of peers

Callers got streams of two software versions. A gateway came out of a pause with a table seconds old, asked peers which version had begun a stream, and went on by its own entries, by which an endpoint was still of that version. The same without any reuse of an id: a gateway that was paused or cut off while a second version came took its pool for one of a single version, asked nobody and sent resumptions of v2 streams to v1.

Cause: where a stream goes on was decided by the table as it stood, also when it was known that it might be out of date, or that a peer had a newer one.

If no peer answers, a stream of unknown version is refused as not run, as in a pool of several versions; one of known version, and one where any peer answers, goes on as before.

--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -59,6 +59,7 @@
 
 CONFIGURATION_PATH = b"/state/configuration/packed"
 ENDPOINTS_PATH = b"/state/endpoints/packed"
+ENDPOINTS_VERSION_PATH = b"/state/endpoints/version"
 
 
 #: What routers send each other as datagrams.
@@ -206,6 +207,12 @@
         self.on_relayed: Callable[[InboundRequest], None] = _answer_not_found
         #: Called with each question which software version began a stream.
         self.on_stream_question: Callable[[InboundRequest], None] = _answer_not_found
+        #: Called with each question as of which version this router knows the endpoints.
+        self.on_endpoints_question: Callable[[InboundRequest], None] = _answer_not_found
+        #: Called with a version of the endpoints that a peer has, and the peer's address.
+        self.on_endpoints_announced: Callable[[RowVersion, str], None] = lambda version, address: (
+            None
+        )
         #: Returns by how much the event loop is late, in milliseconds.
         self.delay_ms: Callable[[], int] = int
         #: Returns the endpoints that may have restarted as another software version.
@@ -378,6 +385,7 @@
             self._fetch(CONFIGURATION_PATH, configuration_from, self._adopt_configuration)
         elif configuration_version == self._state.configuration_version:
             self._confirm(configuration_version, confirmed_age_s)
+        self.on_endpoints_announced(endpoints_version, endpoints_from)
         if endpoints_version > self._state.endpoints_version or not self._knows_recoveries:
             self._newest_announced[ENDPOINTS_PATH] = endpoints_version
             self._fetch(ENDPOINTS_PATH, endpoints_from, self._adopt_endpoints)
@@ -398,13 +406,19 @@
         pause = defer.Deferred()
         self._reactor.callLater(0.12, pause.callback, None)
         await pause
-        if not self._is_behind(path):
-            return
+        if self._is_behind(path):
+            await self._fetch_now(path, address, apply, _STATE_TIMEOUT_S)
+
+    async def fetch_endpoints(self, address: str, timeout_s: float) -> None:
+        """Fetch a peer's endpoints at once; a failed call is logged."""
+        await self._fetch_now(ENDPOINTS_PATH, address, self._adopt_endpoints, timeout_s)
+
+    async def _fetch_now(self, path: bytes, address: str, apply, timeout_s: float) -> None:
         try:
             reply = await self._caller(address).call(
                 b"GET",
                 path,
-                timeout_s=_STATE_TIMEOUT_S + self.added_timeout_s(),
+                timeout_s=timeout_s + self.added_timeout_s(),
                 read_timeout_s=_STATE_TIMEOUT_S,
                 connect_timeout_s=self._connect_timeout_s,
             )
@@ -467,6 +481,8 @@
             _decode_body(request, LoanReturn, self._accept_return)
         elif request.target == STREAM_VERSION_PATH:
             self.on_stream_question(request)
+        elif request.target == ENDPOINTS_VERSION_PATH:
+            self.on_endpoints_question(request)
         else:
             request.answer(404, [])
 
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -53,6 +53,7 @@
 from turnward.gateway.settings import GatewaySettings
 from turnward.gateway.spend_bounds import make_spend_bounds
 from turnward.gateway.state import FleetState
+from turnward.gateway.table_catch_up import TableCatchUp
 from turnward.gateway.table_listeners import MembersListener
 from turnward.gateway.version_keeper import VersionKeeper
 from turnward.gateway.warm_up import WarmUpShares
@@ -261,9 +262,7 @@
             self._rng,
         )
         self._connect_lenders()
-        self._versions = VersionKeeper.from_fleet(
-            reactor.seconds, self.state, self.book, self.peers, self.endpoints
-        )
+        self._versions = self._make_version_keeper()
         self._pool_version_rows = PoolVersionRows(
             reactor,
             store,
@@ -406,6 +405,15 @@
             self._log,
         )
 
+    def _make_version_keeper(self) -> VersionKeeper:
+        table = TableCatchUp(
+            self._reactor, self.state, self.book, self.peers, self._log, self._table_is_doubtful
+        )
+        clock = self._reactor.seconds
+        return VersionKeeper.from_fleet(
+            clock, self.state, self.book, self.peers, self.endpoints, table
+        )
+
     def _make_member_row(self) -> MemberRow:
         settings = self._settings
         member = Member(
@@ -537,6 +545,11 @@
         failing = not all(self._feed_health.values())
         return failing or self._pauses.latest_within(_STALE_AFTER_PAUSE_S) is not None
 
+    def _table_is_doubtful(self) -> bool:
+        """Return whether peers may know newer entries and this router may not have heard of it."""
+        unconfirmed = self.state.unconfirmed_for_s() > _STORE_UNREACHABLE_AFTER_S
+        return unconfirmed or self._entries_may_be_stale()
+
     def _resumed_lately(self) -> Pause | None:
         """Return the pause after which entries may still be about to be updated, if any."""
         return self._pauses.latest_within(_CATCH_UP_S)
--- a/turnward/gateway/resumable_request.py
+++ b/turnward/gateway/resumable_request.py
@@ -12,6 +12,7 @@
 from turnward.gateway.prompts import Prompt
 from turnward.gateway.relay_note import RelayNote
 from turnward.gateway.relayable_request import RelayableRequest
+from turnward.gateway.version_keeper import StreamOrigin
 from turnward.http1 import header_value
 from turnward.software_versions import StreamKey, stream_key
 
@@ -135,24 +136,26 @@
         return choose(self.pool, self._prompt, traits, excluded, pause_target_s)
 
     def _with_version(self, proceed: Callable[[], None]) -> None:
-        """Call ``proceed`` once the version that began the stream is known, if it matters."""
-        versions = self._forwarder.versions
-        if self._stream_version or not self._continues or not versions.is_mixed(self.pool):
+        """Call ``proceed`` once it is known where the stream may go on, if it has begun."""
+        if not self._continues:
             proceed()
             return
         asked_s = self._forwarder.reactor.seconds()
 
-        def found(version: str) -> None:
-            self._log_origin(version, asked_s)
+        def ready(origin: StreamOrigin) -> None:
+            if origin.searched:
+                self._log_origin(origin.version, asked_s)
             if self._ended:
                 return
-            if not version:
+            if not origin.may_go_on:
                 self._give_up(Reason.VERSION_UNKNOWN)
                 return
-            self._stream_version = version
+            self._stream_version = origin.version
             proceed()
 
-        versions.find(self._stream_key).addCallback(found)
+        versions = self._forwarder.versions
+        known = versions.ready_to_continue(self.pool, self._stream_key, self._stream_version)
+        known.addCallback(ready)
 
     def _log_origin(self, version: str, asked_s: float) -> None:
         waited_s = self._forwarder.reactor.seconds() - asked_s
--- a/turnward/gateway/version_keeper.py
+++ b/turnward/gateway/version_keeper.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Collection, Iterable
 from itertools import islice
 
+import msgspec
 from twisted.internet import defer
 
 from turnward.gateway.choice import EndpointBook
@@ -15,6 +16,7 @@
 from turnward.gateway.restart_suspicions import RestartSuspicion, RestartSuspicions
 from turnward.gateway.state import FleetState
 from turnward.gateway.stream_version_exchange import StreamVersionExchange
+from turnward.gateway.table_catch_up import TableCatchUp, TableStanding
 from turnward.software_versions import (
     UNKNOWN_VERSION,
     PoolVersions,
@@ -23,7 +25,7 @@
     UntoldStreams,
 )
 
-__all__ = ["VersionKeeper"]
+__all__ = ["StreamOrigin", "VersionKeeper"]
 
 #: Time after an endpoint has closed its connections in which its process may be another one, of
 #: which the entry does not tell yet; and the same while entries can't be read.
@@ -37,6 +39,24 @@
 _MIN_ENDPOINTS = 2
 
 
+class StreamOrigin(msgspec.Struct, frozen=True):
+    """What is known of a stream that is to go on.
+
+    Attributes
+    ----------
+    version : str
+        Software version that began it; empty if not known.
+    may_go_on : bool
+        Whether it may go on; False if other versions than its own may continue it.
+    searched : bool
+        Whether the version was looked for.
+    """
+
+    version: str
+    may_go_on: bool = True
+    searched: bool = False
+
+
 class VersionKeeper:
     """The software versions of endpoints, pools and streams, as known to one router.
 
@@ -52,6 +72,8 @@
         Shares them with other routers.
     entries_stale : callable
         Returns whether entries may be out of date because the store can't be read.
+    table : TableCatchUp
+        Compares the endpoints' table with what peers know.
 
     Attributes
     ----------
@@ -68,11 +90,13 @@
         streams: StreamVersions,
         exchange: StreamVersionExchange,
         entries_stale: Callable[[], bool],
+        table: TableCatchUp,
     ):
         self._stream_limit_s = stream_limit_s
         self._streams = streams
         self._exchange = exchange
         self._entries_stale = entries_stale
+        self._table = table
         self._untold = UntoldStreams(clock)
         self._suspicions = RestartSuspicions(clock)
         #: Incarnations of the endpoints, by pool and version.
@@ -89,6 +113,7 @@
         book: PeerBook,
         peers: PeerSynchronizer,
         endpoints: EndpointBook,
+        table: TableCatchUp,
     ) -> "VersionKeeper":
         """Return the keeper of a router that shares what it knows with its peers."""
         streams = StreamVersions(clock)
@@ -97,7 +122,7 @@
         )
         peers.on_stream_versions = exchange.receive
         peers.on_stream_question = exchange.serve
-        keeper = cls(clock, state.stream_limit_s, streams, exchange, endpoints.entries_stale)
+        keeper = cls(clock, state.stream_limit_s, streams, exchange, endpoints.entries_stale, table)
         peers.on_suspected_restarts = keeper.merge_suspected
         peers.suspected_restarts = keeper.suspected
         keeper.on_suspected = peers.announce_soon
@@ -202,9 +227,35 @@
             self._untold.add(pool, key, version, self._stream_limit_s(pool))
         return version
 
-    def find(self, key: StreamKey) -> "defer.Deferred[str]":
-        """Return the version that began a stream, empty if no router knows it."""
-        return self._exchange.find(key)
+    def ready_to_continue(
+        self, pool: str, key: StreamKey, version: str
+    ) -> "defer.Deferred[StreamOrigin]":
+        """Return which version began a stream, once the table is fit to decide where it goes on.
+
+        Parameters
+        ----------
+        version : str
+            The version if it is known; empty otherwise.
+        """
+        return self._table.catch_up().addCallback(
+            lambda standing: self._origin(pool, key, version, standing)
+        )
+
+    def _origin(
+        self, pool: str, key: StreamKey, version: str, standing: TableStanding
+    ) -> "StreamOrigin | defer.Deferred[StreamOrigin]":
+        if version:
+            return StreamOrigin(version)
+        if standing is TableStanding.CURRENT and not self.is_mixed(pool):
+            return StreamOrigin("")
+        return self._exchange.find(key).addCallback(
+            lambda found: self._found_origin(pool, found, standing)
+        )
+
+    def _found_origin(self, pool: str, version: str, standing: TableStanding) -> StreamOrigin:
+        # A stream that no router was told of began while its pool had one version there.
+        one_version = not self.is_mixed(pool) and standing is not TableStanding.UNCONFIRMED
+        return StreamOrigin(version, may_go_on=bool(version) or one_version, searched=True)
 
 
 def _add(by_pool: dict[str, dict[str, set[str]]], entry: EndpointEntry) -> None:
