Resumable streams begin at a new version once other gateways can know of it

Callers could get streams of two versions in the first moments of a release, with endpoints that start under new ids and gateways that are all in touch: one gateway read the entries of v2 and began a stream there, the stream broke at once, and another gateway, which did not know v2 yet, took the pool for one of a single version and resumed the stream at v1 without asking.

Cause: that a pool has several versions is known to each gateway by its own table, which comes to them at different times (a poll's delay of up to 1.2 s outside a full mesh).

Endpoints of a version that is new in its pool get no new resumable streams for 1 s, unless no other endpoint accepts them. By then a digest has named the newer table, and a gateway that has heard of it fetches it, or asks who knows the stream, before it goes on.

--- a/turnward/gateway/tests/test_stale_tables.py
+++ b/turnward/gateway/tests/test_stale_tables.py
@@ -1,6 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Where a stream goes on at a gateway whose endpoints' table is older than that of its peers."""
 
+import pytest
+
 from turnward.gateway.tests.harness import answered
 from turnward.gateway.tests.test_software_versions import (
     Engine,
@@ -184,3 +186,34 @@
     assert harness.network.advance_until(lambda: all(map(answered, callers)))
     assert {caller.status for caller in callers} == {200}
     assert len(asked) == 3
+
+
+def delay_entries(harness, gateway, delay_s):
+    """Have a gateway learn of new entries some time after the others."""
+    state = harness.gateways[gateway].state
+    adopt = state.adopt_endpoints
+
+    def adopt_later(*args, **kwargs):
+        harness.machines[gateway].callLater(delay_s, adopt, *args, **kwargs)
+        return False
+
+    state.adopt_endpoints = adopt_later
+
+
+@pytest.mark.parametrize("delay_s", [0.1, 0.4, 1.2])
+def test_stream_of_a_new_version_is_not_resumed_elsewhere_where_its_entries_come_later(delay_s):
+    harness = make_long_running(gateways=3)
+    for gateway in (1, 2):
+        delay_entries(harness, gateway, delay_s)
+    for _ in range(3):
+        add_engine(harness, "v2")
+    assert harness.network.advance_until(lambda: len(harness.gateways[0].state.endpoints) == 5)
+    seen = set()
+    for number in range(40):
+        request_id = b"begun-%d" % number
+        begun = versions_in(harness.ask(request_id=request_id))
+        resumed = resume(harness, request_id, gateway=1 + number % 2)
+        assert versions_in(resumed) in (begun, set())
+        seen |= begun
+        harness.network.advance(0.05)
+    assert seen == {b"v1", b"v2"}
--- a/turnward/gateway/version_keeper.py
+++ b/turnward/gateway/version_keeper.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Decides which endpoints may continue a stream, by the software version that began it."""
 
+import math
 from collections.abc import Callable, Collection, Iterable
 from itertools import islice
 
@@ -38,6 +39,9 @@
 #: Endpoints of a version with which a stream can be resumed if one of them ends.
 _MIN_ENDPOINTS = 2
 
+#: Time in which other routers learn of a new version, by a digest if not by their own polls.
+_ANNOUNCED_S = 1.0
+
 
 class StreamOrigin(msgspec.Struct, frozen=True):
     """What is known of a stream that is to go on.
@@ -97,11 +101,14 @@
         self._exchange = exchange
         self._entries_stale = entries_stale
         self._table = table
+        self._clock = clock
         self._untold = UntoldStreams(clock)
         self._suspicions = RestartSuspicions(clock)
         #: Incarnations of the endpoints, by pool and version.
         self._incarnations: dict[str, dict[str, set[str]]] = {}
         self._lonely: dict[str, frozenset[str]] = {}
+        #: When each version came to a pool that had others before, by pool.
+        self._came_s: dict[str, dict[str, float]] = {}
         self.pools = PoolVersions(clock, stream_limit_s)
         self.on_suspected: Callable[[], None] = lambda: None
 
@@ -134,18 +141,26 @@
 
         Endpoints that stay in use although their entries have lapsed are among them.
         """
-        self._incarnations = {}
+        before, self._incarnations = self._incarnations, {}
         staying: dict[str, dict[str, set[str]]] = {}
         for entry in entries:
             _add(self._incarnations, entry)
             if not entry.leaving:
                 _add(staying, entry)
         self._lonely = {pool: _lonely_in(by_version) for pool, by_version in staying.items()}
+        self._note_new_versions(before)
         self.pools.set_present(self._incarnations)
         for pool in self._incarnations:
             if self.pools.is_mixed(pool):
                 self._exchange.tell(self._untold.take(pool))
 
+    def _note_new_versions(self, before: dict[str, dict[str, set[str]]]) -> None:
+        now_s = self._clock()
+        for pool, by_version in self._incarnations.items():
+            if pool in before:
+                came_s = self._came_s.setdefault(pool, {})
+                came_s.update(dict.fromkeys(by_version.keys() - before[pool].keys(), now_s))
+
     def note_connections_closed(self, record: EndpointRecord) -> None:
         """Record that an endpoint has closed all connections, and may have restarted.
 
@@ -203,12 +218,24 @@
     def unpreferred(self, pool: str) -> frozenset[str]:
         """Return the endpoints at which streams should not begin, as they could hardly go on.
 
-        These are the last of their version, if others are not, and those whose version is
-        uncertain.
+        These are the last of their version, if others are not, those whose version is uncertain,
+        and those whose version other routers may not know yet.
         """
         if not self.pools.is_mixed(pool):
             return frozenset()
-        return self._lonely.get(pool, frozenset()).union(self._restarted(pool))
+        lonely = self._lonely.get(pool, frozenset())
+        return lonely.union(self._restarted(pool), *self._unannounced(pool))
+
+    def _unannounced(self, pool: str) -> list[set[str]]:
+        """Return the endpoints of each version that other routers may not know yet."""
+        since_s = self._clock() - _ANNOUNCED_S
+        came_s = self._came_s.get(pool, {})
+        by_version = self._incarnations.get(pool, {})
+        return [
+            names
+            for version, names in by_version.items()
+            if came_s.get(version, -math.inf) > since_s
+        ]
 
     def _restarted(self, pool: str) -> Collection[str]:
         """Return the endpoints that may have restarted as another version."""
