While the store recovers from a rollback, the version of a resumed stream is asked for

Callers could get streams of two versions after a store came back from a copy made before a second version, with endpoints that start under new ids: a gateway that started then read the copy, in which neither the entries of v2 nor the row of the pool's versions stood, took the pool for one of a single version and resumed a v2 stream at v1.

The recovery is known to a gateway that starts (its peers tell), but the question which version began a stream depended on the table alone. Now it is asked in any pool until the recovery ends. A stream that no peer was told of goes on as before.

--- a/turnward/gateway/tests/test_stale_tables.py
+++ b/turnward/gateway/tests/test_stale_tables.py
@@ -217,3 +217,17 @@
         seen |= begun
         harness.network.advance(0.05)
     assert seen == {b"v1", b"v2"}
+
+
+def test_gateway_that_starts_after_a_rollback_does_not_resume_streams_of_a_lost_version_elsewhere():
+    harness = make_long_running(gateways=4)
+    copy = harness.rows.copy()
+    add_second_version(harness)
+    begun = begin_at(harness, b"v2")
+    harness.rows.roll_back(copy)
+    started = harness.gateway()
+    assert harness.network.advance_until(lambda: started.ready)
+    resumed = [resume(harness, begun, gateway=4) for _ in range(6)]
+    assert all(versions_in(caller) in (set(), {b"v2"}) for caller in resumed)
+    harness.ask(0, request_id=b"begun-later")
+    assert resume(harness, b"begun-later", gateway=4).status == 200
--- a/turnward/gateway/version_keeper.py
+++ b/turnward/gateway/version_keeper.py
@@ -78,6 +78,8 @@
         Returns whether entries may be out of date because the store can't be read.
     table : TableCatchUp
         Compares the endpoints' table with what peers know.
+    recovers : callable
+        Returns whether entries that the store lost in a rollback may be missing.
 
     Attributes
     ----------
@@ -95,12 +97,14 @@
         exchange: StreamVersionExchange,
         entries_stale: Callable[[], bool],
         table: TableCatchUp,
+        recovers: Callable[[], bool],
     ):
         self._stream_limit_s = stream_limit_s
         self._streams = streams
         self._exchange = exchange
         self._entries_stale = entries_stale
         self._table = table
+        self._recovers = recovers
         self._clock = clock
         self._untold = UntoldStreams(clock)
         self._suspicions = RestartSuspicions(clock)
@@ -129,7 +133,15 @@
         )
         peers.on_stream_versions = exchange.receive
         peers.on_stream_question = exchange.serve
-        keeper = cls(clock, state.stream_limit_s, streams, exchange, endpoints.entries_stale, table)
+        keeper = cls(
+            clock,
+            state.stream_limit_s,
+            streams,
+            exchange,
+            endpoints.entries_stale,
+            table,
+            lambda: state.recovers_endpoints,
+        )
         peers.on_suspected_restarts = keeper.merge_suspected
         peers.suspected_restarts = keeper.suspected
         keeper.on_suspected = peers.announce_soon
@@ -273,7 +285,8 @@
     ) -> "StreamOrigin | defer.Deferred[StreamOrigin]":
         if version:
             return StreamOrigin(version)
-        if standing is TableStanding.CURRENT and not self.is_mixed(pool):
+        complete = standing is TableStanding.CURRENT and not self._recovers()
+        if complete and not self.is_mixed(pool):
             return StreamOrigin("")
         return self._exchange.find(key).addCallback(
             lambda found: self._found_origin(pool, found, standing)
