An entry that names another version under the same id gets connections of its own

Cause: a record was kept, with its connections, as long as id and address were the same, and took over the version of the new entry for events of the earlier process.

Now a record whose entry names another version is replaced. Versions that an older build does not pass on replace nothing.

The test failed before: a connection from before the new entry was used on.

--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -31,6 +31,7 @@
 from turnward.gateway.service_rates import ServiceRatesBase
 from turnward.gateway.warm_up import WarmUp, WarmUpShares
 from turnward.http1 import HeaderList, header_values
+from turnward.software_versions import may_be_same_version
 
 __all__ = ["ChoiceRule", "EndpointBook", "EndpointChoice"]
 
@@ -279,6 +280,8 @@
 
     def _add(self, entry: EndpointEntry) -> None:
         removed = self._removed.pop(entry.incarnation, None)
+        if removed is not None and not may_be_same_version(removed.version, entry.version):
+            removed = None
         warm_up = removed.warm_up if removed is not None else None
         if warm_up is None:
             warm_up = WarmUp(self._clock)
--- a/turnward/gateway/endpoint_record.py
+++ b/turnward/gateway/endpoint_record.py
@@ -14,6 +14,7 @@
 from turnward.gateway.prompts import Prompt
 from turnward.gateway.warm_up import WarmUp
 from turnward.http1 import HeaderList
+from turnward.software_versions import may_be_same_version
 
 __all__ = ["EndpointRecord", "RemovedRecord"]
 
@@ -109,8 +110,12 @@
         return self.entry.endpoint_id
 
     def matches_entry(self, entry: EndpointEntry) -> bool:
-        """Return whether an entry belongs to the same process as this record."""
-        return entry.incarnation == self.incarnation and entry.address == self.entry.address
+        """Return whether an entry belongs to the same process as this record.
+
+        A process keeps its software version, whatever name it goes by.
+        """
+        same_place = entry.incarnation == self.incarnation and entry.address == self.entry.address
+        return same_place and may_be_same_version(entry.version, self.entry.version)
 
     def remember(self, prompt: Prompt, now_s: float) -> None:
         """Note that the endpoint processes a prompt, and so caches its parts."""
@@ -144,10 +149,12 @@
     """State of a removed endpoint, kept in case its entry returns."""
 
     address: str
+    version: str
     warm_up: WarmUp
     availability: Availability
 
     @classmethod
     def from_record(cls, record: EndpointRecord) -> "RemovedRecord":
         """Return the state to keep of a record."""
-        return cls(record.entry.address, record.warm_up, record.availability)
+        entry = record.entry
+        return cls(entry.address, entry.version, record.warm_up, record.availability)
--- a/turnward/gateway/tests/test_stale_tables.py
+++ b/turnward/gateway/tests/test_stale_tables.py
@@ -231,3 +231,15 @@
     assert all(versions_in(caller) in (set(), {b"v2"}) for caller in resumed)
     harness.ask(0, request_id=b"begun-later")
     assert resume(harness, b"begun-later", gateway=4).status == 200
+
+
+def test_connection_opened_before_the_entry_names_another_version_is_not_used_again():
+    harness = make_harness(["v1", "v1"])
+    for _ in range(6):
+        harness.ask()
+    restarted = harness.endpoints[0]
+    before = set(restarted.factory.connections)
+    assert before
+    harness.announce(restarted, version="v2")
+    harness.network.advance(1.0)
+    assert not before & set(restarted.factory.connections)
--- a/turnward/software_versions/__init__.py
+++ b/turnward/software_versions/__init__.py
@@ -1,7 +1,11 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Which software version wrote a stream, and whether its pool has others, without I/O."""
 
-from turnward.software_versions.pool_versions import UNKNOWN_VERSION, PoolVersions
+from turnward.software_versions.pool_versions import (
+    UNKNOWN_VERSION,
+    PoolVersions,
+    may_be_same_version,
+)
 from turnward.software_versions.stream_versions import (
     StreamKey,
     StreamVersions,
@@ -15,5 +19,6 @@
     "StreamKey",
     "StreamVersions",
     "UntoldStreams",
+    "may_be_same_version",
     "stream_key",
 ]
--- a/turnward/software_versions/pool_versions.py
+++ b/turnward/software_versions/pool_versions.py
@@ -8,12 +8,23 @@
 import math
 from collections.abc import Callable, Iterable, Mapping
 
-__all__ = ["UNKNOWN_VERSION", "PoolVersions"]
+__all__ = ["UNKNOWN_VERSION", "PoolVersions", "may_be_same_version"]
 
 #: Version of an endpoint whose entry came from a router that does not pass versions on.
 UNKNOWN_VERSION = "\0"
 
 
+def may_be_same_version(one: str, other: str) -> bool:
+    """Return whether two names may stand for one version.
+
+    Examples
+    --------
+    >>> may_be_same_version("v1", "v2"), may_be_same_version("v1", UNKNOWN_VERSION)
+    (False, True)
+    """
+    return one == other or UNKNOWN_VERSION in (one, other)
+
+
 class PoolVersions:
     """Versions of each pool, as long as a stream that they began may go on.
 
