--- a/turnward/gateway/resumable_request.py
+++ b/turnward/gateway/resumable_request.py
@@ -12,6 +12,7 @@
 from turnward.gateway.prompts import Prompt
 from turnward.gateway.relay_note import RelayNote
 from turnward.gateway.relayable_request import RelayableRequest
+from turnward.gateway.version_keeper import StreamOrigin
 from turnward.http1 import header_value
 from turnward.software_versions import StreamKey, key_draw, stream_key
 
@@ -52,11 +53,17 @@
         return self._route.streams and self._route.resumable
 
     @property
-    def stream_fields(self) -> dict[str, str]:
-        """Fields of log lines, where known: the request that began the stream, and its version."""
+    def stream_fields(self) -> dict[str, str | float]:
+        """Fields of log lines, where known: the request that began the stream, and its version.
+
+        With the age of the endpoints' table, if it decides where the stream goes on.
+        """
         resumes = header_value(self._request.headers, self._forwarder.dialect.resumes) or b""
         fields = {"resumes": resumes.decode("latin-1"), "version": self._stream_version}
-        return {name: value for name, value in fields.items() if value}
+        fields = {name: value for name, value in fields.items() if value}
+        if self._continues:
+            fields["endpoints_age_s"] = round(self._forwarder.state.endpoints_age_s(), 3)
+        return fields
 
     def may_continue_with(self, first_id: bytes | None) -> bool:
         """Return whether an event may follow the last one forwarded."""
@@ -107,8 +114,9 @@
     @property
     def bound_version(self) -> str:
         """See ``RelayableRequest.bound_version``."""
-        bound = self._continues and self._forwarder.versions.is_mixed(self.pool)
-        return self._stream_version if bound else ""
+        version = self._stream_version
+        bound = version and self._continues and self._forwarder.versions.binds(self.pool, version)
+        return version if bound else ""
 
     @property
     def _excluded(self) -> set[str]:
@@ -134,24 +142,26 @@
         return choose(self.pool, self._prompt, traits, excluded, pause_target_s)
 
     def _with_version(self, proceed: Callable[[], None]) -> None:
-        """Call ``proceed`` once the version that began the stream is known, if it matters."""
-        versions = self._forwarder.versions
-        if self._stream_version or not self._continues or not versions.is_mixed(self.pool):
+        """Call ``proceed`` once it is known where the stream may go on, if it has begun."""
+        if not self._continues:
             proceed()
             return
         asked_s = self._forwarder.reactor.seconds()
 
-        def found(version: str) -> None:
-            self._log_origin(version, asked_s)
+        def ready(origin: StreamOrigin) -> None:
+            if origin.searched:
+                self._log_origin(origin.version, asked_s)
             if self._ended:
                 return
-            if not version:
+            if not origin.may_go_on:
                 self._give_up(Reason.VERSION_UNKNOWN)
                 return
-            self._stream_version = version
+            self._stream_version = origin.version
             proceed()
 
-        versions.find(self._stream_key).addCallback(found)
+        versions = self._forwarder.versions
+        known = versions.ready_to_continue(self.pool, self._stream_key, self._stream_version)
+        known.addCallback(ready)
 
     def _log_origin(self, version: str, asked_s: float) -> None:
         waited_s = self._forwarder.reactor.seconds() - asked_s
--- a/turnward/gateway/version_keeper.py
+++ b/turnward/gateway/version_keeper.py
@@ -1,9 +1,11 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Decides which endpoints may continue a stream, by the software version that began it."""
 
+import math
 from collections.abc import Callable, Collection, Iterable
 from itertools import islice
 
+import msgspec
 from twisted.internet import defer
 
 from turnward.gateway.choice import EndpointBook
@@ -15,6 +17,7 @@
 from turnward.gateway.restart_suspicions import RestartSuspicion, RestartSuspicions
 from turnward.gateway.state import FleetState
 from turnward.gateway.stream_version_exchange import StreamVersionExchange
+from turnward.gateway.table_catch_up import TableCatchUp, TableStanding
 from turnward.software_versions import (
     UNKNOWN_VERSION,
     PoolVersions,
@@ -23,7 +26,7 @@
     UntoldStreams,
 )
 
-__all__ = ["VersionKeeper"]
+__all__ = ["StreamOrigin", "VersionKeeper"]
 
 #: Time after an endpoint has closed its connections in which its process may be another one, of
 #: which the entry does not tell yet; and the same while entries can't be read.
@@ -36,6 +39,27 @@
 #: Endpoints of a version with which a stream can be resumed if one of them ends.
 _MIN_ENDPOINTS = 2
 
+#: Time in which other routers learn of a new version, by a digest if not by their own polls.
+_ANNOUNCED_S = 1.0
+
+
+class StreamOrigin(msgspec.Struct, frozen=True):
+    """What is known of a stream that is to go on.
+
+    Attributes
+    ----------
+    version : str
+        Software version that began it; empty if not known.
+    may_go_on : bool
+        Whether it may go on; False if other versions than its own may continue it.
+    searched : bool
+        Whether the version was looked for.
+    """
+
+    version: str
+    may_go_on: bool = True
+    searched: bool = False
+
 
 class VersionKeeper:
     """The software versions of endpoints, pools and streams, as known to one router.
@@ -52,6 +76,10 @@
         Shares them with other routers.
     entries_stale : callable
         Returns whether entries may be out of date because the store can't be read.
+    table : TableCatchUp
+        Compares the endpoints' table with what peers know.
+    recovers : callable
+        Returns whether entries that the store lost in a rollback may be missing.
 
     Attributes
     ----------
@@ -68,16 +96,23 @@
         streams: StreamVersions,
         exchange: StreamVersionExchange,
         entries_stale: Callable[[], bool],
+        table: TableCatchUp,
+        recovers: Callable[[], bool],
     ):
         self._stream_limit_s = stream_limit_s
         self._streams = streams
         self._exchange = exchange
         self._entries_stale = entries_stale
+        self._table = table
+        self._recovers = recovers
+        self._clock = clock
         self._untold = UntoldStreams(clock)
         self._suspicions = RestartSuspicions(clock)
         #: Incarnations of the endpoints, by pool and version.
         self._incarnations: dict[str, dict[str, set[str]]] = {}
         self._lonely: dict[str, frozenset[str]] = {}
+        #: When each version came to a pool that had others before, by pool.
+        self._came_s: dict[str, dict[str, float]] = {}
         self.pools = PoolVersions(clock, stream_limit_s)
         self.on_suspected: Callable[[], None] = lambda: None
 
@@ -89,6 +124,7 @@
         book: PeerBook,
         peers: PeerSynchronizer,
         endpoints: EndpointBook,
+        table: TableCatchUp,
     ) -> "VersionKeeper":
         """Return the keeper of a router that shares what it knows with its peers."""
         streams = StreamVersions(clock)
@@ -97,7 +133,15 @@
         )
         peers.on_stream_versions = exchange.receive
         peers.on_stream_question = exchange.serve
-        keeper = cls(clock, state.stream_limit_s, streams, exchange, endpoints.entries_stale)
+        keeper = cls(
+            clock,
+            state.stream_limit_s,
+            streams,
+            exchange,
+            endpoints.entries_stale,
+            table,
+            lambda: state.recovers_endpoints,
+        )
         peers.on_suspected_restarts = keeper.merge_suspected
         peers.suspected_restarts = keeper.suspected
         keeper.on_suspected = peers.announce_soon
@@ -109,18 +153,26 @@
 
         Endpoints that stay in use although their entries have lapsed are among them.
         """
-        self._incarnations = {}
+        before, self._incarnations = self._incarnations, {}
         staying: dict[str, dict[str, set[str]]] = {}
         for entry in entries:
             _add(self._incarnations, entry)
             if not entry.leaving:
                 _add(staying, entry)
         self._lonely = {pool: _lonely_in(by_version) for pool, by_version in staying.items()}
+        self._note_new_versions(before)
         self.pools.set_present(self._incarnations)
         for pool in self._incarnations:
             if self.pools.is_mixed(pool):
                 self._exchange.tell(self._untold.take(pool))
 
+    def _note_new_versions(self, before: dict[str, dict[str, set[str]]]) -> None:
+        now_s = self._clock()
+        for pool, by_version in self._incarnations.items():
+            if pool in before:
+                came_s = self._came_s.setdefault(pool, {})
+                came_s.update(dict.fromkeys(by_version.keys() - before[pool].keys(), now_s))
+
     def note_connections_closed(self, record: EndpointRecord) -> None:
         """Record that an endpoint has closed all connections, and may have restarted.
 
@@ -160,9 +212,16 @@
         """Return whether a pool has endpoints of a version."""
         return version in self._incarnations.get(pool, ())
 
+    def binds(self, pool: str, version: str) -> bool:
+        """Return whether a stream that a version began must not go on at any endpoint of a pool.
+
+        Another router may know a version that this one does not know yet, and name it.
+        """
+        return self.pools.is_mixed(pool) or self._incarnations.get(pool, {}).keys() != {version}
+
     def unfit(self, pool: str, version: str) -> set[str]:
         """Return the endpoints that must not continue a stream that a version began."""
-        if not self.pools.is_mixed(pool):
+        if not self.binds(pool, version):
             return set()
         by_version = self._incarnations.get(pool, {})
         unfit = {name for other in by_version.keys() - {version} for name in by_version[other]}
@@ -171,12 +230,24 @@
     def unpreferred(self, pool: str) -> frozenset[str]:
         """Return the endpoints at which streams should not begin, as they could hardly go on.
 
-        These are the last of their version, if others are not, and those whose version is
-        uncertain.
+        These are the last of their version, if others are not, those whose version is uncertain,
+        and those whose version other routers may not know yet.
         """
         if not self.pools.is_mixed(pool):
             return frozenset()
-        return self._lonely.get(pool, frozenset()).union(self._restarted(pool))
+        lonely = self._lonely.get(pool, frozenset())
+        return lonely.union(self._restarted(pool), *self._unannounced(pool))
+
+    def _unannounced(self, pool: str) -> list[set[str]]:
+        """Return the endpoints of each version that other routers may not know yet."""
+        since_s = self._clock() - _ANNOUNCED_S
+        came_s = self._came_s.get(pool, {})
+        by_version = self._incarnations.get(pool, {})
+        return [
+            names
+            for version, names in by_version.items()
+            if came_s.get(version, -math.inf) > since_s
+        ]
 
     def _restarted(self, pool: str) -> Collection[str]:
         """Return the endpoints that may have restarted as another version."""
@@ -195,9 +266,36 @@
             self._untold.add(pool, key, version, self._stream_limit_s(pool))
         return version
 
-    def find(self, key: StreamKey) -> "defer.Deferred[str]":
-        """Return the version that began a stream, empty if no router knows it."""
-        return self._exchange.find(key)
+    def ready_to_continue(
+        self, pool: str, key: StreamKey, version: str
+    ) -> "defer.Deferred[StreamOrigin]":
+        """Return which version began a stream, once the table is fit to decide where it goes on.
+
+        Parameters
+        ----------
+        version : str
+            The version if it is known; empty otherwise.
+        """
+        return self._table.catch_up().addCallback(
+            lambda standing: self._origin(pool, key, version, standing)
+        )
+
+    def _origin(
+        self, pool: str, key: StreamKey, version: str, standing: TableStanding
+    ) -> "StreamOrigin | defer.Deferred[StreamOrigin]":
+        if version:
+            return StreamOrigin(version)
+        complete = standing is TableStanding.CURRENT and not self._recovers()
+        if complete and not self.is_mixed(pool):
+            return StreamOrigin("")
+        return self._exchange.find(key).addCallback(
+            lambda found: self._found_origin(pool, found, standing)
+        )
+
+    def _found_origin(self, pool: str, version: str, standing: TableStanding) -> StreamOrigin:
+        # A stream that no router was told of began while its pool had one version there.
+        one_version = not self.is_mixed(pool) and standing is not TableStanding.UNCONFIRMED
+        return StreamOrigin(version, may_go_on=bool(version) or one_version, searched=True)
 
 
 def _add(by_pool: dict[str, dict[str, set[str]]], entry: EndpointEntry) -> None:
