An exchange pauses its connection only until it ends

Change: only the exchange in progress may pause or resume a connection; its end resumes reading, and a connection that begins an exchange is read.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -132,12 +132,12 @@
         """Stop reading the response."""
         self._paused_since_event = True
         if self._connection is not None:
-            self._connection.pause()
+            self._connection.pause(self)
 
     def resume(self) -> None:
         """Resume reading the response."""
         if self._connection is not None:
-            self._connection.resume()
+            self._connection.resume(self)
 
     # Request.
 
--- a/turnward/gateway/relay_attempt.py
+++ b/turnward/gateway/relay_attempt.py
@@ -132,12 +132,12 @@
     def pause(self) -> None:
         """Stop reading the response."""
         if self._connection is not None:
-            self._connection.pause()
+            self._connection.pause(self)
 
     def resume(self) -> None:
         """Resume reading the response."""
         if self._connection is not None:
-            self._connection.resume()
+            self._connection.resume(self)
 
     # Request.
 
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -238,6 +238,7 @@
 
     def begin(self, exchange: ExchangeBase) -> None:
         """Start an exchange on this idle connection."""
+        self._resume_reading()
         self._exchange = exchange
         self._parser = httptools.HttpResponseParser(self)
         self._skipping = False
@@ -258,17 +259,16 @@
         self._pool.link_use.sent += len(data)
         self.transport.write(data)
 
-    def pause(self) -> None:
-        """Stop reading from the endpoint."""
-        if not self._paused and not self._lost:
+    def pause(self, exchange: ExchangeBase) -> None:
+        """Stop reading from the endpoint until the exchange, if still in progress, resumes."""
+        if exchange is self._exchange and not self._paused and not self._lost:
             self._paused = True
             self.transport.pauseProducing()
 
-    def resume(self) -> None:
+    def resume(self, exchange: ExchangeBase) -> None:
         """Continue to read from the endpoint."""
-        if self._paused and not self._lost:
-            self._paused = False
-            self.transport.resumeProducing()
+        if exchange is self._exchange:
+            self._resume_reading()
 
     def drop(self) -> None:
         """Abandon the current exchange, if any, and reset the connection."""
@@ -350,9 +350,14 @@
     def _end(self) -> None:
         self._complete = True
         exchange, self._exchange = self._exchange, None
-        self.resume()
+        self._resume_reading()
         exchange.response_ended()
 
+    def _resume_reading(self) -> None:
+        if self._paused and not self._lost:
+            self._paused = False
+            self.transport.resumeProducing()
+
     def _release(self) -> None:
         """Return the connection to the pool after parsing all bytes received with the response."""
         self._complete = False
