A response that makes no progress is bounded, and its connection closed

What callers saw: an endpoint that sends a head, interim heads, chunk extensions, trailers or late responses without end held its request until the time limit, at full speed. A header line without end was collected in memory all that time: httptools passes a header on only when it is complete. Bodies that are an answer pass as before. The same code serves endpoints, peers and the store. A call's body is collected in one buffer, so that parts of single bytes take no more memory than they have.

--- a/turnward/http1/client.py
+++ b/turnward/http1/client.py
@@ -46,8 +46,7 @@
         self._head_received_s = 0.0
         self._status = 0
         self._headers: HeaderList = []
-        self._chunks: list[bytes] = []
-        self._bytes = 0
+        self._body = bytearray()
         self.attempt = None
         self.connection = None
         self.reply: defer.Deferred = defer.Deferred(lambda _: self.cancel())
@@ -65,7 +64,7 @@
     @property
     def received_bytes(self) -> int:
         """Size of the response body received so far."""
-        return self._bytes
+        return len(self._body)
 
     def exchange_started(self, connection):
         self.connection = connection
@@ -77,15 +76,14 @@
         self._head_received_s = self._clock()
 
     def body_received(self, data):
-        self._bytes += len(data)
-        self._chunks.append(data)
-        if self._bytes > _RESPONSE_LIMIT_BYTES:
+        self._body += data
+        if len(self._body) > _RESPONSE_LIMIT_BYTES:
             self.cancel()
             self._fail(UnansweredError("the response body is too large"))
 
     def response_ended(self):
         if not self.reply.called:
-            body = b"".join(self._chunks)
+            body = bytes(self._body)
             self.reply.callback(HttpReply(self._status, self._headers, body, self._head_received_s))
 
     def exchange_failed(self, failure):
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -24,6 +24,7 @@
     header_value,
     keep_alive_s,
 )
+from turnward.http1.progress_bounds import ProgressBounds
 from turnward.link_use import LinkUse
 
 __all__ = [
@@ -165,6 +166,7 @@
         self._usable = True
         self._lost = False
         self._paused = False
+        self._bounds = ProgressBounds()
         self.sent = False
         self.exchanges = 0
         self.opened_in_s = 0.0
@@ -218,6 +220,9 @@
             self._release()
         elif self._exchange is None:
             self.drop()
+        elif self._bounds.exceeded_after(len(data)):
+            self._fail(FailureCause.MALFORMED)
+            self.drop()
 
     # IPushProducer: flow control of request bodies.
 
@@ -246,6 +251,7 @@
         self._complete = False
         self._answered = False
         self._request_complete = False
+        self._bounds = ProgressBounds()
         self.sent = False
         self.exchanges += 1
         exchange.exchange_started(self)
@@ -328,7 +334,12 @@
 
     def on_body(self, body):
         """Pass a part of the body to the exchange."""
-        if self._exchange is not None and self._in_body and not self._skipping:
+        if self._exchange is None or not self._in_body:
+            return
+        if self._skipping:
+            self._bounds.note_skipped()
+        else:
+            self._bounds.note_body()
             self._exchange.body_received(body)
 
     def on_message_complete(self):
