An event of a stream that never ends is bounded

What callers saw: a stream whose engine sends an event, or blank lines, without end stayed open until the time limit. The event was kept whole, and copied for each part of it that arrived. Change: 1 MiB without a complete event is a response that must not be passed on: the connection is reset, and the request goes on as after any such response. The same for streams that come through a peer. The buffer is searched only where it is new, and not copied. Events of 600,000 bytes pass.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -228,9 +228,7 @@
             return
         sealed = header_value(headers, dialect.answer_seal) is not None
         if not self._is_valid(status, headers, sealed):
-            self._finish(failed=True)
-            self._drop()
-            owner.attempt_invalid(self, Reason.INVALID_RESPONSE)
+            self._reject()
             return
         self.record.availability.accepted(self.sent_s)
         if status < 300:
@@ -254,6 +252,12 @@
             return False
         return header_value(headers, b"content-encoding") is None
 
+    def _reject(self) -> None:
+        """Close the connection of a response that must not be forwarded."""
+        self._finish(failed=True)
+        self._drop()
+        self._owner.attempt_invalid(self, Reason.INVALID_RESPONSE)
+
     def _handle_not_run(self, status: int) -> None:
         replaced = status == _MISDIRECTED_STATUS
         self._finish(failed=replaced, replaced=replaced)
@@ -279,11 +283,11 @@
             return
         events = self._splitter.feed(data)
         if not events.count:
+            if self._splitter.overlong:
+                self._reject()
             return
         if not owner.may_continue_with(events.first_id):
-            self._finish(failed=True)
-            self._drop()
-            owner.attempt_invalid(self, Reason.INVALID_RESPONSE)
+            self._reject()
             return
         self._record_event_gap(events.count)
         self._prefill_ended()
--- a/turnward/gateway/relay_attempt.py
+++ b/turnward/gateway/relay_attempt.py
@@ -213,6 +213,8 @@
         owner = self._owner
         events = self._splitter.feed(data)
         if not events.count:
+            if self._splitter.overlong:
+                self._fail(FailureCause.MALFORMED)
             return
         if not owner.may_continue_with(events.first_id):
             self._fail(FailureCause.MALFORMED)
--- a/turnward/gateway/streams.py
+++ b/turnward/gateway/streams.py
@@ -10,8 +10,10 @@
 
 __all__ = ["EventSplitter", "StreamEvents"]
 
-
 _BLANK_LINES = (b"\n\n", b"\r\n\r\n")
+_LONGEST_BLANK_LINE_BYTES = 4
+#: Largest event. An event carries a few tokens, or at most an image that an engine encloses.
+_MAX_EVENT_BYTES = 1_048_576
 
 
 class StreamEvents(msgspec.Struct, frozen=True):
@@ -47,31 +49,42 @@
     b'2'
     """
 
-    __slots__ = ("_tail",)
+    __slots__ = ("_bytes_since_event", "_tail")
 
     def __init__(self):
-        self._tail = b""
+        self._tail = bytearray()
+        self._bytes_since_event = 0
 
     @property
     def partial(self) -> bool:
         """Whether the buffer holds an incomplete event."""
         return bool(self._tail)
 
+    @property
+    def overlong(self) -> bool:
+        """Whether more bytes have come since the last event than an event may have."""
+        return self._bytes_since_event > _MAX_EVENT_BYTES
+
     def feed(self, data: bytes) -> StreamEvents:
         """Buffer bytes and return the events that are complete now."""
-        data = self._tail + data
-        end = _end_of_last_event(data)
+        searched_bytes = max(0, len(self._tail) - _LONGEST_BLANK_LINE_BYTES + 1)
+        self._tail += data
+        self._bytes_since_event += len(data)
+        end = _end_of_last_event(self._tail, searched_bytes)
         if end == 0:
-            self._tail = data
             return StreamEvents(b"", 0, None, None)
-        complete, self._tail = data[:end], data[end:]
-        return StreamEvents(complete, *_count_events(complete))
-
-
-def _end_of_last_event(data: bytes) -> int:
-    """Return where the last blank line ends, or 0 where there is none."""
-    ends = (data.rfind(blank) + len(blank) for blank in _BLANK_LINES if blank in data)
-    return max(ends, default=0)
+        complete = bytes(self._tail[:end])
+        del self._tail[:end]
+        events = StreamEvents(complete, *_count_events(complete))
+        if events.count:
+            self._bytes_since_event = len(self._tail)
+        return events
+
+
+def _end_of_last_event(data: bytearray, start: int) -> int:
+    """Return where the last blank line from a given place on ends, or 0 where there is none."""
+    found = [(data.rfind(blank, start), len(blank)) for blank in _BLANK_LINES]
+    return max((place + length for place, length in found if place >= 0), default=0)
 
 
 def _count_events(complete: bytes) -> tuple[int, bytes | None, bytes | None]:
