A request's head counts by the bytes received while it is incomplete

What callers saw: a header line without end was collected until the head's time limit of 5 s, as only complete headers were counted. Chunk extensions and trailers of a request's body had no bound; trailers were added to the headers of the request. Change: what has arrived of an incomplete head counts, with room for what its size leaves out. 64 KiB in a row that bring no part of a body are refused as malformed. Trailers are ignored.

--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -27,6 +27,10 @@
 _BODY_BUFFER_BYTES = 65_536
 #: Length of ``": "`` and the line break of a header line.
 _HEADER_OVERHEAD_BYTES = 4
+#: Bytes of a head that its size leaves out: method, version, spaces and empty lines.
+_HEAD_SYNTAX_BYTES = 4_096
+#: Most bytes in a row that bring no part of a request's body: chunk extensions and trailers.
+_MAX_FRAMING_BYTES = 65_536
 #: Size of unparsed later requests at which reading from the caller is paused.
 _UNPARSED_BUFFER_BYTES = 65_536
 #: Interval of checking the time limits of all connections.
@@ -261,6 +265,8 @@
         self._target = b""
         self._headers: HeaderList = []
         self._head_bytes = 0
+        self._partial_head_bytes = 0
+        self._framing_bytes = 0
         self._parsing: InboundRequest | None = None
         self._current: InboundRequest | None = None
         self._queued: deque[InboundRequest] = deque()
@@ -325,11 +331,15 @@
         self._head_bytes += len(url)
 
     def on_header(self, name, value):
+        if self._parsing is not None:
+            # A trailer, of which nothing is used.
+            return
         self._headers.append((name.lower(), value))
         self._head_bytes += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
 
     def on_headers_complete(self):
         self.head_started_s = None
+        self._framing_bytes = 0
         request = InboundRequest(
             self,
             self._parser.get_method(),
@@ -347,6 +357,7 @@
             self._queued.append(request)
 
     def on_body(self, body):
+        self._framing_bytes = 0
         request = self._parsing
         if not request.body_received(body, self._factory.limits.body_bytes):
             request.refusal = request.refusal or Refusal(413, "body_too_large")
@@ -452,6 +463,8 @@
     def _parse(self, data: bytes) -> None:
         if self._current is None and self.head_started_s is None:
             self.head_started_s = self._factory.clock()
+            self._partial_head_bytes = 0
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -463,11 +476,20 @@
                 self._current.refusal = self._pending_refusal
         except httptools.HttpParserError:
             self._pending_refusal = Refusal(400, "malformed_request")
-        if self.head_started_s is not None and self._head_bytes > self._factory.limits.head_bytes:
-            self._pending_refusal = Refusal(431, "head_too_large")
+        if self.head_started_s is not None:
+            self._partial_head_bytes += len(data)
+            if self._partial_head_too_large():
+                self._pending_refusal = Refusal(431, "head_too_large")
+        elif self._framing_bytes > _MAX_FRAMING_BYTES:
+            self._pending_refusal = Refusal(400, "malformed_request")
         if self._pending_refusal is not None and self._may_refuse_now():
             self._refuse(self._pending_refusal)
 
+    def _partial_head_too_large(self) -> bool:
+        limit_bytes = self._factory.limits.head_bytes
+        received_bytes = self._partial_head_bytes - _HEAD_SYNTAX_BYTES
+        return self._head_bytes > limit_bytes or received_bytes > limit_bytes
+
     def _may_refuse_now(self) -> bool:
         """Return whether no request, or the refused request itself, is being served."""
         current = self._current
