The line of a request tells what marked the end of its answer

An answer without length or chunks ends with its connection, and a process that is killed ends its connections like one that has finished. Lines didn't tell which answers these were: a stream that ended after 82 of 109 events was logged as `served` like others. `request.ended` now has `framing`: `length`, `chunks` or `connection`. Evidence: the three new tests failed before for want of the field.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -6,12 +6,14 @@
 from turnward.gateway.outcomes import NOT_RUN_STATUSES, Reason
 from turnward.gateway.streams import EventSplitter
 from turnward.http1 import (
+    BodyFraming,
     ExchangeBase,
     ExchangeFailure,
     FailureCause,
     HeaderList,
     ResponseMatch,
     header_value,
+    response_framing,
 )
 
 __all__ = ["EndpointAttempt"]
@@ -128,6 +130,11 @@
         parts = () if self.progressed else self._owner.prompt.shared_part_ids
         return AbandonedRun(self._owner.content, self.sent_s, now_s, parts)
 
+    @property
+    def framing(self) -> BodyFraming:
+        """What tells where the response ends."""
+        return response_framing(self._status, self._headers)
+
     def pause(self) -> None:
         """Stop reading the response."""
         self._paused_since_event = True
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -706,6 +706,7 @@
             used_tokens=used,
             endpoint=attempt.destination,
             connect_ms=attempt.connect_ms,
+            framing=attempt.framing,
         )
 
     def _event_tokens(self) -> int:
--- a/turnward/gateway/relay_attempt.py
+++ b/turnward/gateway/relay_attempt.py
@@ -6,6 +6,7 @@
 from turnward.gateway.relay_note import RELAY_PREFIX, RelayNote, without_relay_note
 from turnward.gateway.streams import EventSplitter
 from turnward.http1 import (
+    BodyFraming,
     ExchangeBase,
     ExchangeFailure,
     FailureCause,
@@ -15,6 +16,7 @@
     encode_request_head,
     end_to_end_headers,
     header_value,
+    response_framing,
 )
 
 __all__ = ["MAX_IDLE_S", "RelayAttempt", "RelayRefusal"]
@@ -129,6 +131,11 @@
         if self._handle is not None:
             self._handle.cancel()
 
+    @property
+    def framing(self) -> BodyFraming:
+        """What tells where the response ends."""
+        return response_framing(self._status, self._headers)
+
     def pause(self) -> None:
         """Stop reading the response."""
         if self._connection is not None:
--- a/turnward/gateway/tests/test_answers_without_length.py
+++ b/turnward/gateway/tests/test_answers_without_length.py
@@ -11,6 +11,7 @@
     answered,
     decode_chunked,
     encode_events,
+    stream_events,
 )
 from turnward.http1 import header_value
 
@@ -37,6 +38,10 @@
     return encode_events(int(after) + 1 if after else 1, last)
 
 
+def answer_with_length(endpoint, request):
+    request.answer(200, answer_head(request), encode_events(1, EVENTS))
+
+
 def cut_inside_the_third(request):
     """Return the events up to the middle of the third; the rest where the stream is resumed."""
     if header_value(request.headers, DIALECT.last_event_id):
@@ -104,3 +109,17 @@
     harness = make_harness(unframed(lambda request: b"whole"), 2, cut_off, repeat=RetryPolicy.ONCE)
     caller = harness.ask()
     assert (caller.status, caller.body) == (200, b"whole")
+
+
+@pytest.mark.parametrize(
+    ("behave", "framing"),
+    [
+        (unframed(events_of), "connection"),
+        (stream_events(EVENTS), "chunks"),
+        (answer_with_length, "length"),
+    ],
+)
+def test_line_of_an_answer_tells_what_marked_its_end(behave, framing):
+    harness = make_harness(behave)
+    harness.ask()
+    assert [line["framing"] for line in harness.logs[0].of("request.ended")] == [framing]
--- a/turnward/http1/__init__.py
+++ b/turnward/http1/__init__.py
@@ -4,12 +4,14 @@
 from turnward.http1.client import HttpCaller, HttpReply
 from turnward.http1.errors import Http1Error, NotSentError, UnansweredError
 from turnward.http1.framing import (
+    BodyFraming,
     HeaderList,
     connection_tokens,
     encode_request_head,
     end_to_end_headers,
     header_value,
     header_values,
+    response_framing,
 )
 from turnward.http1.inbound import InboundFactory, InboundLimits, InboundRequest, Refusal
 from turnward.http1.outbound import (
@@ -22,6 +24,7 @@
 )
 
 __all__ = [
+    "BodyFraming",
     "ResponseMatch",
     "ExchangeBase",
     "ExchangeFailure",
@@ -43,4 +46,5 @@
     "end_to_end_headers",
     "header_value",
     "header_values",
+    "response_framing",
 ]
--- a/turnward/http1/framing.py
+++ b/turnward/http1/framing.py
@@ -7,9 +7,11 @@
 RFC 9112 (HTTP/1.1), section 6 on the length of a message body.
 """
 
+from enum import StrEnum
 from http import HTTPStatus
 
 __all__ = [
+    "BodyFraming",
     "HeaderList",
     "connection_tokens",
     "encode_request_head",
@@ -18,6 +20,7 @@
     "header_value",
     "header_values",
     "keep_alive_s",
+    "response_framing",
 ]
 
 #: Lower-case names and their values, in the order received.
@@ -40,9 +43,20 @@
     )
 )
 
+#: Responses with these statuses have no body.
+_BODILESS_STATUSES = (204, 304)
+
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
+class BodyFraming(StrEnum):
+    """What tells where the body of a response ends."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
 def header_values(headers: HeaderList, name: bytes) -> list[bytes]:
     """Return all values of a header.
 
@@ -85,6 +99,23 @@
     ]
 
 
+def response_framing(status: int, headers: HeaderList) -> BodyFraming:
+    """Return what tells where a response ends, from its head; its request is not ``HEAD``.
+
+    Examples
+    --------
+    >>> str(response_framing(200, []))
+    'connection'
+    >>> str(response_framing(204, []))
+    'length'
+    """
+    if header_value(headers, b"transfer-encoding") is not None:
+        return BodyFraming.CHUNKS
+    if header_value(headers, b"content-length") is not None or status in _BODILESS_STATUSES:
+        return BodyFraming.LENGTH
+    return BodyFraming.CONNECTION
+
+
 def keep_alive_s(headers: HeaderList) -> float | None:
     """Return the idle timeout in seconds announced in ``Keep-Alive``, or None.
 
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -19,10 +19,12 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 
 from turnward.http1.framing import (
+    BodyFraming,
     HeaderList,
     connection_tokens,
     header_value,
     keep_alive_s,
+    response_framing,
 )
 from turnward.http1.progress_bounds import ProgressBounds
 from turnward.link_use import LinkUse
@@ -308,11 +310,8 @@
             return
         self._skipping = match is ResponseMatch.EARLIER
         self._in_body = True
-        self._body_until_close = (
-            header_value(self._headers, b"content-length") is None
-            and header_value(self._headers, b"transfer-encoding") is None
-            and status not in (204, 304)
-        )
+        framing = response_framing(status, self._headers)
+        self._body_until_close = framing is BodyFraming.CONNECTION
         if self._skipping:
             self._usable = False
             return
