A reset is never taken for the end of a connection

An answer without length or chunks is complete when its connection ends, and broken off when it is reset. Cause: Twisted's reactor reports a lost connection without readable bytes as ConnectionDone if it reads from it. It looks at whether it reads when it processes the event. A connection whose reading is paused, as its caller reads slowly, and whose request is still being written is polled for writing only. If another event of the same poll resumes its reading, a reset is reported as a clean end, and what was received before it is dropped. Change: the process's reactor reads from a lost connection first; the kernel then tells how it ended.

--- a/turnward/steady_reactor.py
+++ b/turnward/steady_reactor.py
@@ -30,6 +30,16 @@
         self.seconds = clock.now_s
         super().__init__()
 
+    def _doReadOrWrite(self, selectable, fd, event):  # noqa: N802
+        """Read from a connection that is lost before reporting how it ended.
+
+        Without this, Twisted reports a reset as an end, and drops what came before it, where the
+        connection has only written so far and reading was resumed after its events were fetched.
+        """
+        if event & self._POLL_DISCONNECTED and fd in self._reads:
+            event |= self._POLL_IN
+        super()._doReadOrWrite(selectable, fd, event)
+
 
 def install_steady_reactor(clock: ClockBase | None = None) -> SteadyReactor:
     """Install a ``SteadyReactor`` as the reactor of the process, and return it.
