An answer that only its connection's end tells is complete if its process still runs

What callers saw: a stream without length or chunks was complete to its caller after 82 of 109 events, logged as `served`; its engine had been killed. Cause: the kernel closes the connections of a killed process as those of one that has finished. A cut after a whole event can't be told from the end, and the most tokens out are only an upper bound. Change: such an end counts only if another connection to the endpoint is still open 30 ms later, or a new one opens within the connect timeout and stays open as long. Else the answer is broken off: resumable streams go on elsewhere, idempotent requests are repeated, others end as aborted or with 502. Events are passed on at once; only the end waits. The new connection is kept for the next request, so that an endpoint whose answers all come so gets one more connection at most. Endpoints that drain, or whose entry is gone, may have closed their ports in a planned end, and are not asked. What stays: a server of several processes behind one port takes new connections after one of them was killed. And an answer whose endpoint can't be reached at just that moment counts as broken off, although it may be whole. Evidence: seven of the eleven new tests failed before: short answers that looked complete, plain ones passed on with 200.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -111,11 +111,14 @@
         record.prefill_tokens += self._prefill_tokens
         self._in_load = True
         max_idle_s = _RUN_ONCE_MAX_IDLE_S if owner.must_run_once else None
-        timeout_s = record.pool.connect_timeout_s + owner.forwarder.links.added_timeout_s
-        handle = record.pool.start(self, max_idle_s, timeout_s)
+        handle = record.pool.start(self, max_idle_s, self._connect_timeout_s)
         if not self.ended:
             self._handle = handle
 
+    @property
+    def _connect_timeout_s(self) -> float:
+        return self.record.pool.connect_timeout_s + self._owner.forwarder.links.added_timeout_s
+
     def cancel(self) -> None:
         """Cancel the attempt and reset its connection."""
         self.ended = True
@@ -356,6 +359,14 @@
             owner.send_response_body(body)
         owner.finish_response(self, self._status)
 
+    def end_in_doubt(self, connection):
+        """Check that the endpoint runs, unless a planned end of it may have closed its port."""
+        record = self.record
+        if self.ended or record.pool.closed or record.availability.draining:
+            connection.confirm_end(complete=True)
+        else:
+            record.end_check.start(self._connect_timeout_s, connection.confirm_end)
+
     def exchange_failed(self, failure):
         """Record the failure and report it to the forwarded request."""
         if self.ended:
--- /dev/null
+++ b/turnward/gateway/end_check.py
@@ -0,0 +1,94 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Finds out whether an endpoint's process has outlived the end of one of its connections.
+
+A response without length or chunks ends with its connection. A process that is killed closes its
+connections in the same way as one that has finished a response, but closes all of them, and takes
+no new ones.
+"""
+
+from collections.abc import Callable
+
+from turnward.http1 import ExchangeBase, OutboundConnection, OutboundPool
+
+__all__ = ["EndCheck"]
+
+#: Time within which a process that ends closes all of its connections.
+_SETTLE_S = 0.03
+
+
+class EndCheck:
+    """Checks of one endpoint; those without an open connection share a new one.
+
+    Parameters
+    ----------
+    pool : OutboundPool
+        The connections to the endpoint.
+    """
+
+    __slots__ = ("_pool", "_waiting")
+
+    def __init__(self, pool: OutboundPool):
+        self._pool = pool
+        self._waiting: list[Callable[[bool], None]] = []
+
+    def start(self, connect_timeout_s: float, on_result: Callable[[bool], None]) -> None:
+        """Tell later whether the process runs: a connection stays open, or a new one opens."""
+        witnesses = self._pool.open_connections
+
+        def check() -> None:
+            if any(connection.is_open for connection in witnesses):
+                on_result(True)
+            else:
+                self._open(connect_timeout_s, on_result)
+
+        if witnesses:
+            self._pool.call_later(_SETTLE_S, check)
+        else:
+            self._open(connect_timeout_s, on_result)
+
+    def _open(self, connect_timeout_s: float, on_result: Callable[[bool], None]) -> None:
+        self._waiting.append(on_result)
+        if len(self._waiting) == 1:
+            probe = _UnusedExchange(self._pool, self._end)
+            self._pool.open(probe, connect_timeout_s)
+
+    def _end(self, runs: bool) -> None:
+        waiting, self._waiting = self._waiting, []
+        for on_result in waiting:
+            on_result(runs)
+
+
+class _UnusedExchange(ExchangeBase):
+    """Opens a connection and keeps it for later requests."""
+
+    def __init__(self, pool: OutboundPool, on_result: Callable[[bool], None]):
+        self._pool = pool
+        self._on_result = on_result
+        self._connection: OutboundConnection | None = None
+
+    def exchange_started(self, connection):
+        self._connection = connection
+        self._pool.call_later(_SETTLE_S, self._settled)
+
+    def _settled(self) -> None:
+        if self._connection is not None:
+            self._connection.release_unused()
+            self._end(True)
+
+    def head_received(self, status, headers):
+        """Take no response, as there was no request; the process runs."""
+        self._connection.drop()
+        self._end(True)
+
+    def body_received(self, data):
+        """Do nothing; the connection is closed."""
+
+    def response_ended(self):
+        """Do nothing; the connection is closed."""
+
+    def exchange_failed(self, failure):
+        self._end(False)
+
+    def _end(self, runs: bool) -> None:
+        self._connection = None
+        self._on_result(runs)
--- /dev/null
+++ b/turnward/gateway/tests/test_ends_of_processes.py
@@ -0,0 +1,140 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Responses that end with their connection: a process that ends has not finished its response."""
+
+import pytest
+
+from turnward.gateway import RetryPolicy
+from turnward.gateway.tests.harness import (
+    DIALECT,
+    Harness,
+    answer_head,
+    answered,
+    decode_chunked,
+    encode_events,
+)
+from turnward.http1 import header_value
+
+EVENTS = 6
+
+
+def end_process(endpoint):
+    """Close the port and all connections, as the kernel does for a process that is killed."""
+    endpoint.machine.listeners.clear()
+    for connection in list(endpoint.machine.connections):
+        connection.loseConnection()
+
+
+def respond(request, body):
+    request.version, request.closes = "1.0", True
+    request.start(200, answer_head(request), None)
+    request.write(body)
+
+
+def events_after(request, last=EVENTS):
+    after = header_value(request.headers, DIALECT.last_event_id)
+    return encode_events(int(after) + 1 if after else 1, last)
+
+
+def complete(endpoint, request):
+    respond(request, events_after(request))
+    request.finish()
+
+
+def cut_once(endpoint, request):
+    """Respond in part and end the process; respond in full at other endpoints."""
+    if endpoint.harness.cut:
+        complete(endpoint, request)
+        return
+    endpoint.harness.cut = True
+    respond(request, events_after(request, EVENTS // 2))
+    endpoint.machine.callLater(0.02, end_process, endpoint)
+
+
+def make_harness(behave, cut_off=False, endpoints=3, **fields):
+    harness = Harness(**{"repeat": RetryPolicy.STREAM, "attempts": 3, **fields})
+    harness.cut = False
+    for _ in range(endpoints):
+        harness.endpoint(behave).harness = harness
+    harness.ready(2)
+    harness.network.advance(1.0)
+    if cut_off:
+        for endpoint in harness.endpoints:
+            harness.network.refuse(harness.machines[0].host, endpoint.machine.host)
+        harness.cut = True
+        harness.ask(path=b"/a/first")
+        harness.cut = False
+        harness.network.advance(1.0)
+    return harness
+
+
+@pytest.mark.parametrize("cut_off", [False, True], ids=["endpoint", "relay"])
+def test_stream_that_the_end_of_its_process_cuts_after_an_event_does_not_look_complete(cut_off):
+    harness = make_harness(cut_once, cut_off)
+    caller = harness.ask()
+    assert decode_chunked(caller.body) == (encode_events(1, EVENTS // 2), False)
+    assert caller.closed is not None
+
+
+@pytest.mark.parametrize("cut_off", [False, True], ids=["endpoint", "relay"])
+def test_resumable_stream_that_the_end_of_its_process_cuts_goes_on_elsewhere(cut_off):
+    harness = make_harness(cut_once, cut_off, resumable=True)
+    caller = harness.ask()
+    assert decode_chunked(caller.body) == (encode_events(1, EVENTS), True)
+
+
+@pytest.mark.parametrize(
+    ("repeat", "status"), [(RetryPolicy.ANY, 200), (RetryPolicy.ONCE, 502)], ids=["any", "once"]
+)
+def test_plain_response_that_the_end_of_its_process_cuts_is_not_passed_on(repeat, status):
+    harness = make_harness(cut_once, repeat=repeat)
+    caller = harness.ask()
+    assert caller.status == status
+    if status == 200:
+        assert caller.body == encode_events(1, EVENTS)
+
+
+def test_responses_that_end_at_the_same_time_are_complete():
+    harness = make_harness(complete, endpoints=1)
+    callers = [harness.send() for _ in range(5)]
+    harness.network.advance_until(lambda: all(answered(caller) for caller in callers))
+    assert all(decode_chunked(each.body) == (encode_events(1, EVENTS), True) for each in callers)
+
+
+def test_responses_that_end_with_their_connections_open_one_more_at_most():
+    harness = make_harness(complete, endpoints=1)
+    for _ in range(5):
+        assert decode_chunked(harness.ask().body)[1]
+    assert harness.endpoints[0].factory.accepted <= 6
+
+
+def test_last_response_of_an_endpoint_that_drains_and_has_closed_its_port_is_complete():
+    def drain_first(endpoint, request):
+        harness.announce(endpoint, leaving=True)
+        endpoint.machine.listeners.clear()
+        endpoint.machine.callLater(1.0, complete, endpoint, request)
+
+    harness = make_harness(drain_first, endpoints=1)
+    assert decode_chunked(harness.ask().body) == (encode_events(1, EVENTS), True)
+
+
+def test_caller_that_disconnects_during_the_check_harms_nothing():
+    harness = make_harness(complete, endpoints=1, time_limit_s=2.0)
+    endpoint = harness.endpoints[0]
+    caller = harness.send()
+    harness.network.advance_until(lambda: encode_events(1, 1) in caller.body)
+    caller.transport.abortConnection()
+    harness.network.advance(1.0)
+    assert decode_chunked(harness.ask().body) == (encode_events(1, EVENTS), True)
+    assert len(endpoint.requests) == 2
+
+
+def test_response_whose_endpoint_no_longer_takes_connections_in_time_is_broken_off():
+    def cut_link(endpoint, request):
+        respond(request, events_after(request))
+        request.finish()
+        endpoint.machine.callLater(0.002, harness.network.cut, *hosts)
+
+    harness = make_harness(cut_link, endpoints=1, repeat=RetryPolicy.ONCE)
+    hosts = (harness.machines[0].host, harness.endpoints[0].machine.host)
+    caller = harness.ask()
+    assert caller.status == 502
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -138,6 +138,10 @@
     def response_ended(self) -> None:
         """Handle the end of a complete response."""
 
+    def end_in_doubt(self, connection: "OutboundConnection") -> None:
+        """Confirm, at once or later, the end of a response that only its connection's end tells."""
+        connection.confirm_end(complete=True)
+
     @abstractmethod
     def exchange_failed(self, failure: ExchangeFailure) -> None:
         """Handle a failure; no complete response will follow."""
@@ -198,7 +202,7 @@
             return
         clean = reason.check(error.ConnectionDone) is not None
         if clean and self._in_body and self._body_until_close and not self._skipping:
-            self._end()
+            self._exchange.end_in_doubt(self)
             return
         self._fail(FailureCause.CLOSED if clean else FailureCause.RESET)
 
@@ -278,6 +282,20 @@
         if exchange is self._exchange:
             self._resume_reading()
 
+    def confirm_end(self, complete: bool) -> None:
+        """End the response whose connection has ended, unless the exchange was cancelled."""
+        if self._exchange is None:
+            return
+        if complete:
+            self._end()
+        else:
+            self._fail(FailureCause.CLOSED)
+
+    def release_unused(self) -> None:
+        """Return the connection of an exchange that has sent nothing to the pool."""
+        self._exchange = None
+        self._release()
+
     def drop(self) -> None:
         """Abandon the current exchange, if any, and reset the connection."""
         self._exchange = None
@@ -387,6 +405,11 @@
         """Whether an exchange is in progress."""
         return self._exchange is not None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection has not been lost."""
+        return not self._lost
+
     @property
     def connect_ms(self) -> float | None:
         """Time in which the connection opened; None from the second exchange on it on."""
@@ -474,6 +497,16 @@
         oldest_s = self.oldest_open_s
         return oldest_s is not None and oldest_s <= time_s
 
+    @property
+    def open_connections(self) -> list[OutboundConnection]:
+        """All open connections, in use or idle."""
+        return list(self._opened_s)
+
+    @property
+    def closed(self) -> bool:
+        """Whether connections are no longer kept after their exchange."""
+        return self._closed
+
     @property
     def closed_at_once(self) -> int:
         """Number of connections that the peer has closed just now."""
@@ -526,6 +559,10 @@
         )
         return ExchangeHandle(None, connection_attempt)
 
+    def call_later(self, delay_s: float, function: Callable[[], None]) -> None:
+        """Call a function after some time."""
+        self._reactor.callLater(delay_s, function)
+
     def report_error(self, failure: Exception) -> None:
         """Report an exception raised by an exchange."""
         if self._on_error is not None:
