A planned stop waits until answers have been written

Cause: the process ended 0.1 s after its last request. A request ends once its answer is in the send buffer of the caller's connection, and a connection without a request counted as idle, whatever waited there. Change: at the end of a stop, connections without a request are closed, which writes what waits first, and the process goes on until they are gone, up to the stop limit. Connections of peers are closed in the same way once no request is relayed here. A caller that never reads doesn't hold its gateway beyond the limit.

--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -747,10 +747,10 @@
     def _check_stopped(self) -> None:
         elapsed_s = self._reactor.seconds() - self._stop_started_s
         limit_s = self._settings.stop_limit_s - _STOP_MARGIN_S
-        busy = any(not connection.idle for connection in self.callers.connections)
         if elapsed_s >= _LINGER_S:
             self.forwarder.refuses_new_requests = True
-            self.callers.close_idle()
+            self._close_idle()
+        busy = self.callers.busy or self._peer_server.closing
         pending = busy or self.forwarder.open_requests or not self.accounts.settled
         if elapsed_s < limit_s and (pending or elapsed_s < _LINGER_S):
             return
@@ -764,3 +764,9 @@
         self._log.event("process.stopped")
         self._log.flush()
         self._reactor.callLater(_FINAL_WRITE_S, self.stopped.callback, None)
+
+    def _close_idle(self) -> None:
+        """Close connections without a request; peers' only once no request is relayed here."""
+        self.callers.close_idle()
+        if not self.forwarder.open_requests:
+            self._peer_server.close_idle()
--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -423,6 +423,11 @@
         """Whether no request is in progress or partly received."""
         return self._current is None and self.head_started_s is None and not self._unparsed
 
+    @property
+    def closing(self) -> bool:
+        """Whether the connection is closed once everything written so far has been sent."""
+        return self._closing
+
     def enforce_time_limits(self, now_s: float) -> None:
         """Close the connection if it is idle or its request's head incomplete for too long."""
         limits = self._factory.limits
@@ -621,6 +626,16 @@
             if connection.idle:
                 connection.close()
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request is in progress, or a response not yet written, on any connection."""
+        return any(not connection.idle or connection.closing for connection in self.connections)
+
+    @property
+    def closing(self) -> bool:
+        """Whether any connection is being closed and not everything has been sent on it."""
+        return any(connection.closing for connection in self.connections)
+
     def reset_all(self) -> None:
         """Reset every connection."""
         for connection in list(self.connections):
