An attempt that begins while its caller is paused is paused

A caller that doesn't read pauses the connection its answer comes on. If the answer broke off in the same read, as by an event that goes back, the attempt that goes on elsewhere was not paused. Twisted's transports ask to pause again at each write beyond their buffer, so what came too much was one read an attempt; the memory transport of the tests asks once. Change: the caller's connection knows that it is paused, and an attempt that starts asks it. Evidence: test_attempt_that_begins_while_the_caller_is_paused_is_paused failed before (4,006,400 bytes under way to a caller that reads none).

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -159,6 +159,8 @@
             connection.drop()
             owner.time_limit_reached()
             return
+        if owner.response_paused:
+            self.pause()
         self._connection_opened()
         if connection.exchanges == 1:
             owner.forwarder.links.opened(self.record)
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -823,6 +823,11 @@
         if self._attempt is not None:
             self._attempt.resume()
 
+    @property
+    def response_paused(self) -> bool:
+        """Whether the caller has no room for more of the response."""
+        return self._request.head_sent and self._request.sending_paused
+
     def pause_body(self) -> None:
         """Pause the request body."""
         self._request.pause_body()
--- a/turnward/gateway/relay_attempt.py
+++ b/turnward/gateway/relay_attempt.py
@@ -156,6 +156,8 @@
             connection.drop()
             owner.time_limit_reached()
             return
+        if owner.response_paused:
+            self.pause()
         self.sent = True
         self.reused = connection.exchanges > 1
         self.connect_ms = connection.connect_ms
--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -138,6 +138,11 @@
             return None
         return 0
 
+    @property
+    def sending_paused(self) -> bool:
+        """Whether the connection's send buffer is full."""
+        return self._connection.sending_paused
+
     def attach(self, on_body, on_body_end) -> None:
         """Pass the body to ``on_body`` as it arrives, beginning with what was received before."""
         self.on_body = on_body
@@ -274,6 +279,7 @@
         self._unparsed_bytes = 0
         self._next_request_scheduled = False
         self._reading_paused = False
+        self.sending_paused = False
         self._closing = False
         self._pending_refusal: Refusal | None = None
         self.idle_since_s = factory.clock()
@@ -308,10 +314,12 @@
     # IPushProducer: flow control of responses.
 
     def pauseProducing(self):
+        self.sending_paused = True
         if self._current is not None and self._current.on_pause is not None:
             self._current.on_pause()
 
     def resumeProducing(self):
+        self.sending_paused = False
         if self._current is not None and self._current.on_resume is not None:
             self._current.on_resume()
 
