A stop waits for unwritten answers, not for connections that come meanwhile

Callers that keep opening connections to a gateway that stops would have held it until the stop limit. Change: connections that have nothing to write are closed before it is looked whether any remain, and from then on a connection is closed as soon as its request has ended.

--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -745,15 +745,25 @@
         self._stop_check = self._start_repeating(self._check_stopped, _STOP_CHECK_INTERVAL_S)
 
     def _check_stopped(self) -> None:
-        elapsed_s = self._reactor.seconds() - self._stop_started_s
-        limit_s = self._settings.stop_limit_s - _STOP_MARGIN_S
-        if elapsed_s >= _LINGER_S:
+        if self._stopping_for_s >= _LINGER_S:
             self.forwarder.refuses_new_requests = True
             self._close_idle()
+        # By then, connections on which nothing waits to be written have been closed.
+        self._reactor.callLater(0, self._end_if_stopped)
+
+    @property
+    def _stopping_for_s(self) -> float:
+        return self._reactor.seconds() - self._stop_started_s
+
+    def _end_if_stopped(self) -> None:
+        elapsed_s = self._stopping_for_s
+        limit_s = self._settings.stop_limit_s - _STOP_MARGIN_S
         busy = self.callers.busy or self._peer_server.closing
         pending = busy or self.forwarder.open_requests or not self.accounts.settled
         if elapsed_s < limit_s and (pending or elapsed_s < _LINGER_S):
             return
+        if not self._stop_check.running:
+            return
         self._stop_check.stop()
         for forwarding in list(self.forwarder.open_requests):
             forwarding.end_at_stop()
--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -393,7 +393,7 @@
         """Close the connection or proceed to the next request."""
         if request is not self._current:
             return
-        if request.closes:
+        if request.closes or self._factory.closes_idle:
             self.close()
         elif request.body_complete:
             self._schedule_next_request()
@@ -592,6 +592,8 @@
         self.draining = False
         #: Whether connections are closed after the response in progress.
         self.sheds_connections = False
+        #: Whether connections are closed once no request is in progress.
+        self.closes_idle = False
         self.link_use = LinkUse()
         #: Returns whether a new connection is served; takes the number of those that are open.
         self.takes: Callable[[int], bool] = lambda open_connections: True
@@ -629,7 +631,8 @@
             self._on_error(failure)
 
     def close_idle(self) -> None:
-        """Close connections without a request in progress."""
+        """Close connections without a request in progress, and others once theirs has ended."""
+        self.closes_idle = True
         for connection in list(self.connections):
             if connection.idle:
                 connection.close()
