--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -6,12 +6,14 @@
 from turnward.gateway.outcomes import NOT_RUN_STATUSES, Reason
 from turnward.gateway.streams import EventSplitter
 from turnward.http1 import (
+    BodyFraming,
     ExchangeBase,
     ExchangeFailure,
     FailureCause,
     HeaderList,
     ResponseMatch,
     header_value,
+    response_framing,
 )
 
 __all__ = ["EndpointAttempt"]
@@ -109,11 +111,14 @@
         record.prefill_tokens += self._prefill_tokens
         self._in_load = True
         max_idle_s = _RUN_ONCE_MAX_IDLE_S if owner.must_run_once else None
-        timeout_s = record.pool.connect_timeout_s + owner.forwarder.links.added_timeout_s
-        handle = record.pool.start(self, max_idle_s, timeout_s)
+        handle = record.pool.start(self, max_idle_s, self._connect_timeout_s)
         if not self.ended:
             self._handle = handle
 
+    @property
+    def _connect_timeout_s(self) -> float:
+        return self.record.pool.connect_timeout_s + self._owner.forwarder.links.added_timeout_s
+
     def cancel(self) -> None:
         """Cancel the attempt and reset its connection."""
         self.ended = True
@@ -128,16 +133,21 @@
         parts = () if self.progressed else self._owner.prompt.shared_part_ids
         return AbandonedRun(self._owner.content, self.sent_s, now_s, parts)
 
+    @property
+    def framing(self) -> BodyFraming:
+        """What tells where the response ends."""
+        return response_framing(self._status, self._headers)
+
     def pause(self) -> None:
         """Stop reading the response."""
         self._paused_since_event = True
         if self._connection is not None:
-            self._connection.pause()
+            self._connection.pause(self)
 
     def resume(self) -> None:
         """Resume reading the response."""
         if self._connection is not None:
-            self._connection.resume()
+            self._connection.resume(self)
 
     # Request.
 
@@ -149,6 +159,8 @@
             connection.drop()
             owner.time_limit_reached()
             return
+        if owner.response_paused:
+            self.pause()
         self._connection_opened()
         if connection.exchanges == 1:
             owner.forwarder.links.opened(self.record)
@@ -228,9 +240,7 @@
             return
         sealed = header_value(headers, dialect.answer_seal) is not None
         if not self._is_valid(status, headers, sealed):
-            self._finish(failed=True)
-            self._drop()
-            owner.attempt_invalid(self, Reason.INVALID_RESPONSE)
+            self._reject()
             return
         self.record.availability.accepted(self.sent_s)
         if status < 300:
@@ -254,6 +264,12 @@
             return False
         return header_value(headers, b"content-encoding") is None
 
+    def _reject(self) -> None:
+        """Close the connection of a response that must not be forwarded."""
+        self._finish(failed=True)
+        self._drop()
+        self._owner.attempt_invalid(self, Reason.INVALID_RESPONSE)
+
     def _handle_not_run(self, status: int) -> None:
         replaced = status == _MISDIRECTED_STATUS
         self._finish(failed=replaced, replaced=replaced)
@@ -279,11 +295,11 @@
             return
         events = self._splitter.feed(data)
         if not events.count:
+            if self._splitter.overlong:
+                self._reject()
             return
         if not owner.may_continue_with(events.first_id):
-            self._finish(failed=True)
-            self._drop()
-            owner.attempt_invalid(self, Reason.INVALID_RESPONSE)
+            self._reject()
             return
         self._record_event_gap(events.count)
         self._prefill_ended()
@@ -345,6 +361,14 @@
             owner.send_response_body(body)
         owner.finish_response(self, self._status)
 
+    def end_in_doubt(self, connection):
+        """Check that the endpoint runs, unless a planned end of it may have closed its port."""
+        record = self.record
+        if self.ended or record.pool.closed or record.availability.draining:
+            connection.confirm_end(complete=True)
+        else:
+            record.end_check.start(self._connect_timeout_s, connection.confirm_end)
+
     def exchange_failed(self, failure):
         """Record the failure and report it to the forwarded request."""
         if self.ended:
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -705,6 +705,7 @@
             used_tokens=used,
             endpoint=attempt.destination,
             connect_ms=attempt.connect_ms,
+            framing=attempt.framing,
         )
 
     def _event_tokens(self) -> int:
@@ -821,6 +822,11 @@
         if self._attempt is not None:
             self._attempt.resume()
 
+    @property
+    def response_paused(self) -> bool:
+        """Whether the caller has no room for more of the response."""
+        return self._request.head_sent and self._request.sending_paused
+
     def pause_body(self) -> None:
         """Pause the request body."""
         self._request.pause_body()
--- a/turnward/gateway/relay_attempt.py
+++ b/turnward/gateway/relay_attempt.py
@@ -6,6 +6,7 @@
 from turnward.gateway.relay_note import RELAY_PREFIX, RelayNote, without_relay_note
 from turnward.gateway.streams import EventSplitter
 from turnward.http1 import (
+    BodyFraming,
     ExchangeBase,
     ExchangeFailure,
     FailureCause,
@@ -15,6 +16,7 @@
     encode_request_head,
     end_to_end_headers,
     header_value,
+    response_framing,
 )
 
 __all__ = ["MAX_IDLE_S", "RelayAttempt", "RelayRefusal"]
@@ -129,15 +131,20 @@
         if self._handle is not None:
             self._handle.cancel()
 
+    @property
+    def framing(self) -> BodyFraming:
+        """What tells where the response ends."""
+        return response_framing(self._status, self._headers)
+
     def pause(self) -> None:
         """Stop reading the response."""
         if self._connection is not None:
-            self._connection.pause()
+            self._connection.pause(self)
 
     def resume(self) -> None:
         """Resume reading the response."""
         if self._connection is not None:
-            self._connection.resume()
+            self._connection.resume(self)
 
     # Request.
 
@@ -149,6 +156,8 @@
             connection.drop()
             owner.time_limit_reached()
             return
+        if owner.response_paused:
+            self.pause()
         self.sent = True
         self.reused = connection.exchanges > 1
         self.connect_ms = connection.connect_ms
@@ -213,6 +222,8 @@
         owner = self._owner
         events = self._splitter.feed(data)
         if not events.count:
+            if self._splitter.overlong:
+                self._fail(FailureCause.MALFORMED)
             return
         if not owner.may_continue_with(events.first_id):
             self._fail(FailureCause.MALFORMED)
--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -27,6 +27,10 @@
 _BODY_BUFFER_BYTES = 65_536
 #: Length of ``": "`` and the line break of a header line.
 _HEADER_OVERHEAD_BYTES = 4
+#: Bytes of a head that its size leaves out: method, version, spaces and empty lines.
+_HEAD_SYNTAX_BYTES = 4_096
+#: Most bytes in a row that bring no part of a request's body: chunk extensions and trailers.
+_MAX_FRAMING_BYTES = 65_536
 #: Size of unparsed later requests at which reading from the caller is paused.
 _UNPARSED_BUFFER_BYTES = 65_536
 #: Interval of checking the time limits of all connections.
@@ -134,6 +138,11 @@
             return None
         return 0
 
+    @property
+    def sending_paused(self) -> bool:
+        """Whether the connection's send buffer is full."""
+        return self._connection.sending_paused
+
     def attach(self, on_body, on_body_end) -> None:
         """Pass the body to ``on_body`` as it arrives, beginning with what was received before."""
         self.on_body = on_body
@@ -261,6 +270,8 @@
         self._target = b""
         self._headers: HeaderList = []
         self._head_bytes = 0
+        self._partial_head_bytes = 0
+        self._framing_bytes = 0
         self._parsing: InboundRequest | None = None
         self._current: InboundRequest | None = None
         self._queued: deque[InboundRequest] = deque()
@@ -268,6 +279,7 @@
         self._unparsed_bytes = 0
         self._next_request_scheduled = False
         self._reading_paused = False
+        self.sending_paused = False
         self._closing = False
         self._pending_refusal: Refusal | None = None
         self.idle_since_s = factory.clock()
@@ -302,10 +314,12 @@
     # IPushProducer: flow control of responses.
 
     def pauseProducing(self):
+        self.sending_paused = True
         if self._current is not None and self._current.on_pause is not None:
             self._current.on_pause()
 
     def resumeProducing(self):
+        self.sending_paused = False
         if self._current is not None and self._current.on_resume is not None:
             self._current.on_resume()
 
@@ -325,11 +339,15 @@
         self._head_bytes += len(url)
 
     def on_header(self, name, value):
+        if self._parsing is not None:
+            # A trailer, of which nothing is used.
+            return
         self._headers.append((name.lower(), value))
         self._head_bytes += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
 
     def on_headers_complete(self):
         self.head_started_s = None
+        self._framing_bytes = 0
         request = InboundRequest(
             self,
             self._parser.get_method(),
@@ -347,6 +365,7 @@
             self._queued.append(request)
 
     def on_body(self, body):
+        self._framing_bytes = 0
         request = self._parsing
         if not request.body_received(body, self._factory.limits.body_bytes):
             request.refusal = request.refusal or Refusal(413, "body_too_large")
@@ -374,7 +393,7 @@
         """Close the connection or proceed to the next request."""
         if request is not self._current:
             return
-        if request.closes:
+        if request.closes or self._factory.closes_idle:
             self.close()
         elif request.body_complete:
             self._schedule_next_request()
@@ -412,6 +431,11 @@
         """Whether no request is in progress or partly received."""
         return self._current is None and self.head_started_s is None and not self._unparsed
 
+    @property
+    def closing(self) -> bool:
+        """Whether the connection is closed once everything written so far has been sent."""
+        return self._closing
+
     def enforce_time_limits(self, now_s: float) -> None:
         """Close the connection if it is idle or its request's head incomplete for too long."""
         limits = self._factory.limits
@@ -452,6 +476,8 @@
     def _parse(self, data: bytes) -> None:
         if self._current is None and self.head_started_s is None:
             self.head_started_s = self._factory.clock()
+            self._partial_head_bytes = 0
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -463,11 +489,20 @@
                 self._current.refusal = self._pending_refusal
         except httptools.HttpParserError:
             self._pending_refusal = Refusal(400, "malformed_request")
-        if self.head_started_s is not None and self._head_bytes > self._factory.limits.head_bytes:
-            self._pending_refusal = Refusal(431, "head_too_large")
+        if self.head_started_s is not None:
+            self._partial_head_bytes += len(data)
+            if self._partial_head_too_large():
+                self._pending_refusal = Refusal(431, "head_too_large")
+        elif self._framing_bytes > _MAX_FRAMING_BYTES:
+            self._pending_refusal = Refusal(400, "malformed_request")
         if self._pending_refusal is not None and self._may_refuse_now():
             self._refuse(self._pending_refusal)
 
+    def _partial_head_too_large(self) -> bool:
+        limit_bytes = self._factory.limits.head_bytes
+        received_bytes = self._partial_head_bytes - _HEAD_SYNTAX_BYTES
+        return self._head_bytes > limit_bytes or received_bytes > limit_bytes
+
     def _may_refuse_now(self) -> bool:
         """Return whether no request, or the refused request itself, is being served."""
         current = self._current
@@ -557,6 +592,8 @@
         self.draining = False
         #: Whether connections are closed after the response in progress.
         self.sheds_connections = False
+        #: Whether connections are closed once no request is in progress.
+        self.closes_idle = False
         self.link_use = LinkUse()
         #: Returns whether a new connection is served; takes the number of those that are open.
         self.takes: Callable[[int], bool] = lambda open_connections: True
@@ -594,11 +631,22 @@
             self._on_error(failure)
 
     def close_idle(self) -> None:
-        """Close connections without a request in progress."""
+        """Close connections without a request in progress, and others once theirs has ended."""
+        self.closes_idle = True
         for connection in list(self.connections):
             if connection.idle:
                 connection.close()
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request is in progress, or a response not yet written, on any connection."""
+        return any(not connection.idle or connection.closing for connection in self.connections)
+
+    @property
+    def closing(self) -> bool:
+        """Whether any connection is being closed and not everything has been sent on it."""
+        return any(connection.closing for connection in self.connections)
+
     def reset_all(self) -> None:
         """Reset every connection."""
         for connection in list(self.connections):
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -19,11 +19,14 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 
 from turnward.http1.framing import (
+    BodyFraming,
     HeaderList,
     connection_tokens,
     header_value,
     keep_alive_s,
+    response_framing,
 )
+from turnward.http1.progress_bounds import ProgressBounds
 from turnward.link_use import LinkUse
 
 __all__ = [
@@ -135,6 +138,10 @@
     def response_ended(self) -> None:
         """Handle the end of a complete response."""
 
+    def end_in_doubt(self, connection: "OutboundConnection") -> None:
+        """Confirm, at once or later, the end of a response that only its connection's end tells."""
+        connection.confirm_end(complete=True)
+
     @abstractmethod
     def exchange_failed(self, failure: ExchangeFailure) -> None:
         """Handle a failure; no complete response will follow."""
@@ -165,6 +172,7 @@
         self._usable = True
         self._lost = False
         self._paused = False
+        self._bounds = ProgressBounds()
         self.sent = False
         self.exchanges = 0
         self.opened_in_s = 0.0
@@ -194,7 +202,7 @@
             return
         clean = reason.check(error.ConnectionDone) is not None
         if clean and self._in_body and self._body_until_close and not self._skipping:
-            self._end()
+            self._exchange.end_in_doubt(self)
             return
         self._fail(FailureCause.CLOSED if clean else FailureCause.RESET)
 
@@ -218,6 +226,9 @@
             self._release()
         elif self._exchange is None:
             self.drop()
+        elif self._bounds.exceeded_after(len(data)):
+            self._fail(FailureCause.MALFORMED)
+            self.drop()
 
     # IPushProducer: flow control of request bodies.
 
@@ -238,6 +249,7 @@
 
     def begin(self, exchange: ExchangeBase) -> None:
         """Start an exchange on this idle connection."""
+        self._resume_reading()
         self._exchange = exchange
         self._parser = httptools.HttpResponseParser(self)
         self._skipping = False
@@ -245,6 +257,7 @@
         self._complete = False
         self._answered = False
         self._request_complete = False
+        self._bounds = ProgressBounds()
         self.sent = False
         self.exchanges += 1
         exchange.exchange_started(self)
@@ -258,17 +271,30 @@
         self._pool.link_use.sent += len(data)
         self.transport.write(data)
 
-    def pause(self) -> None:
-        """Stop reading from the endpoint."""
-        if not self._paused and not self._lost:
+    def pause(self, exchange: ExchangeBase) -> None:
+        """Stop reading from the endpoint until the exchange, if still in progress, resumes."""
+        if exchange is self._exchange and not self._paused and not self._lost:
             self._paused = True
             self.transport.pauseProducing()
 
-    def resume(self) -> None:
+    def resume(self, exchange: ExchangeBase) -> None:
         """Continue to read from the endpoint."""
-        if self._paused and not self._lost:
-            self._paused = False
-            self.transport.resumeProducing()
+        if exchange is self._exchange:
+            self._resume_reading()
+
+    def confirm_end(self, complete: bool) -> None:
+        """End the response whose connection has ended, unless the exchange was cancelled."""
+        if self._exchange is None:
+            return
+        if complete:
+            self._end()
+        else:
+            self._fail(FailureCause.CLOSED)
+
+    def release_unused(self) -> None:
+        """Return the connection of an exchange that has sent nothing to the pool."""
+        self._exchange = None
+        self._release()
 
     def drop(self) -> None:
         """Abandon the current exchange, if any, and reset the connection."""
@@ -302,11 +328,8 @@
             return
         self._skipping = match is ResponseMatch.EARLIER
         self._in_body = True
-        self._body_until_close = (
-            header_value(self._headers, b"content-length") is None
-            and header_value(self._headers, b"transfer-encoding") is None
-            and status not in (204, 304)
-        )
+        framing = response_framing(status, self._headers)
+        self._body_until_close = framing is BodyFraming.CONNECTION
         if self._skipping:
             self._usable = False
             return
@@ -328,7 +351,12 @@
 
     def on_body(self, body):
         """Pass a part of the body to the exchange."""
-        if self._exchange is not None and self._in_body and not self._skipping:
+        if self._exchange is None or not self._in_body:
+            return
+        if self._skipping:
+            self._bounds.note_skipped()
+        else:
+            self._bounds.note_body()
             self._exchange.body_received(body)
 
     def on_message_complete(self):
@@ -350,9 +378,14 @@
     def _end(self) -> None:
         self._complete = True
         exchange, self._exchange = self._exchange, None
-        self.resume()
+        self._resume_reading()
         exchange.response_ended()
 
+    def _resume_reading(self) -> None:
+        if self._paused and not self._lost:
+            self._paused = False
+            self.transport.resumeProducing()
+
     def _release(self) -> None:
         """Return the connection to the pool after parsing all bytes received with the response."""
         self._complete = False
@@ -372,6 +405,11 @@
         """Whether an exchange is in progress."""
         return self._exchange is not None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection has not been lost."""
+        return not self._lost
+
     @property
     def connect_ms(self) -> float | None:
         """Time in which the connection opened; None from the second exchange on it on."""
@@ -459,6 +497,16 @@
         oldest_s = self.oldest_open_s
         return oldest_s is not None and oldest_s <= time_s
 
+    @property
+    def open_connections(self) -> list[OutboundConnection]:
+        """All open connections, in use or idle."""
+        return list(self._opened_s)
+
+    @property
+    def closed(self) -> bool:
+        """Whether connections are no longer kept after their exchange."""
+        return self._closed
+
     @property
     def closed_at_once(self) -> int:
         """Number of connections that the peer has closed just now."""
@@ -511,6 +559,10 @@
         )
         return ExchangeHandle(None, connection_attempt)
 
+    def call_later(self, delay_s: float, function: Callable[[], None]) -> None:
+        """Call a function after some time."""
+        self._reactor.callLater(delay_s, function)
+
     def report_error(self, failure: Exception) -> None:
         """Report an exception raised by an exchange."""
         if self._on_error is not None:
