Probe of streams on real processes: a judge for each form of ORDER

The soak reads streams through http.client, with one kind of engine, events of one size and small bodies, and compares whole answers of one try. So it saw neither heads inside a stream nor early ends nor pieces of two runs over a caller's tries.

make streams plays gateways and engines as processes of their own. Engines frame streams in chunks, with a length or by their connection, cut events into odd parts and break runs off; callers send bodies of up to 1.5 MB, read slowly, break off, take streams up at other gateways and overlap their tries. Gateways are killed, stopped and paused, engines of two versions end and start at one address, the store is away or goes back. Engines write the run's id into each event and log each run as it goes, so that the judge tells an end of the engine from one of the gateway.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 WORKERS ?= 4
 SOURCES := $(shell find turnward -name '*.py' -o -name '*.toml' -o -name '*.capnp') pyproject.toml
 
-.PHONY: demo platform-demo soak test check dist bench docs format clean
+.PHONY: demo platform-demo soak streams test check dist bench docs format clean
 
 $(VENV)/ready: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -24,6 +24,9 @@
 soak: $(VENV)/ready
 	$(BIN)/python platform/standins/soak.py --seeds $(or $(SEEDS),3) $(if $(SEED),--first $(SEED)) $(if $(OLD),--old $(OLD)) $(if $(LOAD),--load $(LOAD)) $(if $(ONLY),--only) $(if $(KEEP),--keep $(KEEP))
 
+streams: $(VENV)/ready
+	$(BIN)/python platform/standins/stream_probe.py --seeds $(or $(SEEDS),3) $(if $(SEED),--first $(SEED)) $(if $(BODIES),--bodies $(BODIES)) $(if $(KEEP),--keep $(KEEP))
+
 test: $(VENV)/ready dist/turnward
 	mkdir -p build
 	$(BIN)/python -m pytest --numprocesses=$(WORKERS) --dist=loadfile --junitxml=build/tests.xml
