One owner of a caller's answer: waits and attempts take turns

What callers saw: the head of a 503 in the middle of a stream, streams of which other runs went on at up to eight servers, and refusals that promised "not run" of requests that ran.

Cause: while a request waited for the version that began its stream, it had no attempt and nothing noted that one was about to begin. Each further part of a body above 262,144 bytes dispatched it again, each answer of the peers began an attempt, and each attempt replaced the one before without ending it. All of them wrote to the caller.

Why the fix works: `RequestTurns` gives out one lease of a request at a time, to a wait or to an attempt. Whoever takes the turn ends the lease before, and cancels its attempt; the writing methods are on the lease, so that a late attempt, answer or reservation has nothing to write with. A wait (version, tokens) that resolves after it lost its turn takes its other way: a late reservation is returned, a late version only logged. Body parts dispatch a request only while it is receiving; they are kept while a dispatch is pending, and sent on once an attempt has begun, paused as before. A second head resets the connection in `InboundRequest`, and own errors after a head end as aborted.

One test of paused streams called private methods that have moved; it now pauses by the same callbacks as the caller's connection does.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -4,9 +4,9 @@
 from turnward.gateway.abandoned_runs import AbandonedRun
 from turnward.gateway.endpoint_record import EndpointRecord
 from turnward.gateway.outcomes import NOT_RUN_STATUSES, Reason
+from turnward.gateway.request_turns import AttemptBase
 from turnward.gateway.streams import EventSplitter
 from turnward.http1 import (
-    ExchangeBase,
     ExchangeFailure,
     FailureCause,
     HeaderList,
@@ -26,7 +26,7 @@
 _RUN_ONCE_MAX_IDLE_S = 1.0
 
 
-class EndpointAttempt(ExchangeBase):
+class EndpointAttempt(AttemptBase):
     """One attempt to run a request at one endpoint.
 
     Parameters
@@ -40,8 +40,6 @@
 
     Attributes
     ----------
-    is_relay : bool
-        Whether a peer, rather than an endpoint, gets the request.
     sent : bool
         Whether any byte may have been sent.
     reused : bool
@@ -52,8 +50,6 @@
         Time in which the connection opened; None if it was open before.
     """
 
-    is_relay = False
-
     def __init__(self, owner, record: EndpointRecord, chosen_cold: bool = False):
         self._owner = owner
         self._chosen_cold = chosen_cold
@@ -75,7 +71,6 @@
         self.record = record
         self.method = owner.method
         self.response_id = (owner.forwarder.dialect.request_id, owner.request_id)
-        self.ended = False
         self.began = False
         self.sent = False
         self.sent_s = 0.0
@@ -116,7 +111,6 @@
 
     def cancel(self) -> None:
         """Cancel the attempt and reset its connection."""
-        self.ended = True
         self._remove_from_load()
         if self.sent:
             now_s = self._owner.forwarder.reactor.seconds()
@@ -143,6 +137,9 @@
 
     def exchange_started(self, connection):
         """Send the request head and the part of the body received so far."""
+        if self.ended:
+            connection.drop()
+            return
         self._connection = connection
         owner = self._owner
         if not owner.may_still_send:
@@ -242,7 +239,7 @@
             self._buffered = []
             self._may_retry = status >= 500 and owner.may_retry_error()
             return
-        owner.send_response_head(status, headers, self._declared_length())
+        self.lease.start(status, headers, self._declared_length())
 
     def _is_valid(self, status: int, headers: HeaderList, sealed: bool) -> bool:
         if not sealed:
@@ -275,7 +272,7 @@
             self._buffer(data)
             return
         if self._splitter is None or self._status != 200:
-            owner.send_response_body(data)
+            self.lease.write(data)
             return
         events = self._splitter.feed(data)
         if not events.count:
@@ -289,7 +286,7 @@
         self._prefill_ended()
         self._note_progress(events.count)
         owner.note_events(events.count, events.last_id)
-        owner.send_response_body(events.data)
+        self.lease.write(events.data)
 
     def _record_event_gap(self, count: int) -> None:
         forwarder = self._owner.forwarder
@@ -323,8 +320,8 @@
         if self._buffered_bytes > _BUFFER_LIMIT_BYTES:
             buffered, self._buffered = self._buffered, None
             self._may_retry = False
-            self._owner.send_response_head(self._status, self._headers, self._declared_length())
-            self._owner.send_response_body(b"".join(buffered))
+            self.lease.start(self._status, self._headers, self._declared_length())
+            self.lease.write(b"".join(buffered))
 
     def response_ended(self):
         """Forward the buffered response, or retry at another endpoint."""
@@ -341,8 +338,8 @@
             return
         if self._buffered is not None:
             body = b"".join(self._buffered)
-            owner.send_response_head(self._status, self._headers, len(body))
-            owner.send_response_body(body)
+            self.lease.start(self._status, self._headers, len(body))
+            self.lease.write(body)
         owner.finish_response(self, self._status)
 
     def exchange_failed(self, failure):
--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 from twisted.internet import defer
@@ -25,6 +26,7 @@
 from turnward.gateway.quarantines import Quarantines
 from turnward.gateway.relay import Relay, RelayServer
 from turnward.gateway.relay_note import RelayNote
+from turnward.gateway.request_turns import Stage
 from turnward.gateway.retries import RetryBudgetShare
 from turnward.gateway.retry_after import RetryAfterEstimator
 from turnward.gateway.state import FleetState
@@ -37,7 +39,6 @@
     HeaderList,
     InboundRequest,
     encode_request_head,
-    end_to_end_headers,
     header_value,
     header_values,
 )
@@ -192,7 +193,6 @@
         self._started_s = request.received_s
         self._deadline_s = 0.0
         self._retry_reservations: list[Reservation] = []
-        self._pending_reservation: defer.Deferred | None = None
         self._timer = None
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -326,30 +326,29 @@
             workspace.name, tokens, self.priority, retry_tokens, self._route.priority
         )
         if isinstance(result, defer.Deferred):
-            self._pending_reservation = result
-            result.addCallback(self._reserved, on_reserved)
+            reserved = partial(self._reserved, on_reserved=on_reserved)
+            result.addCallback(self._turns.wait(reserved, self._return_tokens))
         else:
             self._reserved(result, on_reserved)
 
     def _reserved(self, result, on_reserved: Callable[[], None]) -> None:
-        self._pending_reservation = None
         if isinstance(result, PacedRefusal):
             self._refuse_paced(result)
             return
         if isinstance(result, BudgetRefusal):
-            if self._ended:
-                return
             if result is BudgetRefusal.EXHAUSTED:
                 self._refuse(402, Reason.BUDGET_EXHAUSTED)
             else:
                 self._refuse(503, Reason.BUDGET_UNREACHABLE)
             return
         self._reservation = result
-        if self._ended:
-            self._settle(0)
-            return
         on_reserved()
 
+    def _return_tokens(self, result) -> None:
+        """Return tokens that were reserved too late."""
+        if isinstance(result, Reservation):
+            self._forwarder.accounts.settle(result, 0)
+
     def _reserve_again(self) -> None:
         """Reserve the tokens that were left to a peer, and go on at the endpoints."""
         tokens, self._unreserved_tokens = self._unreserved_tokens, 0
@@ -371,27 +370,32 @@
         if self._ended:
             return
         self._body_bytes += len(data)
-        if self._attempt is not None and not self._replayable:
+        if self._attempt is not None:
             self._attempt.send_body(data)
             return
         self._body.append(data)
-        if self._body_bytes > _REPLAY_LIMIT_BYTES and self._attempt is None:
+        if self._body_bytes > _REPLAY_LIMIT_BYTES:
             self._replayable = False
-            self._dispatch()
+            self._dispatch_first()
 
     def _body_ended(self) -> None:
         if self._ended:
             return
-        if self._attempt is None and self._replayable:
-            self._dispatch()
-        elif self._attempt is not None:
+        if self._attempt is not None:
             self._attempt.send_body_end()
+        else:
+            self._dispatch_first()
 
     # Attempts.
 
+    def _dispatch_first(self) -> None:
+        """Start the first attempt; while one is about to begin, the body is only kept."""
+        if self._turns.stage is Stage.RECEIVING:
+            self._dispatch()
+
     def _dispatch(self) -> None:
         """Start an attempt at an endpoint, or end the request if there is none."""
-        if self._pending_reservation is not None:
+        if not self._turns.dispatch():
             return
         forwarder = self._forwarder
         if self._deadline_s - self._now_s() < _MIN_SEND_S:
@@ -445,8 +449,8 @@
             endpoints=forwarder.state.endpoints_version,
             left_s=round(self._deadline_s - self._now_s(), 3),
         )
-        self._attempt = EndpointAttempt(self, record, choice.cold)
-        self._attempt.start()
+        attempt = EndpointAttempt(self, record, choice.cold)
+        self._turns.begin(attempt, attempt.start)
 
     def _fingerprint_content(self) -> str:
         """Return a fingerprint of the request's content, independent of the request id.
@@ -552,8 +556,6 @@
         self._end_attempt(attempt, "lost", cause=failure.cause, answered=failure.answered)
         if self._may_retry(is_retry=True, ran=True):
             self._dispatch()
-        elif self._request.head_sent:
-            self._abort(Reason.CONNECTION_LOST)
         else:
             self._fail(502, Reason.CONNECTION_LOST)
 
@@ -563,8 +565,6 @@
         self._end_attempt(attempt, "bad_answer")
         if self._may_retry(is_retry=True, ran=True):
             self._dispatch()
-        elif self._request.head_sent:
-            self._abort(reason)
         else:
             self._fail(502, reason)
 
@@ -657,8 +657,7 @@
         self.attempts += 1
 
     def _end_attempt(self, attempt, how: str, **fields) -> None:
-        self._attempt = None
-        attempt.ended = True
+        self._turns.release(attempt)
         self._forwarder.log.failure(
             "attempt.failed",
             request=self._request_id.decode("latin-1"),
@@ -680,22 +679,10 @@
 
     # Response to the caller.
 
-    def send_response_head(self, status: int, headers: HeaderList, length: int | None) -> None:
-        """Forward a response head."""
-        self._request.on_pause = self._pause
-        self._request.on_resume = self._resume
-        self._request.start(status, end_to_end_headers(headers), length)
-
-    def send_response_body(self, data: bytes) -> None:
-        """Forward a part of a response body."""
-        self._request.write(data)
-
     def finish_response(self, attempt: "EndpointAttempt", status: int) -> None:
         """Finish a complete response."""
-        self._attempt = None
-        attempt.ended = True
         self._forwarder.quarantine.record_response(self._content, success=status < 400)
-        self._request.finish()
+        attempt.lease.finish()
         used = None
         if status < 300 and not self._may_have_run:
             used = self._prompt.tokens + self._progress.events * self._event_tokens()
@@ -716,10 +703,7 @@
     def _give_up(self, reason: Reason) -> None:
         """End a request that the last endpoint did not run."""
         if self._may_have_run:
-            if self._request.head_sent:
-                self._abort(reason)
-            else:
-                self._fail(502, reason)
+            self._fail(502, reason)
         else:
             self._refuse(503, self._pool_shortage_reason(reason))
 
@@ -735,8 +719,7 @@
         headers = []
         if status in NOT_RUN_STATUSES:
             headers.append((b"retry-after", b"%g" % self._retry_after_s(reason)))
-        self._send_error(status, reason, headers)
-        self._end(Outcome.REFUSED, status, reason=reason, used_tokens=0, **fields)
+        self._end_with_error(Outcome.REFUSED, status, reason, headers, used_tokens=0, **fields)
 
     def _refuse_overload(self, choice: EndpointChoice, excess_s: float) -> None:
         """Refuse a request because the queues of all endpoints are too long."""
@@ -747,8 +730,6 @@
 
     def _refuse_paced(self, refusal: PacedRefusal) -> None:
         """Refuse a request whose tokens are protected for the most urgent ones."""
-        if self._ended:
-            return
         self._paced_delay_s = refusal.retry_after_s
         self._forwarder.metrics.requests_paced.labels(self._route.priority).inc()
         self._refuse(503, Reason.BUDGET_PACED)
@@ -766,62 +747,47 @@
 
     def _fail(self, status: int, reason: Reason) -> None:
         """Respond with an error to a request that may have run."""
-        self._send_error(status, reason, [])
-        self._end(Outcome.UNKNOWN, status, reason=reason)
+        self._end_with_error(Outcome.UNKNOWN, status, reason, [])
 
-    def _send_error(self, status: int, reason: Reason, headers: HeaderList) -> None:
+    def _end_with_error(
+        self, outcome: Outcome, status: int, reason: Reason, headers: HeaderList, **fields
+    ) -> None:
+        """Answer with an error; break the answer off instead if it has begun."""
         headers = [*headers, (b"content-type", b"application/json")]
         if self._request_id:
             headers.append((self._forwarder.dialect.request_id, self._request_id))
         body = msgspec.json.encode({"error": reason})
-        self._request.answer(status, headers, body)
-
-    def _abort(self, reason: Reason) -> None:
-        self._request.abort()
-        self._end(Outcome.ABORTED, None, reason=reason)
+        if self._turns.answer(status, headers, body):
+            self._end(outcome, status, reason=reason, **fields)
+        else:
+            self._end(Outcome.ABORTED, None, reason=reason)
 
     def time_limit_reached(self) -> None:
         """End a request whose deadline has passed."""
         if self._ended:
             return
-        attempt, self._attempt = self._attempt, None
+        attempt = self._turns.withdraw()
         sent = attempt is not None and attempt.sent
-        if attempt is not None:
-            attempt.cancel()
-        if self._request.head_sent:
-            self._abort(Reason.TIME_LIMIT)
-        elif sent or self._may_have_run:
-            self._send_error(504, Reason.TIME_LIMIT, [])
-            self._end(Outcome.TIME_LIMIT, 504, reason=Reason.TIME_LIMIT)
+        if sent or self._may_have_run:
+            self._end_with_error(Outcome.TIME_LIMIT, 504, Reason.TIME_LIMIT, [])
         else:
             self._refuse(503, Reason.TIME_LIMIT)
 
     def _caller_disconnected(self) -> None:
-        attempt, self._attempt = self._attempt, None
+        attempt = self._turns.withdraw()
         sent = attempt is not None and attempt.sent
-        if attempt is not None:
-            attempt.cancel()
         used = None if sent or self._may_have_run else 0
         self._end(Outcome.CALLER_DISCONNECTED, None, used_tokens=used)
 
     def end_at_stop(self) -> None:
         """End the request at once, at the end of a planned shutdown."""
-        attempt, self._attempt = self._attempt, None
+        attempt = self._turns.withdraw()
         if attempt is not None:
             self._may_have_run = self._may_have_run or attempt.sent
-            attempt.cancel()
         self._give_up(Reason.STOPPING)
 
     # Flow control.
 
-    def _pause(self) -> None:
-        if self._attempt is not None:
-            self._attempt.pause()
-
-    def _resume(self) -> None:
-        if self._attempt is not None:
-            self._attempt.resume()
-
     def pause_body(self) -> None:
         """Pause the request body."""
         self._request.pause_body()
@@ -835,7 +801,7 @@
     def _end(self, outcome: Outcome, status: int | None, used_tokens=None, **fields) -> None:
         if self._ended:
             return
-        self._ended = True
+        self._turns.end()
         forwarder = self._forwarder
         forwarder.open_requests.discard(self)
         forwarder.relayed_requests.discard(self)
--- a/turnward/gateway/quarantined_request.py
+++ b/turnward/gateway/quarantined_request.py
@@ -98,8 +98,7 @@
         if not self._forwarder.quarantines.parts.is_fatal(self._prompt.shared_part_ids):
             return
         self._may_have_run = self._may_have_run or attempt.sent
-        attempt.cancel()
-        self._end_attempt(attempt, "withdrawn")
+        self._end_attempt(self._turns.withdraw(), "withdrawn")
         self._give_up(Reason.CRASHES_ENDPOINTS)
 
     @abstractmethod
--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -10,6 +10,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 
 from turnward.gateway.configuration import Route
 from turnward.gateway.outcomes import NOT_RUN_STATUSES, SHARED_OUT_REASONS, Outcome, Reason
@@ -246,10 +247,10 @@
             peers_tried=len(request.peers_tried),
             left_ms=request.left_ms,
         )
-        request.begin_relay(attempt)
         is_known = self.peers.is_known(address, request.pool)
         timeout_s = _KNOWN_CONNECT_TIMEOUT_S if is_known else _CONNECT_TIMEOUT_S
-        attempt.start(self._pool_of(address), timeout_s + self.added_timeout_s())
+        timeout_s += self.added_timeout_s()
+        request.begin_relay(attempt, partial(attempt.start, self._pool_of(address), timeout_s))
         return True
 
     def _is_in_trouble(self, request) -> bool:
--- a/turnward/gateway/relay_attempt.py
+++ b/turnward/gateway/relay_attempt.py
@@ -4,9 +4,9 @@
 import msgspec
 
 from turnward.gateway.relay_note import RELAY_PREFIX, RelayNote, without_relay_note
+from turnward.gateway.request_turns import AttemptBase
 from turnward.gateway.streams import EventSplitter
 from turnward.http1 import (
-    ExchangeBase,
     ExchangeFailure,
     FailureCause,
     HeaderList,
@@ -57,7 +57,7 @@
         return cls(status, end_to_end_headers(headers), body, reason)
 
 
-class RelayAttempt(ExchangeBase):
+class RelayAttempt(AttemptBase):
     """One attempt to have a request run by a peer.
 
     Parameters
@@ -73,8 +73,6 @@
 
     Attributes
     ----------
-    is_relay : bool
-        Whether a peer, rather than an endpoint, gets the request.
     sent : bool
         Whether any byte may have been sent.
     reused : bool
@@ -103,7 +101,6 @@
         self.address = address
         self.method = owner.method
         self.response_id = (owner.forwarder.dialect.request_id, owner.request_id)
-        self.ended = False
         self.sent = False
         self.reused = False
         self.connect_ms: float | None = None
@@ -125,7 +122,7 @@
 
     def cancel(self) -> None:
         """Cancel the attempt and reset its connection, by which the peer learns of it."""
-        self._end()
+        self._uncount()
         if self._handle is not None:
             self._handle.cancel()
 
@@ -143,6 +140,9 @@
 
     def exchange_started(self, connection):
         """Send the whole request."""
+        if self.ended:
+            connection.drop()
+            return
         self._connection = connection
         owner = self._owner
         if not owner.may_still_send:
@@ -192,7 +192,7 @@
         elif self._splitter is None or status != 200:
             self._buffered = []
         elif not owner.head_sent:
-            owner.send_response_head(status, headers, self._declared_length())
+            self.lease.start(status, headers, self._declared_length())
 
     def _declared_length(self) -> int | None:
         length = header_value(self._headers, b"content-length")
@@ -205,7 +205,7 @@
         if self._buffered is not None:
             self._buffer(data)
         elif self._splitter is None or self._status != 200:
-            self._owner.send_response_body(data)
+            self.lease.write(data)
         else:
             self._forward_events(data)
 
@@ -218,7 +218,7 @@
             self._fail(FailureCause.MALFORMED)
             return
         owner.note_events(events.count, events.last_id)
-        owner.send_response_body(events.data)
+        self.lease.write(events.data)
 
     def _buffer(self, data: bytes) -> None:
         """Buffer a part of the body; beyond the limit, forward what is buffered."""
@@ -230,8 +230,8 @@
             self._fail(FailureCause.MALFORMED)
             return
         buffered, self._buffered = self._buffered, None
-        self._owner.send_response_head(self._status, self._headers, self._declared_length())
-        self._owner.send_response_body(b"".join(buffered))
+        self.lease.start(self._status, self._headers, self._declared_length())
+        self.lease.write(b"".join(buffered))
 
     def response_ended(self):
         """Forward the buffered response."""
@@ -240,7 +240,7 @@
         if self._sealed and self._splitter is not None and self._splitter.partial:
             self._fail(FailureCause.CLOSED)
             return
-        self._end()
+        self._uncount()
         owner = self._owner
         body = b"".join(self._buffered) if self._buffered is not None else None
         if not self._sealed:
@@ -248,26 +248,25 @@
             self._relay.refused(owner, self, refusal)
             return
         if body is not None:
-            owner.send_response_head(self._status, self._headers, len(body))
-            owner.send_response_body(body)
+            self.lease.start(self._status, self._headers, len(body))
+            self.lease.write(body)
         owner.finish_response(self, self._status)
 
     def exchange_failed(self, failure):
         """Report the loss of the peer."""
         if self.ended:
             return
-        self._end()
+        self._uncount()
         self._relay.lost(self._owner, self, failure)
 
     def _fail(self, cause: FailureCause) -> None:
         """Give up on a response that can't be forwarded."""
-        self._end()
+        self._uncount()
         self._connection.drop()
         failure = ExchangeFailure(cause, sent=True, answered=True, reused=self.reused)
         self._relay.lost(self._owner, self, failure)
 
-    def _end(self) -> None:
-        self.ended = True
+    def _uncount(self) -> None:
         if self._counted:
             self._counted = False
             self._relay.peers.note_ended(self.address)
--- a/turnward/gateway/relayable_request.py
+++ b/turnward/gateway/relayable_request.py
@@ -2,11 +2,13 @@
 """The part of a forwarded request that lets a peer run it."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 from turnward.gateway.endpoint_record import EndpointRecord
 from turnward.gateway.outcomes import SHARED_OUT_REASONS, Outcome, Reason
 from turnward.gateway.relay_attempt import RelayAttempt, RelayRefusal
 from turnward.gateway.relay_note import RelayNote
+from turnward.gateway.request_turns import AttemptBase, RequestTurns
 from turnward.http1 import ExchangeFailure, HeaderList, end_to_end_headers
 
 __all__ = ["RelayableRequest"]
@@ -40,13 +42,12 @@
         self._forwarder = forwarder
         self._request = request
         self._note = note
-        self._attempt = None
+        self._turns = RequestTurns(request)
         self._reservation = None
         #: Tokens that a peer reserves, and this router must before an endpoint gets the request.
         self._unreserved_tokens = 0
         self._may_have_run = False
         self._lost_here = False
-        self._ended = False
         self._replayable = True
         self._tried: set[str] = set()
         self.pool = ""
@@ -54,6 +55,16 @@
         self.peers_tried: set[str] = set()
         self.first_attempt_s = 0.0
 
+    @property
+    def _attempt(self) -> AttemptBase | None:
+        """The attempt that acts for the request."""
+        return self._turns.attempt
+
+    @property
+    def _ended(self) -> bool:
+        """Whether the request has ended."""
+        return self._turns.ended
+
     # What decides whether a peer may run it.
 
     @property
@@ -145,12 +156,12 @@
 
     # What the relay does with it.
 
-    def begin_relay(self, attempt: RelayAttempt) -> None:
+    def begin_relay(self, attempt: RelayAttempt, start: Callable[[], None]) -> None:
         """Hand the request to a peer; the tokens reserved here are free again."""
         if self._reservation is not None and not self._may_have_run:
             self._unreserved_tokens = self._reservation.tokens
             self._settle(0)
-        self._attempt = attempt
+        self._turns.begin(attempt, start)
 
     def end_relay(self, attempt: RelayAttempt, how: str, **fields) -> None:
         """Record that a peer does not run the request, so no attempt was spent on it."""
@@ -170,7 +181,7 @@
         if self._may_have_run:
             self._give_up(Reason.CONNECTION_LOST)
             return
-        self._request.answer(refusal.status, refusal.headers, refusal.body)
+        self._turns.answer(refusal.status, refusal.headers, refusal.body)
         self._end(
             outcome,
             refusal.status,
@@ -196,8 +207,7 @@
         waits = attempt is not None and not attempt.sent and not attempt.is_relay
         if not waits or not (self.relayable or self.relayed_by):
             return
-        attempt.cancel()
-        self._end_attempt(attempt, "withdrawn")
+        self._end_attempt(self._turns.withdraw(), "withdrawn")
         self._dispatch()
 
     @property
--- a/turnward/gateway/resumable_request.py
+++ b/turnward/gateway/resumable_request.py
@@ -3,6 +3,7 @@
 
 from abc import abstractmethod
 from collections.abc import Callable
+from functools import partial
 
 from turnward.gateway.choice import EndpointChoice
 from turnward.gateway.configuration import Route, Workspace
@@ -137,15 +138,14 @@
 
         def found(version: str) -> None:
             self._log_origin(version, asked_s)
-            if self._ended:
-                return
             if not version:
                 self._give_up(Reason.VERSION_UNKNOWN)
                 return
             self._stream_version = version
             proceed()
 
-        versions.find(self._stream_key).addCallback(found)
+        found_late = partial(self._log_origin, asked_s=asked_s)
+        versions.find(self._stream_key).addCallback(self._turns.wait(found, found_late))
 
     def _log_origin(self, version: str, asked_s: float) -> None:
         waited_s = self._forwarder.reactor.seconds() - asked_s
--- a/turnward/gateway/tests/test_service_rates.py
+++ b/turnward/gateway/tests/test_service_rates.py
@@ -594,9 +594,9 @@
         request.write(encode_events(number, number))
         harness.network.advance(0.02)
         if number == 3:
-            forwarding._pause()
+            forwarding._request.on_pause()
             harness.network.advance(2.0)
-            forwarding._resume()
+            forwarding._request.on_resume()
     assert noted_ms == pytest.approx([20.0] * 3, abs=1.0)
 
 
--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -161,7 +161,13 @@
         self._connection.resume_reading()
 
     def start(self, status: int, headers: HeaderList, length: int | None) -> None:
-        """Send the response's head; without ``length`` the body is sent in chunks."""
+        """Send the response's head; without ``length`` the body is sent in chunks.
+
+        If one was sent before, the connection is reset instead.
+        """
+        if self.head_sent or self.finished:
+            self.abort()
+            return
         response_headers = list(headers)
         self.closes = self.closes or self._connection.must_close(self)
         if length is not None:
@@ -178,7 +184,7 @@
 
     def write(self, data: bytes) -> None:
         """Send a part of the response's body."""
-        if not data:
+        if not data or self.finished:
             return
         if self._chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
@@ -195,7 +201,7 @@
         self._connection.request_finished(self)
 
     def answer(self, status: int, headers: HeaderList, body: bytes = b"") -> None:
-        """Send a complete response."""
+        """Send a complete response; reset the connection instead if one has begun."""
         self.start(status, headers, len(body))
         if self.method != b"HEAD":
             self.write(body)
