A run continues a stream only with the piece that follows

What callers could hold: a stream that lacks a piece, or holds one twice. Cause: a run that continues a stream could begin at any larger id, and of the ids that came in one read only the first was looked at.

Once the ids of a stream rose by one each, a run that continues it must begin at the next one; no assumption is made of streams whose ids never did so. The ids of one read must rise, or differ if they are no numbers. An answer that breaks this is an invalid response, as one that restarts was.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -277,7 +277,7 @@
         events = self._splitter.feed(data)
         if not events.count:
             return
-        if not owner.may_continue_with(events.first_id):
+        if not owner.may_continue_with(events):
             self._finish(failed=True)
             self._drop()
             owner.attempt_invalid(self, Reason.INVALID_RESPONSE)
@@ -285,7 +285,7 @@
         self._record_event_gap(events.count)
         self._prefill_ended()
         self._note_progress(events.count)
-        owner.note_events(events.count, events.last_id)
+        owner.note_events(events)
         self.lease.write(events.data)
 
     def _record_event_gap(self, count: int) -> None:
--- a/turnward/gateway/relay_attempt.py
+++ b/turnward/gateway/relay_attempt.py
@@ -214,10 +214,10 @@
         events = self._splitter.feed(data)
         if not events.count:
             return
-        if not owner.may_continue_with(events.first_id):
+        if not owner.may_continue_with(events):
             self._fail(FailureCause.MALFORMED)
             return
-        owner.note_events(events.count, events.last_id)
+        owner.note_events(events)
         self.lease.write(events.data)
 
     def _buffer(self, data: bytes) -> None:
--- a/turnward/gateway/resumable_request.py
+++ b/turnward/gateway/resumable_request.py
@@ -13,6 +13,7 @@
 from turnward.gateway.prompts import Prompt
 from turnward.gateway.relay_note import RelayNote
 from turnward.gateway.relayable_request import RelayableRequest
+from turnward.gateway.streams import StreamEvents
 from turnward.http1 import header_value
 from turnward.software_versions import StreamKey, stream_key
 
@@ -59,15 +60,15 @@
         fields = {"resumes": resumes.decode("latin-1"), "version": self._stream_version}
         return {name: value for name, value in fields.items() if value}
 
-    def may_continue_with(self, first_id: bytes | None) -> bool:
-        """Return whether an event may follow the last one forwarded."""
-        return self._progress.may_continue_with(first_id)
+    def may_continue_with(self, events: StreamEvents) -> bool:
+        """Return whether events may follow the last one forwarded."""
+        return self._progress.may_continue_with(events)
 
-    def note_events(self, count: int, last_id: bytes | None) -> None:
+    def note_events(self, events: StreamEvents) -> None:
         """Count forwarded events; the first one decides which endpoints may continue the stream."""
         if not self._progress.events and not self._attempt.is_relay:
             self._note_first_event(self._attempt.record)
-        self._progress.note(count, last_id, self._forwarder.reactor.seconds())
+        self._progress.note(events, self._forwarder.reactor.seconds())
 
     def _note_first_event(self, record: EndpointRecord) -> None:
         if self._resumed_by_caller or not self.resumable:
