Streams that may be resumed are framed anew for callers

What callers could hold: a stream announced with the length of its first run, whose rest came from a run with other bytes; it ends too early, or its rest spills into what follows on the connection.

The declared length of an endpoint's stream is passed on only where no other run may go on. The end of the chunks tells that a resumable stream is whole. Beside it, the end of a chunked answer to HEAD wrote a last chunk after the head, bytes that belong to no answer; it writes nothing now.

Failed before: test_stream_whose_first_run_declared_a_length_is_whole_after_a_run_of_another_length (the answer had the first run's length and no chunks) and test_head_of_a_stream_is_followed_by_no_bytes.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -239,7 +239,7 @@
             self._buffered = []
             self._may_retry = status >= 500 and owner.may_retry_error()
             return
-        self.lease.start(status, headers, self._declared_length())
+        self.lease.start(status, headers, self._stream_length())
 
     def _is_valid(self, status: int, headers: HeaderList, sealed: bool) -> bool:
         if not sealed:
@@ -309,6 +309,10 @@
         if self.progressed and not progressed:
             self._owner.note_progress()
 
+    def _stream_length(self) -> int | None:
+        """Return the length to announce; none if another run may go on with other bytes."""
+        return None if self._owner.resumable else self._declared_length()
+
     def _declared_length(self) -> int | None:
         length = header_value(self._headers, b"content-length")
         return int(length) if length is not None else None
--- a/turnward/gateway/relay_attempt.py
+++ b/turnward/gateway/relay_attempt.py
@@ -192,7 +192,11 @@
         elif self._splitter is None or status != 200:
             self._buffered = []
         elif not owner.head_sent:
-            self.lease.start(status, headers, self._declared_length())
+            self.lease.start(status, headers, self._stream_length())
+
+    def _stream_length(self) -> int | None:
+        """Return the length to announce; none if another run may go on with other bytes."""
+        return None if self._owner.resumable else self._declared_length()
 
     def _declared_length(self) -> int | None:
         length = header_value(self._headers, b"content-length")
--- a/turnward/gateway/tests/test_stream_pieces.py
+++ b/turnward/gateway/tests/test_stream_pieces.py
@@ -68,3 +68,30 @@
 def test_ids_too_long_for_numbers_are_forwarded():
     long_ids = ["9" * 5_000 + str(number) for number in range(3)]
     assert read_stream(run(long_ids, [1, 2])) == (encode([*long_ids, 1, 2]), True)
+
+
+def test_stream_whose_first_run_declared_a_length_is_whole_after_a_run_of_another_length():
+    def behave(endpoint, request):
+        continues = header_value(request.headers, DIALECT.last_event_id) is not None
+        if continues:
+            events = encode([3]) + b": a longer rest\n" + encode([4, 5])
+            request.start(200, answer_head(request), len(events))
+            request.write(events)
+            request.finish()
+        else:
+            request.start(200, answer_head(request), len(encode(range(1, 6))))
+            request.write(encode([1, 2]))
+            endpoint.machine.callLater(0.05, request.abort)
+
+    expected = encode([1, 2, 3]) + b": a longer rest\n" + encode([4, 5])
+    assert read_stream(behave) == (expected, True)
+
+
+def test_head_of_a_stream_is_followed_by_no_bytes():
+    harness = Harness(pools=(ENGINE_POOL,), repeat=RetryPolicy.STREAM, resumable=True)
+    harness.endpoint(lambda endpoint, request: request.start(200, answer_head(request), None))
+    harness.ready()
+    caller = harness.send(method=b"HEAD")
+    harness.network.advance(1.0)
+    assert caller.status == 200
+    assert caller.body == b""
--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -194,7 +194,7 @@
         """End a complete response."""
         if self.finished or self.gone:
             return
-        if self._chunked:
+        if self._chunked and self.method != b"HEAD":
             self._connection.write(self, b"0\r\n\r\n")
         self.finished = True
         self._clear_callbacks()
