--- a/turnward/gateway/configuration.py
+++ b/turnward/gateway/configuration.py
@@ -1,6 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Routes, pools and workspaces that operators configure, and the entries of endpoints."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from turnward.gateway.zone_orders import ZoneOrder
@@ -91,22 +93,24 @@
         """Whether a request that may have run already may be sent again."""
         return self.repeat == RetryPolicy.ANY or (self.streams and self.resumable)
 
-    def choose_pool(self, draw: float) -> str:
+    def choose_pool(self, draw: Callable[[], float]) -> str:
         """Return the pool at a point of the cumulated weights.
 
         Parameters
         ----------
-        draw : float
-            The point, from 0 to below 1.
+        draw : callable
+            Returns the point, from 0 to below 1; not called if there is one pool.
 
         Examples
         --------
         >>> pools = (WeightedPool("a", 1.0), WeightedPool("b", 3.0))
         >>> route = Route(name="r", host="h", path_prefix="/", pools=pools)
-        >>> route.choose_pool(0.2), route.choose_pool(0.3)
+        >>> route.choose_pool(lambda: 0.2), route.choose_pool(lambda: 0.3)
         ('a', 'b')
         """
-        left = draw * sum(weighted.weight for weighted in self.pools)
+        if len(self.pools) == 1:
+            return self.pools[0].pool
+        left = draw() * sum(weighted.weight for weighted in self.pools)
         for weighted in self.pools:
             left -= weighted.weight
             if left < 0:
--- a/turnward/gateway/resumable_request.py
+++ b/turnward/gateway/resumable_request.py
@@ -12,6 +12,7 @@
 from turnward.gateway.prompts import Prompt
 from turnward.gateway.relay_note import RelayNote
 from turnward.gateway.relayable_request import RelayableRequest
+from turnward.gateway.streams import StreamEvents
 from turnward.gateway.version_keeper import StreamOrigin
 from turnward.http1 import header_value
 from turnward.software_versions import StreamKey, key_draw, stream_key
@@ -65,15 +66,15 @@
             fields["endpoints_age_s"] = round(self._forwarder.state.endpoints_age_s(), 3)
         return fields
 
-    def may_continue_with(self, first_id: bytes | None) -> bool:
-        """Return whether an event may follow the last one forwarded."""
-        return self._progress.may_continue_with(first_id)
+    def may_continue_with(self, events: StreamEvents) -> bool:
+        """Return whether events may follow the last one forwarded."""
+        return self._progress.may_continue_with(events)
 
-    def note_events(self, count: int, last_id: bytes | None) -> None:
+    def note_events(self, events: StreamEvents) -> None:
         """Count forwarded events; the first one decides which endpoints may continue the stream."""
         if not self._progress.events and not self._attempt.is_relay:
             self._note_first_event(self._attempt.record)
-        self._progress.note(count, last_id, self._forwarder.reactor.seconds())
+        self._progress.note(events, self._forwarder.reactor.seconds())
 
     def _note_first_event(self, record: EndpointRecord) -> None:
         if self._resumed_by_caller or not self.resumable:
@@ -148,11 +149,12 @@
             return
         asked_s = self._forwarder.reactor.seconds()
 
-        def ready(origin: StreamOrigin) -> None:
+        def log_origin(origin: StreamOrigin) -> None:
             if origin.searched:
                 self._log_origin(origin.version, asked_s)
-            if self._ended:
-                return
+
+        def ready(origin: StreamOrigin) -> None:
+            log_origin(origin)
             if not origin.may_go_on:
                 self._give_up(Reason.VERSION_UNKNOWN)
                 return
@@ -161,7 +163,7 @@
 
         versions = self._forwarder.versions
         known = versions.ready_to_continue(self.pool, self._stream_key, self._stream_version)
-        known.addCallback(ready)
+        known.addCallback(self._turns.wait(ready, log_origin))
 
     def _log_origin(self, version: str, asked_s: float) -> None:
         waited_s = self._forwarder.reactor.seconds() - asked_s
--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -170,7 +170,13 @@
         self._connection.resume_reading()
 
     def start(self, status: int, headers: HeaderList, length: int | None) -> None:
-        """Send the response's head; without ``length`` the body is sent in chunks."""
+        """Send the response's head; without ``length`` the body is sent in chunks.
+
+        If one was sent before, the connection is reset instead.
+        """
+        if self.head_sent or self.finished:
+            self.abort()
+            return
         response_headers = list(headers)
         self.closes = self.closes or self._connection.must_close(self)
         if length is not None:
@@ -187,7 +193,7 @@
 
     def write(self, data: bytes) -> None:
         """Send a part of the response's body."""
-        if not data:
+        if not data or self.finished:
             return
         if self._chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
@@ -197,14 +203,14 @@
         """End a complete response."""
         if self.finished or self.gone:
             return
-        if self._chunked:
+        if self._chunked and self.method != b"HEAD":
             self._connection.write(self, b"0\r\n\r\n")
         self.finished = True
         self._clear_callbacks()
         self._connection.request_finished(self)
 
     def answer(self, status: int, headers: HeaderList, body: bytes = b"") -> None:
-        """Send a complete response."""
+        """Send a complete response; reset the connection instead if one has begun."""
         self.start(status, headers, len(body))
         if self.method != b"HEAD":
             self.write(body)
