A stream that ends with its connection before its first event is not whole

The end was taken for that of the answer, as its connection was closed cleanly.

A stream has at least one event unless it goes on after the last one, so such an end is now a loss: resumable streams go on elsewhere, others are broken off. Two of the three new tests failed before; the third guards resumptions that have nothing left, which stay complete.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -348,7 +348,7 @@
         if self.ended:
             return
         owner = self._owner
-        if self._splitter is not None and self._splitter.partial:
+        if self._splitter is not None and self._is_broken_off():
             self.exchange_failed(ExchangeFailure(FailureCause.CLOSED, True, True, self.reused))
             return
         self._finish(failed=self._status >= 500)
@@ -362,6 +362,13 @@
             self.lease.write(body)
         owner.finish_response(self, self._status)
 
+    def _is_broken_off(self) -> bool:
+        """Return whether a stream has ended inside an event, or before its first one."""
+        if self._splitter.partial:
+            return True
+        unframed = self.framing is BodyFraming.CONNECTION
+        return unframed and self._status == 200 and not self._events and not self._owner.continues
+
     def end_in_doubt(self, connection):
         """Check that the endpoint runs, unless a planned end of it may have closed its port."""
         record = self.record
--- a/turnward/gateway/resumable_request.py
+++ b/turnward/gateway/resumable_request.py
@@ -62,7 +62,7 @@
         resumes = header_value(self._request.headers, self._forwarder.dialect.resumes) or b""
         fields = {"resumes": resumes.decode("latin-1"), "version": self._stream_version}
         fields = {name: value for name, value in fields.items() if value}
-        if self._continues:
+        if self.continues:
             fields["endpoints_age_s"] = round(self._forwarder.state.endpoints_age_s(), 3)
         return fields
 
@@ -108,7 +108,7 @@
         return stream_key(workspace, resumes or self._request_id)
 
     @property
-    def _continues(self) -> bool:
+    def continues(self) -> bool:
         """Whether the caller has events that the next one must fit to."""
         return self.streams and (self._progress.events > 0 or self._resumed_by_caller)
 
@@ -116,7 +116,7 @@
     def bound_version(self) -> str:
         """See ``RelayableRequest.bound_version``."""
         version = self._stream_version
-        bound = version and self._continues and self._forwarder.versions.binds(self.pool, version)
+        bound = version and self.continues and self._forwarder.versions.binds(self.pool, version)
         return version if bound else ""
 
     @property
@@ -135,7 +135,7 @@
         pause_target_s = forwarder.state.routes.pause_targets_s.get(self.pool)
         excluded = self._excluded
         choose = forwarder.endpoints.choose
-        if self.resumable and not self._continues:
+        if self.resumable and not self.continues:
             avoided = excluded | forwarder.versions.unpreferred(self.pool)
             choice = choose(self.pool, self._prompt, traits, avoided, pause_target_s)
             if choice is not None or avoided == excluded:
@@ -144,7 +144,7 @@
 
     def _with_version(self, proceed: Callable[[], None]) -> None:
         """Call ``proceed`` once it is known where the stream may go on, if it has begun."""
-        if not self._continues:
+        if not self.continues:
             proceed()
             return
         asked_s = self._forwarder.reactor.seconds()
--- a/turnward/gateway/tests/test_ends_of_processes.py
+++ b/turnward/gateway/tests/test_ends_of_processes.py
@@ -138,3 +138,32 @@
     hosts = (harness.machines[0].host, harness.endpoints[0].machine.host)
     caller = harness.ask()
     assert caller.status == 502
+
+
+def end_before_events(endpoint, request):
+    """End the first response before its first event; respond in full to others."""
+    if endpoint.harness.cut:
+        complete(endpoint, request)
+        return
+    endpoint.harness.cut = True
+    respond(request, b"")
+    request.finish()
+
+
+def test_stream_that_ends_with_its_connection_before_its_first_event_does_not_look_complete():
+    harness = make_harness(end_before_events)
+    caller = harness.ask()
+    assert decode_chunked(caller.body) == (b"", False)
+    assert caller.closed is not None
+
+
+def test_resumable_stream_that_ends_before_its_first_event_goes_on_elsewhere():
+    harness = make_harness(end_before_events, resumable=True)
+    caller = harness.ask()
+    assert decode_chunked(caller.body) == (encode_events(1, EVENTS), True)
+
+
+def test_resumption_of_a_stream_that_had_all_its_events_is_complete():
+    harness = make_harness(complete, resumable=True)
+    caller = harness.ask(headers=((b"Last-Event-Id", b"%d" % EVENTS),))
+    assert decode_chunked(caller.body) == (b"", True)
