A stream that a caller resumes does not start over

What callers would see: the events of a stream that they had already, once more, where an engine does not heed the id after which to go on. Inside one answer ids were checked; those of the caller's earlier answers were not, as the count of events began anew with each request.

The progress of a request that resumes a stream now begins with the caller's last id, so that the check is one for both. The new test failed before: events 1 to 9 after 4.

--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -228,6 +228,7 @@
             and self._find_workspace()
             and self._read_deadline_and_prompt()
         ):
+            self._note_resumption()
             request.on_disconnect = self._caller_disconnected
             forwarder.open_requests.add(self)
             if self._note is not None:
--- a/turnward/gateway/progress.py
+++ b/turnward/gateway/progress.py
@@ -14,7 +14,7 @@
     events : int
         Number of events forwarded so far.
     last_id : bytes or None
-        Id of the last event that carried one.
+        Id of the last event of the caller that carried one.
     first_s, last_s : float or None
         When the first and the last event were forwarded, on the monotonic clock.
     longest_pause_s : float
@@ -53,6 +53,14 @@
         #: Whether each id was the one before plus one; None without two ids.
         self._rises_by_one: bool | None = None
 
+    @classmethod
+    def resumed_after(cls, last_id: bytes) -> "StreamProgress":
+        """Return the progress of a caller that has the events up to an id from earlier requests."""
+        progress = cls()
+        progress.last_id = last_id
+        progress._last_number = event_number(last_id)
+        return progress
+
     def note(self, events: StreamEvents, now_s: float) -> None:
         """Record events that were forwarded together."""
         if not events.count:
--- a/turnward/gateway/resumable_request.py
+++ b/turnward/gateway/resumable_request.py
@@ -66,6 +66,12 @@
             fields["endpoints_age_s"] = round(self._forwarder.state.endpoints_age_s(), 3)
         return fields
 
+    def _note_resumption(self) -> None:
+        """Have the next event follow the last one that the caller has, if it says so."""
+        last_id = header_value(self._request.headers, self._forwarder.dialect.last_event_id)
+        if self.resumable and last_id is not None:
+            self._progress = StreamProgress.resumed_after(last_id)
+
     def may_continue_with(self, events: StreamEvents) -> bool:
         """Return whether events may follow the last one forwarded."""
         return self._progress.may_continue_with(events)
--- a/turnward/gateway/tests/test_forwarding.py
+++ b/turnward/gateway/tests/test_forwarding.py
@@ -520,6 +520,20 @@
     assert not complete
 
 
+def test_stream_that_a_caller_resumes_does_not_start_over():
+    def restart_stream(endpoint, request):
+        request.start(200, answer_head(request), None)
+        request.write(encode_events(1, 9))
+        request.finish()
+
+    harness = streaming_harness(resumable=True, attempts=2)
+    harness.endpoint(restart_stream)
+    harness.ready()
+    caller = harness.ask(method=b"POST", body=b"p", headers=((b"Last-Event-Id", b"4"),))
+    assert decode_chunked(caller.body) == (b"", False)
+    assert caller.closed is not None
+
+
 def test_stream_that_ends_inside_an_event_does_not_look_complete():
     def end_inside_event(endpoint, request):
         request.start(200, answer_head(request), None)
