The body of a pipelined request is not changed

What callers would see, if they send a request before the answer to the one before: an endpoint ran it with 30 bytes missing and a part of the next request's head in its body.

Cause: bytes that came while another request was served wait unparsed. When the next request was taken from the queue with its body incomplete, later bytes were parsed before those that waited.

They are now parsed first. The new test failed before.

--- a/turnward/gateway/tests/test_forwarding.py
+++ b/turnward/gateway/tests/test_forwarding.py
@@ -520,6 +520,25 @@
     assert not complete
 
 
+def test_body_of_a_pipelined_request_is_not_changed():
+    def answer_late(endpoint, request):
+        endpoint.machine.callLater(0.5, answer_ok, endpoint, request)
+
+    harness = Harness(attempts=1)
+    endpoint = harness.endpoint(answer_late)
+    harness.ready()
+    caller = harness.connect()
+    body = b"".join(b"%03d." % number for number in range(25))
+    second = harness.request_bytes(request_id=b"b", method=b"POST", body=body)
+    caller.transport.write(harness.request_bytes(request_id=b"a") + second[:-60])
+    harness.network.advance(0.1)
+    caller.transport.write(second[-60:-30])
+    harness.network.advance(1.5)
+    caller.transport.write(second[-30:] + harness.request_bytes(request_id=b"c"))
+    harness.network.advance(3.0)
+    assert endpoint.bodies == [b"", body, b""]
+
+
 def test_stream_that_a_caller_resumes_does_not_start_over():
     def restart_stream(endpoint, request):
         request.start(200, answer_head(request), None)
--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -527,18 +527,30 @@
             self._next_request_scheduled = True
             self._factory.call_soon(self._start_next_request)
 
+    def _parse_unparsed(self) -> None:
+        """Parse what came while another request was served, and read on."""
+        if self._pending_refusal is not None:
+            return
+        self.resume_reading()
+        unparsed, self._unparsed = b"".join(self._unparsed), []
+        self._unparsed_bytes = 0
+        if unparsed:
+            self._parse(unparsed)
+
+    @property
+    def _current_body_complete(self) -> bool:
+        return self._current is not None and self._current.body_complete
+
     def _start_next_request(self) -> None:
         self._next_request_scheduled = False
         if self._closing:
             return
         if self._queued:
             self._begin(self._queued.popleft())
+            if not self._current_body_complete:
+                self._parse_unparsed()
         elif self._pending_refusal is None:
-            self.resume_reading()
-            unparsed, self._unparsed = b"".join(self._unparsed), []
-            self._unparsed_bytes = 0
-            if unparsed:
-                self._parse(unparsed)
+            self._parse_unparsed()
             return
         if self._pending_refusal is not None and self._may_refuse_now():
             self._refuse(self._pending_refusal)
