Only a new connection shows that an endpoint's process has outlived an answer

What callers saw: a stream of a killed process was whole to them after 5 of 12 events, and a plain answer cut with 200, while another caller of the same endpoint was not reading.

Cause: a connection that was open already counted as proof. One that is paused for a slow caller is not read, so that its end is not seen; and the end of one on a link that loses packets comes late. An endpoint whose entry had gone meanwhile was not asked at all.

A new connection is opened for each such end. It replaces the one that has ended, as it is kept for later requests, so that no more connections are opened over time. Endpoints that drain are not asked, as before.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -2,6 +2,7 @@
 """One attempt to run a request at one endpoint, and the checks of its response."""
 
 from turnward.gateway.abandoned_runs import AbandonedRun
+from turnward.gateway.end_check import check_process
 from turnward.gateway.endpoint_record import EndpointRecord
 from turnward.gateway.outcomes import NOT_RUN_STATUSES, Reason
 from turnward.gateway.request_turns import AttemptBase
@@ -372,10 +373,10 @@
     def end_in_doubt(self, connection):
         """Check that the endpoint runs, unless a planned end of it may have closed its port."""
         record = self.record
-        if self.ended or record.pool.closed or record.availability.draining:
+        if self.ended or record.availability.draining:
             connection.confirm_end(complete=True)
         else:
-            record.end_check.start(self._connect_timeout_s, connection.confirm_end)
+            check_process(record.pool, self._connect_timeout_s, connection.confirm_end)
 
     def exchange_failed(self, failure):
         """Record the failure and report it to the forwarded request."""
--- a/turnward/gateway/end_check.py
+++ b/turnward/gateway/end_check.py
@@ -10,52 +10,21 @@
 
 from turnward.http1 import ExchangeBase, OutboundConnection, OutboundPool
 
-__all__ = ["EndCheck"]
+__all__ = ["check_process"]
 
 #: Time within which a process that ends closes all of its connections.
 _SETTLE_S = 0.03
 
 
-class EndCheck:
-    """Checks of one endpoint; those without an open connection share a new one.
+def check_process(
+    pool: OutboundPool, connect_timeout_s: float, on_result: Callable[[bool], None]
+) -> None:
+    """Tell later whether an endpoint's process runs: a new connection opens and stays open.
 
-    Parameters
-    ----------
-    pool : OutboundPool
-        The connections to the endpoint.
+    Connections that are open already prove nothing: the end of one that is not read, or whose
+    packets are lost, has not been seen yet. The new one is kept for later requests.
     """
-
-    __slots__ = ("_pool", "_waiting")
-
-    def __init__(self, pool: OutboundPool):
-        self._pool = pool
-        self._waiting: list[Callable[[bool], None]] = []
-
-    def start(self, connect_timeout_s: float, on_result: Callable[[bool], None]) -> None:
-        """Tell later whether the process runs: a connection stays open, or a new one opens."""
-        witnesses = self._pool.open_connections
-
-        def check() -> None:
-            if any(connection.is_open for connection in witnesses):
-                on_result(True)
-            else:
-                self._open(connect_timeout_s, on_result)
-
-        if witnesses:
-            self._pool.call_later(_SETTLE_S, check)
-        else:
-            self._open(connect_timeout_s, on_result)
-
-    def _open(self, connect_timeout_s: float, on_result: Callable[[bool], None]) -> None:
-        self._waiting.append(on_result)
-        if len(self._waiting) == 1:
-            probe = _UnusedExchange(self._pool, self._end)
-            self._pool.open(probe, connect_timeout_s)
-
-    def _end(self, runs: bool) -> None:
-        waiting, self._waiting = self._waiting, []
-        for on_result in waiting:
-            on_result(runs)
+    pool.open(_UnusedExchange(pool, on_result), connect_timeout_s)
 
 
 class _UnusedExchange(ExchangeBase):
--- a/turnward/gateway/endpoint_record.py
+++ b/turnward/gateway/endpoint_record.py
@@ -10,7 +10,6 @@
 from turnward.gateway.abandoned_runs import AbandonedRuns
 from turnward.gateway.availability import Availability
 from turnward.gateway.configuration import EndpointEntry
-from turnward.gateway.end_check import EndCheck
 from turnward.gateway.engine_speed import EventGapTracker, SpeedClass
 from turnward.gateway.prompts import Prompt
 from turnward.gateway.warm_up import WarmUp
@@ -64,8 +63,6 @@
         Identifies one start of the endpoint; a restarted endpoint gets a new record.
     warm_up : WarmUp
         Whether it is cold.
-    end_check : EndCheck
-        Finds out whether its process runs.
     lapsed_s : float or None
         When its entry lapsed along with many others; None while it has an entry.
     """
@@ -74,7 +71,6 @@
         "_parts",
         "abandoned",
         "availability",
-        "end_check",
         "entry",
         "gap_tracker",
         "in_flight",
@@ -97,7 +93,6 @@
         self.entry = entry
         self.incarnation = entry.incarnation
         self.pool = make_pool(entry.address, partial(on_head, self))
-        self.end_check = EndCheck(self.pool)
         self.in_flight = 0
         self.opening = 0
         self.prefill_tokens = 0
--- a/turnward/gateway/tests/test_ends_of_processes.py
+++ b/turnward/gateway/tests/test_ends_of_processes.py
@@ -167,3 +167,35 @@
     harness = make_harness(complete, resumable=True)
     caller = harness.ask(headers=((b"Last-Event-Id", b"%d" % EVENTS),))
     assert decode_chunked(caller.body) == (b"", True)
+
+
+def test_end_of_a_killed_process_is_not_whole_beside_a_connection_that_is_not_read():
+    harness = make_harness(cut_once, endpoints=1)
+    endpoint = harness.endpoints[0]
+    endpoint.behave = lambda endpoint, request: respond(request, encode_events(1, 40, 10_000))
+    slow = harness.send()
+    slow.transport.pauseProducing()
+    harness.network.advance(0.5)
+    endpoint.behave = cut_once
+    assert not decode_chunked(harness.ask().body)[1]
+
+
+def test_end_of_a_killed_process_is_not_whole_although_its_entry_has_gone_meanwhile():
+    def kill_late(endpoint, request):
+        if harness.cut:
+            complete(endpoint, request)
+            return
+        harness.cut = True
+        respond(request, encode_events(1, 40, 10_000))
+        endpoint.machine.callLater(0.5, end_process, endpoint)
+
+    harness = make_harness(kill_late, endpoints=2, resumable=True, time_limit_s=30.0)
+    caller = harness.send()
+    caller.transport.pauseProducing()
+    harness.network.advance(1.0)
+    first = next(endpoint for endpoint in harness.endpoints if endpoint.requests)
+    harness.rows.remove("endpoints", first.endpoint_id)
+    harness.network.advance(3.0)
+    caller.transport.resumeProducing()
+    harness.network.advance(3.0)
+    assert len(harness.logs[0].of("attempt.chosen")) == 2
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -293,6 +293,9 @@
 
     def release_unused(self) -> None:
         """Return the connection of an exchange that has sent nothing to the pool."""
+        if self._answered:
+            self.drop()
+            return
         self._exchange = None
         self._release()
 
@@ -405,11 +408,6 @@
         """Whether an exchange is in progress."""
         return self._exchange is not None
 
-    @property
-    def is_open(self) -> bool:
-        """Whether the connection has not been lost."""
-        return not self._lost
-
     @property
     def connect_ms(self) -> float | None:
         """Time in which the connection opened; None from the second exchange on it on."""
@@ -497,16 +495,6 @@
         oldest_s = self.oldest_open_s
         return oldest_s is not None and oldest_s <= time_s
 
-    @property
-    def open_connections(self) -> list[OutboundConnection]:
-        """All open connections, in use or idle."""
-        return list(self._opened_s)
-
-    @property
-    def closed(self) -> bool:
-        """Whether connections are no longer kept after their exchange."""
-        return self._closed
-
     @property
     def closed_at_once(self) -> int:
         """Number of connections that the peer has closed just now."""
