The answer to HEAD on a streaming route is whole without events

A head without length or chunks was taken for a stream that broke off before its first event, and repeated.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -367,6 +367,8 @@
         """Return whether a stream has ended inside an event, or before its first one."""
         if self._splitter.partial:
             return True
+        if self.method == b"HEAD":
+            return False
         unframed = self.framing is BodyFraming.CONNECTION
         return unframed and self._status == 200 and not self._events and not self._owner.continues
 
--- a/turnward/gateway/tests/test_ends_of_processes.py
+++ b/turnward/gateway/tests/test_ends_of_processes.py
@@ -199,3 +199,11 @@
     caller.transport.resumeProducing()
     harness.network.advance(3.0)
     assert len(harness.logs[0].of("attempt.chosen")) == 2
+
+
+def test_head_of_a_stream_that_ends_with_its_connection_is_a_whole_answer():
+    harness = make_harness(complete)
+    caller = harness.send(method=b"HEAD")
+    harness.network.advance(1.0)
+    assert caller.status == 200
+    assert not harness.logs[0].of("attempt.failed")
