A comment before the first piece of a run does not hide a gap

A run that continues a stream has to begin at the next piece. Its first read was taken for its beginning, also if it held a comment without an id; then any larger id passed. The run now begins with its first id.

--- a/turnward/gateway/streams.py
+++ b/turnward/gateway/streams.py
@@ -36,7 +36,7 @@
     in_order : bool
         Whether each id is larger than the one before, or another one if they are no numbers.
     begin_run : bool
-        Whether no events were taken from the stream before.
+        Whether no event with an id was taken from the stream before.
     """
 
     data: bytes
@@ -93,7 +93,7 @@
         if count:
             self._bytes_since_event = len(self._tail)
         begin_run = not self._begun
-        self._begun = self._begun or count > 0
+        self._begun = self._begun or bool(ids)
         first_id, last_id = (ids[0], ids[-1]) if ids else (None, None)
         return StreamEvents(complete, count, first_id, last_id, len(ids), _in_order(ids), begin_run)
 
--- a/turnward/gateway/tests/test_stream_pieces.py
+++ b/turnward/gateway/tests/test_stream_pieces.py
@@ -51,6 +51,24 @@
     assert read_stream(run([1, 2, 3, 4], [6, 7, 8])) == (encode([1, 2, 3, 4]), False)
 
 
+def test_run_that_leaves_a_piece_out_after_a_comment_does_not_continue_a_stream():
+    def behave(endpoint, request):
+        if header_value(request.headers, DIALECT.last_event_id) is None:
+            run([1, 2, 3, 4])(endpoint, request)
+            return
+        request.start(200, answer_head(request), None)
+        request.write(b": ready\n\n")
+        endpoint.machine.callLater(0.05, request.write, encode([6, 7, 8]))
+        endpoint.machine.callLater(0.1, request.finish)
+
+    body, complete = read_stream(behave)
+    assert (body.startswith(encode([1, 2, 3, 4])), b"id: 6" in body, complete) == (
+        True,
+        False,
+        False,
+    )
+
+
 def test_run_that_follows_at_once_continues_a_stream():
     assert read_stream(run([1, 2, 3, 4], [5, 6, 7])) == (encode(range(1, 8)), True)
 
