A request that is refused before its route is known is logged without a fault

The line of each request tells since the endpoints' age was added whether its stream goes on, which asked the route of requests that have none: refusals while stopping or without a configuration, unknown routes. The exception came up as process.fault after the refusal, and the line was lost.

The test failed before.

--- a/turnward/gateway/resumable_request.py
+++ b/turnward/gateway/resumable_request.py
@@ -103,7 +103,9 @@
     @property
     def _continues(self) -> bool:
         """Whether the caller has events that the next one must fit to."""
-        return self.streams and (self._progress.events > 0 or self._resumed_by_caller)
+        if self._route is None or not self._route.streams:
+            return False
+        return self._progress.events > 0 or self._resumed_by_caller
 
     @property
     def bound_version(self) -> str:
--- a/turnward/gateway/tests/test_stale_tables.py
+++ b/turnward/gateway/tests/test_stale_tables.py
@@ -243,3 +243,11 @@
     harness.announce(restarted, version="v2")
     harness.network.advance(1.0)
     assert not before & set(restarted.factory.connections)
+
+
+def test_refusal_without_a_route_is_logged_without_a_fault():
+    harness = make_harness(["v1"])
+    assert harness.ask(path=b"/nowhere", headers=((b"Last-Event-Id", b"3"),)).status == 404
+    (ended,) = harness.logs[0].of("request.ended")
+    assert "endpoints_age_s" not in ended
+    assert not harness.logs[0].of("process.fault")
