A gateway without peers does not wait to compare its table

A stream that goes on at a gateway whose table is doubtful waited 0.3 s also where there is no peer to ask. And an unexpected error while a newer table is adopted would have left each later comparison to its time limit; it is logged now.

--- a/turnward/gateway/table_catch_up.py
+++ b/turnward/gateway/table_catch_up.py
@@ -13,7 +13,7 @@
 from twisted.internet import defer
 
 from turnward.gateway.peer_book import PeerBook
-from turnward.gateway.peers import ENDPOINTS_VERSION_PATH, PeerSynchronizer
+from turnward.gateway.peers import ENDPOINTS_PATH, ENDPOINTS_VERSION_PATH, PeerSynchronizer
 from turnward.gateway.state import FleetState
 from turnward.http1 import Http1Error, InboundRequest
 from turnward.rows import RowVersion
@@ -130,6 +130,8 @@
             defer.ensureDeferred(self._ask(check, address))
         if self._behind:
             self._fetch_newer()
+        elif not asked:
+            self._end(check)
 
     def _peers_to_ask(self) -> list[str]:
         """Return the addresses of the members heard last."""
@@ -181,7 +183,13 @@
                 self._end(self._check)
 
         fetch = self._peers.fetch_endpoints(self._heard_from, _CALL_TIMEOUT_S)
-        defer.ensureDeferred(fetch).addCallback(fetched)
+        defer.ensureDeferred(fetch).addErrback(self._log_error).addCallback(fetched)
+
+    def _log_error(self, failure) -> None:
+        what = ENDPOINTS_PATH.decode()
+        self._log.failure(
+            "peer.fetch_failed", peer=self._heard_from, what=what, cause=failure.value
+        )
 
     def _end(self, check: "_Check") -> None:
         """Tell the streams that wait for a check how current the table is."""
--- a/turnward/gateway/tests/test_stale_tables.py
+++ b/turnward/gateway/tests/test_stale_tables.py
@@ -251,3 +251,12 @@
     (ended,) = harness.logs[0].of("request.ended")
     assert "endpoints_age_s" not in ended
     assert not harness.logs[0].of("process.fault")
+
+
+def test_gateway_without_peers_does_not_wait_to_compare_its_table():
+    harness = make_harness(["v1"])
+    harness.clients[0].faults.unavailable = True
+    harness.network.advance(9.0)
+    resume(harness, b"begun")
+    (ended,) = harness.logs[0].of("request.ended")
+    assert ended["took_ms"] < 200
