--- a/conftest.py
+++ b/conftest.py
@@ -15,6 +15,7 @@
     "platform/tests/test_zone_partitions.py",
     "platform/tests/test_soak.py",
     "platform/tests/test_stream_probe.py",
+    "platform/tests/test_rejoined_streams.py",
     "platform/tests/test_cold_restarts.py",
 )
 _KNOWN_RED = Path(__file__).parent / "KNOWN-RED.txt"
