Log what the rows of pools' versions said when they were read

Nobody could tell from the lines of a gateway that joined two versions whether the row of the pool's versions had been read by then, and whether it named both. The line `pool_versions.read` tells the versions by pool as read, and of which pools there is no row or an unreadable one. What follows from the rows is unchanged.

--- a/turnward/gateway/pool_version_rows.py
+++ b/turnward/gateway/pool_version_rows.py
@@ -52,6 +52,8 @@
         Records rows that can't be decoded.
     rng : random.Random
         Draws the delays of retries.
+    log
+        Where reads are recorded.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         rank_for: Callable[[str], int],
         unreadable_rows: UnreadableRows,
         rng: random.Random,
+        log,
     ):
         self._reactor = reactor
         self._store = store
@@ -69,7 +72,9 @@
         self._rank_for = rank_for
         self._unreadable_rows = unreadable_rows
         self._rng = rng
+        self._log = log
         self._recorded: dict[str, frozenset[str]] = {}
+        self._unreadable: set[str] = set()
         self._writing: set[str] = set()
 
     def start(self) -> None:
@@ -87,17 +92,31 @@
                 break
             except RowStoreError:
                 await task.deferLater(self._reactor, self._rng.uniform(*_RETRY_DELAY_S))
-        self._recorded = {row.key.key: self._decode(row) for row in table.rows if not row.gone}
+        rows = [row for row in table.rows if not row.gone]
+        self._recorded = {row.key.key: self._decode(row) for row in rows}
+        self._log_read(table.version)
         self._versions.add_recorded(self._recorded)
         check = task.LoopingCall(self._check)
         check.clock = self._reactor
         check.start(_CHECK_INTERVAL_S)
 
+    def _log_read(self, version: int) -> None:
+        absent = self._versions.recordable().keys() - self._recorded.keys()
+        unknown = dict.fromkeys(sorted(absent), "absent")
+        unknown.update(dict.fromkeys(sorted(self._unreadable), "unreadable"))
+        versions = {
+            pool: sorted(versions)
+            for pool, versions in self._recorded.items()
+            if pool not in unknown
+        }
+        self._log.event("pool_versions.read", version=version, versions=versions, unknown=unknown)
+
     def _decode(self, row: StoredRow) -> frozenset[str]:
         try:
             return frozenset(msgspec.json.decode(row.value, type=list[str]) if row.value else ())
         except ROW_DECODE_ERRORS as error:
             self._unreadable_rows.mark_unreadable(row, error)
+            self._unreadable.add(row.key.key)
             return frozenset()
 
     def _check(self) -> None:
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -270,6 +270,7 @@
             ranks.rank_for,
             self.state.unreadable_rows,
             self._rng,
+            log,
         )
         self._member_row = self._make_member_row()
         self.forwarder = self._make_forwarder()
