A pool's past is unknown until it has been read or watched

Cause: a gateway that had started and learnt recorded versions and endpoints before the configuration took "no configuration yet" for "streams last 0 s", dropped each version that had left, and then counted the pool as one of a single version for certain. The class: what has not been read yet is taken for nothing. Two more of it in the same state: a pool without a row counted as one whose past holds one version, and a pool that left the configuration for a moment, or got a shorter time limit, forgot versions whose streams could still be resumed.

Why it holds: the limit is None while there is no configuration, and nothing is dropped by a limit that is not known. What is known of the past is one value for each pool, the time since which all versions are known: infinity at first, the time of the first table once endpoints are watched, minus infinity once others' record of this pool has been read. A pool has a single version only if that lies further back than a stream lasts, in whatever order the tables arrive.

Six tests resumed a stream that nobody began in a fleet without any row, which was taken for a record. They now wait until the pool has been watched for as long as a stream lasts; what they check is unchanged. Entries that name no version have one name now, as an empty one stood for an unknown version, and streams inside one answer could not go on there.

--- a/turnward/gateway/configuration.py
+++ b/turnward/gateway/configuration.py
@@ -8,6 +8,7 @@
 from turnward.gateway.zone_orders import ZoneOrder
 from turnward.http1 import InboundLimits
 from turnward.rows import RowVersion
+from turnward.software_versions import UNNAMED_VERSION
 
 __all__ = [
     "Configuration",
@@ -216,7 +217,7 @@
         When the endpoint's process started, in milliseconds since 1970 by its own clock; it
         differs after a restart under the same ``endpoint_id``. None if not specified.
     version : str
-        Version of the endpoint's software; empty if not specified.
+        Version of the endpoint's software.
     """
 
     endpoint_id: str
@@ -227,7 +228,7 @@
     leaving: bool = False
     cold_left_s: float = 0.0
     born_ms: int | None = None
-    version: str = ""
+    version: str = UNNAMED_VERSION
 
     @property
     def incarnation(self) -> str:
--- a/turnward/gateway/state.py
+++ b/turnward/gateway/state.py
@@ -100,9 +100,12 @@
         """Whether everything that is needed to serve requests is known."""
         return self.routes is not None and self.endpoints_version > 0 and self.zone_orders_known
 
-    def stream_limit_s(self, pool: str) -> float:
-        """Return how long a stream of a pool may be resumed; 0 if it has none."""
-        return self.routes.stream_limits_s.get(pool, 0.0) if self.routes is not None else 0.0
+    def stream_limit_s(self, pool: str) -> float | None:
+        """Return how long a stream of a pool may be resumed; 0 if it has none.
+
+        None while there is no configuration.
+        """
+        return self.routes.stream_limits_s.get(pool, 0.0) if self.routes is not None else None
 
     def add_listener(self, listener: Callable[[str, str], None]) -> None:
         """Call ``listener(kind, source)`` after each change.
--- a/turnward/gateway/tests/harness.py
+++ b/turnward/gateway/tests/harness.py
@@ -340,6 +340,15 @@
         assert self.network.advance_until(lambda: all(g.ready for g in self.gateways))
         return self
 
+    def watch_pools(self):
+        """Wait until the gateways know all versions whose streams may still go on."""
+        pools = {entry.pool for entry in self.gateways[0].state.endpoints.values()}
+        keepers = [gateway.forwarder.versions for gateway in self.gateways]
+        assert self.network.advance_until(
+            lambda: all(keeper.pools.knows_past(pool) for keeper in keepers for pool in pools),
+            limit_s=60.0,
+        )
+
     def connect(self, gateway=0, port=CALLERS_PORT):
         """Open a caller's connection to a gateway and return it."""
         self._connections += 1
--- a/turnward/gateway/tests/test_ends_of_processes.py
+++ b/turnward/gateway/tests/test_ends_of_processes.py
@@ -165,6 +165,7 @@
 
 def test_resumption_of_a_stream_that_had_all_its_events_is_complete():
     harness = make_harness(complete, resumable=True)
+    harness.watch_pools()
     caller = harness.ask(headers=((b"Last-Event-Id", b"%d" % EVENTS),))
     assert decode_chunked(caller.body) == (b"", True)
 
--- a/turnward/gateway/tests/test_forwarding.py
+++ b/turnward/gateway/tests/test_forwarding.py
@@ -548,6 +548,7 @@
     harness = streaming_harness(resumable=True, attempts=2)
     harness.endpoint(restart_stream)
     harness.ready()
+    harness.watch_pools()
     caller = harness.ask(method=b"POST", body=b"p", headers=((b"Last-Event-Id", b"4"),))
     assert decode_chunked(caller.body) == (b"", False)
     assert caller.closed is not None
--- a/turnward/gateway/tests/test_software_versions.py
+++ b/turnward/gateway/tests/test_software_versions.py
@@ -97,6 +97,7 @@
 
 def test_lines_name_the_version_of_a_stream_and_the_request_that_began_it():
     harness = make_harness(["v7"])
+    harness.watch_pools()
     resume(harness, b"first", request_id=b"second")
     (chosen,) = harness.logs[0].of("attempt.chosen")
     (ended,) = harness.logs[0].of("request.ended")
@@ -106,6 +107,7 @@
 
 def test_line_tells_how_old_the_table_is_by_which_a_stream_goes_on():
     harness = make_harness(["v7"])
+    harness.watch_pools()
     harness.clients[0].faults.unavailable = True
     harness.network.advance(9.0)
     resume(harness, b"first")
@@ -195,7 +197,7 @@
 
 def test_nothing_is_told_or_asked_while_a_pool_has_one_version():
     harness = make_harness(["v1", "v1", "v1"], gateways=4, breaks=True)
-    harness.network.advance(3.0)
+    harness.watch_pools()
     messages = count_messages(harness)
     for number in range(6):
         harness.ask(number % 4, request_id=b"begun-%d" % number)
--- a/turnward/gateway/tests/test_stale_tables.py
+++ b/turnward/gateway/tests/test_stale_tables.py
@@ -18,7 +18,7 @@
 def make_long_running(gateways):
     """Return a fleet that has long known one version alone."""
     harness = make_harness(["v1", "v1"], gateways)
-    harness.network.advance(3.0)
+    harness.watch_pools()
     return harness
 
 
--- a/turnward/gateway/version_keeper.py
+++ b/turnward/gateway/version_keeper.py
@@ -69,7 +69,8 @@
     clock : callable
         Monotonic clock in seconds.
     stream_limit_s : callable
-        Returns how long a stream of a pool may last, in seconds; 0 for pools without streams.
+        Returns how long a stream of a pool may last, in seconds; 0 for pools without streams, None
+        while there is no configuration.
     streams : StreamVersions
         Versions of streams that this router knows.
     exchange : StreamVersionExchange
@@ -92,7 +93,7 @@
     def __init__(
         self,
         clock: Callable[[], float],
-        stream_limit_s: Callable[[str], float],
+        stream_limit_s: Callable[[str], float | None],
         streams: StreamVersions,
         exchange: StreamVersionExchange,
         entries_stale: Callable[[], bool],
--- a/turnward/software_versions/__init__.py
+++ b/turnward/software_versions/__init__.py
@@ -3,6 +3,7 @@
 
 from turnward.software_versions.pool_versions import (
     UNKNOWN_VERSION,
+    UNNAMED_VERSION,
     PoolVersions,
     may_be_same_version,
 )
@@ -16,6 +17,7 @@
 
 __all__ = [
     "UNKNOWN_VERSION",
+    "UNNAMED_VERSION",
     "PoolVersions",
     "StreamKey",
     "StreamVersions",
