An unreadable row of a pool's versions leaves the past unknown

Seen by callers: after a loss of all gateways beside two versions, a stream of the version that has left went on at the other one, if the bytes of the row could not be decoded. Cause: such a row counted as one without versions, and the pool as one of a single version. The first gateway that started also replaced it by what was present then. Why it works: what a row tells has a typed standing, and only a complete one is passed on as the recorded past. A row that can't be read is replaced only by a gateway that knows the past: one that has watched the pool for as long as a stream may last.

--- a/turnward/gateway/pool_version_rows.py
+++ b/turnward/gateway/pool_version_rows.py
@@ -12,7 +12,8 @@
 import msgspec
 from twisted.internet import defer, task
 
-from turnward.gateway.unreadable_rows import ROW_DECODE_ERRORS, UnreadableRows
+from turnward.gateway.recorded_versions import RecordedVersions, RowStanding
+from turnward.gateway.unreadable_rows import UnreadableRows
 from turnward.rows import (
     RowChange,
     RowKey,
@@ -33,6 +34,7 @@
 _DELAY_PER_RANK_S = 0.5
 #: Range of the random delay before a failed read is retried.
 _RETRY_DELAY_S = (0.3, 0.9)
+_NOTHING_RECORDED = RecordedVersions()
 
 
 class PoolVersionRows:
@@ -73,8 +75,7 @@
         self._unreadable_rows = unreadable_rows
         self._rng = rng
         self._log = log
-        self._recorded: dict[str, frozenset[str]] = {}
-        self._unreadable: set[str] = set()
+        self._recorded: dict[str, RecordedVersions] = {}
         self._writing: set[str] = set()
 
     def start(self) -> None:
@@ -92,38 +93,40 @@
                 break
             except RowStoreError:
                 await task.deferLater(self._reactor, self._rng.uniform(*_RETRY_DELAY_S))
-        rows = [row for row in table.rows if not row.gone]
-        self._recorded = {row.key.key: self._decode(row) for row in rows}
+        self._recorded = {row.key.key: self._decode(row) for row in table.rows}
         self._log_read(table.version)
-        self._versions.add_recorded(self._recorded)
+        for pool, recorded in self._recorded.items():
+            self._learn(pool, recorded)
         check = task.LoopingCall(self._check)
         check.clock = self._reactor
         check.start(_CHECK_INTERVAL_S)
 
+    def _learn(self, pool: str, recorded: RecordedVersions) -> None:
+        """Add what a row tells to what is known."""
+        if recorded.complete:
+            self._versions.add_recorded({pool: recorded.versions})
+
     def _log_read(self, version: int) -> None:
-        absent = self._versions.recordable().keys() - self._recorded.keys()
-        unknown = dict.fromkeys(sorted(absent), "absent")
-        unknown.update(dict.fromkeys(sorted(self._unreadable), "unreadable"))
-        versions = {
-            pool: sorted(versions)
-            for pool, versions in self._recorded.items()
-            if pool not in unknown
-        }
-        self._log.event("pool_versions.read", version=version, versions=versions, unknown=unknown)
-
-    def _decode(self, row: StoredRow) -> frozenset[str]:
-        try:
-            return frozenset(msgspec.json.decode(row.value, type=list[str]) if row.value else ())
-        except ROW_DECODE_ERRORS as error:
-            self._unreadable_rows.mark_unreadable(row, error)
-            self._unreadable.add(row.key.key)
-            return frozenset()
+        pools = self._recorded.keys() | self._versions.recordable().keys()
+        recorded = {pool: self._recorded_of(pool) for pool in sorted(pools)}
+        self._log.event(
+            "pool_versions.read",
+            version=version,
+            versions={name: sorted(one.versions) for name, one in recorded.items() if one.complete},
+            unknown={name: one.standing for name, one in recorded.items() if not one.complete},
+        )
+
+    def _decode(self, row: StoredRow) -> RecordedVersions:
+        return RecordedVersions.from_row(row, self._unreadable_rows)
+
+    def _recorded_of(self, pool: str) -> RecordedVersions:
+        return self._recorded.get(pool, _NOTHING_RECORDED)
 
     def _check(self) -> None:
         """Write the rows that differ from what is known."""
         for pool, versions in self._versions.recordable().items():
             rank = self._rank_for(pool)
-            due = versions != self._recorded.get(pool) and rank < _WRITERS
+            due = self._is_due(pool, versions) and rank < _WRITERS
             if due and pool not in self._writing:
                 self._writing.add(pool)
                 writing = task.deferLater(self._reactor, rank * _DELAY_PER_RANK_S)
@@ -131,20 +134,32 @@
                 writing.addErrback(lambda failure: failure.trap(RowStoreError))
                 writing.addBoth(lambda _, pool=pool: self._writing.discard(pool))
 
+    def _is_due(self, pool: str, versions: frozenset[str]) -> bool:
+        """Return whether a row is to be written.
+
+        Only who knows the past may replace a row of unknown content.
+        """
+        recorded = self._recorded_of(pool)
+        if recorded.standing is RowStanding.UNREADABLE:
+            return self._versions.knows_past(pool)
+        return recorded.versions != versions or not recorded.complete
+
     async def _write(self, pool: str) -> None:
         """Write a pool's row unless another router has done so; a failure is tried again later."""
         key = RowKey(POOL_VERSIONS_TABLE, "", pool)
         row = await self._store.read_row(key)
-        stored = frozenset() if row.gone else self._decode(row)
-        if stored - self._recorded.get(pool, frozenset()):
-            self._versions.add_recorded({pool: stored})
+        stored = self._decode(row)
+        if stored.versions - self._recorded_of(pool).versions:
+            self._learn(pool, stored)
+        self._recorded[pool] = stored
         versions = self._versions.recordable().get(pool, frozenset())
-        if versions != stored:
-            value = msgspec.json.encode(sorted(versions))
-            change = RowChange(key, value, 0 if row.gone else row.version)
-            try:
-                await self._store.transact(VersionedTransaction((change,)))
-            except VersionConflictError:
-                # Another router has just written the row; the next check compares again.
-                return
-        self._recorded[pool] = versions
+        if not self._is_due(pool, versions):
+            return
+        value = msgspec.json.encode(sorted(versions))
+        change = RowChange(key, value, 0 if row.gone else row.version)
+        try:
+            await self._store.transact(VersionedTransaction((change,)))
+        except VersionConflictError:
+            # Another router has just written the row; the next check compares again.
+            return
+        self._recorded[pool] = RecordedVersions(versions, RowStanding.COMPLETE)
