What a gateway of unknown past records is no record of the past

Seen by callers: all gateways are killed while a row of a pool's versions is missing, start, write what is present, and are killed again. Streams of the version that had left then went on at another one. The same after an older build had taken a version out of its row too early, and if a gateway whose past was unknown rewrote the row. Cause: a row in place counted as the whole past, whoever wrote it, and any gateway could take out what it did not know of. Evidence, before: 200 in place of 503 in test_row_of_gateways_that_did_not_know_the_past_is_no_record_of_it and test_version_that_an_older_build_takes_out_of_its_list_stays_recorded; the version was gone from the row in test_gateway_that_does_not_know_the_past_takes_no_version_out. Why it works: a second row, in a table of its own, says whether a router that knew the past wrote the list. Who does not know it only adds versions and leaves that claim as it is. Older builds read and write the list as before and leave the record alone; its versions count beside theirs.

--- a/turnward/gateway/pool_version_rows.py
+++ b/turnward/gateway/pool_version_rows.py
@@ -9,16 +9,19 @@
 import random
 from collections.abc import Callable
 
-import msgspec
 from twisted.internet import defer, task
 
-from turnward.gateway.recorded_versions import RecordedVersions, RowStanding
+from turnward.gateway.recorded_versions import (
+    POOL_VERSION_RECORDS_TABLE,
+    POOL_VERSIONS_TABLE,
+    RecordedVersions,
+    RowStanding,
+    StoredVersions,
+)
 from turnward.gateway.unreadable_rows import UnreadableRows
 from turnward.rows import (
-    RowChange,
     RowKey,
     RowStoreError,
-    StoredRow,
     VersionConflictError,
     VersionedStoreBase,
     VersionedTransaction,
@@ -27,7 +30,6 @@
 
 __all__ = ["PoolVersionRows"]
 
-POOL_VERSIONS_TABLE = "pool_versions"
 _CHECK_INTERVAL_S = 1.0
 #: Routers that write a row, one after the other while it differs; the first may have crashed.
 _WRITERS = 4
@@ -89,22 +91,35 @@
     async def _read(self) -> None:
         while True:
             try:
-                table = await self._store.read_table(POOL_VERSIONS_TABLE)
+                await self._read_tables()
                 break
             except RowStoreError:
                 await task.deferLater(self._reactor, self._rng.uniform(*_RETRY_DELAY_S))
-        self._recorded = {row.key.key: self._decode(row) for row in table.rows}
-        self._log_read(table.version)
-        for pool, recorded in self._recorded.items():
-            self._learn(pool, recorded)
         check = task.LoopingCall(self._check)
         check.clock = self._reactor
         check.start(_CHECK_INTERVAL_S)
 
+    async def _read_tables(self) -> None:
+        records = await self._store.read_table(POOL_VERSION_RECORDS_TABLE)
+        listed = await self._store.read_table(POOL_VERSIONS_TABLE)
+        for pool, stored in StoredVersions.by_pool(listed.rows, records.rows).items():
+            self._learn(pool, stored.decode(self._unreadable_rows))
+        self._log_read(listed.version)
+
     def _learn(self, pool: str, recorded: RecordedVersions) -> None:
-        """Add what a row tells to what is known."""
+        """Add what rows tell to what is known.
+
+        Versions that they told before and that were seen absent since are left out, unless others
+        may have seen them again.
+        """
+        versions = recorded.versions
+        if self._versions.knows_past(pool):
+            versions -= self._recorded_of(pool).versions
         if recorded.complete:
-            self._versions.add_recorded({pool: recorded.versions})
+            self._versions.add_recorded({pool: versions})
+        else:
+            self._versions.add_versions({pool: versions})
+        self._recorded[pool] = recorded
 
     def _log_read(self, version: int) -> None:
         pools = self._recorded.keys() | self._versions.recordable().keys()
@@ -112,13 +127,10 @@
         self._log.event(
             "pool_versions.read",
             version=version,
-            versions={name: sorted(one.versions) for name, one in recorded.items() if one.complete},
+            versions={name: sorted(one.versions) for name, one in recorded.items() if one.versions},
             unknown={name: one.standing for name, one in recorded.items() if not one.complete},
         )
 
-    def _decode(self, row: StoredRow) -> RecordedVersions:
-        return RecordedVersions.from_row(row, self._unreadable_rows)
-
     def _recorded_of(self, pool: str) -> RecordedVersions:
         return self._recorded.get(pool, _NOTHING_RECORDED)
 
@@ -135,31 +147,37 @@
                 writing.addBoth(lambda _, pool=pool: self._writing.discard(pool))
 
     def _is_due(self, pool: str, versions: frozenset[str]) -> bool:
-        """Return whether a row is to be written.
+        recorded = self._recorded_of(pool)
+        return self._to_record(pool, versions, recorded) != recorded
+
+    def _to_record(
+        self, pool: str, versions: frozenset[str], recorded: RecordedVersions
+    ) -> RecordedVersions:
+        """Return what the rows of a pool should tell, by what they tell now.
 
-        Only who knows the past may replace a row of unknown content.
+        Only who knows the past may take a version out, or replace rows of unknown content.
         """
-        recorded = self._recorded_of(pool)
-        if recorded.standing is RowStanding.UNREADABLE:
-            return self._versions.knows_past(pool)
-        return recorded.versions != versions or not recorded.complete
+        if not self._versions.knows_past(pool):
+            return recorded.extended(versions)
+        return RecordedVersions(versions, RowStanding.COMPLETE, self._store.eras.current)
 
     async def _write(self, pool: str) -> None:
-        """Write a pool's row unless another router has done so; a failure is tried again later."""
-        key = RowKey(POOL_VERSIONS_TABLE, "", pool)
-        row = await self._store.read_row(key)
-        stored = self._decode(row)
-        if stored.versions - self._recorded_of(pool).versions:
-            self._learn(pool, stored)
-        self._recorded[pool] = stored
-        versions = self._versions.recordable().get(pool, frozenset())
-        if not self._is_due(pool, versions):
+        """Write a pool's rows unless another router has done so; a failure is tried again later."""
+        stored = await self._read_pool(pool)
+        recorded = stored.decode(self._unreadable_rows)
+        self._learn(pool, recorded)
+        versions = self._versions.recordable().get(pool)
+        if versions is None or not self._is_due(pool, versions):
             return
-        value = msgspec.json.encode(sorted(versions))
-        change = RowChange(key, value, 0 if row.gone else row.version)
+        changed = self._to_record(pool, versions, recorded)
         try:
-            await self._store.transact(VersionedTransaction((change,)))
+            await self._store.transact(VersionedTransaction(stored.changes(changed)))
         except VersionConflictError:
-            # Another router has just written the row; the next check compares again.
+            # Another router has just written the rows; the next check compares again.
             return
-        self._recorded[pool] = RecordedVersions(versions, RowStanding.COMPLETE)
+        self._recorded[pool] = changed
+
+    async def _read_pool(self, pool: str) -> StoredVersions:
+        record = await self._store.read_row(RowKey(POOL_VERSION_RECORDS_TABLE, "", pool))
+        listed = await self._store.read_row(RowKey(POOL_VERSIONS_TABLE, "", pool))
+        return StoredVersions(listed, record)
--- a/turnward/gateway/recorded_versions.py
+++ b/turnward/gateway/recorded_versions.py
@@ -1,24 +1,56 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""What the store's row of a pool tells of the software versions that the pool had lately."""
+"""What the store's rows of a pool tell of the software versions that the pool had lately."""
 
 from enum import StrEnum
 
 import msgspec
 
 from turnward.gateway.unreadable_rows import ROW_DECODE_ERRORS, UnreadableRows
-from turnward.rows import StoredRow
+from turnward.rows import RowChange, RowKey, StoredRow
 
-__all__ = ["RecordedVersions", "RowStanding"]
+__all__ = [
+    "POOL_VERSIONS_TABLE",
+    "POOL_VERSION_RECORDS_TABLE",
+    "PoolVersionRecord",
+    "RecordedVersions",
+    "RowStanding",
+    "StoredVersions",
+]
+
+#: Lists of versions, which all builds read and write.
+POOL_VERSIONS_TABLE = "pool_versions"
+#: The same with what they are worth, which older builds leave alone.
+POOL_VERSION_RECORDS_TABLE = "pool_version_records"
+#: Era of a list without a record: that of a store that was never rolled back.
+_ERA_WITHOUT_RECORD = 0
 
 
 class RowStanding(StrEnum):
-    """Whether the versions in a row are all that may have streams."""
+    """Whether the recorded versions are all that may have streams."""
 
+    #: They are all.
     COMPLETE = "complete"
+    #: No router that wrote them knew the past.
+    PARTIAL = "partial"
     ABSENT = "absent"
     UNREADABLE = "unreadable"
 
 
+class PoolVersionRecord(msgspec.Struct, frozen=True):
+    """The versions of a pool as stored, and what they are worth.
+
+    Attributes
+    ----------
+    versions : tuple of str
+        Names of the versions.
+    era : int or None
+        Era of the store in which a router that knew the past last wrote them; None if none did.
+    """
+
+    versions: tuple[str, ...]
+    era: int | None = None
+
+
 class RecordedVersions(msgspec.Struct, frozen=True):
     """The versions that are recorded of a pool.
 
@@ -28,25 +60,103 @@
         Those that could be read.
     standing : RowStanding
         Whether they are all.
+    era : int or None
+        See ``PoolVersionRecord``.
     """
 
     versions: frozenset[str] = frozenset()
     standing: RowStanding = RowStanding.ABSENT
+    era: int | None = None
 
     @classmethod
-    def from_row(cls, row: StoredRow, unreadable_rows: UnreadableRows) -> "RecordedVersions":
-        """Return what a row tells; report it if it can't be decoded."""
-        if row.gone or not row.version:
-            return cls()
-        try:
-            versions = msgspec.json.decode(row.value, type=list[str])
-        except ROW_DECODE_ERRORS as error:
-            unreadable_rows.mark_unreadable(row, error)
-            return cls(standing=RowStanding.UNREADABLE)
-        unreadable_rows.mark_readable(row.key)
-        return cls(frozenset(versions), RowStanding.COMPLETE)
+    def from_record(cls, record: PoolVersionRecord, listed: frozenset[str]) -> "RecordedVersions":
+        """Return what a record and a list tell together.
+
+        Only a list holds what older builds added, and only a record what they dropped too early.
+        """
+        standing = RowStanding.PARTIAL if record.era is None else RowStanding.COMPLETE
+        return cls(listed.union(record.versions), standing, record.era)
 
     @property
     def complete(self) -> bool:
         """Whether no other versions may have streams."""
         return self.standing is RowStanding.COMPLETE
+
+    def extended(self, versions: frozenset[str]) -> "RecordedVersions":
+        """Return what a router records that knows some versions, and nothing of the past."""
+        if self.standing is RowStanding.UNREADABLE:
+            return self
+        absent = self.standing is RowStanding.ABSENT
+        standing = RowStanding.PARTIAL if absent else self.standing
+        return RecordedVersions(self.versions | versions, standing, self.era)
+
+
+class StoredVersions:
+    """The rows of one pool.
+
+    Parameters
+    ----------
+    listed, record : StoredRow
+        Rows of both tables; the record was read first, so that the list is not the older one.
+    """
+
+    __slots__ = ("_listed", "_record")
+
+    def __init__(self, listed: StoredRow, record: StoredRow):
+        self._listed = listed
+        self._record = record
+
+    @classmethod
+    def by_pool(
+        cls, listed: tuple[StoredRow, ...], records: tuple[StoredRow, ...]
+    ) -> dict[str, "StoredVersions"]:
+        """Return the rows of both tables by pool."""
+        lists = {row.key.key: row for row in listed}
+        notes = {row.key.key: row for row in records}
+        return {
+            pool: cls(
+                lists.get(pool, _missing(POOL_VERSIONS_TABLE, pool)),
+                notes.get(pool, _missing(POOL_VERSION_RECORDS_TABLE, pool)),
+            )
+            for pool in lists.keys() | notes.keys()
+        }
+
+    def decode(self, unreadable_rows: UnreadableRows) -> RecordedVersions:
+        """Return what the rows tell; report one that can't be decoded."""
+        try:
+            listed = _decode(self._listed, list[str], unreadable_rows)
+            record = _decode(self._record, PoolVersionRecord, unreadable_rows)
+        except ROW_DECODE_ERRORS:
+            return RecordedVersions(standing=RowStanding.UNREADABLE)
+        if listed is None:
+            return RecordedVersions()
+        if record is None:
+            record = PoolVersionRecord((), _ERA_WITHOUT_RECORD)
+        return RecordedVersions.from_record(record, frozenset(listed))
+
+    def changes(self, recorded: RecordedVersions) -> tuple[RowChange, ...]:
+        """Return the changes that make the rows tell something else."""
+        versions = sorted(recorded.versions)
+        record = PoolVersionRecord(tuple(versions), recorded.era)
+        return (_change(self._listed, versions), _change(self._record, record))
+
+
+def _missing(table: str, pool: str) -> StoredRow:
+    return StoredRow(RowKey(table, "", pool), b"", 0)
+
+
+def _decode(row: StoredRow, value_type, unreadable_rows: UnreadableRows):
+    """Return the value of a row; None if there is no row."""
+    if row.gone or not row.version:
+        return None
+    try:
+        value = msgspec.json.decode(row.value, type=value_type)
+    except ROW_DECODE_ERRORS as error:
+        unreadable_rows.mark_unreadable(row, error)
+        raise
+    unreadable_rows.mark_readable(row.key)
+    return value
+
+
+def _change(row: StoredRow, value) -> RowChange:
+    return RowChange(row.key, msgspec.json.encode(value), 0 if row.gone else row.version)
--- a/turnward/gateway/tests/test_pool_version_rows.py
+++ b/turnward/gateway/tests/test_pool_version_rows.py
@@ -1,12 +1,22 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Rows of pools' versions that are absent, unreadable or outdated leave the past unknown."""
 
+import random
+
+import msgspec
 from twisted.internet import task
 
+from turnward.gateway.pool_version_rows import PoolVersionRows
+from turnward.gateway.recorded_versions import PoolVersionRecord
+from turnward.gateway.tests.harness import ListLog
 from turnward.gateway.tests.test_software_versions import make_harness, resume
+from turnward.gateway.unreadable_rows import UnreadableRows
 from turnward.rows import RowKey
+from turnward.software_versions import PoolVersions
+from turnward.standins import MemoryNetwork, MemoryRows, RowsClient
 
 ROW = RowKey("pool_versions", "", "pool")
+RECORD = RowKey("pool_version_records", "", "pool")
 
 
 def kill_all(harness):
@@ -50,7 +60,7 @@
     first = restart_all(harness)
     (line,) = harness.logs[first].of("pool_versions.read")
     assert line["versions"] == {"pool": ["v1", "v2"]}
-    assert line["unknown"] == {"other": "unreadable"}
+    assert line["unknown"] == {"other": "unreadable", "pool": "partial"}
 
 
 def test_line_tells_that_a_pool_with_endpoints_has_no_row():
@@ -88,3 +98,117 @@
     assert harness.rows.get(ROW).value == b"[1]"
     harness.network.advance(8.0)
     assert harness.rows.get(ROW).value == b'["v2"]'
+
+
+def test_row_of_gateways_that_did_not_know_the_past_is_no_record_of_it():
+    harness = make_killed_fleet()
+    harness.rows.remove("pool_versions", "pool")
+    restart_all(harness)
+    harness.network.advance(3.0)
+    assert harness.rows.get(ROW).value == b'["v2"]'
+    kill_all(harness)
+    gateway = restart_all(harness)
+    harness.network.advance(1.0)
+    assert resume(harness, b"begun-at-v1", gateway).status == 503
+    (line,) = harness.logs[gateway].of("pool_versions.read")
+    assert (line["versions"], line["unknown"]) == ({"pool": ["v2"]}, {"pool": "partial"})
+
+
+def test_version_that_an_older_build_takes_out_of_its_list_stays_recorded():
+    harness = make_killed_fleet(time_limit_s=2.0)
+    harness.rows.put("pool_versions", "pool", b'["v2"]')
+    gateway = restart_all(harness)
+    assert resume(harness, b"begun-at-v1", gateway).status == 503
+
+
+def test_list_of_an_older_build_is_the_recorded_past():
+    harness = make_killed_fleet()
+    harness.rows.remove("pool_version_records", "pool")
+    harness.rows.put("pool_versions", "pool", b'["v2"]')
+    gateway = restart_all(harness)
+    harness.network.advance(1.0)
+    assert resume(harness, b"begun-lately", gateway).status == 200
+
+
+def test_older_build_reads_all_versions_that_are_recorded():
+    harness = make_harness(["v1", "v2"], time_limit_s=2.0)
+    harness.network.advance(2.0)
+    assert msgspec.json.decode(harness.rows.get(ROW).value, type=list[str]) == ["v1", "v2"]
+    harness.network.advance(15.0)
+    assert msgspec.json.decode(harness.rows.get(ROW).value, type=list[str]) == ["v1", "v2"]
+
+
+class Writer:
+    """The rows' part of a gateway of its own, and what it knows of one pool."""
+
+    def __init__(self, rows, network, host="10.1.0.1", limit_s=20.0):
+        machine = network.machine(host)
+        self.client = RowsClient(rows, machine)
+        self.log = ListLog()
+        self.versions = PoolVersions(machine.seconds, lambda pool: limit_s)
+        self.rows = PoolVersionRows(
+            machine,
+            self.client,
+            self.versions,
+            lambda pool: 0,
+            UnreadableRows(),
+            random.Random(1),
+            self.log,
+        )
+
+    def watch(self, *versions):
+        self.versions.set_present({"pool": versions})
+
+
+def put_record(rows, versions, era=0):
+    """Write the rows of a pool as a gateway that knows the past in some era does."""
+    record = PoolVersionRecord(tuple(versions), era)
+    rows.put(ROW.table, ROW.key, msgspec.json.encode(versions))
+    rows.put(RECORD.table, RECORD.key, msgspec.json.encode(record))
+
+
+def recorded(rows):
+    """Return the versions in a pool's list and in its record, and the record's era."""
+    record = msgspec.json.decode(rows.get(RECORD).value, type=PoolVersionRecord)
+    return msgspec.json.decode(rows.get(ROW).value), list(record.versions), record.era
+
+
+def make_writer(versions, limit_s=20.0):
+    """Return a writer that has read a complete record, with the rows and the network."""
+    network = MemoryNetwork()
+    rows = MemoryRows(network.clock)
+    put_record(rows, versions)
+    writer = Writer(rows, network, limit_s=limit_s)
+    writer.watch(*versions)
+    writer.rows.start()
+    network.advance(1.0)
+    return writer, rows, network
+
+
+def test_version_is_taken_out_only_once_it_was_seen_absent_for_as_long_as_a_stream_lasts():
+    writer, rows, network = make_writer(["v1", "v2"])
+    writer.watch("v2")
+    network.advance(18.0)
+    assert recorded(rows) == (["v1", "v2"], ["v1", "v2"], 0)
+    network.advance(4.0)
+    assert recorded(rows) == (["v2"], ["v2"], 0)
+
+
+def test_gateway_that_does_not_know_the_past_takes_no_version_out():
+    writer, rows, network = make_writer(["v1", "v2"])
+    writer.watch("v2")
+    network.advance(15.0)
+    writer.versions.forget_past()
+    network.advance(10.0)
+    assert recorded(rows) == (["v1", "v2"], ["v1", "v2"], 0)
+    writer.watch("v2", "v3")
+    network.advance(2.0)
+    assert recorded(rows) == (["v1", "v2", "v3"], ["v1", "v2", "v3"], 0)
+
+
+def test_version_that_others_recorded_meanwhile_is_kept_by_the_next_writer():
+    writer, rows, network = make_writer(["v1"])
+    put_record(rows, ["v1", "v2"])
+    writer.watch("v1", "v3")
+    network.advance(3.0)
+    assert recorded(rows) == (["v1", "v2", "v3"], ["v1", "v2", "v3"], 0)
