Rows of an older copy of the store are not the whole past

Seen by callers: a version came, began streams and left, all gateways were killed, and the store came back from a copy in which the rows did not name it. Its streams then went on at another version. Cause: a gateway that started took the rows of the copy for the whole past. Evidence, before: 200 in place of 503 in test_rows_of_an_older_copy_of_the_store_are_not_the_whole_past. Why it works: the record names the era in which it was right. Only gateways that knew the past write it in a new era; until one has, the past is unknown to those that start, for as long as a stream may last at most. A gateway that starts just after the rollback reads once more after 5 s, so that it learns what the others recorded again.

--- a/turnward/gateway/pool_version_rows.py
+++ b/turnward/gateway/pool_version_rows.py
@@ -18,6 +18,7 @@
     RowStanding,
     StoredVersions,
 )
+from turnward.gateway.removed_endpoints import REWRITE_PERIOD_S
 from turnward.gateway.unreadable_rows import UnreadableRows
 from turnward.rows import (
     RowKey,
@@ -89,23 +90,36 @@
         self._recorded.clear()
 
     async def _read(self) -> None:
+        await self._read_until_answered()
+        check = task.LoopingCall(self._check)
+        check.clock = self._reactor
+        check.start(_CHECK_INTERVAL_S)
+        if self._may_be_recorded_again():
+            await task.deferLater(self._reactor, REWRITE_PERIOD_S)
+            await self._read_until_answered()
+
+    def _may_be_recorded_again(self) -> bool:
+        """Return whether a rollback of the store may have lost what others write again."""
+        known = all(recorded.complete for recorded in self._recorded_pools().values())
+        return self._store.eras.current > 0 and not known
+
+    async def _read_until_answered(self) -> None:
         while True:
             try:
-                await self._read_tables()
-                break
+                return await self._read_tables()
             except RowStoreError:
                 await task.deferLater(self._reactor, self._rng.uniform(*_RETRY_DELAY_S))
-        check = task.LoopingCall(self._check)
-        check.clock = self._reactor
-        check.start(_CHECK_INTERVAL_S)
 
     async def _read_tables(self) -> None:
         records = await self._store.read_table(POOL_VERSION_RECORDS_TABLE)
         listed = await self._store.read_table(POOL_VERSIONS_TABLE)
         for pool, stored in StoredVersions.by_pool(listed.rows, records.rows).items():
-            self._learn(pool, stored.decode(self._unreadable_rows))
+            self._learn(pool, self._decode(stored))
         self._log_read(listed.version)
 
+    def _decode(self, stored: StoredVersions) -> RecordedVersions:
+        return stored.decode(self._store.eras.current, self._unreadable_rows)
+
     def _learn(self, pool: str, recorded: RecordedVersions) -> None:
         """Add what rows tell to what is known.
 
@@ -122,8 +136,7 @@
         self._recorded[pool] = recorded
 
     def _log_read(self, version: int) -> None:
-        pools = self._recorded.keys() | self._versions.recordable().keys()
-        recorded = {pool: self._recorded_of(pool) for pool in sorted(pools)}
+        recorded = self._recorded_pools()
         self._log.event(
             "pool_versions.read",
             version=version,
@@ -131,6 +144,11 @@
             unknown={name: one.standing for name, one in recorded.items() if not one.complete},
         )
 
+    def _recorded_pools(self) -> dict[str, RecordedVersions]:
+        """Return what is recorded of each pool that has rows, or streams here."""
+        pools = self._recorded.keys() | self._versions.recordable().keys()
+        return {pool: self._recorded_of(pool) for pool in sorted(pools)}
+
     def _recorded_of(self, pool: str) -> RecordedVersions:
         return self._recorded.get(pool, _NOTHING_RECORDED)
 
@@ -164,7 +182,7 @@
     async def _write(self, pool: str) -> None:
         """Write a pool's rows unless another router has done so; a failure is tried again later."""
         stored = await self._read_pool(pool)
-        recorded = stored.decode(self._unreadable_rows)
+        recorded = self._decode(stored)
         self._learn(pool, recorded)
         versions = self._versions.recordable().get(pool)
         if versions is None or not self._is_due(pool, versions):
--- a/turnward/gateway/recorded_versions.py
+++ b/turnward/gateway/recorded_versions.py
@@ -32,6 +32,8 @@
     COMPLETE = "complete"
     #: No router that wrote them knew the past.
     PARTIAL = "partial"
+    #: A router that knew the past wrote them before the store came back from an older copy.
+    OUTDATED = "outdated"
     ABSENT = "absent"
     UNREADABLE = "unreadable"
 
@@ -69,13 +71,20 @@
     era: int | None = None
 
     @classmethod
-    def from_record(cls, record: PoolVersionRecord, listed: frozenset[str]) -> "RecordedVersions":
+    def from_record(
+        cls, record: PoolVersionRecord, listed: frozenset[str], store_era: int
+    ) -> "RecordedVersions":
         """Return what a record and a list tell together.
 
         Only a list holds what older builds added, and only a record what they dropped too early.
+
+        Parameters
+        ----------
+        store_era : int
+            Present era of the store.
         """
-        standing = RowStanding.PARTIAL if record.era is None else RowStanding.COMPLETE
-        return cls(listed.union(record.versions), standing, record.era)
+        versions = listed.union(record.versions)
+        return cls(versions, _standing_of(record.era, store_era), record.era)
 
     @property
     def complete(self) -> bool:
@@ -121,8 +130,8 @@
             for pool in lists.keys() | notes.keys()
         }
 
-    def decode(self, unreadable_rows: UnreadableRows) -> RecordedVersions:
-        """Return what the rows tell; report one that can't be decoded."""
+    def decode(self, store_era: int, unreadable_rows: UnreadableRows) -> RecordedVersions:
+        """Return what the rows tell in an era of the store; report one that can't be decoded."""
         try:
             listed = _decode(self._listed, list[str], unreadable_rows)
             record = _decode(self._record, PoolVersionRecord, unreadable_rows)
@@ -132,7 +141,7 @@
             return RecordedVersions()
         if record is None:
             record = PoolVersionRecord((), _ERA_WITHOUT_RECORD)
-        return RecordedVersions.from_record(record, frozenset(listed))
+        return RecordedVersions.from_record(record, frozenset(listed), store_era)
 
     def changes(self, recorded: RecordedVersions) -> tuple[RowChange, ...]:
         """Return the changes that make the rows tell something else."""
@@ -141,6 +150,13 @@
         return (_change(self._listed, versions), _change(self._record, record))
 
 
+def _standing_of(era: int | None, store_era: int) -> RowStanding:
+    """Return what versions are worth that were recorded in an era."""
+    if era is None:
+        return RowStanding.PARTIAL
+    return RowStanding.COMPLETE if era == store_era else RowStanding.OUTDATED
+
+
 def _missing(table: str, pool: str) -> StoredRow:
     return StoredRow(RowKey(table, "", pool), b"", 0)
 
--- a/turnward/gateway/tests/test_pool_version_rows.py
+++ b/turnward/gateway/tests/test_pool_version_rows.py
@@ -9,7 +9,7 @@
 from turnward.gateway.pool_version_rows import PoolVersionRows
 from turnward.gateway.recorded_versions import PoolVersionRecord
 from turnward.gateway.tests.harness import ListLog
-from turnward.gateway.tests.test_software_versions import make_harness, resume
+from turnward.gateway.tests.test_software_versions import add_engine, make_harness, resume
 from turnward.gateway.unreadable_rows import UnreadableRows
 from turnward.rows import RowKey
 from turnward.software_versions import PoolVersions
@@ -155,6 +155,11 @@
             random.Random(1),
             self.log,
         )
+        self.client.eras.listen(lambda era: self.rows.handle_rollback())
+
+    def observe_era(self):
+        """Learn the era of the store, as from the answer to another call."""
+        self.client.eras.observe_era(self.client._rows.era)
 
     def watch(self, *versions):
         self.versions.set_present({"pool": versions})
@@ -212,3 +217,55 @@
     writer.watch("v1", "v3")
     network.advance(3.0)
     assert recorded(rows) == (["v1", "v2", "v3"], ["v1", "v2", "v3"], 0)
+
+
+def test_rows_of_an_older_copy_of_the_store_are_not_the_whole_past():
+    harness = make_harness(["v2", "v2"], gateways=2, time_limit_s=1.0)
+    harness.network.advance(15.0)
+    copy = harness.rows.copy()
+    other = add_engine(harness, "v1")
+    harness.network.advance(2.0)
+    kill_all(harness)
+    harness.rows.remove("endpoints", other.endpoint_id)
+    harness.rows.roll_back(copy, rewritten_tables=("endpoints",))
+    gateway = restart_all(harness)
+    assert resume(harness, b"begun-at-v1", gateway).status == 503
+    harness.network.advance(15.0)
+    assert resume(harness, b"begun-lately", gateway).status == 200
+    (line, *_) = harness.logs[gateway].of("pool_versions.read")
+    assert line["unknown"] == {"pool": "outdated"}
+
+
+def test_gateways_that_live_on_record_the_past_again_in_the_new_era():
+    writer, rows, network = make_writer(["v1"])
+    rows.roll_back(rows.copy())
+    network.advance(0.1)
+    writer.observe_era()
+    network.advance(3.0)
+    assert recorded(rows) == (["v1"], ["v1"], 1)
+
+
+def test_gateway_that_starts_just_after_a_rollback_reads_what_others_recorded_again():
+    harness = make_harness(["v1", "v1"], gateways=2, time_limit_s=2.0)
+    harness.network.advance(15.0)
+    harness.rows.roll_back(harness.rows.copy())
+    harness.machines[0].kill()
+    harness.machines[0].restart()
+    harness.run_gateway(harness.machines[0], "node-1")
+    harness.network.advance(7.0)
+    assert resume(harness, b"begun-lately", 2).status == 200
+    assert len(harness.logs[2].of("pool_versions.read")) == 2
+
+
+def test_gateway_of_unknown_past_leaves_the_era_of_a_record_as_it_is():
+    network = MemoryNetwork()
+    rows = MemoryRows(network.clock)
+    put_record(rows, ["v1"])
+    rows.roll_back(rows.copy())
+    writer = Writer(rows, network)
+    writer.watch("v2")
+    writer.rows.start()
+    network.advance(10.0)
+    assert recorded(rows) == (["v1", "v2"], ["v1", "v2"], 0)
+    network.advance(15.0)
+    assert recorded(rows) == (["v2"], ["v2"], 1)
