A version is recorded as soon as it comes, and streams wait for that elsewhere

Seen by callers: a version came, began streams, and all gateways were killed within a second. No row named it by then, so after the start its streams could go on at another version. Cause: rows were compared with what is present once a second, and 1 s was all for which streams rather began elsewhere, whatever had become of the row. Evidence, before: the row named one version 0.1 s after the second came in test_version_is_recorded_as_soon_as_it_comes; streams began at it 2 s after in test_streams_do_not_begin_at_a_version_before_it_is_recorded, though the store had refused its row. Why it works: the row is written when the version comes, and a router that writes rows prefers other endpoints until it has seen the version recorded, for 5 s at most. New streams are served all the same if only endpoints of the new version accept (test beside these), so this is no guarantee: one that begins there before the row is written, some calls to the store later, is not covered.

--- a/turnward/gateway/pool_version_rows.py
+++ b/turnward/gateway/pool_version_rows.py
@@ -80,6 +80,7 @@
         self._log = log
         self._recorded: dict[str, RecordedVersions] = {}
         self._writing: set[str] = set()
+        self._has_read = False
 
     def start(self) -> None:
         """Read the rows, and check from then on whether they are up to date."""
@@ -91,9 +92,10 @@
 
     async def _read(self) -> None:
         await self._read_until_answered()
-        check = task.LoopingCall(self._check)
-        check.clock = self._reactor
-        check.start(_CHECK_INTERVAL_S)
+        self._has_read = True
+        checks = task.LoopingCall(self.check)
+        checks.clock = self._reactor
+        checks.start(_CHECK_INTERVAL_S)
         if self._may_be_recorded_again():
             await task.deferLater(self._reactor, REWRITE_PERIOD_S)
             await self._read_until_answered()
@@ -152,8 +154,16 @@
     def _recorded_of(self, pool: str) -> RecordedVersions:
         return self._recorded.get(pool, _NOTHING_RECORDED)
 
-    def _check(self) -> None:
+    def unrecorded(self, pool: str) -> frozenset[str]:
+        """Return the versions of a pool that this router has yet to record, or to see recorded."""
+        if self._rank_for(pool) >= _WRITERS:
+            return frozenset()
+        return self._versions.of(pool) - self._recorded_of(pool).versions
+
+    def check(self) -> None:
         """Write the rows that differ from what is known."""
+        if not self._has_read:
+            return
         for pool, versions in self._versions.recordable().items():
             rank = self._rank_for(pool)
             due = self._is_due(pool, versions) and rank < _WRITERS
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -263,15 +263,7 @@
         )
         self._connect_lenders()
         self._versions = self._make_version_keeper()
-        self._pool_version_rows = PoolVersionRows(
-            reactor,
-            store,
-            self._versions.pools,
-            ranks.rank_for,
-            self.state.unreadable_rows,
-            self._rng,
-            log,
-        )
+        self._pool_version_rows = self._make_pool_version_rows(ranks)
         self._member_row = self._make_member_row()
         self.forwarder = self._make_forwarder()
         self._connect_relay()
@@ -415,6 +407,20 @@
             clock, self.state, self.book, self.peers, self.endpoints, table
         )
 
+    def _make_pool_version_rows(self, ranks: MemberRanks) -> PoolVersionRows:
+        rows = PoolVersionRows(
+            self._reactor,
+            self._store,
+            self._versions.pools,
+            ranks.rank_for,
+            self.state.unreadable_rows,
+            self._rng,
+            self._log,
+        )
+        self._versions.on_versions_changed = rows.check
+        self._versions.unrecorded = rows.unrecorded
+        return rows
+
     def _make_member_row(self) -> MemberRow:
         settings = self._settings
         member = Member(
--- a/turnward/gateway/tests/test_pool_version_rows.py
+++ b/turnward/gateway/tests/test_pool_version_rows.py
@@ -9,9 +9,14 @@
 from turnward.gateway.pool_version_rows import PoolVersionRows
 from turnward.gateway.recorded_versions import PoolVersionRecord
 from turnward.gateway.tests.harness import ListLog
-from turnward.gateway.tests.test_software_versions import add_engine, make_harness, resume
+from turnward.gateway.tests.test_software_versions import (
+    add_engine,
+    make_harness,
+    resume,
+    versions_in,
+)
 from turnward.gateway.unreadable_rows import UnreadableRows
-from turnward.rows import RowKey
+from turnward.rows import RowKey, RowsUnavailableError
 from turnward.software_versions import PoolVersions
 from turnward.standins import MemoryNetwork, MemoryRows, RowsClient
 
@@ -269,3 +274,59 @@
     assert recorded(rows) == (["v1", "v2"], ["v1", "v2"], 0)
     network.advance(15.0)
     assert recorded(rows) == (["v2"], ["v2"], 1)
+
+
+def test_version_is_recorded_as_soon_as_it_comes():
+    for step in range(5):
+        harness = make_harness(["v1", "v1"], gateways=3)
+        harness.network.advance(2.0 + 0.2 * step)
+        add_engine(harness, "v2")
+        harness.network.advance(0.1)
+        assert harness.rows.get(ROW).value == b'["v1","v2"]'
+
+
+def begin_streams(harness, gateways, count=8):
+    """Begin streams at each gateway; return the versions that wrote each."""
+    return [versions_in(harness.ask(gateway)) for gateway in range(gateways) for _ in range(count)]
+
+
+def test_streams_do_not_begin_at_a_version_before_it_is_recorded():
+    harness = make_harness(["v1", "v1"], gateways=2)
+    harness.network.advance(2.0)
+    for client in harness.clients:
+        refuse_writes(client)
+    add_engine(harness, "v2")
+    add_engine(harness, "v2")
+    harness.network.advance(2.0)
+    assert all(versions == {b"v1"} for versions in begin_streams(harness, 2))
+
+
+def test_streams_begin_at_a_version_that_is_not_recorded_if_no_other_endpoint_accepts():
+    harness = make_harness(["v1", "v1"], gateways=2)
+    harness.network.advance(2.0)
+    for client in harness.clients:
+        refuse_writes(client)
+    add_engine(harness, "v2")
+    for endpoint in harness.endpoints[:2]:
+        harness.announce(endpoint, version="v1", leaving=True)
+    harness.network.advance(0.3)
+    assert all(versions == {b"v2"} for versions in begin_streams(harness, 2))
+
+
+def test_streams_begin_at_a_new_version_after_a_while_though_the_store_refuses_its_row():
+    harness = make_harness(["v1", "v1"], gateways=1)
+    harness.network.advance(2.0)
+    refuse_writes(harness.clients[0])
+    add_engine(harness, "v2")
+    add_engine(harness, "v2")
+    harness.network.advance(8.0)
+    assert {b"v2"} in begin_streams(harness, 1, count=24)
+
+
+def refuse_writes(client):
+    """Have the store refuse all writes of a client."""
+
+    async def transact(transaction):
+        raise RowsUnavailableError("refused")
+
+    client.transact = transact
--- a/turnward/gateway/version_keeper.py
+++ b/turnward/gateway/version_keeper.py
@@ -41,6 +41,9 @@
 
 #: Time in which other routers learn of a new version, by a digest if not by their own polls.
 _ANNOUNCED_S = 1.0
+#: Longest time for which streams rather begin elsewhere than at a version that is not recorded yet;
+#: the store may refuse its row for longer.
+_RECORDED_S = 5.0
 
 
 class StreamOrigin(msgspec.Struct, frozen=True):
@@ -88,6 +91,11 @@
         Versions of each pool.
     on_suspected : callable
         Called when an endpoint may have restarted as another version.
+    on_versions_changed : callable
+        Called when a pool has a version that it did not have before.
+    unrecorded : callable
+        Returns the versions of a pool that this router has yet to record for those that start
+        later.
     """
 
     def __init__(
@@ -114,8 +122,12 @@
         self._lonely: dict[str, frozenset[str]] = {}
         #: When each version came to a pool that had others before, by pool.
         self._came_s: dict[str, dict[str, float]] = {}
+        #: The same of all versions, also of those that were there before this router.
+        self._seen_s: dict[str, dict[str, float]] = {}
         self.pools = PoolVersions(clock, stream_limit_s)
         self.on_suspected: Callable[[], None] = lambda: None
+        self.on_versions_changed: Callable[[], None] = lambda: None
+        self.unrecorded: Callable[[str], frozenset[str]] = lambda pool: frozenset()
 
     @classmethod
     def from_fleet(
@@ -161,18 +173,25 @@
             if not entry.leaving:
                 _add(staying, entry)
         self._lonely = {pool: _lonely_in(by_version) for pool, by_version in staying.items()}
-        self._note_new_versions(before)
+        new = self._note_new_versions(before)
         self.pools.set_present(self._incarnations)
+        if new:
+            self.on_versions_changed()
         for pool in self._incarnations:
             if self.pools.is_mixed(pool):
                 self._exchange.tell(self._untold.take(pool))
 
-    def _note_new_versions(self, before: dict[str, dict[str, set[str]]]) -> None:
+    def _note_new_versions(self, before: dict[str, dict[str, set[str]]]) -> bool:
+        """Record when versions came; return whether any did."""
         now_s = self._clock()
+        came = False
         for pool, by_version in self._incarnations.items():
+            new = dict.fromkeys(by_version.keys() - before.get(pool, {}).keys(), now_s)
+            self._seen_s.setdefault(pool, {}).update(new)
             if pool in before:
-                came_s = self._came_s.setdefault(pool, {})
-                came_s.update(dict.fromkeys(by_version.keys() - before[pool].keys(), now_s))
+                self._came_s.setdefault(pool, {}).update(new)
+            came = came or bool(new)
+        return came
 
     def note_connections_closed(self, record: EndpointRecord) -> None:
         """Record that an endpoint has closed all connections, and may have restarted.
@@ -232,23 +251,29 @@
         """Return the endpoints at which streams should not begin, as they could hardly go on.
 
         These are the last of their version, if others are not, those whose version is uncertain,
-        and those whose version other routers may not know yet.
+        and those whose version other routers may not know yet, or would not if they started now.
         """
         if not self.pools.is_mixed(pool):
             return frozenset()
         lonely = self._lonely.get(pool, frozenset())
-        return lonely.union(self._restarted(pool), *self._unannounced(pool))
-
-    def _unannounced(self, pool: str) -> list[set[str]]:
-        """Return the endpoints of each version that other routers may not know yet."""
-        since_s = self._clock() - _ANNOUNCED_S
-        came_s = self._came_s.get(pool, {})
         by_version = self._incarnations.get(pool, {})
-        return [
-            names
-            for version, names in by_version.items()
-            if came_s.get(version, -math.inf) > since_s
-        ]
+        early = (by_version[version] for version in self._early_versions(pool))
+        return lonely.union(self._restarted(pool), *early)
+
+    def _early_versions(self, pool: str) -> set[str]:
+        """Return the versions that were not announced to other routers yet, or not recorded."""
+        now_s = self._clock()
+        came_s, seen_s = self._came_s.get(pool, {}), self._seen_s.get(pool, {})
+        present = self._incarnations.get(pool, {}).keys()
+        unannounced = {
+            version for version in present if came_s.get(version, -math.inf) > now_s - _ANNOUNCED_S
+        }
+        unrecorded = {
+            version
+            for version in present & self.unrecorded(pool)
+            if seen_s.get(version, -math.inf) > now_s - _RECORDED_S
+        }
+        return unannounced | unrecorded
 
     def _restarted(self, pool: str) -> Collection[str]:
         """Return the endpoints that may have restarted as another version."""
