--- a/turnward/standins/rows.py
+++ b/turnward/standins/rows.py
@@ -193,8 +193,20 @@
         self._reactor = reactor
         self._answered = False
         self._eras = StoreEras()
+        #: Reads whose answers are held back, by table.
+        self._held_reads: dict[str, list[defer.Deferred]] = {}
         self.faults = faults or RowFaults()
 
+    def hold_reads(self, *tables: str) -> None:
+        """Hold back the answers to all reads of some tables until they are released."""
+        for table in tables:
+            self._held_reads.setdefault(table, [])
+
+    def release_reads(self, table: str) -> None:
+        """Answer the reads of a table that were held back, as of now, and hold back no more."""
+        for held in self._held_reads.pop(table, []):
+            held.callback(None)
+
     @property
     def eras(self):
         """See ``VersionedStoreBase.eras``."""
@@ -206,12 +218,12 @@
 
     async def read_row(self, key):
         """See ``VersionedStoreBase.read_row``."""
-        await self._travel()
+        await self._travel(key.table)
         return self._answered_row(self._rows.get(key))
 
     async def read_table(self, table, part=""):
         """See ``VersionedStoreBase.read_table``."""
-        await self._travel()
+        await self._travel(table)
         return self._answered_rows(self._rows.table(table, part))
 
     async def transact(self, transaction):
@@ -242,7 +254,7 @@
     async def changes(self, table, after_version, wait_s):
         """See ``VersionedStoreBase.changes``."""
         number = self._eras.after_number(after_version)
-        await self._travel()
+        await self._travel(table)
         self._eras.after_number(after_version)
         era = self._rows.era
         until_s = self._reactor.seconds() + wait_s
@@ -259,9 +271,13 @@
             if timer.active():
                 timer.cancel()
 
-    async def _travel(self) -> None:
-        """Reach the store and have its answer."""
+    async def _travel(self, table: str) -> None:
+        """Reach the store and have its answer to a read of a table."""
         await self._arrive()
+        if table in self._held_reads:
+            held = defer.Deferred()
+            self._held_reads[table].append(held)
+            await held
         self._note_answer()
 
     async def _arrive(self) -> None:
--- a/turnward/standins/tests/test_standins.py
+++ b/turnward/standins/tests/test_standins.py
@@ -3,9 +3,19 @@
 
 import msgspec
 import pytest
+from twisted.internet import defer
 from twisted.internet.task import Clock
 
-from turnward.standins import BatchSettings, EngineBatch, EngineFaults, EngineRun, EngineStandIn
+from turnward.standins import (
+    BatchSettings,
+    EngineBatch,
+    EngineFaults,
+    EngineRun,
+    EngineStandIn,
+    MemoryNetwork,
+    MemoryRows,
+    RowsClient,
+)
 
 
 def finish(batch, runs):
@@ -53,3 +63,20 @@
     assert answer["state"] == "cancelled"
     assert answer["used_tokens"] == 0
     assert "run-1" in engine.runs
+
+
+def test_reads_that_are_held_back_are_answered_once_they_are_released():
+    network = MemoryNetwork()
+    rows = MemoryRows(network.clock)
+    client = RowsClient(rows, network.machine("10.1.0.1"))
+    client.hold_reads("late")
+    answers = []
+    for table in ("late", "prompt"):
+        read = defer.ensureDeferred(client.read_table(table))
+        read.addCallback(lambda _, table=table: answers.append(table))
+    network.advance(5.0)
+    assert answers == ["prompt"]
+    client.release_reads("late")
+    defer.ensureDeferred(client.read_table("late")).addCallback(lambda _: answers.append("again"))
+    network.advance(0.1)
+    assert answers == ["prompt", "late", "again"]
