Quarantined requests run at no gateway whose rows have not been read yet

Seen by callers: after all gateways were killed, a request known to crash endpoints was let through by each gateway that had its configuration and endpoints before the rows of the quarantine, and crashed one endpoint after another again: up to 4 in memory, with 2 gateways and the rows 1.2 to 3.6 s late.

Cause: rows not read yet counted as no rows. Nothing waited for them; readiness and admission looked at the configuration, endpoints and zone orders only.

Fix: what was quarantined before the start is known once the rows are read, or once a peer that knows it has told of it for 1 s; digests and summaries say whether their sender knows (an appended field, false from older builds). Requests are served from then on. A router that can't learn it serves 5 s after everything else is known, so a store that is away for long costs a start that much at most.

--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -140,6 +140,12 @@
             reactor.seconds, endpoints, rng, rules.retry_after_s
         )
 
+    @property
+    def knows_enough(self) -> bool:
+        """Whether everything that is needed to serve requests is known."""
+        since_s = self.state.complete_since_s
+        return since_s is not None and not self.quarantines.is_awaited(since_s)
+
     def handle(self, request: InboundRequest) -> None:
         """Start a request of a caller."""
         ForwardedRequest(self, request).start()
@@ -220,7 +226,7 @@
         if self._note is not None and RelayServer.is_full(len(forwarder.relayed_requests)):
             self._refuse(503, Reason.RELAYS_FULL)
             return
-        if not forwarder.state.complete:
+        if not forwarder.knows_enough:
             self._refuse(503, Reason.NO_CONFIGURATION)
             return
         if (
--- a/turnward/gateway/overlay.py
+++ b/turnward/gateway/overlay.py
@@ -83,6 +83,8 @@
         Endpoints of pools with several software versions that may have restarted.
     begun_parts, lost_parts : QuarantineUpdate
         The same as ``quarantine``, for prompt parts: of runs whose response had begun, and of all.
+    knows_quarantined : bool
+        Whether the aggregator knows everything that was quarantined before its start.
     """
 
     layout: int
@@ -103,6 +105,7 @@
     restarted: tuple[RestartSuspicion, ...] = ()
     begun_parts: QuarantineUpdate = EMPTY_QUARANTINE_UPDATE
     lost_parts: QuarantineUpdate = EMPTY_QUARANTINE_UPDATE
+    knows_quarantined: bool = False
 
     @property
     def endpoints_as_of(self) -> RowVersion:
@@ -456,6 +459,7 @@
             self._own_digest.restarted,
             self._own_digest.begun_parts,
             self._own_digest.lost_parts,
+            self._own_digest.knows_quarantined,
         )
 
     def _summarize_fleet(self) -> FleetSummary:
@@ -492,6 +496,7 @@
             self._own_digest.restarted,
             self._own_digest.begun_parts,
             self._own_digest.lost_parts,
+            self._own_digest.knows_quarantined,
         )
 
 
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -138,6 +138,8 @@
         The same as ``quarantine``, for prompt parts: of runs whose response had begun, and of all.
     delay_ms : int
         By how much the router's event loop is late; 0 from versions that do not tell.
+    knows_quarantined : bool
+        Whether the router knows everything that was quarantined before its start.
     """
 
     layout: int
@@ -165,6 +167,7 @@
     begun_parts: QuarantineUpdate = EMPTY_QUARANTINE_UPDATE
     lost_parts: QuarantineUpdate = EMPTY_QUARANTINE_UPDATE
     delay_ms: int = 0
+    knows_quarantined: bool = False
 
     @property
     def endpoints_as_of(self) -> RowVersion:
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -172,6 +172,7 @@
     ):
         self._rng = rng
         self._accounts = accounts
+        self._quarantines = quarantines
         self._quarantine = quarantines.contents
         self._parts = quarantines.parts
         self._feedback_exchange = feedback
@@ -303,6 +304,7 @@
             begun_parts=self._parts.begun.make_update(),
             lost_parts=self._parts.lost.make_update(),
             delay_ms=self.delay_ms(),
+            knows_quarantined=self._quarantines.known,
         )
 
     def _any_peer_short(self) -> bool:
@@ -331,6 +333,8 @@
             self._state.adopt_announced_zone_orders(message.zone_orders, f"peer {message.address}")
             self._quarantine.merge(message.quarantine)
             self._parts.merge(message.begun_parts, message.lost_parts)
+            if message.knows_quarantined:
+                self._quarantines.note_told()
             self._feedback_exchange.merge(message.words)
             self._limits.merge(message.limits)
             self.on_suspected_restarts(message.restarted)
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -305,7 +305,7 @@
 
     @property
     def _is_complete(self) -> bool:
-        return self.state.complete and not self._stopping and self._can_borrow()
+        return self.forwarder.knows_enough and not self._stopping and self._can_borrow()
 
     def _can_borrow(self) -> bool:
         """Return whether this router knows the holders of tokens and hears a peer, if there is one.
--- a/turnward/gateway/quarantine_rows.py
+++ b/turnward/gateway/quarantine_rows.py
@@ -75,6 +75,11 @@
         Draws the delays of retries.
     table : str
         Table of the rows.
+
+    Attributes
+    ----------
+    read : bool
+        Whether the quarantines stored before this start have been read.
     """
 
     def __init__(
@@ -97,6 +102,7 @@
         #: Contents whose rows this router has written, and has to remove.
         self._written: set[str] = set()
         self._writing = False
+        self.read = False
 
     def start(self) -> None:
         """Read the quarantines that routers have stored so far."""
@@ -132,12 +138,15 @@
             except RowStoreError:
                 await self._wait_before_retry()
                 continue
-            now_s = self._store.time_floor_s()
-            if now_s is not None:
-                await self._merge_rows(table.rows, now_s)
-            return
+            break
+        now_s = self._store.time_floor_s()
+        expired = self._merge_rows(table.rows, now_s) if now_s is not None else []
+        self.read = True
+        if expired:
+            await self._remove(expired[:_MAX_REMOVALS_PER_CALL])
 
-    async def _merge_rows(self, rows: tuple[StoredRow, ...], store_time_s: float) -> None:
+    def _merge_rows(self, rows: tuple[StoredRow, ...], store_time_s: float) -> list[RowKey]:
+        """Merge the quarantines in some rows, and return the keys of those that have expired."""
         expired = []
         for row in rows:
             try:
@@ -149,8 +158,7 @@
                 self._quarantine.merge(QuarantineUpdate(lost))
             else:
                 expired.append(row.key)
-        if expired:
-            await self._remove(expired[:_MAX_REMOVALS_PER_CALL])
+        return expired
 
     async def _remove(self, keys: list[RowKey]) -> None:
         try:
--- a/turnward/gateway/quarantines.py
+++ b/turnward/gateway/quarantines.py
@@ -18,6 +18,11 @@
 #: Tables of parts that are sure by the runs that had begun, and by all lost runs.
 _BEGUN_PARTS_TABLE = "quarantined_parts"
 _LOST_PARTS_TABLE = "quarantined_lost_parts"
+#: Time in which a peer that knows everything quarantined tells of it, one content in each message.
+_TOLD_WITHIN_S = 1.0
+#: Longest time for which a router that lacks nothing else awaits the rows. If it is too short, a
+#: slow store costs endpoints; if it is too long, one that is away costs requests.
+_ROWS_WAIT_S = 5.0
 
 
 class Quarantines:
@@ -67,6 +72,7 @@
     ):
         self._clock = reactor.seconds
         self._log = log
+        self._told_since_s: float | None = None
         self.contents = Quarantine(self._clock, rule, self._content_changed, rank_of)
         self.parts = PartQuarantine(
             self._clock, rule, self._part_changed, rank_of, partial(may_be_network, endpoints)
@@ -84,12 +90,39 @@
 
     def start(self) -> None:
         """Read what routers have stored so far."""
-        for rows in (self._rows, self._begun_rows, self._lost_rows):
+        for rows in self._all_rows:
             rows.start()
 
+    def note_told(self) -> None:
+        """Record that a peer which knows everything quarantined tells of it."""
+        if self._told_since_s is None:
+            self._told_since_s = self._clock()
+
+    @property
+    def known(self) -> bool:
+        """Whether everything quarantined before this start was read, or told by a peer."""
+        if all(rows.read for rows in self._all_rows):
+            return True
+        told_since_s = self._told_since_s
+        return told_since_s is not None and self._clock() - told_since_s >= _TOLD_WITHIN_S
+
+    def is_awaited(self, since_s: float) -> bool:
+        """Return whether requests have to wait for what was quarantined before this start.
+
+        Parameters
+        ----------
+        since_s : float
+            When everything else that is needed to serve requests became known.
+        """
+        return not self.known and self._clock() - since_s < _ROWS_WAIT_S
+
+    @property
+    def _all_rows(self) -> tuple[QuarantineRows, ...]:
+        return self._rows, self._begun_rows, self._lost_rows
+
     def handle_rollback(self) -> None:
         """Write rows again that the rollback of the store may have lost."""
-        for rows in (self._rows, self._begun_rows, self._lost_rows):
+        for rows in self._all_rows:
             rows.handle_rollback()
 
     def record_live_incarnations(self, live: AbstractSet[str], reachable_since_s: float) -> None:
--- a/turnward/gateway/state.py
+++ b/turnward/gateway/state.py
@@ -73,6 +73,8 @@
         Operators' orders to drain zones.
     zone_orders_known : bool
         Whether the orders were read from the store or received from a router that knows them.
+    complete_since_s : float or None
+        When the last of configuration, endpoints and zone orders became known; None before.
     """
 
     def __init__(self, clock: Callable[[], float]):
@@ -89,6 +91,7 @@
         self._removed_endpoints = RemovedEndpoints()
         self.zone_orders = ZoneOrders()
         self.zone_orders_known = False
+        self.complete_since_s: float | None = None
 
     @property
     def configuration_version(self) -> int:
@@ -97,8 +100,14 @@
 
     @property
     def complete(self) -> bool:
-        """Whether everything that is needed to serve requests is known."""
-        return self.routes is not None and self.endpoints_version > 0 and self.zone_orders_known
+        """Whether the configuration, the endpoints and the zone orders are known."""
+        return self.complete_since_s is not None
+
+    def _note_known(self) -> None:
+        """Record when the last of what makes the state complete became known."""
+        known = self.routes is not None and self.endpoints_version > 0 and self.zone_orders_known
+        if known and self.complete_since_s is None:
+            self.complete_since_s = self._clock()
 
     def stream_limit_s(self, pool: str) -> float:
         """Return how long a stream of a pool may be resumed; 0 if it has none."""
@@ -130,6 +139,7 @@
             return False
         self.routes = RouteTable(configuration)
         self.row_version = max(self.row_version, RowVersion(row_version))
+        self._note_known()
         self._notify_listeners("configuration", source)
         return True
 
@@ -147,6 +157,7 @@
         rollback of the store, some orders may not have been rewritten yet.
         """
         self.zone_orders_known = True
+        self._note_known()
         if provisional:
             self.adopt_zone_orders(orders, source)
             return
@@ -160,6 +171,7 @@
         if orders is None:
             return
         self.zone_orders_known = True
+        self._note_known()
         self.adopt_zone_orders(orders, source)
 
     def announced_zone_orders(self) -> tuple[ZoneOrder, ...] | None:
@@ -217,6 +229,7 @@
             removed.mark_rewritten(stored[name] for name in written if name in stored)
             self.stored_endpoints = stored
             self.endpoints_version = snapshot.as_of
+            self._note_known()
         self._use_entries(removed.correct(self.stored_endpoints, self.endpoints, now_s), source)
         return newer
 
--- a/turnward/gateway/tests/test_start_orders.py
+++ b/turnward/gateway/tests/test_start_orders.py
@@ -10,14 +10,19 @@
 import pytest
 
 from turnward.gateway import Workspace
+from turnward.gateway.tests.crash_simulation import CrashSimulation
 from turnward.gateway.tests.harness import (
     Harness,
     answer_ok,
 )
+from turnward.gateway.tests.test_crashing_parts import PartSimulation, hold
+from turnward.gateway.tests.test_crashing_requests import FATAL, quarantine
 
 BASIC_TABLES = ("configuration", "endpoints", "members")
 #: Time between two tables.
 STEP_S = 1.2
+#: Time in which a gateway that has heard its peers serves, even while the store is away.
+MAX_START_S = 2.0
 
 
 def orders(*tables):
@@ -101,3 +106,56 @@
     assert {caller.status for caller in served[::2]} <= {503, 401}
     assert {caller.status for caller in served[1::2]} == {503, 200}
     assert endpoint.requests
+
+
+@pytest.mark.parametrize("order", orders(*BASIC_TABLES, "quarantine"))
+def test_quarantined_content_reaches_no_endpoint(order):
+    simulation = CrashSimulation(gateways=2, endpoints=5, crashing=(FATAL,))
+    quarantine(simulation)
+    restart_in_order(simulation.harness, order, lambda number: simulation.send(FATAL, number))
+    assert len(simulation.crashes) == 3
+
+
+@pytest.mark.parametrize(
+    "order",
+    [
+        (*basic, parts)
+        for parts in ("quarantined_parts", "quarantined_lost_parts")
+        for basic in permutations(BASIC_TABLES)
+    ],
+    ids="-".join,
+)
+def test_request_with_a_quarantined_part_reaches_no_endpoint(order):
+    simulation = PartSimulation(gateways=2, endpoints=5)
+    simulation.begins_response = order[-1] == "quarantined_parts"
+    hold(simulation)
+    sends = len(simulation.fatal_sends_s)
+    restart_in_order(simulation.harness, order, lambda number: simulation.send_fatal(number))
+    assert len(simulation.fatal_sends_s) == sends
+
+
+def test_gateway_that_starts_while_the_store_is_away_hears_of_a_quarantine_before_it_serves():
+    simulation = CrashSimulation(gateways=3, endpoints=5, crashing=(FATAL,))
+    quarantine(simulation)
+    harness = simulation.harness
+    harness.network.advance(10.0)
+    harness.rows.faults.unavailable = True
+    harness.machines[0].kill()
+    start_held(harness, 0, ())
+    started_s = harness.network.clock.seconds()
+    while harness.network.clock.seconds() < started_s + MAX_START_S:
+        simulation.send(FATAL)
+        harness.network.advance(0.05)
+    assert harness.gateways[0].ready
+    assert len(simulation.crashes) == 3
+
+
+def test_quarantine_that_cannot_be_read_delays_a_start_by_some_seconds_only():
+    harness = Harness()
+    harness.endpoint(answer_ok)
+    harness.ready()
+    kill_all(harness)
+    start_held(harness, 0, ("quarantine",))
+    assert not harness.network.advance_until(lambda: harness.gateways[0].ready, 4.0)
+    assert harness.network.advance_until(lambda: harness.gateways[0].ready, 2.0)
+    assert harness.ask().status == 200
