--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 streams: $(VENV)/ready
 	$(BIN)/python platform/standins/stream_probe.py --seeds $(or $(SEEDS),3) $(if $(SEED),--first $(SEED)) $(if $(BODIES),--bodies $(BODIES)) $(if $(KEEP),--keep $(KEEP))
+	$(BIN)/python platform/standins/stream_probe.py --rejoin --seeds $(or $(SEEDS),3) $(if $(SEED),--first $(SEED)) $(if $(BODIES),--bodies $(BODIES)) $(if $(KEEP),--keep $(KEEP)/rejoin)
 
 test: $(VENV)/ready dist/turnward
 	mkdir -p build
