Tokens are taken, lent and refused only once the limit is known

Seen by callers: in a fleet that starts, a workspace none of whose tokens were used got 402 budget_exhausted, 7 or 8 of 100 requests within a second in memory, with 3, 4 and 6 gateways; all 12 of 12 while no copy of the configuration reached the two holders.

Cause: the limit was 0 at version 0 while there was no configuration. A holder that peers asked for tokens before its configuration had come read a missing row as a limit of 0 that was used up, and told its peers so. Where a row existed, it took tokens by that row's limit, though the configuration may have lowered it since.

Fix: the limit is None until a configuration sets it. Till then nothing is taken for the workspace, and a peer's request is answered with no loan, without saying that the budget is exhausted; the peer asks the other holder, and then takes from the store itself.

--- a/turnward/gateway/accounts.py
+++ b/turnward/gateway/accounts.py
@@ -10,6 +10,7 @@
     "ROW_NAME",
     "TABLE",
     "AccountRow",
+    "TokenLimit",
     "with_prior_version",
     "change_grant",
     "decode_account",
@@ -27,6 +28,13 @@
 ROW_NAME = "account"
 
 
+class TokenLimit(msgspec.Struct, frozen=True):
+    """Limit of a workspace's tokens, and the version of the configuration that sets it."""
+
+    tokens: int
+    version: int
+
+
 class AccountRow(msgspec.Struct, frozen=True, omit_defaults=True):
     """Account row of one workspace.
 
@@ -88,17 +96,17 @@
     return msgspec.json.encode(account)
 
 
-def with_limit(account: AccountRow, limit_tokens: int, limit_version: int) -> AccountRow:
-    """Return the account with a new limit, unless it already has a newer one.
+def with_limit(account: AccountRow, limit: TokenLimit | None) -> AccountRow:
+    """Return the account with a new limit, unless that is not known or not newer.
 
     Examples
     --------
-    >>> with_limit(AccountRow(limit_tokens=5, limit_version=3), 9, 2).limit_tokens
+    >>> with_limit(AccountRow(limit_tokens=5, limit_version=3), TokenLimit(9, 2)).limit_tokens
     5
     """
-    if limit_version <= account.limit_version:
+    if limit is None or limit.version <= account.limit_version:
         return account
-    return msgspec.structs.replace(account, limit_tokens=limit_tokens, limit_version=limit_version)
+    return msgspec.structs.replace(account, limit_tokens=limit.tokens, limit_version=limit.version)
 
 
 def taken_tokens(account: AccountRow) -> int:
--- a/turnward/gateway/prepaid.py
+++ b/turnward/gateway/prepaid.py
@@ -22,6 +22,7 @@
     ROW_NAME,
     TABLE,
     AccountRow,
+    TokenLimit,
     change_grant,
     decode_account,
     encode_account,
@@ -218,7 +219,7 @@
             if workspace.prepaid_tokens is None:
                 continue
             account = self._account(workspace.name)
-            account.limit = (workspace.prepaid_tokens, version)
+            account.limit = TokenLimit(workspace.prepaid_tokens, version)
             if account.row is not None:
                 self._update_ledger_view(workspace.name, account)
             if self._holds(workspace.name) and self._holders.settled:
@@ -261,10 +262,14 @@
 
     def _reserve_as_holder(self, request: LoanAsk):
         """Reserve tokens for an own or a peer's request, unless the pacer refuses it."""
-        paced = self._pacing.refusal(self._account(request.workspace), request)
+        account = self._account(request.workspace)
+        tokens = max(1, request.required_tokens)
+        if account.limit is None:
+            # A peer knows a newer configuration. Whether tokens are left is not known here.
+            return self._log_refusal(account, tokens, BudgetRefusal.UNREACHABLE)
+        paced = self._pacing.refusal(account, request)
         if paced is not None:
             return paced
-        tokens = max(1, request.required_tokens)
         return self._reserve_locally(request.workspace, tokens, request.priority)
 
     def _reserve_locally(self, workspace: str, tokens: int, priority: int):
@@ -738,7 +743,7 @@
         return self.ledger.plan_return(workspace, self._reactor.seconds())
 
     def _grant_request(self, workspace: str, account: WorkspaceAccount) -> GrantRequest | None:
-        if self._restorer.remaining_wait_s > 0:
+        if self._restorer.remaining_wait_s > 0 or account.limit is None:
             return None
         request = self.ledger.plan_grant(workspace, self._reactor.seconds())
         if self._stopping:
@@ -798,7 +803,7 @@
     def _apply_row(self, workspace: str, account: WorkspaceAccount, row: StoredRow) -> None:
         if row.version >= account.version:
             stored = decode_account(row)
-            limited = with_limit(stored, *account.limit)
+            limited = with_limit(stored, account.limit)
             account.row = self._fold(workspace, limited)
             account.row_before_fold = limited if account.row is not limited else None
             account.version = 0 if row.gone else row.version
@@ -811,7 +816,7 @@
 
     def _update_ledger_view(self, workspace: str, account: WorkspaceAccount) -> None:
         """Update the ledger's view of the row under the newest limit known."""
-        account.row = with_limit(account.row, *account.limit)
+        account.row = with_limit(account.row, account.limit)
         held = account.row.granted_tokens.get(self._incarnation, 0)
         spent = taken_tokens(account.row) - held
         view = BudgetView(
--- a/turnward/gateway/restoring.py
+++ b/turnward/gateway/restoring.py
@@ -146,7 +146,7 @@
                 return self._mark_current(account, row)
             expected = 0 if row.gone else row.version
             target = with_prior_version(target, expected, target.era)
-            value = encode_account(with_limit(target, *account.limit))
+            value = encode_account(with_limit(target, account.limit))
             change = RowChange(key, value, expected)
             try:
                 version = await self._store.transact(VersionedTransaction((change,)))
--- a/turnward/gateway/tests/test_start_orders.py
+++ b/turnward/gateway/tests/test_start_orders.py
@@ -9,14 +9,31 @@
 
 import pytest
 
-from turnward.gateway import Workspace
+from turnward.gateway import RetryPolicy, Workspace
+from turnward.gateway.accounts import (
+    ROW_NAME,
+    TABLE,
+    AccountRow,
+    decode_account,
+    encode_account,
+)
+from turnward.gateway.loans import Loan, LoanAsk
+from turnward.gateway.prepaid import GRANT_SIZING, PrepaidAccounts
+from turnward.gateway.spending import TABLE as REPORTS_TABLE
 from turnward.gateway.tests.crash_simulation import CrashSimulation
 from turnward.gateway.tests.harness import (
+    ENGINE_POOL,
+    KEY,
     Harness,
+    ListLog,
     answer_ok,
+    stream_events,
 )
 from turnward.gateway.tests.test_crashing_parts import PartSimulation, hold
 from turnward.gateway.tests.test_crashing_requests import FATAL, quarantine
+from turnward.hashing import rendezvous_weight
+from turnward.rows import RowKey
+from turnward.standins import MemoryNetwork, MemoryRows, RowsClient
 
 BASIC_TABLES = ("configuration", "endpoints", "members")
 #: Time between two tables.
@@ -159,3 +176,112 @@
     assert not harness.network.advance_until(lambda: harness.gateways[0].ready, 4.0)
     assert harness.network.advance_until(lambda: harness.gateways[0].ready, 2.0)
     assert harness.ask().status == 200
+
+
+class PrepaidFleet:
+    """Gateways, two of which hold the tokens of one workspace.
+
+    Parameters
+    ----------
+    gateways : int
+        Their number.
+    limit_tokens : int
+        The workspace's tokens.
+    """
+
+    #: Tokens of one prompt, and of what is answered to it.
+    prompt_tokens = 8_000
+    used_tokens = 8_020
+
+    def __init__(self, gateways, limit_tokens):
+        self.harness = Harness(
+            pools=(ENGINE_POOL,),
+            workspaces=(self.workspace(limit_tokens),),
+            repeat=RetryPolicy.STREAM,
+            time_limit_s=9.0,
+        )
+        self.endpoint = self.harness.endpoint(stream_events(4))
+        self.harness.configure()
+        for _ in range(gateways):
+            self.harness.gateway(start=False)
+
+    @staticmethod
+    def workspace(limit_tokens):
+        return Workspace(name="acme", keys=(KEY.decode(),), prepaid_tokens=limit_tokens)
+
+    @property
+    def holders_first(self):
+        """Numbers of the gateways, the two that hold the tokens first."""
+        gateways = self.harness.gateways
+        weights = [rendezvous_weight("acme", each.book.own_address) for each in gateways]
+        return sorted(range(len(gateways)), key=lambda number: -weights[number])
+
+    @property
+    def spent_tokens(self):
+        return self.used_tokens * len(self.endpoint.requests)
+
+    def send(self, number):
+        headers = self.harness.prompt(self.prompt_tokens, 20)
+        return self.harness.send(number, method=b"POST", body=b"", headers=headers)
+
+
+@pytest.mark.parametrize("gateways", [3, 6])
+def test_holder_without_a_configuration_takes_no_budget_for_used_up(gateways):
+    fleet = PrepaidFleet(gateways, limit_tokens=1_000_000)
+    holders, others = fleet.holders_first[:2], fleet.holders_first[2:]
+    for number in holders:
+        # It gets a peer's copy somewhat later.
+        fleet.harness.clients[number].hold_reads("configuration")
+    for gateway in fleet.harness.gateways:
+        gateway.start()
+    callers = []
+    for turn in range(100):
+        callers.append(fleet.send(others[turn % len(others)]))
+        fleet.harness.network.advance(0.01)
+    fleet.harness.network.advance(2.0)
+    assert {caller.status for caller in callers} <= {200, 503}
+    assert [caller.status for caller in callers].count(200) > 50
+
+
+@pytest.mark.parametrize("order", orders("configuration", "members", TABLE, REPORTS_TABLE))
+def test_tokens_are_spent_once_and_within_a_limit_lowered_before_the_start(order):
+    fleet = PrepaidFleet(3, limit_tokens=1_000_000)
+    harness = fleet.harness
+    for gateway in harness.gateways:
+        gateway.start()
+    harness.network.advance(2.0)
+    for number in (0, 1, 2) * 4:
+        fleet.send(number)
+        harness.network.advance(0.3)
+    limit_tokens = 80 * fleet.used_tokens
+    kill_all(harness)
+    harness.configure(workspaces=(fleet.workspace(limit_tokens),))
+    restart_in_order(harness, order, fleet.send)
+    harness.network.advance(2.0)
+    assert len(fleet.endpoint.requests) > 12
+    assert fleet.spent_tokens <= limit_tokens
+
+
+def test_no_tokens_are_taken_by_the_limit_of_an_earlier_configuration():
+    network = MemoryNetwork()
+    rows = MemoryRows(network.clock)
+    earlier = AccountRow(limit_tokens=1_000_000, limit_version=3)
+    rows.put(TABLE, ROW_NAME, encode_account(earlier), part="acme")
+    machine = network.machine("10.1.0.1")
+    store = RowsClient(rows, machine)
+    accounts = PrepaidAccounts(
+        machine, store, "node-1", "node-1@a", GRANT_SIZING, ListLog(), lambda: 2
+    )
+    accounts.start()
+    lending = accounts.lend_for_request(LoanAsk("acme", 2_000, 2_000))
+    network.advance(1.0)
+    assert lending.result == Loan(0)
+    assert decode_account(rows.get(RowKey(TABLE, "acme", ROW_NAME))) == earlier
+    accounts.set_limits({"acme": Workspace(name="acme", prepaid_tokens=3_000)}, version=4)
+    lent_tokens = 0
+    for _ in range(3):
+        lending = accounts.lend_for_request(LoanAsk("acme", 2_000, 2_000))
+        network.advance(1.0)
+        lent_tokens += lending.result.tokens
+    assert lent_tokens == 2_000
+    assert lending.result.exhausted
--- a/turnward/gateway/workspace_account.py
+++ b/turnward/gateway/workspace_account.py
@@ -3,7 +3,7 @@
 
 from twisted.internet import defer
 
-from turnward.gateway.accounts import AccountRow
+from turnward.gateway.accounts import AccountRow, TokenLimit
 from turnward.gateway.end_reserve import EndReserve
 from turnward.gateway.spend_bounds import RecentMaximum
 
@@ -47,8 +47,9 @@
     era : int
         The store's era in which the row is known to record the tokens held here; negative if
         there is none.
-    limit : tuple of int
-        Tokens, and the version of the configuration that sets them.
+    limit : TokenLimit or None
+        The limit in the configuration; None if no configuration with one is known here. Until
+        then, the row's limit may be that of an earlier configuration, or missing.
     end_reserve : EndReserve
         The reserve at the end of the limit.
     busy, borrowing, returning : bool
@@ -94,7 +95,7 @@
         self.row_before_fold: AccountRow | None = None
         self.version = 0
         self.era = -1
-        self.limit = (0, 0)
+        self.limit: TokenLimit | None = None
         self.busy = False
         self.free_tokens_when_reachable = 0
         self.borrowed_tokens = 0
