An endpoint that comes before the configuration is cold for its pool's time

Seen by callers: requests that a cold endpoint fails: where gateways knew the endpoints before their configuration and an endpoint registered in between, it got 16 requests in a second, from 3 gateways in memory, in place of 2.

Cause: how long it is cold was taken from the pool's traits when its entry came; without a configuration that was 0 seconds, for good.

Fix: the warm-up state keeps when the endpoint started, and asks for the pool's cold time when it is needed. The same holds for endpoints of zones that are drained no longer.

--- a/turnward/gateway/choice.py
+++ b/turnward/gateway/choice.py
@@ -284,10 +284,10 @@
             removed = None
         warm_up = removed.warm_up if removed is not None else None
         if warm_up is None:
-            warm_up = WarmUp(self._clock)
+            warm_up = WarmUp(self._clock, partial(self._cold_s, entry.pool))
             if self._entries_known:
                 # A new endpoint is cold even if its entry does not say so.
-                warm_up.note_cold(self._cold_s(entry.pool))
+                warm_up.note_start()
         warm_up.note_cold(entry.cold_left_s)
         record = EndpointRecord(entry, self._make_pool, warm_up, self._apply_feedback)
         record.pool.on_all_closed = partial(self._suspect_restart, record)
@@ -397,7 +397,7 @@
         for record in self._records.values():
             zone = record.entry.zone
             if zone in self._drained and zone not in zones:
-                record.warm_up.note_cold(self._cold_s(record.entry.pool))
+                record.warm_up.note_start()
         self._drained = zones
 
     def all(self) -> list[EndpointRecord]:
--- a/turnward/gateway/tests/test_start_orders.py
+++ b/turnward/gateway/tests/test_start_orders.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from turnward.gateway import RetryPolicy, Workspace
+from turnward.gateway import EndpointPool, RetryPolicy, WarmUpTraits, Workspace
 from turnward.gateway.accounts import (
     ROW_NAME,
     TABLE,
@@ -285,3 +285,43 @@
         lent_tokens += lending.result.tokens
     assert lent_tokens == 2_000
     assert lending.result.exhausted
+
+
+def make_cold_fleet():
+    """Return a fleet with a warm endpoint, and an endpoint to announce that starts cold."""
+    warm_up = WarmUpTraits(cold_s=30.0, requests_per_s=2.0)
+    harness = Harness(pools=(EndpointPool(name="pool", warm_up=warm_up),))
+    harness.endpoint(answer_ok)
+    cold = harness.endpoint(answer_ok, announce=False)
+    harness.ready(gateways=3)
+    return harness, cold
+
+
+def most_in_one_second(times_s):
+    return max(sum(0 <= other_s - time_s < 1.0 for other_s in times_s) for time_s in times_s)
+
+
+@pytest.mark.parametrize("order", orders(*BASIC_TABLES))
+@pytest.mark.parametrize("comes", ["before the start", "after the endpoints"])
+def test_cold_endpoint_gets_no_more_than_its_rate(order, comes):
+    harness, cold = make_cold_fleet()
+    sent_s = [harness.network.clock.seconds()]
+    cold.behave = lambda endpoint, request: (
+        sent_s.append(harness.network.clock.seconds()),
+        answer_ok(endpoint, request),
+    )
+    if comes == "before the start":
+        kill_all(harness)
+        harness.announce(cold, cold_left_s=30.0)
+    announced = []
+
+    def send(number):
+        harness.send(number)
+        entries_known = all(len(each.endpoints.all()) for each in harness.gateways)
+        if entries_known and comes == "after the endpoints" and not announced:
+            announced.append(True)
+            harness.announce(cold)
+
+    restart_in_order(harness, order, send)
+    assert len(sent_s) > 1
+    assert most_in_one_second(sent_s) <= 2
--- a/turnward/gateway/warm_up.py
+++ b/turnward/gateway/warm_up.py
@@ -82,24 +82,45 @@
     ----------
     clock : callable
         Monotonic clock in seconds.
-
-    Attributes
-    ----------
-    cold_until_s : float
-        When it will be warm; a time long past if it was never cold.
+    cold_s : callable, optional
+        Returns how long the endpoint is cold after a start; it may get to know that later than
+        the start.
+
+    Examples
+    --------
+    >>> cold_s = 0.0
+    >>> warm_up = WarmUp(lambda: 10.0, lambda: cold_s)
+    >>> warm_up.note_start()
+    >>> cold_s = 3.0
+    >>> warm_up.cold_for_s
+    3.0
     """
 
-    __slots__ = ("_clock", "_last_sent_s", "cold_until_s")
+    __slots__ = ("_clock", "_cold_s", "_cold_until_s", "_last_sent_s", "_started_s")
 
-    def __init__(self, clock: Callable[[], float]):
+    def __init__(self, clock: Callable[[], float], cold_s: Callable[[], float] = lambda: 0.0):
         self._clock = clock
+        self._cold_s = cold_s
+        self._cold_until_s = -1e9
         self._last_sent_s = -1e9
-        self.cold_until_s = -1e9
+        self._started_s = -1e9
+
+    @property
+    def cold_until_s(self) -> float:
+        """When it will be warm; a time long past if it was never cold."""
+        cold_s = self._cold_s()
+        if cold_s <= 0:
+            return self._cold_until_s
+        return max(self._cold_until_s, self._started_s + cold_s)
+
+    def note_start(self) -> None:
+        """Note that the endpoint is as cold as after a start now."""
+        self._started_s = self._clock()
 
     def note_cold(self, duration_s: float) -> None:
         """Note that the endpoint is cold for this time from now."""
         if duration_s > 0:
-            self.cold_until_s = max(self.cold_until_s, self._clock() + duration_s)
+            self._cold_until_s = max(self._cold_until_s, self._clock() + duration_s)
 
     def note_sent(self) -> None:
         """Note that this router sends a request now."""
