No slack of the retry budget is used before the number of routers is known

Seen by callers and endpoints: a pool that fails while all gateways start got more retries than the fleet may send: 31 above the budget of 50 and a fifth of the requests, with 8 gateways, the members' table 1.2 s later than the rest.

Cause: until the members' table was read, each gateway divided the slack by the routers that it had heard. Of eight that know the addresses of two, six hear of two others, so that together they used nearly twice the slack.

Fix: the number of routers is None before the table has been read, and a router then uses none of the slack, only its part by its own requests.

Evidence: 2 of 6 orders of the tables failed before, none does now.

--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -80,7 +80,7 @@
     quarantines : Quarantines
         Track what crashes the endpoints that run it.
     live_routers : callable
-        Returns the largest number of routers that may be live.
+        Returns the largest number of routers that may be live; None if it is not known yet.
     versions : VersionKeeper
         Decides which endpoints may continue a stream.
     links : LinkMonitor
@@ -107,7 +107,7 @@
         endpoints: EndpointBook,
         accounts: PrepaidAccounts | None,
         quarantines: Quarantines,
-        live_routers: Callable[[], int],
+        live_routers: Callable[[], int | None],
         versions: VersionKeeper,
         links: LinkMonitor,
         relay: Relay,
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -367,6 +367,11 @@
         """Upper bound of the number of live routers, including this one."""
         return 1 + self._member_count
 
+    @property
+    def known_router_count(self) -> int | None:
+        """The same; None until the members' table has been read, as it may list many more."""
+        return self.max_router_count if self.members_read else None
+
     @property
     def live_count(self) -> int:
         """Number of peers from which a digest was received lately."""
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -499,7 +499,7 @@
             self.endpoints,
             self.accounts,
             self._quarantines,
-            lambda: self.book.max_router_count,
+            lambda: self.book.known_router_count,
             self._versions,
             self._links,
             self.relay,
--- a/turnward/gateway/retries.py
+++ b/turnward/gateway/retries.py
@@ -2,7 +2,8 @@
 """The fleet's retry budget, of which each router enforces its own share.
 
 In any window, retries stay below a ratio of the requests plus a fixed slack. The slack is divided
-evenly among the routers that may be live, so that they need no coordination.
+evenly among the routers that may be live, so that they need no coordination. A router that does not
+know yet how many these are uses none of it.
 """
 
 from collections import deque
@@ -45,11 +46,14 @@
         self._evict(self._requests)
         self._requests.append(self._clock())
 
-    def take(self, routers: int) -> bool:
-        """Use one retry; return False if this router's share is used up."""
+    def take(self, routers: int | None) -> bool:
+        """Use one retry; return False if this router's share is used up.
+
+        ``routers`` is how many may be live; None if that is not known.
+        """
         self._evict(self._requests)
         self._evict(self._retries)
-        slack = self._rule.slack / max(1, routers)
+        slack = self._rule.slack / max(1, routers) if routers is not None else 0.0
         allowed = _SAFETY_FACTOR * (self._rule.ratio * len(self._requests) + slack)
         if len(self._retries) + 1 > allowed:
             return False
--- a/turnward/gateway/tests/test_start_orders.py
+++ b/turnward/gateway/tests/test_start_orders.py
@@ -19,6 +19,7 @@
 )
 from turnward.gateway.loans import Loan, LoanAsk
 from turnward.gateway.prepaid import GRANT_SIZING, PrepaidAccounts
+from turnward.gateway.retries import RetryBudgetRule
 from turnward.gateway.spending import TABLE as REPORTS_TABLE
 from turnward.gateway.tests.crash_simulation import CrashSimulation
 from turnward.gateway.tests.harness import (
@@ -26,6 +27,7 @@
     KEY,
     Harness,
     ListLog,
+    answer_not_run,
     answer_ok,
     stream_events,
 )
@@ -325,3 +327,33 @@
     restart_in_order(harness, order, send)
     assert len(sent_s) > 1
     assert most_in_one_second(sent_s) <= 2
+
+
+@pytest.mark.parametrize("order", orders(*BASIC_TABLES))
+def test_all_retries_together_stay_within_the_budget(order):
+    harness = Harness()
+    rule = RetryBudgetRule()
+    ids = set()
+    retries = 0
+    excess = 0
+
+    def refuse(endpoint, request):
+        nonlocal retries, excess
+        request_id = endpoint.ids()[-1]
+        retries += request_id in ids
+        ids.add(request_id)
+        excess = max(excess, retries - rule.ratio * len(ids) - rule.slack)
+        answer_not_run(endpoint, request)
+
+    for _ in range(3):
+        harness.endpoint(refuse)
+    harness.ready(gateways=8)
+
+    def send(number):
+        caller = harness.connect(number)
+        for _ in range(8):
+            caller.transport.write(harness.request_bytes())
+
+    restart_in_order(harness, order, send)
+    assert retries
+    assert excess <= 0
