Versions that came and went during a gap are read from the rows

Seen by callers: a gateway was frozen or cut off for some seconds in which a version came, began streams and left. It resumed such a stream at the other version. Cause: of an endpoint that was written and removed between two answers, the feed tells only that its row is gone. The gateway counted as one that had watched the pool all along. Why it works: after a pause or an unanswered feed of 1 s or more the past is unknown until the rows, which others have written, are read again: once for each gap, and not while the feed fails. A read that was sent before the gap does not count. A version that was absent before a gap may have come back, so it is kept as if it had left at the gap's end. A pause is noticed before the first stream after it goes on, also while the configuration is unconfirmed.

--- a/turnward/gateway/pauses.py
+++ b/turnward/gateway/pauses.py
@@ -41,6 +41,11 @@
     clock : callable
         Steady clock in seconds, which goes on during a pause.
 
+    Attributes
+    ----------
+    on_resumed : callable
+        Called with each pause once the process runs again.
+
     Examples
     --------
     >>> now_s = 10.0
@@ -55,19 +60,21 @@
     (Pause(began_s=10.0, resumed_s=13.0), None)
     """
 
-    __slots__ = ("_clock", "_latest", "_running_s")
+    __slots__ = ("_clock", "_latest", "_running_s", "on_resumed")
 
     def __init__(self, clock: Callable[[], float]):
         self._clock = clock
         self._running_s = clock()
         self._latest: Pause | None = None
+        self.on_resumed: Callable[[Pause], None] = lambda pause: None
 
     def note_running(self) -> None:
         """Note that the process is running; to be called at each ``CHECK_INTERVAL_S``."""
         now_s = self._clock()
-        if now_s - self._running_s >= _MIN_PAUSE_S:
-            self._latest = Pause(self._running_s, now_s)
-        self._running_s = now_s
+        paused_since_s, self._running_s = self._running_s, now_s
+        if now_s - paused_since_s >= _MIN_PAUSE_S:
+            self._latest = Pause(paused_since_s, now_s)
+            self.on_resumed(self._latest)
 
     def latest_within(self, span_s: float) -> Pause | None:
         """Return the latest pause if the process resumed less than ``span_s`` seconds ago."""
--- a/turnward/gateway/pool_version_rows.py
+++ b/turnward/gateway/pool_version_rows.py
@@ -59,6 +59,11 @@
         Draws the delays of retries.
     log
         Where reads are recorded.
+
+    Attributes
+    ----------
+    store_is_away : callable
+        Returns whether calls to the store are known to fail; then rows are not read again yet.
     """
 
     def __init__(
@@ -81,6 +86,10 @@
         self._recorded: dict[str, RecordedVersions] = {}
         self._writing: set[str] = set()
         self._has_read = False
+        self._reading = False
+        #: Number of gaps so far; what was asked for before the latest one is out of date.
+        self._gaps = 0
+        self.store_is_away: Callable[[], bool] = lambda: False
 
     def start(self) -> None:
         """Read the rows, and check from then on whether they are up to date."""
@@ -90,6 +99,14 @@
         """Write rows again that the rollback of the store may have lost."""
         self._recorded.clear()
 
+    def handle_gap(self) -> None:
+        """Read the rows again, as versions may have come and gone unseen until now."""
+        self._versions.forget_past()
+        self._recorded.clear()
+        self._gaps += 1
+        if self._has_read:
+            defer.ensureDeferred(self._read_until_answered())
+
     async def _read(self) -> None:
         await self._read_until_answered()
         self._has_read = True
@@ -106,18 +123,30 @@
         return self._store.eras.current > 0 and not known
 
     async def _read_until_answered(self) -> None:
-        while True:
-            try:
-                return await self._read_tables()
-            except RowStoreError:
-                await task.deferLater(self._reactor, self._rng.uniform(*_RETRY_DELAY_S))
-
-    async def _read_tables(self) -> None:
-        records = await self._store.read_table(POOL_VERSION_RECORDS_TABLE)
-        listed = await self._store.read_table(POOL_VERSIONS_TABLE)
+        """Read the rows, again if there was a gap meanwhile; does nothing while it does so."""
+        if self._reading:
+            return
+        self._reading = True
+        while not await self._try_to_read():
+            await task.deferLater(self._reactor, self._rng.uniform(*_RETRY_DELAY_S))
+        self._reading = False
+
+    async def _try_to_read(self) -> bool:
+        """Read the rows unless the store is away; return whether they tell the past until now."""
+        if self._has_read and self.store_is_away():
+            return False
+        gaps = self._gaps
+        try:
+            records = await self._store.read_table(POOL_VERSION_RECORDS_TABLE)
+            listed = await self._store.read_table(POOL_VERSIONS_TABLE)
+        except RowStoreError:
+            return False
+        if gaps != self._gaps:
+            return False
         for pool, stored in StoredVersions.by_pool(listed.rows, records.rows).items():
             self._learn(pool, self._decode(stored))
         self._log_read(listed.version)
+        return True
 
     def _decode(self, stored: StoredVersions) -> RecordedVersions:
         return stored.decode(self._store.eras.current, self._unreadable_rows)
@@ -162,7 +191,7 @@
 
     def check(self) -> None:
         """Write the rows that differ from what is known."""
-        if not self._has_read:
+        if self._reading or not self._has_read:
             return
         for pool, versions in self._versions.recordable().items():
             rank = self._rank_for(pool)
@@ -191,7 +220,10 @@
 
     async def _write(self, pool: str) -> None:
         """Write a pool's rows unless another router has done so; a failure is tried again later."""
+        gaps = self._gaps
         stored = await self._read_pool(pool)
+        if gaps != self._gaps:
+            return
         recorded = self._decode(stored)
         self._learn(pool, recorded)
         versions = self._versions.recordable().get(pool)
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -54,9 +54,10 @@
 from turnward.gateway.spend_bounds import make_spend_bounds
 from turnward.gateway.state import FleetState
 from turnward.gateway.table_catch_up import TableCatchUp
-from turnward.gateway.table_listeners import MembersListener
+from turnward.gateway.table_listeners import EndpointsListener, MembersListener
 from turnward.gateway.version_keeper import VersionKeeper
 from turnward.gateway.warm_up import WarmUpShares
+from turnward.gateway.watch_gaps import WatchGaps
 from turnward.http1 import (
     InboundFactory,
     InboundLimits,
@@ -277,7 +278,7 @@
                 listener,
                 wait_s,
                 self._rng,
-                self._make_health_listener(table),
+                self._make_health_listener(table, listener),
                 on_answer,
                 pace,
                 self._make_reread_listener(table),
@@ -417,6 +418,10 @@
             self._rng,
             self._log,
         )
+        self._watch_gaps = WatchGaps(self._reactor.seconds)
+        rows.store_is_away = lambda: self._watch_gaps.failing
+        self._watch_gaps.on_gap = rows.handle_gap
+        self._pauses.on_resumed = self._watch_gaps.note_pause
         self._versions.on_versions_changed = rows.check
         self._versions.unrecorded = rows.unrecorded
         return rows
@@ -531,8 +536,10 @@
             return PeerConfirmedPollSchedule(self.peers.overlay, _ROWS_POLL_DELAY_S, self.state)
         return FleetPollSchedule(self.peers.overlay, _ROWS_POLL_DELAY_S)
 
-    def _make_health_listener(self, table: str):
+    def _make_health_listener(self, table: str, listener: FeedListenerBase):
         def on_health(reachable: bool, cause: str = "") -> None:
+            if isinstance(listener, EndpointsListener):
+                self._watch_gaps.note_poll(reachable)
             if reachable:
                 self.accounts.note_store_reachable()
             else:
@@ -549,13 +556,14 @@
 
     def _entries_may_be_stale(self) -> bool:
         """Return whether entries may be out of date, as calls to the store fail or soon may."""
-        failing = not all(self._feed_health.values())
-        return failing or self._pauses.latest_within(_STALE_AFTER_PAUSE_S) is not None
+        # Asked first, as it notices a pause that has just ended.
+        paused = self._pauses.latest_within(_STALE_AFTER_PAUSE_S) is not None
+        return paused or not all(self._feed_health.values())
 
     def _table_is_doubtful(self) -> bool:
         """Return whether peers may know newer entries and this router may not have heard of it."""
-        unconfirmed = self.state.unconfirmed_for_s() > _STORE_UNREACHABLE_AFTER_S
-        return unconfirmed or self._entries_may_be_stale()
+        stale = self._entries_may_be_stale()
+        return stale or self.state.unconfirmed_for_s() > _STORE_UNREACHABLE_AFTER_S
 
     def _resumed_lately(self) -> Pause | None:
         """Return the pause after which entries may still be about to be updated, if any."""
--- a/turnward/gateway/tests/test_pool_version_rows.py
+++ b/turnward/gateway/tests/test_pool_version_rows.py
@@ -330,3 +330,86 @@
         raise RowsUnavailableError("refused")
 
     client.transact = transact
+
+
+def make_watched_fleet(gateways=2, **fields):
+    """Return a fleet before a pool of one version, as which it has counted for a while."""
+    harness = make_harness(["v1", "v1"], gateways=gateways, **fields)
+    harness.watch_pools()
+    harness.network.advance(2.0)
+    return harness
+
+
+def roll_over(harness):
+    """Let a second version come, and leave again some seconds later.
+
+    Another change comes first, which is all that a poll for changes that waits before it tells.
+    """
+    harness.announce(harness.endpoints[0], version="v1", slots=5)
+    harness.network.advance(0.5)
+    others = [add_engine(harness, "v2") for _ in range(2)]
+    harness.network.advance(7.0)
+    for endpoint in others:
+        harness.rows.remove("endpoints", endpoint.endpoint_id)
+    harness.network.advance(3.0)
+
+
+def test_gateway_that_was_frozen_takes_no_pool_for_one_that_had_a_single_version_meanwhile():
+    harness = make_watched_fleet()
+    harness.machines[0].freeze()
+    roll_over(harness)
+    harness.machines[0].wake()
+    for _ in range(3):
+        assert resume(harness, b"begun-at-v2").status == 503
+        harness.network.advance(1.0)
+
+
+def test_gateway_that_was_cut_off_takes_no_pool_for_one_that_had_a_single_version_meanwhile():
+    harness = make_watched_fleet()
+    harness.clients[0].faults.unavailable = True
+    harness.network.cut(*(machine.host for machine in harness.machines))
+    harness.network.advance(10.0)
+    roll_over(harness)
+    harness.clients[0].faults.unavailable = False
+    harness.network.heal(*(machine.host for machine in harness.machines))
+    harness.network.advance(2.0)
+    assert resume(harness, b"begun-at-v2").status == 503
+
+
+def test_streams_of_unknown_version_go_on_soon_after_a_gap_without_another_version():
+    harness = make_watched_fleet()
+    harness.machines[0].freeze()
+    harness.network.advance(10.0)
+    harness.machines[0].wake()
+    harness.network.advance(1.0)
+    assert resume(harness, b"begun-lately").status == 200
+
+
+def test_rows_are_read_once_after_a_gap():
+    harness = make_watched_fleet()
+    (started,) = harness.logs[0].of("pool_versions.read")
+    harness.clients[0].faults.unavailable = True
+    harness.network.advance(12.0)
+    harness.clients[0].faults.unavailable = False
+    harness.network.advance(5.0)
+    assert len(harness.logs[0].of("pool_versions.read")) == 2
+    harness.network.advance(30.0)
+    assert len(harness.logs[0].of("pool_versions.read")) == 2
+
+
+def test_answer_that_was_asked_for_before_a_gap_is_not_the_past_after_it():
+    network = MemoryNetwork()
+    rows = MemoryRows(network.clock)
+    put_record(rows, ["v1"])
+    writer = Writer(rows, network)
+    writer.watch("v1")
+    writer.client.faults.delay_s = 1.0
+    writer.rows.start()
+    network.advance(1.5)
+    put_record(rows, ["v1", "v2"])
+    writer.rows.handle_gap()
+    network.advance(0.6)
+    assert not writer.versions.knows_past("pool")
+    network.advance(3.0)
+    assert writer.versions.knows_past("pool")
+    assert writer.versions.of("pool") == {"v1", "v2"}
--- a/turnward/software_versions/pool_versions.py
+++ b/turnward/software_versions/pool_versions.py
@@ -95,10 +95,16 @@
             self._history(pool).note_known_since(-math.inf)
 
     def forget_past(self) -> None:
-        """Record that versions may have come and gone unseen until now."""
+        """Record that versions may have come and gone unseen until now.
+
+        Those that are absent may have come back meanwhile, and left again just now.
+        """
+        now_s = self._clock()
         if math.isfinite(self._watched_since_s):
-            self._watched_since_s = self._clock()
-        for history in self._histories.values():
+            self._watched_since_s = now_s
+        for pool, history in self._histories.items():
+            history.drop_ended(self._stream_limit_s(pool), now_s)
+            history.note_gap(now_s)
             history.known_since_s = self._watched_since_s
 
     def of(self, pool: str) -> frozenset[str]:
@@ -174,6 +180,11 @@
         for version in versions:
             self.left_s.setdefault(version, now_s)
 
+    def note_gap(self, now_s: float) -> None:
+        """Count versions that are absent as having left now."""
+        for version, at_s in self.left_s.items():
+            self.left_s[version] = at_s if math.isinf(at_s) else now_s
+
     def note_known_since(self, since_s: float) -> None:
         """Record since when all versions are known; what was known before stays so."""
         self.known_since_s = min(self.known_since_s, since_s)
--- a/turnward/software_versions/tests/test_pool_versions.py
+++ b/turnward/software_versions/tests/test_pool_versions.py
@@ -93,3 +93,16 @@
     assert start.versions.of("pool") == {"v2", "v3"}
     start.now_s += 2.0
     assert start.versions.of("pool") == {"v3"}
+
+
+def test_version_that_may_have_come_back_during_a_gap_is_kept_for_as_long_as_its_streams_last():
+    start = Start()
+    for name in STEPS:
+        start.step(name)
+    start.now_s += LIMIT_S - 5.0
+    start.versions.forget_past()
+    start.versions.add_recorded({"pool": ("v1", "v2")})
+    start.now_s += LIMIT_S - 1.0
+    assert start.versions.of("pool") == {"v1", "v2"}
+    start.now_s += 2.0
+    assert start.versions.of("pool") == {"v2"}
