--- a/turnward/gateway/tests/test_pool_version_rows.py
+++ b/turnward/gateway/tests/test_pool_version_rows.py
@@ -413,3 +413,17 @@
     network.advance(3.0)
     assert writer.versions.knows_past("pool")
     assert writer.versions.of("pool") == {"v1", "v2"}
+
+
+def test_streams_of_a_pool_of_one_version_go_on_elsewhere_while_the_store_is_away():
+    harness = make_harness(["v1", "v1"], gateways=4)
+    harness.watch_pools()
+    callers = [b"begun-%d" % number for number in range(12)]
+    for request_id in callers:
+        harness.ask(request_id=request_id)
+    for client in harness.clients:
+        client.faults.unavailable = True
+    harness.network.advance(9.0)
+    harness.machines[0].kill()
+    for number, request_id in enumerate(callers):
+        assert resume(harness, request_id, gateway=1 + number % 3).status == 200
