Streams of a route that moves do not go on at another pool's version

Seen by callers: a stream began, its route was led to another pool, or its weights changed, and the resumption went on at that pool's version, though a single one had been there all along. Cause: whether streams of several versions may come to a pool was judged by the versions of its own past; those that began elsewhere were left out. Why it works: when a configuration is adopted, the versions of the pools to which the same requests were led before are added to those to which they are led now, and so is a past that is unknown; the rows take them over for routers that start later. Streams that nobody was told of are told then. Between pools of one and the same version, streams go on as before. Not covered: a move that happens while no router runs.

--- a/turnward/gateway/configuration.py
+++ b/turnward/gateway/configuration.py
@@ -256,6 +256,14 @@
     return limits_s
 
 
+def _add_moved(moved: dict[str, set[str]], before: Route, after: Route) -> None:
+    """Add the pools that a route led to before, for each one that it leads to now."""
+    for weighted in after.pools:
+        others = {other.pool for other in before.pools} - {weighted.pool}
+        if others:
+            moved.setdefault(weighted.pool, set()).update(others)
+
+
 def _shortest_targets_s(routes: tuple[Route, ...]) -> dict[str, float]:
     """Return the shortest response time target of the routes of each pool."""
     targets_s: dict[str, float] = {}
@@ -327,6 +335,30 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def moved_streams(self, earlier: "RouteTable") -> dict[str, set[str]]:
+        """Return the pools whose streams may go on at each other pool by this table.
+
+        Parameters
+        ----------
+        earlier : RouteTable
+            The table by which the streams began.
+        """
+        changes = [
+            (earlier.find(route.host, route.path_prefix), route)
+            for route in self.configuration.routes
+        ]
+        changes += [
+            (route, self.find(route.host, route.path_prefix))
+            for route in earlier.configuration.routes
+        ]
+        moved: dict[str, set[str]] = {}
+        for before, after in changes:
+            if before is None or after is None or before.pools == after.pools:
+                continue
+            if before.streams and after.streams:
+                _add_moved(moved, before, after)
+        return moved
+
     def workspace_for_key(self, key: str) -> Workspace | None:
         """Return the workspace that holds a key, or None."""
         return self._by_key.get(key)
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -673,6 +673,7 @@
 
     def _configuration_changed(self, source: str) -> None:
         configuration = self.state.routes.configuration
+        self._versions.set_routes(self.state.routes)
         self.callers.limits = configuration.limits
         self._peer_server.limits = limits_with_relays(configuration.limits)
         self.accounts.set_limits(self.state.routes.workspaces, configuration.version)
--- a/turnward/gateway/tests/test_pool_version_rows.py
+++ b/turnward/gateway/tests/test_pool_version_rows.py
@@ -6,11 +6,14 @@
 import msgspec
 from twisted.internet import task
 
+from turnward.gateway import EndpointPool, RetryPolicy, WeightedPool
 from turnward.gateway.pool_version_rows import PoolVersionRows
 from turnward.gateway.recorded_versions import PoolVersionRecord
-from turnward.gateway.tests.harness import ListLog
+from turnward.gateway.tests.harness import Harness, ListLog
 from turnward.gateway.tests.test_software_versions import (
+    Engine,
     add_engine,
+    make_divided_harness,
     make_harness,
     resume,
     versions_in,
@@ -427,3 +430,74 @@
     harness.machines[0].kill()
     for number, request_id in enumerate(callers):
         assert resume(harness, request_id, gateway=1 + number % 3).status == 200
+
+
+def make_moving_fleet(gateways=2):
+    """Return a fleet whose route leads to one of two pools, each of one version."""
+    pools = tuple(EndpointPool(name=name) for name in ("one", "two"))
+    harness = Harness(routes=(stream_route("one"), stream_route("two", "/b/")), pools=pools)
+    for name in ("one", "one", "two", "two"):
+        endpoint = harness.endpoint(Engine(f"v_{name}"), pool=name, announce=False)
+        harness.announce(endpoint, version=f"v_{name}")
+    harness.ready(gateways)
+    harness.watch_pools()
+    harness.network.advance(2.0)
+    return harness
+
+
+def stream_route(pool, path_prefix="/a/"):
+    return Harness.route(
+        name=path_prefix,
+        path_prefix=path_prefix,
+        pools=(WeightedPool(pool),),
+        repeat=RetryPolicy.STREAM,
+        resumable=True,
+    )
+
+
+def test_stream_that_began_before_its_route_moved_does_not_go_on_at_the_other_pools_version():
+    harness = make_moving_fleet()
+    assert versions_in(harness.ask(gateway=1, request_id=b"begun")) == {b"v_one"}
+    harness.configure(routes=(stream_route("two"), stream_route("two", "/b/")))
+    harness.network.advance(3.0)
+    assert resume(harness, b"begun", 0).status == 503
+    assert resume(harness, b"begun", 1).status == 503
+    kill_all(harness)
+    gateway = restart_all(harness)
+    harness.network.advance(1.0)
+    assert resume(harness, b"begun", gateway).status == 503
+
+
+def test_stream_that_falls_to_a_wider_route_does_not_go_on_at_the_other_pools_version():
+    harness = make_moving_fleet()
+    harness.configure(routes=(stream_route("one", "/a/x/"), stream_route("two", "/a/")))
+    harness.network.advance(30.0)
+    harness.configure(routes=(stream_route("two", "/a/"),))
+    harness.network.advance(3.0)
+    assert resume(harness, b"begun", path=b"/a/x/1").status == 503
+
+
+def test_streams_go_on_after_their_route_moved_to_a_pool_of_the_same_version():
+    harness = make_moving_fleet()
+    for endpoint in harness.endpoints:
+        endpoint.behave.version = "v_one"
+        harness.announce(endpoint, version="v_one")
+    harness.network.advance(25.0)
+    harness.configure(routes=(stream_route("two"), stream_route("two", "/b/")))
+    harness.network.advance(3.0)
+    assert resume(harness, b"begun-lately").status == 200
+
+
+def test_stream_does_not_go_on_at_another_pools_version_after_weights_have_changed():
+    harness = make_divided_harness(gateways=2)
+    for endpoint in harness.endpoints:
+        harness.announce(endpoint, version=endpoint.behave.version)
+    harness.network.advance(25.0)
+    begun = [versions_in(harness.ask(request_id=b"begun-%d" % number)) for number in range(12)]
+    (route,) = harness.configuration.routes
+    pools = (WeightedPool("one", 1), WeightedPool("two", 9))
+    harness.configure(routes=(msgspec.structs.replace(route, pools=pools),))
+    harness.network.advance(3.0)
+    for number, versions in enumerate(begun):
+        resumed = versions_in(resume(harness, b"begun-%d" % number, gateway=number % 2))
+        assert resumed in (set(), versions)
--- a/turnward/gateway/version_keeper.py
+++ b/turnward/gateway/version_keeper.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 
 from turnward.gateway.choice import EndpointBook
-from turnward.gateway.configuration import EndpointEntry
+from turnward.gateway.configuration import EndpointEntry, RouteTable
 from turnward.gateway.endpoint_record import EndpointRecord
 from turnward.gateway.member_ring import MemberRing
 from turnward.gateway.peer_book import PeerBook
@@ -117,6 +117,7 @@
         self._clock = clock
         self._untold = UntoldStreams(clock)
         self._suspicions = RestartSuspicions(clock)
+        self._routes: RouteTable | None = None
         #: Incarnations of the endpoints, by pool and version.
         self._incarnations: dict[str, dict[str, set[str]]] = {}
         self._lonely: dict[str, frozenset[str]] = {}
@@ -177,9 +178,23 @@
         self.pools.set_present(self._incarnations)
         if new:
             self.on_versions_changed()
-        for pool in self._incarnations:
+        self._tell_streams(pool for pool in self._incarnations if self.pools.is_mixed(pool))
+
+    def set_routes(self, routes: RouteTable) -> None:
+        """Replace the known routes; streams of a route that has moved go on at another pool."""
+        earlier, self._routes = self._routes, routes
+        if earlier is None:
+            return
+        for pool, sources in routes.moved_streams(earlier).items():
+            self.pools.move_streams(pool, sources)
             if self.pools.is_mixed(pool):
-                self._exchange.tell(self._untold.take(pool))
+                self._tell_streams((pool, *sources))
+        self.on_versions_changed()
+
+    def _tell_streams(self, pools: Iterable[str]) -> None:
+        """Tell other routers of streams that began here and of which they were not told."""
+        for pool in pools:
+            self._exchange.tell(self._untold.take(pool))
 
     def _note_new_versions(self, before: dict[str, dict[str, set[str]]]) -> bool:
         """Record when versions came; return whether any did."""
--- a/turnward/software_versions/pool_versions.py
+++ b/turnward/software_versions/pool_versions.py
@@ -94,6 +94,14 @@
         for pool in by_pool:
             self._history(pool).note_known_since(-math.inf)
 
+    def move_streams(self, pool: str, sources: Iterable[str]) -> None:
+        """Record that streams of other pools may go on at a pool from now on."""
+        now_s = self._clock()
+        history = self._history(pool)
+        for source in sources:
+            self.of(source)
+            history.extend(self._history(source), now_s)
+
     def forget_past(self) -> None:
         """Record that versions may have come and gone unseen until now.
 
@@ -180,6 +188,13 @@
         for version in versions:
             self.left_s.setdefault(version, now_s)
 
+    def extend(self, source: "_PoolHistory", now_s: float) -> None:
+        """Add the versions of another pool, whose streams may have gone on there until now."""
+        for version in source.left_s:
+            self.left_s[version] = max(self.left_s.get(version, now_s), now_s)
+        self.known_since_s = max(self.known_since_s, source.known_since_s)
+        self.note_limit(source.limit_s, now_s)
+
     def note_gap(self, now_s: float) -> None:
         """Count versions that are absent as having left now."""
         for version, at_s in self.left_s.items():
--- a/turnward/software_versions/tests/test_pool_versions.py
+++ b/turnward/software_versions/tests/test_pool_versions.py
@@ -106,3 +106,28 @@
     assert start.versions.of("pool") == {"v1", "v2"}
     start.now_s += 2.0
     assert start.versions.of("pool") == {"v2"}
+
+
+def test_versions_of_streams_that_move_to_a_pool_are_kept_for_as_long_as_they_last():
+    start = Start()
+    for name in STEPS:
+        start.step(name)
+    start.now_s += LIMIT_S
+    start.versions.add_recorded({"other": ("v0", "v2")})
+    start.versions.move_streams("pool", ("other",))
+    start.now_s += LIMIT_S - 1.0
+    assert start.versions.of("pool") == {"v0", "v2"}
+    start.now_s += 2.0
+    assert start.versions.of("pool") == {"v2"}
+
+
+def test_pool_to_which_streams_of_unknown_past_move_is_of_unknown_past():
+    start = Start()
+    for name in STEPS:
+        start.step(name)
+    start.now_s += LIMIT_S
+    start.versions.forget_past()
+    start.versions.add_recorded({"pool": ("v2",)})
+    assert not start.versions.is_mixed("pool")
+    start.versions.move_streams("pool", ("other",))
+    assert start.versions.is_mixed("pool")
