Routers that start do not take each other's ignorance of a rollback for knowledge

Seen by endpoints: where several gateways started just after the store had been rolled back, an endpoint that had begun to drain got requests from them, 1 to 6 in 3 s at ten a second in all in memory, though other gateways knew that it drains.

Cause: a router that starts asks its peers until one has told whether the store was rolled back lately. A peer that had started itself told of no rollback, as it knew of none, and that counted.

Fix: a router says whether it knows: once one that knows has told it, or when it has run for as long as a recovery takes. Only those that know are asked for that, so fleets that start whole ask less.

--- a/turnward/gateway/overlay.py
+++ b/turnward/gateway/overlay.py
@@ -85,6 +85,8 @@
         The same as ``quarantine``, for prompt parts: of runs whose response had begun, and of all.
     knows_quarantined : bool
         Whether the aggregator knows everything that was quarantined before its start.
+    knows_recovery : bool
+        Whether it knows if the store was rolled back shortly before its start.
     """
 
     layout: int
@@ -106,6 +108,7 @@
     begun_parts: QuarantineUpdate = EMPTY_QUARANTINE_UPDATE
     lost_parts: QuarantineUpdate = EMPTY_QUARANTINE_UPDATE
     knows_quarantined: bool = False
+    knows_recovery: bool = False
 
     @property
     def endpoints_as_of(self) -> RowVersion:
@@ -460,6 +463,7 @@
             self._own_digest.begun_parts,
             self._own_digest.lost_parts,
             self._own_digest.knows_quarantined,
+            self._own_digest.knows_recovery,
         )
 
     def _summarize_fleet(self) -> FleetSummary:
@@ -497,6 +501,7 @@
             self._own_digest.begun_parts,
             self._own_digest.lost_parts,
             self._own_digest.knows_quarantined,
+            self._own_digest.knows_recovery,
         )
 
 
--- a/turnward/gateway/peer_book.py
+++ b/turnward/gateway/peer_book.py
@@ -140,6 +140,8 @@
         By how much the router's event loop is late; 0 from versions that do not tell.
     knows_quarantined : bool
         Whether the router knows everything that was quarantined before its start.
+    knows_recovery : bool
+        Whether it knows if the store was rolled back shortly before its start.
     """
 
     layout: int
@@ -168,6 +170,7 @@
     lost_parts: QuarantineUpdate = EMPTY_QUARANTINE_UPDATE
     delay_ms: int = 0
     knows_quarantined: bool = False
+    knows_recovery: bool = False
 
     @property
     def endpoints_as_of(self) -> RowVersion:
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -28,6 +28,7 @@
 from turnward.gateway.rate_limits import RateLimits
 from turnward.gateway.relay_note import RELAY_PREFIX
 from turnward.gateway.relay_paths import PathAnswer, PathQuestion
+from turnward.gateway.removed_endpoints import REWRITE_PERIOD_S
 from turnward.gateway.restart_suspicions import RestartSuspicion
 from turnward.gateway.state import EndpointsSnapshot, FleetState
 from turnward.gateway.stream_version_exchange import STREAM_VERSION_PATH, StreamVersionNotice
@@ -185,8 +186,9 @@
         self._log = log
         self._fetching: set[bytes] = set()
         self._newest_announced: dict[bytes, int] = {}
-        #: Whether a peer has told whether the store was rolled back shortly before this start.
-        self._knows_recoveries = False
+        self._started_s = reactor.seconds()
+        #: Whether a peer has told if the store was rolled back shortly before this start.
+        self._told_of_recovery = False
         self._configuration = PackedCache()
         self._endpoints = PackedCache()
         self.overlay = Overlay(book, identity.zone, reactor.seconds, identity.link_mbit_per_s)
@@ -305,8 +307,18 @@
             lost_parts=self._parts.lost.make_update(),
             delay_ms=self.delay_ms(),
             knows_quarantined=self._quarantines.known,
+            knows_recovery=self._knows_recovery,
         )
 
+    @property
+    def _knows_recovery(self) -> bool:
+        """Whether this router knows if the store was rolled back shortly before its start.
+
+        A peer that knows tells it; without one, a recovery from before the start is over in time.
+        """
+        running_s = self._reactor.seconds() - self._started_s
+        return self._told_of_recovery or running_s >= REWRITE_PERIOD_S
+
     def _any_peer_short(self) -> bool:
         since_s = self._reactor.seconds() - _SHORTAGE_LIFETIME_S
         return any(peer.digest.short and peer.received_s >= since_s for peer in self._book.live())
@@ -351,6 +363,7 @@
             summary.confirmed_age_s,
             summary.endpoints_as_of,
             summary.endpoints_from,
+            summary.knows_recovery,
         )
 
     def _receive_digest(self, digest: Digest) -> None:
@@ -373,6 +386,7 @@
             digest.confirmed_age_s,
             digest.endpoints_as_of,
             digest.address,
+            digest.knows_recovery,
         )
 
     def _fetch_if_newer(
@@ -382,6 +396,7 @@
         confirmed_age_s: float,
         endpoints_version: RowVersion,
         endpoints_from: str,
+        knows_recovery: bool,
     ) -> None:
         """Fetch newer state, or record the confirmation of the own configuration."""
         if configuration_version > self._state.configuration_version:
@@ -390,27 +405,33 @@
         elif configuration_version == self._state.configuration_version:
             self._confirm(configuration_version, confirmed_age_s)
         self.on_endpoints_announced(endpoints_version, endpoints_from)
-        if endpoints_version > self._state.endpoints_version or not self._knows_recoveries:
+        asks_for_recovery = knows_recovery and not self._knows_recovery
+        if endpoints_version > self._state.endpoints_version or asks_for_recovery:
             self._newest_announced[ENDPOINTS_PATH] = endpoints_version
-            self._fetch(ENDPOINTS_PATH, endpoints_from, self._adopt_endpoints)
+            self._fetch(
+                ENDPOINTS_PATH,
+                endpoints_from,
+                self._adopt_endpoints,
+                even_if_known=asks_for_recovery,
+            )
 
     def _confirm(self, version: int, age_s: float) -> None:
         if age_s >= 0 and version:
             self._state.confirm(self._reactor.seconds() - age_s)
 
-    def _fetch(self, path: bytes, address: str, apply) -> None:
+    def _fetch(self, path: bytes, address: str, apply, even_if_known: bool = False) -> None:
         if path in self._fetching:
             return
         self._fetching.add(path)
-        fetched = defer.ensureDeferred(self._fetch_and_apply(path, address, apply))
+        fetched = defer.ensureDeferred(self._fetch_and_apply(path, address, apply, even_if_known))
         fetched.addBoth(lambda _: self._fetching.discard(path))
 
-    async def _fetch_and_apply(self, path: bytes, address: str, apply) -> None:
+    async def _fetch_and_apply(self, path: bytes, address: str, apply, even_if_known: bool) -> None:
         # This router's own feed usually delivers the same state within this time.
         pause = defer.Deferred()
         self._reactor.callLater(0.12, pause.callback, None)
         await pause
-        if self._is_behind(path):
+        if even_if_known or self._is_behind(path):
             await self._fetch_now(path, address, apply, _STATE_TIMEOUT_S)
 
     async def fetch_endpoints(self, address: str, timeout_s: float) -> None:
@@ -434,8 +455,6 @@
     def _is_behind(self, path: bytes) -> bool:
         if path == CONFIGURATION_PATH:
             return self._newest_announced[path] > self._state.configuration_version
-        if not self._knows_recoveries:
-            return True
         return self._newest_announced[path] > self._state.endpoints_version
 
     @property
@@ -460,7 +479,7 @@
 
     def _adopt_endpoints(self, body: bytes, address: str) -> None:
         snapshot = unpack(body, EndpointsSnapshot)
-        self._knows_recoveries = True
+        self._told_of_recovery = self._told_of_recovery or snapshot.knows_recovery
         self._state.adopt_endpoints(snapshot, f"peer {address}")
 
     def serve(self, request: InboundRequest) -> None:
@@ -476,8 +495,11 @@
             packed = self._configuration.get((state.configuration_version, orders), copy)
             request.answer(200, [], packed)
         elif request.target == ENDPOINTS_PATH and state.endpoints_version:
-            snapshot = state.snapshot()
-            key = (snapshot.as_of, snapshot.provisional, snapshot.removed)
+            snapshot = msgspec.structs.replace(
+                state.snapshot(), knows_recovery=self._knows_recovery
+            )
+            flags = (snapshot.provisional, snapshot.knows_recovery)
+            key = (snapshot.as_of, snapshot.removed, flags)
             request.answer(200, [], self._endpoints.get(key, snapshot))
         elif request.target == LOANS_PATH:
             _decode_body(request, LoanAsk, self._lend)
--- a/turnward/gateway/state.py
+++ b/turnward/gateway/state.py
@@ -29,6 +29,9 @@
     removed : tuple of str
         Incarnations known to have been removed, or to be draining; other routers tell them while
         the snapshot is ``provisional``.
+    knows_recovery : bool
+        Whether the router that tells it knows if the store was rolled back shortly before. One that
+        has just started may not.
     """
 
     version: int
@@ -37,6 +40,7 @@
     names_versions: bool = False
     provisional: bool = False
     removed: tuple[str, ...] = ()
+    knows_recovery: bool = False
 
     @classmethod
     def at(cls, version: int, entries: tuple[EndpointEntry, ...]) -> "EndpointsSnapshot":
--- a/turnward/gateway/tests/test_start_orders.py
+++ b/turnward/gateway/tests/test_start_orders.py
@@ -19,6 +19,7 @@
 )
 from turnward.gateway.loans import Loan, LoanAsk
 from turnward.gateway.prepaid import GRANT_SIZING, PrepaidAccounts
+from turnward.gateway.removed_endpoints import REWRITE_PERIOD_S
 from turnward.gateway.retries import RetryBudgetRule
 from turnward.gateway.spending import TABLE as REPORTS_TABLE
 from turnward.gateway.tests.crash_simulation import CrashSimulation
@@ -31,6 +32,7 @@
     answer_ok,
     stream_events,
 )
+from turnward.gateway.tests.rollback_simulation import RollbackSimulation
 from turnward.gateway.tests.test_crashing_parts import PartSimulation, hold
 from turnward.gateway.tests.test_crashing_requests import FATAL, quarantine
 from turnward.hashing import rendezvous_weight
@@ -357,3 +359,26 @@
     restart_in_order(harness, order, send)
     assert retries
     assert excess <= 0
+
+
+@pytest.mark.parametrize("table", ["none", *BASIC_TABLES])
+@pytest.mark.parametrize("restarted", [1, 2, 3])
+@pytest.mark.parametrize("gateways", [4, 6])
+def test_gateways_that_start_in_a_recovery_learn_of_it_although_others_start_too(
+    gateways, restarted, table
+):
+    simulation = RollbackSimulation(gateways)
+    simulation.run_traffic(6.0)
+    harness, draining = simulation.harness, simulation.endpoints[0]
+    copy = harness.rows.copy()
+    harness.announce(draining, leaving=True)
+    simulation.run_traffic(1.0)
+    harness.rows.roll_back(copy)
+    simulation.run_traffic(0.5)
+    requests_before = len(draining.requests)
+    for number in range(restarted):
+        harness.machines[number].kill()
+    for number in range(restarted):
+        start_held(harness, number, (table,) if number == 0 else ())
+    simulation.run_traffic(REWRITE_PERIOD_S - 2.0)
+    assert len(draining.requests) == requests_before
