Streams go on at their version after all gateways were killed

Each gateway keeps a row of its open streams beside several versions, and reads those of all when it starts. Before, what began a stream was known to the memory of gateways alone, so each stream that broke when all were killed was refused, although endpoints of its version served on.

--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -692,6 +692,8 @@
         used = None
         if status < 300 and not self._may_have_run:
             used = self._prompt.tokens + self._progress.events * self._event_tokens()
+        if status < 400:
+            self._note_whole()
         outcome = Outcome.SERVED if status < 400 else Outcome.ENDPOINT_ERROR
         self._end(
             outcome,
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -53,6 +53,7 @@
 from turnward.gateway.settings import GatewaySettings
 from turnward.gateway.spend_bounds import make_spend_bounds
 from turnward.gateway.state import FleetState
+from turnward.gateway.stream_version_rows import StreamVersionRows
 from turnward.gateway.table_catch_up import TableCatchUp
 from turnward.gateway.table_listeners import EndpointsListener, MembersListener
 from turnward.gateway.version_keeper import VersionKeeper
@@ -404,9 +405,23 @@
             self._reactor, self.state, self.book, self.peers, self._log, self._table_is_doubtful
         )
         clock = self._reactor.seconds
-        return VersionKeeper.from_fleet(
+        keeper = VersionKeeper.from_fleet(
             clock, self.state, self.book, self.peers, self.endpoints, table
         )
+        self._stream_version_rows = self._make_stream_version_rows(keeper)
+        keeper.wait_until_read = self._stream_version_rows.wait_until_read
+        return keeper
+
+    def _make_stream_version_rows(self, keeper: VersionKeeper) -> StreamVersionRows:
+        return StreamVersionRows(
+            self._reactor,
+            self._store,
+            self._settings.node,
+            keeper,
+            lambda: self.book.max_router_count,
+            self.state.unreadable_rows,
+            self._rng,
+        )
 
     def _make_pool_version_rows(self, ranks: MemberRanks) -> PoolVersionRows:
         rows = PoolVersionRows(
@@ -587,6 +602,7 @@
         self._log.belief("store.returned", era=era)
         self._quarantines.handle_rollback()
         self._pool_version_rows.handle_rollback()
+        self._stream_version_rows.handle_rollback()
         self._member_row.write()
 
     # Start.
@@ -613,6 +629,7 @@
         self.accounts.start()
         self._quarantines.start()
         self._pool_version_rows.start()
+        self._stream_version_rows.start()
         self._member_row.write()
         self._start_repeating(self._run_housekeeping, _HOUSEKEEPING_INTERVAL_S)
         self._start_repeating(self._pauses.note_running, CHECK_INTERVAL_S)
--- a/turnward/gateway/resumable_request.py
+++ b/turnward/gateway/resumable_request.py
@@ -83,11 +83,18 @@
         self._progress.note(events, self._forwarder.reactor.seconds())
 
     def _note_first_event(self, record: EndpointRecord) -> None:
-        if self._resumed_by_caller or not self.resumable:
-            self._stream_version = self._stream_version or record.entry.version
-            return
         versions = self._forwarder.versions
-        self._stream_version = versions.note_first_event(self._stream_key, record)
+        if self.resumable and not self._resumed_by_caller:
+            self._stream_version = versions.note_first_event(self._stream_key, record)
+            return
+        if self.resumable and self._stream_version:
+            versions.note_resumed(self._stream_key, record, self._stream_version)
+        self._stream_version = self._stream_version or record.entry.version
+
+    def _note_whole(self) -> None:
+        """Record that the answer has ended whole."""
+        if self.resumable:
+            self._forwarder.versions.note_whole(self._stream_key)
 
     def _last_event_id(self) -> bytes | None:
         return self._progress.last_id
--- a/turnward/gateway/version_keeper.py
+++ b/turnward/gateway/version_keeper.py
@@ -20,6 +20,7 @@
 from turnward.gateway.table_catch_up import TableCatchUp, TableStanding
 from turnward.software_versions import (
     UNKNOWN_VERSION,
+    OpenStreams,
     PoolVersions,
     StreamKey,
     StreamVersions,
@@ -75,7 +76,7 @@
         Returns how long a stream of a pool may last, in seconds; 0 for pools without streams, None
         while there is no configuration.
     streams : StreamVersions
-        Versions of streams that this router knows.
+        Versions of streams that this router knows; also an attribute.
     exchange : StreamVersionExchange
         Shares them with other routers.
     entries_stale : callable
@@ -89,6 +90,8 @@
     ----------
     pools : PoolVersions
         Versions of each pool.
+    open_streams : OpenStreams
+        Streams that may be resumed if this router is killed.
     on_suspected : callable
         Called when an endpoint may have restarted as another version.
     on_versions_changed : callable
@@ -96,6 +99,9 @@
     unrecorded : callable
         Returns the versions of a pool that this router has yet to record for those that start
         later.
+    wait_until_read : callable
+        Returns whether the versions of streams that routers have stored were read, after a short
+        time at the latest.
     """
 
     def __init__(
@@ -109,7 +115,7 @@
         recovers: Callable[[], bool],
     ):
         self._stream_limit_s = stream_limit_s
-        self._streams = streams
+        self.streams = streams
         self._exchange = exchange
         self._entries_stale = entries_stale
         self._table = table
@@ -125,9 +131,11 @@
         #: The same of all versions, also of those that were there before this router.
         self._seen_s: dict[str, dict[str, float]] = {}
         self.pools = PoolVersions(clock, stream_limit_s)
+        self.open_streams = OpenStreams(clock)
         self.on_suspected: Callable[[], None] = lambda: None
         self.on_versions_changed: Callable[[], None] = lambda: None
         self.unrecorded: Callable[[str], frozenset[str]] = lambda pool: frozenset()
+        self.wait_until_read: Callable[[], defer.Deferred[bool]] = lambda: defer.succeed(True)
 
     @classmethod
     def from_fleet(
@@ -228,6 +236,10 @@
         """Return whether streams of more than one version may be resumed in a pool."""
         return self.pools.is_mixed(pool)
 
+    def knows_several(self) -> bool:
+        """Return whether some pool is known to have, or to have had, several versions."""
+        return any(len(self.pools.of(pool)) > 1 for pool in self._incarnations)
+
     def has(self, pool: str, version: str) -> bool:
         """Return whether a pool has endpoints of a version."""
         return version in self._incarnations.get(pool, ())
@@ -285,13 +297,25 @@
         pool, version = record.entry.pool, record.entry.version
         if version == UNKNOWN_VERSION or record.incarnation in self._restarted(pool):
             return ""
-        self._streams.note(key, version)
+        self.streams.note(key, version)
+        self._note_open(pool, key, version)
         if self.pools.is_mixed(pool):
             self._exchange.tell([(key, version)])
         else:
             self._untold.add(pool, key, version, self._stream_limit_s(pool))
         return version
 
+    def note_resumed(self, key: StreamKey, record: EndpointRecord, version: str) -> None:
+        """Record that a stream that a version began goes on here."""
+        self._note_open(record.entry.pool, key, version)
+
+    def note_whole(self, key: StreamKey) -> None:
+        """Record that a stream has ended whole, so that it is not resumed any more."""
+        self.open_streams.remove(key)
+
+    def _note_open(self, pool: str, key: StreamKey, version: str) -> None:
+        self.open_streams.add(pool, key, version, self._stream_limit_s(pool) or 0.0)
+
     def ready_to_continue(
         self, pool: str, key: StreamKey, version: str
     ) -> "defer.Deferred[StreamOrigin]":
@@ -314,9 +338,15 @@
         complete = standing is TableStanding.CURRENT and not self._recovers()
         if complete and not self.is_mixed(pool):
             return StreamOrigin("")
-        return self._exchange.find(key).addCallback(
-            lambda found: self._found_origin(pool, found, standing)
-        )
+        return self._find(key).addCallback(lambda found: self._found_origin(pool, found, standing))
+
+    def _find(self, key: StreamKey) -> "defer.Deferred[str]":
+        """Return the version of a stream, empty if neither a router nor a stored row tells it."""
+        found = self._exchange.find(key)
+        return found.addCallback(lambda version: version or self._find_stored(key))
+
+    def _find_stored(self, key: StreamKey) -> "defer.Deferred[str]":
+        return self.wait_until_read().addCallback(lambda _: self.streams.find(key))
 
     def _found_origin(self, pool: str, version: str, standing: TableStanding) -> StreamOrigin:
         # A stream that no router was told of began while its pool had one version there.
--- a/turnward/software_versions/__init__.py
+++ b/turnward/software_versions/__init__.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Which software version wrote a stream, and whether its pool has others, without I/O."""
 
+from turnward.software_versions.open_streams import OpenStreams
 from turnward.software_versions.pool_versions import (
     UNKNOWN_VERSION,
     UNNAMED_VERSION,
@@ -18,6 +19,7 @@
 __all__ = [
     "UNKNOWN_VERSION",
     "UNNAMED_VERSION",
+    "OpenStreams",
     "PoolVersions",
     "StreamKey",
     "StreamVersions",
