Refusals of streams name whether trying again can help

A stream whose version nobody knows, once all that was asked has answered and the rows are read, is refused as version_lost, and one whose version has left as version_gone. Before, both looked the same as while a gateway could not be asked.

--- a/turnward/gateway/resumable_request.py
+++ b/turnward/gateway/resumable_request.py
@@ -171,7 +171,8 @@
         def ready(origin: StreamOrigin) -> None:
             log_origin(origin)
             if not origin.may_go_on:
-                self._give_up(Reason.VERSION_UNKNOWN)
+                may_turn_up = origin.may_turn_up
+                self._give_up(Reason.VERSION_UNKNOWN if may_turn_up else Reason.VERSION_LOST)
                 return
             self._stream_version = origin.version
             proceed()
@@ -198,9 +199,11 @@
     def _no_endpoint_reason(self) -> Reason:
         """Why no endpoint was found."""
         version = self.bound_version
-        if version and not self._forwarder.versions.has(self.pool, version):
-            return Reason.NO_SAME_VERSION
-        return Reason.NO_ENDPOINT
+        versions = self._forwarder.versions
+        if not version or versions.has(self.pool, version):
+            return Reason.NO_ENDPOINT
+        has_left = versions.has_left(self.pool, version)
+        return Reason.VERSION_GONE if has_left else Reason.NO_SAME_VERSION
 
     @abstractmethod
     def _give_up(self, reason: Reason) -> None:
--- a/turnward/gateway/stream_version_exchange.py
+++ b/turnward/gateway/stream_version_exchange.py
@@ -94,8 +94,11 @@
         for key, version in notice.streams:
             self._streams.note(key, version)
 
-    def find(self, key: StreamKey) -> "defer.Deferred[str]":
-        """Return the version of a stream, empty if no router knows it."""
+    def find(self, key: StreamKey) -> "defer.Deferred[str | None]":
+        """Return the version of a stream, empty if no router knows it.
+
+        None if those that answered do not know it, and another may.
+        """
         known = self._streams.find(key)
         if known:
             return defer.succeed(known)
@@ -105,9 +108,9 @@
         selected = self._ring.select(key, _HOLDERS_PER_STREAM)
         return [address for address in selected if address != self._own_address]
 
-    async def _ask(self, address: str, key: StreamKey) -> str:
+    async def _ask(self, address: str, key: StreamKey) -> str | None:
         answer = await self._call(address, STREAM_VERSION_PATH, key, _QUESTION_TIMEOUT_S)
-        return answer.decode(errors="replace") if answer else ""
+        return answer.decode(errors="replace") if answer is not None else None
 
     def serve(self, request: InboundRequest) -> None:
         """Answer another router's question with a version, or with an empty body."""
@@ -119,18 +122,20 @@
         request.attach(key.append, respond)
 
 
-def _first_known(questions: list[Awaitable[str]]) -> "defer.Deferred[str]":
-    """Return the first non-empty answer, or an empty one once all have failed."""
-    first: defer.Deferred[str] = defer.Deferred()
+def _first_known(questions: list[Awaitable[str | None]]) -> "defer.Deferred[str | None]":
+    """Return the first version, once all have answered an empty one, or None if some have not."""
+    first: defer.Deferred[str | None] = defer.Deferred()
     pending = len(questions)
+    unknown: str | None = ""
     if not pending:
-        first.callback("")
+        first.callback(unknown)
 
-    def answered(version: str) -> None:
-        nonlocal pending
+    def answered(version: str | None) -> None:
+        nonlocal pending, unknown
         pending -= 1
+        unknown = None if version is None else unknown
         if not first.called and (version or not pending):
-            first.callback(version)
+            first.callback(version or unknown)
 
     for question in questions:
         defer.ensureDeferred(question).addCallback(answered)
--- a/turnward/gateway/tests/test_stream_version_rows.py
+++ b/turnward/gateway/tests/test_stream_version_rows.py
@@ -335,3 +335,59 @@
     first = restart_all(harness)
     for name, version in begun.items():
         assert resumed_at(harness, name, first) == version
+
+
+def reason_told(caller):
+    """Return why a caller was refused as not run."""
+    assert caller.status == 503
+    return msgspec.json.decode(caller.body)["error"]
+
+
+def test_caller_is_told_that_trying_again_does_not_help_if_nobody_knows_the_version():
+    harness = make_harness(["v1", "v1", "v2", "v2"], gateways=3)
+    refused = resume(harness, b"never-begun")
+    assert reason_told(refused) == "version_lost"
+
+
+def test_caller_is_told_that_trying_again_does_not_help_if_the_version_has_left():
+    harness = make_slow_harness(["v1", "v2", "v2"], gateways=3)
+    ((name, version),) = begin(harness, [b"begun"]).items()
+    assert version == {b"v2"}
+    for endpoint in harness.endpoints[1:]:
+        harness.rows.remove("endpoints", endpoint.endpoint_id)
+    harness.network.advance(3.0)
+    refused = resume(harness, name, gateway=1)
+    assert reason_told(refused) == "version_gone"
+
+
+def test_caller_is_told_to_try_again_if_the_gateway_does_not_know_the_version_of_its_stream_yet():
+    harness = make_harness(["v1", "v1", "v2", "v2"])
+    row = StreamVersionsRow.from_streams({stream_key("acme", b"begun"): "v3"}, 0.0)
+    harness.rows.put(TABLE, "node-9", msgspec.msgpack.encode(row), PART)
+    first = restart_all(harness)
+    refused = resume(harness, b"begun", first)
+    assert reason_told(refused) == "no_endpoint_of_version"
+
+
+def test_caller_is_told_to_try_again_while_the_rows_are_unread():
+    harness = make_slow_harness(["v1", "v1", "v2", "v2"])
+    ((name, version),) = begin(harness, [b"begun"]).items()
+    harness.network.advance(1.0)
+    (machine,) = kill_all(harness)
+    machine.restart()
+    gateway = harness.run_gateway(machine, "node-1", start=False)
+    release = hold_table(harness.clients[-1])
+    gateway.start()
+    assert harness.network.advance_until(lambda: gateway.ready)
+    refused = resume(harness, name, 1)
+    assert reason_told(refused) == "version_unknown"
+    release()
+    harness.network.advance(0.1)
+    assert resumed_at(harness, name, 1) == version
+
+
+def test_caller_is_told_to_try_again_while_a_gateway_that_may_know_does_not_answer():
+    harness = make_harness(["v1", "v1", "v2", "v2"], gateways=3)
+    harness.machines[2].kill()
+    refused = resume(harness, b"never-begun")
+    assert reason_told(refused) == "version_unknown"
--- a/turnward/gateway/version_keeper.py
+++ b/turnward/gateway/version_keeper.py
@@ -58,11 +58,14 @@
         Whether it may go on; False if other versions than its own may continue it.
     searched : bool
         Whether the version was looked for.
+    may_turn_up : bool
+        Whether the version may be found later, if it is not known.
     """
 
     version: str
     may_go_on: bool = True
     searched: bool = False
+    may_turn_up: bool = False
 
 
 class VersionKeeper:
@@ -244,6 +247,10 @@
         """Return whether a pool has endpoints of a version."""
         return version in self._incarnations.get(pool, ())
 
+    def has_left(self, pool: str, version: str) -> bool:
+        """Return whether a version that a pool had has no endpoints any more."""
+        return not self.has(pool, version) and version in self.pools.of(pool)
+
     def binds(self, pool: str, version: str) -> bool:
         """Return whether a stream that a version began must not go on at any endpoint of a pool.
 
@@ -340,18 +347,33 @@
             return StreamOrigin("")
         return self._find(key).addCallback(lambda found: self._found_origin(pool, found, standing))
 
-    def _find(self, key: StreamKey) -> "defer.Deferred[str]":
-        """Return the version of a stream, empty if neither a router nor a stored row tells it."""
+    def _find(self, key: StreamKey) -> "defer.Deferred[str | None]":
+        """Return the version of a stream, empty if neither a router nor a stored row tells it.
+
+        None if one that could not be asked or read may tell it.
+        """
         found = self._exchange.find(key)
-        return found.addCallback(lambda version: version or self._find_stored(key))
+        return found.addCallback(lambda version: version or self._find_stored(key, version))
 
-    def _find_stored(self, key: StreamKey) -> "defer.Deferred[str]":
-        return self.wait_until_read().addCallback(lambda _: self.streams.find(key))
+    def _find_stored(self, key: StreamKey, answer: str | None) -> "defer.Deferred[str | None]":
+        """Return the version that a stored row tells; if none does, what routers answered."""
 
-    def _found_origin(self, pool: str, version: str, standing: TableStanding) -> StreamOrigin:
+        def find(is_read: bool) -> str | None:
+            return self.streams.find(key) or (answer if is_read else None)
+
+        return self.wait_until_read().addCallback(find)
+
+    def _found_origin(
+        self, pool: str, version: str | None, standing: TableStanding
+    ) -> StreamOrigin:
         # A stream that no router was told of began while its pool had one version there.
         one_version = not self.is_mixed(pool) and standing is not TableStanding.UNCONFIRMED
-        return StreamOrigin(version, may_go_on=bool(version) or one_version, searched=True)
+        return StreamOrigin(
+            version or "",
+            may_go_on=bool(version) or one_version,
+            searched=True,
+            may_turn_up=version is None or standing is TableStanding.UNCONFIRMED,
+        )
 
 
 def _add(by_pool: dict[str, dict[str, set[str]]], entry: EndpointEntry) -> None:
