--- a/turnward/gateway/resumable_request.py
+++ b/turnward/gateway/resumable_request.py
@@ -83,11 +83,18 @@
         self._progress.note(events, self._forwarder.reactor.seconds())
 
     def _note_first_event(self, record: EndpointRecord) -> None:
-        if self._resumed_by_caller or not self.resumable:
-            self._stream_version = self._stream_version or record.entry.version
-            return
         versions = self._forwarder.versions
-        self._stream_version = versions.note_first_event(self._stream_key, record)
+        if self.resumable and not self._resumed_by_caller:
+            self._stream_version = versions.note_first_event(self._stream_key, record)
+            return
+        if self.resumable and self._stream_version:
+            versions.note_resumed(self._stream_key, record, self._stream_version)
+        self._stream_version = self._stream_version or record.entry.version
+
+    def _note_whole(self) -> None:
+        """Record that the answer has ended whole."""
+        if self.resumable:
+            self._forwarder.versions.note_whole(self._stream_key)
 
     def _last_event_id(self) -> bytes | None:
         return self._progress.last_id
@@ -164,7 +171,8 @@
         def ready(origin: StreamOrigin) -> None:
             log_origin(origin)
             if not origin.may_go_on:
-                self._give_up(Reason.VERSION_UNKNOWN)
+                may_turn_up = origin.may_turn_up
+                self._give_up(Reason.VERSION_UNKNOWN if may_turn_up else Reason.VERSION_LOST)
                 return
             self._stream_version = origin.version
             proceed()
@@ -191,9 +199,11 @@
     def _no_endpoint_reason(self) -> Reason:
         """Why no endpoint was found."""
         version = self.bound_version
-        if version and not self._forwarder.versions.has(self.pool, version):
-            return Reason.NO_SAME_VERSION
-        return Reason.NO_ENDPOINT
+        versions = self._forwarder.versions
+        if not version or versions.has(self.pool, version):
+            return Reason.NO_ENDPOINT
+        has_left = versions.has_left(self.pool, version)
+        return Reason.VERSION_GONE if has_left else Reason.NO_SAME_VERSION
 
     @abstractmethod
     def _give_up(self, reason: Reason) -> None:
