Copies and rows of older builds name no second version

Seen by callers, found by the review: where endpoints name no version, a table or a row that came by way of an older build held an empty name beside the one that this build gives them. The pool then had two versions: records of all endpoints were replaced, streams inside an answer broke off, and those begun here were refused. Cause: the name was given at the boundary to the store alone. The name is now given wherever an entry is made or decoded, and where a row is read.

--- a/turnward/gateway/configuration.py
+++ b/turnward/gateway/configuration.py
@@ -230,6 +230,11 @@
     born_ms: int | None = None
     version: str = UNNAMED_VERSION
 
+    def __post_init__(self):
+        # Older builds copy entries that name no version with an empty one.
+        if not self.version:
+            msgspec.structs.force_setattr(self, "version", UNNAMED_VERSION)
+
     @property
     def incarnation(self) -> str:
         """Identifier of the endpoint's process; it changes with each restart."""
--- a/turnward/gateway/recorded_versions.py
+++ b/turnward/gateway/recorded_versions.py
@@ -7,6 +7,7 @@
 
 from turnward.gateway.unreadable_rows import ROW_DECODE_ERRORS, UnreadableRows
 from turnward.rows import RowChange, RowKey, StoredRow
+from turnward.software_versions import UNNAMED_VERSION
 
 __all__ = [
     "POOL_VERSIONS_TABLE",
@@ -141,7 +142,9 @@
             return RecordedVersions()
         if record is None:
             record = PoolVersionRecord((), _ERA_WITHOUT_RECORD)
-        return RecordedVersions.from_record(record, frozenset(listed), store_era)
+        # Older builds list versions that have no name as an empty one.
+        named = frozenset(version or UNNAMED_VERSION for version in listed)
+        return RecordedVersions.from_record(record, named, store_era)
 
     def changes(self, recorded: RecordedVersions) -> tuple[RowChange, ...]:
         """Return the changes that make the rows tell something else."""
