An id that began streams of two versions stays ambiguous in the stored row

Seen by callers, found by the review: an id was used for two streams at one gateway, of two versions. Before a kill of all gateways a resumption was refused as ambiguous; after it, it went on at the first stream's version. Cause: whether the row is up to date was judged by the keys alone, and the row took the version of the stream that had come first. Evidence: the new test with one gateway failed before (200 in place of 503). The row now holds what the gateway itself would answer, and is written again when that changes.

--- a/turnward/gateway/stream_version_rows.py
+++ b/turnward/gateway/stream_version_rows.py
@@ -130,7 +130,7 @@
         self._waiting: list[defer.Deferred] = []
         #: Version of the own row, 0 if there is none; None if it has to be read.
         self._row_version: int | None = None
-        self._recorded: frozenset[StreamKey] = frozenset()
+        self._recorded: dict[StreamKey, str] = {}
         self._written_s = -math.inf
 
     def start(self) -> None:
@@ -140,7 +140,7 @@
     def handle_rollback(self) -> None:
         """Write the row again, as the rollback of the store may have lost it."""
         self._row_version = None
-        self._recorded = frozenset()
+        self._recorded = {}
 
     def wait_until_read(self) -> "defer.Deferred[bool]":
         """Return whether the rows have been read; wait for that a few tenths of a second."""
@@ -191,7 +191,7 @@
             self._keeper.streams.note(key, version)
         if row.key == self._key:
             self._keeper.open_streams.inherit(streams.items())
-            self._recorded = frozenset(streams)
+            self._recorded = streams
             self._row_version = 0 if row.gone else row.version
 
     def _decode(self, row: StoredRow) -> dict[StreamKey, str]:
@@ -210,9 +210,9 @@
     # Writing.
 
     async def _write_new(self) -> None:
-        """Write the row if it lacks a stream."""
+        """Write the row if it lacks a stream, or has another version of one."""
         streams = self._recordable()
-        if not self._is_due() or self._recorded.issuperset(streams):
+        if not self._is_due() or streams.items() <= self._recorded.items():
             return
         if self._row_version is None:
             self._note(await self._store.read_row(self._key))
@@ -223,7 +223,7 @@
         row = StreamVersionsRow.from_streams(streams, store_time_s)
         change = RowChange(self._key, msgspec.msgpack.encode(row), self._row_version)
         self._row_version = await self._store.transact(VersionedTransaction((change,)))
-        self._recorded = frozenset(streams)
+        self._recorded = streams
         self._written_s = self._reactor.seconds()
 
     def _is_due(self) -> bool:
@@ -231,5 +231,7 @@
         return self._keeper.knows_several() or waited_s >= _INTERVAL_OF_ONE_VERSION_S
 
     def _recordable(self) -> dict[StreamKey, str]:
+        """Return the versions of the open streams, empty where an id was used for two."""
         most = min(_MAX_ROW_STREAMS, _MAX_STREAMS // self._router_count())
-        return self._keeper.open_streams.latest(most, self._keeper.is_mixed)
+        keys = self._keeper.open_streams.latest(most, self._keeper.is_mixed)
+        return {key: self._keeper.streams.find(key) for key in keys}
--- a/turnward/gateway/tests/test_stream_version_rows.py
+++ b/turnward/gateway/tests/test_stream_version_rows.py
@@ -391,3 +391,26 @@
     harness.machines[2].kill()
     refused = resume(harness, b"never-begun")
     assert reason_told(refused) == "version_unknown"
+
+
+@pytest.mark.parametrize("gateways", [1, 2])
+def test_id_that_began_streams_of_two_versions_is_ambiguous_after_all_were_killed(gateways):
+    harness = make_slow_harness(["v1", "v1", "v2", "v2"], gateways=gateways)
+    request_id = begin_twice(harness, gateways - 1)
+    harness.network.advance(3.0)
+    for endpoint in harness.endpoints:
+        endpoint.behave.ends = True
+    assert resume(harness, request_id, restart_all(harness)).status == 503
+
+
+def begin_twice(harness, gateway):
+    """Begin streams under one id at two versions, the first at gateway 0; return the id."""
+    for number in range(60):
+        name = b"again-%d" % number
+        first = begin(harness, [name])[name]
+        harness.network.advance(1.0)
+        other = harness.send(gateway, request_id=name)
+        harness.network.advance(0.1)
+        if versions_in(other) != first:
+            return name
+    raise AssertionError("no stream of another version")
