A gap ends with the first word of a peer, not with the own poll

Seen by callers, found by the review: a gateway was cut off from the store and its peers while a version came, began streams and left. Once its links were back it took a peer's table, and resumed such a stream at the other version until its own poll was answered, up to some seconds later. Cause: only the answer of the own feed ended a gap. Evidence: of plays 0.3 to 5 s after the links were back, five of six failed before and none does now. A second or more in which neither the store nor a peer was heard is a gap, noted before what the peer tells is used.

--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -204,6 +204,8 @@
         self.refused_count = 0
         #: When the latest message of a peer came.
         self.received_s = 0.0
+        #: Called before what a peer tells is used.
+        self.on_heard: Callable[[], None] = lambda: None
         self._pending_announcement = None
         self.stopping = False
         #: Called with each request that a peer relays.
@@ -329,6 +331,7 @@
 
     def receive(self, message: PeerMessage) -> None:
         """Merge a message from a peer, and fetch state that is newer elsewhere."""
+        self.on_heard()
         self.received_s = self._reactor.seconds()
         if isinstance(message, StreamVersionNotice):
             self.on_stream_versions(message)
@@ -478,6 +481,7 @@
         self._state.adopt_configuration(copy.configuration, f"peer {address}", copy.row_as_of)
 
     def _adopt_endpoints(self, body: bytes, address: str) -> None:
+        self.on_heard()
         snapshot = unpack(body, EndpointsSnapshot)
         self._told_of_recovery = self._told_of_recovery or snapshot.knows_recovery
         self._state.adopt_endpoints(snapshot, f"peer {address}")
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -437,6 +437,7 @@
         rows.store_is_away = lambda: self._watch_gaps.failing
         self._watch_gaps.on_gap = rows.handle_gap
         self._pauses.on_resumed = self._watch_gaps.note_pause
+        self.peers.on_heard = self._watch_gaps.note_peer
         self._versions.on_versions_changed = rows.check
         self._versions.unrecorded = rows.unrecorded
         return rows
--- a/turnward/gateway/tests/test_pool_version_rows.py
+++ b/turnward/gateway/tests/test_pool_version_rows.py
@@ -4,6 +4,7 @@
 import random
 
 import msgspec
+import pytest
 from twisted.internet import task
 
 from turnward.gateway import EndpointPool, RetryPolicy, WeightedPool
@@ -18,6 +19,12 @@
     resume,
     versions_in,
 )
+from turnward.gateway.tests.test_stale_tables import (
+    add_second_version,
+    begin_at,
+    cut_off,
+    make_long_running,
+)
 from turnward.gateway.unreadable_rows import UnreadableRows
 from turnward.rows import RowKey, RowsUnavailableError
 from turnward.software_versions import PoolVersions
@@ -501,3 +508,34 @@
     for number, versions in enumerate(begun):
         resumed = versions_in(resume(harness, b"begun-%d" % number, gateway=number % 2))
         assert resumed in (set(), versions)
+
+
+@pytest.mark.parametrize("after_s", [0.3, 1.0, 1.5, 2.0, 3.0, 5.0])
+def test_version_that_came_and_went_while_a_gateway_was_cut_off_is_not_forgotten(after_s):
+    harness = make_long_running(gateways=4)
+    harness.network.advance(6.0)
+    cut_off(harness, 3)
+    begun = begin_and_withdraw_second_version(harness)
+    harness.clients[3].faults.unavailable = False
+    heal_links(harness, 3)
+    harness.network.advance(after_s)
+    resumed = resume(harness, begun, gateway=3)
+    assert resumed.status == 503 or versions_in(resumed) == {b"v2"}
+
+
+def begin_and_withdraw_second_version(harness):
+    """Have a second version come, begin a stream and leave; return the stream's request id."""
+    add_second_version(harness)
+    begun = begin_at(harness, b"v2")
+    for endpoint in harness.endpoints:
+        if endpoint.behave.version == "v2":
+            harness.rows.remove("endpoints", endpoint.endpoint_id)
+    harness.network.advance(1.0)
+    return begun
+
+
+def heal_links(harness, gateway):
+    """Restore the links of a gateway to the others."""
+    machine = harness.machines[gateway]
+    for other in harness.machines:
+        harness.network.heal(machine.host, other.host)
--- a/turnward/gateway/watch_gaps.py
+++ b/turnward/gateway/watch_gaps.py
@@ -9,10 +9,10 @@
 
 from turnward.gateway.pauses import Pause
 
-__all__ = ["WatchGaps"]
+__all__ = ["MIN_GAP_S", "WatchGaps"]
 
 #: Shortest gap in which an endpoint may come, begin streams and leave.
-_MIN_GAP_S = 1.0
+MIN_GAP_S = 1.0
 
 
 class WatchGaps:
@@ -45,6 +45,8 @@
     def __init__(self, clock: Callable[[], float]):
         self._clock = clock
         self._answered_s: float | None = None
+        #: When the store or a peer was heard last.
+        self._heard_s: float | None = None
         self.failing = False
         self.on_gap: Callable[[], None] = lambda: None
 
@@ -58,10 +60,17 @@
             return
         failed, self.failing = self.failing, False
         before_s, self._answered_s = self._answered_s, self._clock()
-        if failed and before_s is not None and self._answered_s - before_s >= _MIN_GAP_S:
+        self._heard_s = self._answered_s
+        if failed and before_s is not None and self._answered_s - before_s >= MIN_GAP_S:
+            self.on_gap()
+
+    def note_peer(self) -> None:
+        """Record that a peer is heard, before what it tells is used."""
+        before_s, self._heard_s = self._heard_s, self._clock()
+        if before_s is not None and self._heard_s - before_s >= MIN_GAP_S:
             self.on_gap()
 
     def note_pause(self, pause: Pause) -> None:
         """Record that the process was paused."""
-        if pause.resumed_s - pause.began_s >= _MIN_GAP_S:
+        if pause.resumed_s - pause.began_s >= MIN_GAP_S:
             self.on_gap()
