A row read long before the first table of endpoints is read again

Cause: a record made the past known up to the first table, whenever that came. If a second or more lies between the read and the first table, that is a gap.

--- a/turnward/gateway/pool_version_rows.py
+++ b/turnward/gateway/pool_version_rows.py
@@ -6,6 +6,7 @@
 appears, or can have no streams any more.
 """
 
+import math
 import random
 from collections.abc import Callable
 
@@ -20,6 +21,7 @@
 )
 from turnward.gateway.removed_endpoints import REWRITE_PERIOD_S
 from turnward.gateway.unreadable_rows import UnreadableRows
+from turnward.gateway.watch_gaps import MIN_GAP_S
 from turnward.rows import (
     RowKey,
     RowStoreError,
@@ -87,6 +89,8 @@
         self._writing: set[str] = set()
         self._has_read = False
         self._reading = False
+        #: When the last read that was answered was sent.
+        self._read_s = 0.0
         #: Number of gaps so far; what was asked for before the latest one is out of date.
         self._gaps = 0
         self.store_is_away: Callable[[], bool] = lambda: False
@@ -135,7 +139,7 @@
         """Read the rows unless the store is away; return whether they tell the past until now."""
         if self._has_read and self.store_is_away():
             return False
-        gaps = self._gaps
+        gaps, sent_s = self._gaps, self._reactor.seconds()
         try:
             records = await self._store.read_table(POOL_VERSION_RECORDS_TABLE)
             listed = await self._store.read_table(POOL_VERSIONS_TABLE)
@@ -143,6 +147,7 @@
             return False
         if gaps != self._gaps:
             return False
+        self._read_s = sent_s
         for pool, stored in StoredVersions.by_pool(listed.rows, records.rows).items():
             self._learn(pool, self._decode(stored))
         self._log_read(listed.version)
@@ -193,6 +198,9 @@
         """Write the rows that differ from what is known."""
         if self._reading or not self._has_read:
             return
+        if self._was_read_too_early():
+            self.handle_gap()
+            return
         for pool, versions in self._versions.recordable().items():
             rank = self._rank_for(pool)
             due = self._is_due(pool, versions) and rank < _WRITERS
@@ -203,6 +211,11 @@
                 writing.addErrback(lambda failure: failure.trap(RowStoreError))
                 writing.addBoth(lambda _, pool=pool: self._writing.discard(pool))
 
+    def _was_read_too_early(self) -> bool:
+        """Return whether versions may have come and gone between the read and the first table."""
+        watched_since_s = self._versions.watched_since_s
+        return math.isfinite(watched_since_s) and watched_since_s - self._read_s >= MIN_GAP_S
+
     def _is_due(self, pool: str, versions: frozenset[str]) -> bool:
         recorded = self._recorded_of(pool)
         return self._to_record(pool, versions, recorded) != recorded
--- a/turnward/gateway/tests/test_pool_version_rows.py
+++ b/turnward/gateway/tests/test_pool_version_rows.py
@@ -539,3 +539,22 @@
     machine = harness.machines[gateway]
     for other in harness.machines:
         harness.network.heal(machine.host, other.host)
+
+
+def test_row_that_was_read_long_before_the_endpoints_is_read_again():
+    harness = make_long_running(gateways=2)
+    machine = harness.machines[1]
+    machine.kill()
+    harness.network.advance(1.0)
+    machine.restart()
+    harness.network.cut(harness.machines[0].host, machine.host)
+    started = harness.run_gateway(machine, "node-2", start=False)
+    harness.clients[-1].hold_reads("endpoints")
+    started.start()
+    harness.network.advance(1.0)
+    begun = begin_and_withdraw_second_version(harness)
+    harness.network.heal(harness.machines[0].host, machine.host)
+    harness.clients[-1].release_reads("endpoints")
+    assert harness.network.advance_until(lambda: started.ready)
+    resumed = resume(harness, begun, gateway=2)
+    assert resumed.status == 503 or versions_in(resumed) == {b"v2"}
--- a/turnward/software_versions/pool_versions.py
+++ b/turnward/software_versions/pool_versions.py
@@ -44,6 +44,11 @@
         Returns how long after its version has left the table a stream of a pool may still be
         resumed, in seconds; 0 for pools without streams, None while that is not known.
 
+    Attributes
+    ----------
+    watched_since_s : float
+        Since when the table of endpoints has been watched without a gap; infinity before.
+
     Examples
     --------
     >>> now_s = 0.0
@@ -65,19 +70,18 @@
         self._clock = clock
         self._stream_limit_s = stream_limit_s
         self._histories: dict[str, _PoolHistory] = {}
-        #: Since when the table of endpoints has been watched without a gap.
-        self._watched_since_s = math.inf
+        self.watched_since_s = math.inf
 
     def set_present(self, by_pool: Mapping[str, Iterable[str]]) -> None:
         """Replace the versions that are present in the table."""
         now_s = self._clock()
-        self._watched_since_s = min(self._watched_since_s, now_s)
+        self.watched_since_s = min(self.watched_since_s, now_s)
         for pool in self._histories.keys() - by_pool.keys():
             self._histories[pool].set_present((), now_s)
         for pool, versions in by_pool.items():
             self._history(pool).set_present(versions, now_s)
         for history in self._histories.values():
-            history.note_known_since(self._watched_since_s)
+            history.note_known_since(self.watched_since_s)
 
     def add_versions(self, by_pool: Mapping[str, Iterable[str]]) -> None:
         """Add versions that may be some of those of the past.
@@ -108,12 +112,12 @@
         Those that are absent may have come back meanwhile, and left again just now.
         """
         now_s = self._clock()
-        if math.isfinite(self._watched_since_s):
-            self._watched_since_s = now_s
+        if math.isfinite(self.watched_since_s):
+            self.watched_since_s = now_s
         for pool, history in self._histories.items():
             history.drop_ended(self._stream_limit_s(pool), now_s)
             history.note_gap(now_s)
-            history.known_since_s = self._watched_since_s
+            history.known_since_s = self.watched_since_s
 
     def of(self, pool: str) -> frozenset[str]:
         """Return the known versions whose streams may still go on."""
@@ -151,7 +155,7 @@
     def _history(self, pool: str) -> "_PoolHistory":
         history = self._histories.get(pool)
         if history is None:
-            history = self._histories[pool] = _PoolHistory(self._watched_since_s)
+            history = self._histories[pool] = _PoolHistory(self.watched_since_s)
         return history
 
 
