Rows of streams: no write before the number of routers is known, no age by an unknown clock

By reading, from the review: until the members' table was read each router counted itself as the only one, and 300 would have written twice a second; a row counted as fresh where the store's clock was unknown or had jumped back, so that an id used again could be taken for its predecessor. No test shows either; the tests of the rows pass.

--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -418,7 +418,7 @@
             self._store,
             self._settings.node,
             keeper,
-            lambda: self.book.max_router_count,
+            lambda: self.book.known_router_count,
             self.state.unreadable_rows,
             self._rng,
         )
--- a/turnward/gateway/stream_version_rows.py
+++ b/turnward/gateway/stream_version_rows.py
@@ -102,7 +102,7 @@
     keeper : VersionKeeper
         Gets what the rows tell, and knows what this router's row is to tell.
     router_count : callable
-        Returns the number of routers that write rows.
+        Returns the number of routers that write rows; None while it is not known.
     unreadable_rows : UnreadableRows
         Records rows that can't be decoded.
     rng : random.Random
@@ -115,7 +115,7 @@
         store: VersionedStoreBase,
         node: str,
         keeper: VersionKeeper,
-        router_count: Callable[[], int],
+        router_count: Callable[[], int | None],
         unreadable_rows: UnreadableRows,
         rng: random.Random,
     ):
@@ -166,7 +166,7 @@
                 self._row_version = None
 
     def _interval_s(self) -> float:
-        return max(_INTERVAL_S, self._router_count() / _WRITES_PER_S)
+        return max(_INTERVAL_S, (self._router_count() or 0) / _WRITES_PER_S)
 
     # Reading.
 
@@ -204,8 +204,10 @@
         except ROW_DECODE_ERRORS as error:
             self._unreadable_rows.mark_unreadable(row, error)
             return {}
-        age_s = (self._store.time_floor_s() or 0.0) - stored.store_time_s
-        return streams if age_s < _RETENTION_S else {}
+        now_s = self._store.time_floor_s()
+        # After a rollback the store's clock may have jumped, in either direction.
+        recent = now_s is not None and abs(now_s - stored.store_time_s) < _RETENTION_S
+        return streams if recent else {}
 
     # Writing.
 
@@ -232,6 +234,9 @@
 
     def _recordable(self) -> dict[StreamKey, str]:
         """Return the versions of the open streams, empty where an id was used for two."""
-        most = min(_MAX_ROW_STREAMS, _MAX_STREAMS // self._router_count())
+        routers = self._router_count()
+        if routers is None:
+            return {}
+        most = min(_MAX_ROW_STREAMS, _MAX_STREAMS // routers)
         keys = self._keeper.open_streams.latest(most, self._keeper.is_mixed)
         return {key: self._keeper.streams.find(key) for key in keys}
