Known red: two ways to join streams by a mass kill that remain

Found by the review and not mended: a time limit that was shortened before all gateways were killed, and a version whose row the store refuses for more than five seconds.

--- a/turnward/gateway/tests/test_mass_restarts.py
+++ b/turnward/gateway/tests/test_mass_restarts.py
@@ -3,10 +3,17 @@
 
 from itertools import permutations
 
+import msgspec
 import pytest
 from twisted.internet import defer
 
 from turnward.gateway.tests.test_software_versions import make_harness, resume
+from turnward.gateway.tests.test_stale_tables import (
+    add_second_version,
+    begin_at,
+    make_long_running,
+)
+from turnward.rows import RowsUnavailableError
 
 ORDERS = tuple(permutations(("configuration", "endpoints", "pool_versions")))
 ORDERS_WITH_RECORDS = tuple(permutations((*ORDERS[0], "pool_version_records")))
@@ -117,3 +124,45 @@
     )
     harness.network.advance(40.0)
     assert resume(harness, b"begun-at-v1").status == 503
+
+
+def test_time_limit_that_was_shortened_before_a_mass_kill_forgets_no_version():
+    harness = make_harness(["v1", "v2", "v2"], gateways=2, time_limit_s=60.0)
+    harness.network.advance(2.0)
+    harness.rows.remove("endpoints", harness.endpoints[0].endpoint_id)
+    harness.network.advance(1.0)
+    (route,) = harness.configuration.routes
+    harness.configure(routes=(msgspec.structs.replace(route, time_limit_s=1.0),))
+    harness.network.advance(2.0)
+    kill_all(harness)
+    (gateway, _) = restart_all(harness)
+    harness.network.advance(20.0)
+    assert resume(harness, b"begun-at-v1", gateway).status == 503
+
+
+def test_version_whose_row_the_store_refuses_for_long_is_not_forgotten_by_a_mass_kill():
+    harness = make_long_running(gateways=2)
+    harness.network.advance(6.0)
+    for client in harness.clients:
+        refuse_version_rows(client)
+    add_second_version(harness)
+    harness.network.advance(6.0)
+    begun = begin_at(harness, b"v2")
+    kill_all(harness)
+    for endpoint in harness.endpoints:
+        if endpoint.behave.version == "v2":
+            harness.rows.remove("endpoints", endpoint.endpoint_id)
+    (gateway, _) = restart_all(harness)
+    assert resume(harness, begun, gateway).status == 503
+
+
+def refuse_version_rows(client):
+    """Have the store refuse all writes of pools' versions."""
+    transact = client.transact
+
+    async def refuse(transaction):
+        if any(change.key.table.startswith("pool_version") for change in transaction.changes):
+            raise RowsUnavailableError("refused")
+        return await transact(transaction)
+
+    client.transact = refuse
