--- a/review/server_2.py
+++ b/review/server_2.py
@@ -4,12 +4,12 @@
     python review/server_2.py JSON
 
 Prints its address, then a line for each request that it runs and each answer that it has ended.
-``JSON`` names its options: ``name`` is its id, ``event_ms`` the time between two events of a
-stream, ``stride`` the tokens of one, ``work_ms`` the time of a plain request and ``body_bytes`` the
-size of its answer. ``framing`` is ``chunks``, ``length`` or ``connection`` (an answer without a
-length, which ends with its connection). ``rejects_above_bytes`` is the size of bodies above which
-the server rejects a request before it has read it, as long as these are no more than
-``reject_share`` of its answers; 0 for none.
+``JSON`` names its options: ``name`` is its id, ``port`` where it listens (0: a free one),
+``event_ms`` the time between two events of a stream, ``stride`` the tokens of one, ``work_ms`` the
+time of a plain request and ``body_bytes`` the size of its answer. ``framing`` is ``chunks``,
+``length`` or ``connection`` (an answer without a length, which ends with its connection).
+``rejects_above_bytes`` is the size of bodies above which the server rejects a request before it has
+read it, as long as these are no more than ``reject_share`` of its answers; 0 for none.
 """
 
 import asyncio
@@ -18,6 +18,7 @@
 
 OPTIONS = {
     "name": "s",
+    "port": 0,
     "event_ms": 100,
     "framing": "chunks",
     "work_ms": 50,
@@ -139,7 +140,7 @@
 async def main() -> None:
     """Serve until the process is ended."""
     options = {**OPTIONS, **json.loads(sys.argv[1])}
-    listening = await asyncio.start_server(Server(options).serve, "127.0.0.1", 0)
+    listening = await asyncio.start_server(Server(options).serve, "127.0.0.1", options["port"])
     host, port = listening.sockets[0].getsockname()
     tell(address=f"{host}:{port}")
     await listening.serve_forever()
