Review case 4: a HEAD request that a peer has lost is run again

A peer's 502 for a relayed HEAD request has no body, and the router takes an answer without a reason for one that was not tried: requests that must not be repeated run twice, or are told not run though they ran.

--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -401,7 +401,7 @@
             reader, writer = await asyncio.open_connection(gateway.ip, gateway.ports["callers"])
             lines = [f"{method} {path} HTTP/1.1"] + [f"{k}: {v}" for k, v in headers.items()]
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-            await read_answer(reader, answer)
+            await read_answer(reader, answer, method)
             writer.close()
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
         pass
@@ -413,14 +413,16 @@
     return answer
 
 
-async def read_answer(reader, answer: Answer) -> None:
+async def read_answer(reader, answer: Answer, method: str = "GET") -> None:
     """Read one answer from a connection."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
     answer.status = int(head[0].split(" ")[1])
     for line in head[1:-2]:
         name, _, value = line.partition(":")
         answer.headers[name.strip().lower()] = value.strip()
-    if answer.headers.get("transfer-encoding") == "chunked":
+    if method == "HEAD":
+        pass
+    elif answer.headers.get("transfer-encoding") == "chunked":
         while size := int(await reader.readuntil(b"\r\n"), 16):
             answer.body += await reader.readexactly(size)
             await reader.readexactly(2)
--- a/review/server_2.py
+++ b/review/server_2.py
@@ -10,10 +10,16 @@
 ``length`` or ``connection`` (an answer without a length, which ends with its connection).
 ``rejects_above_bytes`` is the size of bodies above which the server rejects a request before it has
 read it, as long as these are no more than ``reject_share`` of its answers; 0 for none.
+``lose_share`` of the plain requests that it runs lose their answers: their connections are reset.
+SIGUSR1 begins that, SIGUSR2 ends it.
 """
 
 import asyncio
 import json
+import random
+import signal
+import socket
+import struct
 import sys
 
 OPTIONS = {
@@ -26,6 +32,7 @@
     "stride": 5,
     "rejects_above_bytes": 0,
     "reject_share": 0.0,
+    "lose_share": 0.0,
 }
 
 
@@ -48,6 +55,13 @@
     return first, headers
 
 
+def reset(writer) -> None:
+    """Reset a connection."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 class Server:
     """Serves requests on all connections."""
 
@@ -55,6 +69,8 @@
         self._options = options
         self._answers = 0
         self._rejections = 0
+        self._rng = random.Random(options["name"])
+        self.loses = False
 
     def _rejects(self, length: int) -> bool:
         """Return whether a request is rejected before its body is in."""
@@ -102,13 +118,20 @@
         if "x-token-count" in headers:
             return await self._stream(headers, common, writer)
         await asyncio.sleep(self._options["work_ms"] / 1_000)
+        if self.loses and self._rng.random() < self._options["lose_share"]:
+            self._answers += 1
+            tell(loses_answer_of=request_id)
+            reset(writer)
+            return False
         answer = b"d" * self._options["body_bytes"]
-        return await self._send_whole(common, answer, request_id, writer)
+        return await self._send_whole(common, answer, request_id, first, writer)
 
-    async def _send_whole(self, common: str, answer: bytes, request_id: str, writer) -> bool:
+    async def _send_whole(self, common, answer: bytes, request_id: str, first: str, writer) -> bool:
         framed = self._options["framing"] != "connection"
         framing = f"Content-Length: {len(answer)}\r\n" if framed else "Connection: close\r\n"
-        writer.write(f"HTTP/1.1 200 OK\r\n{common}{framing}\r\n".encode() + answer)
+        writer.write(f"HTTP/1.1 200 OK\r\n{common}{framing}\r\n".encode())
+        if not first.startswith("HEAD "):
+            writer.write(answer)
         await writer.drain()
         self._answers += 1
         tell(ended=request_id, bytes=len(answer))
@@ -140,7 +163,11 @@
 async def main() -> None:
     """Serve until the process is ended."""
     options = {**OPTIONS, **json.loads(sys.argv[1])}
-    listening = await asyncio.start_server(Server(options).serve, "127.0.0.1", options["port"])
+    server = Server(options)
+    signalled = asyncio.get_running_loop().add_signal_handler
+    signalled(signal.SIGUSR1, setattr, server, "loses", True)
+    signalled(signal.SIGUSR2, setattr, server, "loses", False)
+    listening = await asyncio.start_server(server.serve, "127.0.0.1", options["port"])
     host, port = listening.sockets[0].getsockname()
     tell(address=f"{host}:{port}")
     await listening.serve_forever()
