--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -81,6 +81,8 @@
         self.on_transaction = None
         #: Whether calls are refused with 503.
         self.busy = False
+        #: Told in all answers, if positive; rises each time that the store goes back to a copy.
+        self.era = 0
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -94,6 +96,21 @@
         self.rows[table, part, key] = (self.version, data)
         self._wake()
 
+    def copy(self) -> tuple[int, dict]:
+        """Return a copy of what the store holds."""
+        return self.version, dict(self.rows)
+
+    def go_back(self, copy: tuple[int, dict]) -> None:
+        """Go back to a copy; what the operator and the servers wrote since is written again."""
+        kept = {key: row for key, row in self.rows.items() if key[0] in ("op", "servers")}
+        self.version, self.rows = copy[0], dict(copy[1])
+        self.era += 1
+        for key, (_, value) in sorted(kept.items()):
+            if self.rows.get(key, (0, None))[1] != value:
+                self.version += 1
+                self.rows[key] = (self.version, value)
+        self._wake()
+
     def _wake(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
@@ -109,6 +126,8 @@
                     status, fields = await self._answer(path, dict(parse_qsl(query)), body)
                 data = json.dumps(fields).encode()
                 head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n"
+                if self.era:
+                    head += f"Store-Era: {self.era}\r\n"
                 writer.write(head.encode() + b"Content-Type: application/json\r\n\r\n" + data)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -123,7 +142,8 @@
         if path == "/turnward/rows-get":
             return 200, self._get(query)
         if path == "/turnward/rows-feed":
-            return 200, await self._feed(query)
+            fields = await self._feed(query)
+            return (410, {"error": "no such version"}) if fields is None else (200, fields)
         return 404, {"error": "no such call"}
 
     def _now(self) -> dict:
@@ -161,8 +181,10 @@
         rows = [self._wire(key) for key in keys[:limit]]
         return {"rows": rows, "more": len(keys) > limit, **self._now()}
 
-    async def _feed(self, query: dict) -> dict:
+    async def _feed(self, query: dict) -> dict | None:
         after = int(query["afterRev"])
+        if after > self.version:
+            return None
         until_s = time.monotonic() + int(query.get("waitMs", 0)) / 1_000
         while True:
             changed = [
@@ -307,6 +329,7 @@
 
     async def start(self, peers_port: int) -> None:
         """Start the process."""
+        self.peers_port = peers_port
         settings = self._write_settings(peers_port)
         environment = {
             **os.environ,
