--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -528,6 +528,10 @@
     """Play a case; return the exit status of its script."""
 
     async def main() -> int:
+        # A script that is stopped early ends its processes too.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        loop.add_signal_handler(signal.SIGINT, task.cancel)
         world = World(folder)
         try:
             async with asyncio.timeout(115):
@@ -537,6 +541,6 @@
 
     try:
         return asyncio.run(main())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {type(error).__name__}: {error}")
         return NOT_RUN
