--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -25,6 +26,8 @@
 #: Exit status of a script: the rule held, it was broken, or the case could not run.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 START_LIMIT_S = 20.0
+#: Ports of gateways.
+PORTS = (12_000, 30_000)
 
 
 def trouble() -> bool:
@@ -32,11 +35,20 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_port() -> int:
-    """Return a free TCP port of the loopback interface."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_port(ip: str = "127.0.0.1") -> int:
+    """Return a free port below those that the kernel gives to outgoing connections."""
+    while True:
+        port = random.randrange(*PORTS)
+        try:
+            with (
+                socket.socket(type=socket.SOCK_STREAM) as tcp,
+                socket.socket(type=socket.SOCK_DGRAM) as udp,
+            ):
+                tcp.bind((ip, port))
+                udp.bind((ip, port))
+        except OSError:
+            continue
+        return port
 
 
 class Record:
@@ -301,7 +313,7 @@
         self.process = None
 
     def _write_settings(self, peers_port: int) -> Path:
-        self.ports = {name: free_port() for name in ("callers", "ready", "metrics")}
+        self.ports = {name: free_port(self.ip) for name in ("callers", "ready")}
         path = self._folder / f"{self.name}.toml"
         path.write_text(
             f"""node = "{self.name}"
