--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -12,6 +12,7 @@
 import random
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -218,6 +219,94 @@
     return row["table"], row.get("part", ""), row["tlsKey"]
 
 
+def owner_of(client_port: int, server_port: int, processes: set[int]) -> int | None:
+    """Return which of some processes holds the client's end of a loopback connection."""
+    inode = ""
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        fields = line.split()
+        ports = [int(fields[each].rpartition(":")[2], 16) for each in (1, 2)]
+        if ports == [client_port, server_port] and fields[9] != "0":
+            inode = f"socket:[{fields[9]}]"
+    for process in processes:
+        for descriptor in Path(f"/proc/{process}/fd").iterdir():
+            try:
+                if inode and os.readlink(descriptor) == inode:
+                    return process
+            except OSError:
+                continue
+    return None
+
+
+class Proxy:
+    """Passes connections on to a server; resets those of some gateways.
+
+    Attributes
+    ----------
+    partitioned : set of int
+        Process ids of the gateways that are partitioned from the server.
+    """
+
+    def __init__(self):
+        self.partitioned: set[int] = set()
+        self.port = 0
+        self._target: tuple[str, int] = ("", 0)
+        self._open: list[tuple[int, asyncio.StreamWriter, asyncio.StreamWriter]] = []
+
+    async def start(self, address: str) -> str:
+        """Listen in front of an address; return the proxy's own."""
+        host, _, port = address.rpartition(":")
+        self._target = host, int(port)
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        return f"127.0.0.1:{self.port}"
+
+    def partition(self, processes: set[int]) -> None:
+        """Reset the connections of some gateways, those that are open and new ones."""
+        self.partitioned = set(processes)
+        for client_port, *writers in self._open:
+            if self._is_partitioned(client_port):
+                for writer in writers:
+                    _reset(writer)
+
+    def _is_partitioned(self, client_port: int) -> bool:
+        processes = self.partitioned
+        return bool(processes) and owner_of(client_port, self.port, processes) is not None
+
+    async def _serve(self, reader, writer) -> None:
+        client_port = writer.get_extra_info("peername")[1]
+        if self._is_partitioned(client_port):
+            _reset(writer)
+            return
+        try:
+            there = await asyncio.open_connection(*self._target)
+        except OSError:
+            _reset(writer)
+            return
+        entry = (client_port, writer, there[1])
+        self._open.append(entry)
+        await asyncio.gather(_pass_on(reader, there[1]), _pass_on(there[0], writer))
+        self._open.remove(entry)
+
+
+def _reset(writer) -> None:
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+async def _pass_on(reader, writer) -> None:
+    """Pass bytes on until the end; a reset is passed on as a reset."""
+    try:
+        while data := await reader.read(65_536):
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+    except OSError:
+        _reset(writer)
+
+
 class ServerProcess:
     """A server in a process of its own, with its entry in the store."""
 
@@ -229,6 +318,8 @@
         self._options = options
         self.process = None
         self.address = ""
+        #: What stands between the gateways and the server; nothing by default.
+        self.proxy: Proxy | None = None
         #: What the server has told: one dict a line.
         self.lines: list[dict] = []
         self.state = "ready"
@@ -243,6 +334,8 @@
             stdout=asyncio.subprocess.PIPE,
         )
         self.address = json.loads(await self.process.stdout.readline())["address"]
+        if self.proxy is not None:
+            self.address = await self.proxy.start(self.address)
         self._tasks.append(asyncio.create_task(self._read_lines()))
         self._tasks.append(asyncio.create_task(self._beat()))
 
@@ -505,9 +598,10 @@
         await self.store.start()
         self.store.put("op", "config", config)
 
-    async def add_server(self, name: str, service: str, **options) -> ServerProcess:
-        """Start a server."""
+    async def add_server(self, name, service, proxied=False, **options) -> ServerProcess:
+        """Start a server, if wanted behind a proxy."""
         server = ServerProcess(self.store, self.record, name, service, options)
+        server.proxy = Proxy() if proxied else None
         self.servers.append(server)
         await server.start()
         return server
