Records of versions tell how long the streams last that may still go on

Callers saw streams joined from two software versions: streams could last 60 s, the time limit became 1 s, all gateways were killed, and 20 s later a stream of the version that had left was resumed at the other one and answered 200.

A process that starts knew only the present limit, and dropped versions whose streams could still go on under the earlier one.

The record of a pool's versions now holds that limit. A router writes the longest one under which streams may still go on, and one that reads a longer limit than it was told before keeps versions for as long. A limit is raised only by a row that tells more than the one last read or written, so that a router does not renew a limit by its own row, and one with an older configuration shortens none.

--- a/turnward/gateway/pool_version_rows.py
+++ b/turnward/gateway/pool_version_rows.py
@@ -160,11 +160,13 @@
         """Add what rows tell to what is known.
 
         Versions that they told before and that were seen absent since are left out, unless others
-        may have seen them again.
+        may have seen them again; and so is a limit that has ended since.
         """
-        versions = recorded.versions
+        versions, told = recorded.versions, self._recorded_of(pool)
+        if recorded.stream_limit_s > told.stream_limit_s:
+            self._versions.add_stream_limit(pool, recorded.stream_limit_s)
         if self._versions.knows_past(pool):
-            versions -= self._recorded_of(pool).versions
+            versions -= told.versions
         if recorded.complete:
             self._versions.add_recorded({pool: versions})
         else:
@@ -227,9 +229,11 @@
 
         Only who knows the past may take a version out, or replace rows of unknown content.
         """
-        if not self._versions.knows_past(pool):
-            return recorded.extended(versions)
-        return RecordedVersions(versions, RowStanding.COMPLETE, self._store.eras.current)
+        knows_past = self._versions.knows_past(pool)
+        limit_s = self._versions.stream_limit_s(pool)
+        if not knows_past:
+            return recorded.extended(versions, limit_s)
+        return RecordedVersions(versions, RowStanding.COMPLETE, self._store.eras.current, limit_s)
 
     async def _write(self, pool: str) -> None:
         """Write a pool's rows unless another router has done so; a failure is tried again later."""
--- a/turnward/gateway/recorded_versions.py
+++ b/turnward/gateway/recorded_versions.py
@@ -48,10 +48,13 @@
         Names of the versions.
     era : int or None
         Era of the store in which a router that knew the past last wrote them; None if none did.
+    stream_limit_s : float
+        How long the streams of the pool last that may still go on; 0 if older builds wrote it.
     """
 
     versions: tuple[str, ...]
     era: int | None = None
+    stream_limit_s: float = 0.0
 
 
 class RecordedVersions(msgspec.Struct, frozen=True):
@@ -65,11 +68,14 @@
         Whether they are all.
     era : int or None
         See ``PoolVersionRecord``.
+    stream_limit_s : float
+        See ``PoolVersionRecord``.
     """
 
     versions: frozenset[str] = frozenset()
     standing: RowStanding = RowStanding.ABSENT
     era: int | None = None
+    stream_limit_s: float = 0.0
 
     @classmethod
     def from_record(
@@ -85,20 +91,22 @@
             Present era of the store.
         """
         versions = listed.union(record.versions)
-        return cls(versions, _standing_of(record.era, store_era), record.era)
+        standing = _standing_of(record.era, store_era)
+        return cls(versions, standing, record.era, record.stream_limit_s)
 
     @property
     def complete(self) -> bool:
         """Whether no other versions may have streams."""
         return self.standing is RowStanding.COMPLETE
 
-    def extended(self, versions: frozenset[str]) -> "RecordedVersions":
+    def extended(self, versions: frozenset[str], stream_limit_s: float) -> "RecordedVersions":
         """Return what a router records that knows some versions, and nothing of the past."""
         if self.standing is RowStanding.UNREADABLE:
             return self
         absent = self.standing is RowStanding.ABSENT
         standing = RowStanding.PARTIAL if absent else self.standing
-        return RecordedVersions(self.versions | versions, standing, self.era)
+        limit_s = max(self.stream_limit_s, stream_limit_s)
+        return RecordedVersions(self.versions | versions, standing, self.era, limit_s)
 
 
 class StoredVersions:
@@ -149,7 +157,7 @@
     def changes(self, recorded: RecordedVersions) -> tuple[RowChange, ...]:
         """Return the changes that make the rows tell something else."""
         versions = sorted(recorded.versions)
-        record = PoolVersionRecord(tuple(versions), recorded.era)
+        record = PoolVersionRecord(tuple(versions), recorded.era, recorded.stream_limit_s)
         return (_change(self._listed, versions), _change(self._record, record))
 
 
--- a/turnward/gateway/tests/test_mass_restarts.py
+++ b/turnward/gateway/tests/test_mass_restarts.py
@@ -126,8 +126,12 @@
     assert resume(harness, b"begun-at-v1").status == 503
 
 
-def test_time_limit_that_was_shortened_before_a_mass_kill_forgets_no_version():
+@pytest.mark.parametrize("watched", [False, True])
+def test_time_limit_that_was_shortened_before_a_mass_kill_forgets_no_version(watched):
     harness = make_harness(["v1", "v2", "v2"], gateways=2, time_limit_s=60.0)
+    if watched:
+        harness.network.advance(150.0)
+        harness.watch_pools()
     harness.network.advance(2.0)
     harness.rows.remove("endpoints", harness.endpoints[0].endpoint_id)
     harness.network.advance(1.0)
--- a/turnward/gateway/tests/test_pool_version_rows.py
+++ b/turnward/gateway/tests/test_pool_version_rows.py
@@ -160,7 +160,8 @@
         machine = network.machine(host)
         self.client = RowsClient(rows, machine)
         self.log = ListLog()
-        self.versions = PoolVersions(machine.seconds, lambda pool: limit_s)
+        self.limit_s = limit_s
+        self.versions = PoolVersions(machine.seconds, lambda pool: self.limit_s)
         self.rows = PoolVersionRows(
             machine,
             self.client,
@@ -226,6 +227,46 @@
     assert recorded(rows) == (["v1", "v2", "v3"], ["v1", "v2", "v3"], 0)
 
 
+def recorded_limit_s(rows):
+    return msgspec.json.decode(rows.get(RECORD).value, type=PoolVersionRecord).stream_limit_s
+
+
+def test_row_tells_a_longer_limit_until_the_streams_that_began_under_it_have_ended():
+    writer, rows, network = make_writer(["v1"], limit_s=60.0)
+    network.advance(2.0)
+    writer.limit_s = 20.0
+    network.advance(55.0)
+    assert recorded_limit_s(rows) == 60.0
+    network.advance(8.0)
+    assert recorded_limit_s(rows) == 20.0
+
+
+def test_gateway_that_starts_keeps_versions_for_a_longer_limit_that_the_row_tells():
+    writer, rows, network = make_writer(["v1"], limit_s=60.0)
+    network.advance(2.0)
+    started = Writer(rows, network, host="10.1.0.2", limit_s=20.0)
+    started.watch("v2")
+    started.rows.start()
+    network.advance(58.0)
+    assert started.versions.of("pool") == {"v1", "v2"}
+    network.advance(6.0)
+    assert started.versions.of("pool") == {"v2"}
+    assert recorded_limit_s(rows) == 20.0
+
+
+def test_gateway_with_an_older_configuration_does_not_shorten_the_limit_that_others_recorded():
+    writer, rows, network = make_writer(["v1"], limit_s=20.0)
+    network.advance(2.0)
+    other = Writer(rows, network, host="10.1.0.2", limit_s=60.0)
+    other.watch("v1")
+    other.rows.start()
+    network.advance(3.0)
+    writer.watch("v1", "v2")
+    network.advance(3.0)
+    assert recorded(rows) == (["v1", "v2"], ["v1", "v2"], 0)
+    assert recorded_limit_s(rows) == 60.0
+
+
 def test_version_that_others_recorded_meanwhile_is_kept_by_the_next_writer():
     writer, rows, network = make_writer(["v1"])
     put_record(rows, ["v1", "v2"])
--- a/turnward/software_versions/pool_versions.py
+++ b/turnward/software_versions/pool_versions.py
@@ -98,6 +98,17 @@
         for pool in by_pool:
             self._history(pool).note_known_since(-math.inf)
 
+    def add_stream_limit(self, pool: str, limit_s: float) -> None:
+        """Record how long streams of a pool last that may have begun until now."""
+        history = self._history(pool)
+        if limit_s > history.limit_s:
+            history.note_limit(limit_s, self._clock())
+
+    def stream_limit_s(self, pool: str) -> float:
+        """Return how long the streams last that may still go on; 0 while that is not known."""
+        history = self._histories.get(pool)
+        return history.limit_s if history is not None else 0.0
+
     def move_streams(self, pool: str, sources: Iterable[str]) -> None:
         """Record that streams of other pools may go on at a pool from now on."""
         now_s = self._clock()
