Versions without a row in the store are told in the rows of streams

Callers saw streams joined from two software versions: the store refused the row of the pool's versions for over 5 s while it served all else, a version came, began streams and left, and all gateways were killed. The stream was resumed at the other version and answered 200.

A record without a version counts as the whole past, though no router could write to it.

The row of streams of each router, in another table, now tells the versions that the router did not see recorded, and how long ago they left. The four writers write theirs for that alone once a version is 2 s overdue; nothing more is written while the store records versions. A router that starts reads these rows before it counts the past of a pool as known.

Not covered: a store that refuses the writes of both tables, or of all routers in touch.

--- a/turnward/gateway/pool_version_rows.py
+++ b/turnward/gateway/pool_version_rows.py
@@ -8,7 +8,7 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from twisted.internet import defer, task
 
@@ -66,6 +66,9 @@
     ----------
     store_is_away : callable
         Returns whether calls to the store are known to fail; then rows are not read again yet.
+    versions_seen : callable
+        Returns when each version is last known to have begun streams, by pool, once the rows of
+        streams have been read. The store may have refused to record such a version.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         #: Number of gaps so far; what was asked for before the latest one is out of date.
         self._gaps = 0
         self.store_is_away: Callable[[], bool] = lambda: False
+        self.versions_seen: Callable[[], Awaitable[dict[str, dict[str, float]]]] = _nothing_seen
 
     def start(self) -> None:
         """Read the rows, and check from then on whether they are up to date."""
@@ -112,7 +116,12 @@
             defer.ensureDeferred(self._read_until_answered())
 
     async def _read(self) -> None:
+        seen = await self.versions_seen()
         await self._read_until_answered()
+        self._versions.add_seen(seen)
+        if seen:
+            names = {pool: sorted(versions) for pool, versions in seen.items()}
+            self._log.event("pool_versions.unrecorded", versions=names)
         self._has_read = True
         checks = task.LoopingCall(self.check)
         checks.clock = self._reactor
@@ -194,6 +203,10 @@
         """Return the versions of a pool that this router has yet to record, or to see recorded."""
         if self._rank_for(pool) >= _WRITERS:
             return frozenset()
+        return self.unconfirmed(pool)
+
+    def unconfirmed(self, pool: str) -> frozenset[str]:
+        """Return the versions of a pool that this router did not see recorded."""
         return self._versions.of(pool) - self._recorded_of(pool).versions
 
     def check(self) -> None:
@@ -258,3 +271,7 @@
         record = await self._store.read_row(RowKey(POOL_VERSION_RECORDS_TABLE, "", pool))
         listed = await self._store.read_row(RowKey(POOL_VERSIONS_TABLE, "", pool))
         return StoredVersions(listed, record)
+
+
+async def _nothing_seen() -> dict[str, dict[str, float]]:
+    return {}
--- a/turnward/gateway/process.py
+++ b/turnward/gateway/process.py
@@ -435,11 +435,13 @@
         )
         self._watch_gaps = WatchGaps(self._reactor.seconds)
         rows.store_is_away = lambda: self._watch_gaps.failing
+        rows.versions_seen = self._stream_version_rows.versions_seen
         self._watch_gaps.on_gap = rows.handle_gap
         self._pauses.on_resumed = self._watch_gaps.note_pause
         self.peers.on_heard = self._watch_gaps.note_peer
         self._versions.on_versions_changed = rows.check
         self._versions.unrecorded = rows.unrecorded
+        self._versions.unconfirmed = rows.unconfirmed
         return rows
 
     def _make_member_row(self) -> MemberRow:
--- a/turnward/gateway/stream_version_rows.py
+++ b/turnward/gateway/stream_version_rows.py
@@ -48,6 +48,9 @@
 _RETRY_DELAY_S = (0.3, 0.9)
 _KEY_BYTES = 8
 
+#: How long ago each version left, by pool.
+VersionAges = dict[str, dict[str, float]]
+
 
 class StreamVersionsRow(msgspec.Struct, frozen=True):
     """The stored streams of one router.
@@ -58,18 +61,28 @@
         When the row was written, by the store's clock.
     keys : dict
         Keys of the streams that each version began, one after the other.
+    unrecorded : dict
+        How long before each version that the router did not see recorded in the row of its pool
+        had left, in seconds, 0 if it was present; by pool.
     """
 
     store_time_s: float
     keys: dict[str, bytes]
+    unrecorded: VersionAges = {}
 
     @classmethod
-    def from_streams(cls, streams: dict[StreamKey, str], store_time_s: float):
-        """Return the row of some streams."""
+    def from_streams(
+        cls,
+        streams: dict[StreamKey, str],
+        store_time_s: float,
+        unrecorded: VersionAges | None = None,
+    ) -> "StreamVersionsRow":
+        """Return the row of some streams, and of versions that may not be recorded."""
         keys: dict[str, list[StreamKey]] = {}
         for key, version in streams.items():
             keys.setdefault(version, []).append(key)
-        return cls(store_time_s, {version: b"".join(each) for version, each in keys.items()})
+        joined = {version: b"".join(each) for version, each in keys.items()}
+        return cls(store_time_s, joined, unrecorded or {})
 
     def streams(self) -> dict[StreamKey, str]:
         """Return the versions by stream.
@@ -88,6 +101,9 @@
         }
 
 
+_EMPTY_ROW = StreamVersionsRow(0.0, {})
+
+
 class StreamVersionRows:
     """Reads the rows of all routers at the start, and keeps that of this one up to date.
 
@@ -128,9 +144,12 @@
         self._rng = rng
         self._is_read = False
         self._waiting: list[defer.Deferred] = []
+        #: When each version was last seen, by pool, as the rows tell.
+        self._seen_s: dict[str, dict[str, float]] = {}
         #: Version of the own row, 0 if there is none; None if it has to be read.
         self._row_version: int | None = None
         self._recorded: dict[StreamKey, str] = {}
+        self._recorded_versions: VersionAges = {}
         self._written_s = -math.inf
 
     def start(self) -> None:
@@ -141,6 +160,7 @@
         """Write the row again, as the rollback of the store may have lost it."""
         self._row_version = None
         self._recorded = {}
+        self._recorded_versions = {}
 
     def wait_until_read(self) -> "defer.Deferred[bool]":
         """Return whether the rows have been read; wait for that a few tenths of a second."""
@@ -151,6 +171,14 @@
         self._reactor.callLater(_MAX_WAIT_S, self._end_wait, waiting)
         return waiting
 
+    async def versions_seen(self) -> dict[str, dict[str, float]]:
+        """Return when each version was last seen, by pool, once the rows have been read."""
+        if not self._is_read:
+            waiting: defer.Deferred[bool] = defer.Deferred()
+            self._waiting.append(waiting)
+            await waiting
+        return self._seen_s
+
     def _end_wait(self, waiting: defer.Deferred) -> None:
         if not waiting.called:
             self._waiting.remove(waiting)
@@ -178,43 +206,58 @@
             except RowStoreError:
                 await task.deferLater(self._reactor, self._rng.uniform(*_RETRY_DELAY_S))
         for row in table.rows:
-            self._note(row)
+            self._note_seen(self._note(row))
         self._is_read = True
         waiting, self._waiting = self._waiting, []
         for each in waiting:
             each.callback(True)
 
-    def _note(self, row: StoredRow) -> None:
-        """Note what a row tells; streams of the own row are recorded on."""
-        streams = self._decode(row)
+    def _note(self, row: StoredRow) -> StreamVersionsRow:
+        """Note which streams a row tells, and return it; those of the own row are recorded on."""
+        stored = self._decode(row)
+        streams = stored.streams()
         for key, version in streams.items():
             self._keeper.streams.note(key, version)
         if row.key == self._key:
             self._keeper.open_streams.inherit(streams.items())
             self._recorded = streams
+            self._recorded_versions = stored.unrecorded
             self._row_version = 0 if row.gone else row.version
+        return stored
+
+    def _note_seen(self, stored: StreamVersionsRow) -> None:
+        """Note which versions a row tells; those that were present may have left just now."""
+        for pool, ages_s in stored.unrecorded.items():
+            seen_s = self._seen_s.setdefault(pool, {})
+            for version, age_s in ages_s.items():
+                age_s += self._age_s(stored) if age_s else 0.0
+                at_s = self._reactor.seconds() - age_s
+                seen_s[version] = max(at_s, seen_s.get(version, at_s))
 
-    def _decode(self, row: StoredRow) -> dict[StreamKey, str]:
-        """Return the versions by stream that a row tells, unless they have ended."""
+    def _decode(self, row: StoredRow) -> StreamVersionsRow:
+        """Return what a row tells; nothing if its streams have ended."""
         if row.gone or not row.value:
-            return {}
+            return _EMPTY_ROW
         try:
             stored = msgspec.msgpack.decode(row.value, type=StreamVersionsRow)
-            streams = stored.streams()
+            stored.streams()
         except ROW_DECODE_ERRORS as error:
             self._unreadable_rows.mark_unreadable(row, error)
-            return {}
+            return _EMPTY_ROW
+        return stored if self._age_s(stored) < _RETENTION_S else _EMPTY_ROW
+
+    def _age_s(self, stored: StreamVersionsRow) -> float:
+        """Return how old a row is; infinity if the store's clock is not known."""
         now_s = self._store.time_floor_s()
         # After a rollback the store's clock may have jumped, in either direction.
-        recent = now_s is not None and abs(now_s - stored.store_time_s) < _RETENTION_S
-        return streams if recent else {}
+        return abs(now_s - stored.store_time_s) if now_s is not None else math.inf
 
     # Writing.
 
     async def _write_new(self) -> None:
-        """Write the row if it lacks a stream, or has another version of one."""
+        """Write the row if it lacks a stream or a version, or has another version of a stream."""
         streams = self._recordable()
-        if not self._is_due() or streams.items() <= self._recorded.items():
+        if not self._is_due() or not (self._lacks(streams) or self._lacks_version()):
             return
         if self._row_version is None:
             self._note(await self._store.read_row(self._key))
@@ -222,12 +265,23 @@
         store_time_s = self._store.time_floor_s()
         if store_time_s is None:
             return
-        row = StreamVersionsRow.from_streams(streams, store_time_s)
+        versions = self._keeper.unrecorded_ages_s()
+        row = StreamVersionsRow.from_streams(streams, store_time_s, versions)
         change = RowChange(self._key, msgspec.msgpack.encode(row), self._row_version)
         self._row_version = await self._store.transact(VersionedTransaction((change,)))
-        self._recorded = streams
+        self._recorded, self._recorded_versions = streams, versions
         self._written_s = self._reactor.seconds()
 
+    def _lacks(self, streams: dict[StreamKey, str]) -> bool:
+        return not streams.items() <= self._recorded.items()
+
+    def _lacks_version(self) -> bool:
+        """Return whether a version that the row of its pool should tell is recorded nowhere."""
+        return any(
+            not versions <= self._recorded_versions.get(pool, {}).keys()
+            for pool, versions in self._keeper.overdue_versions().items()
+        )
+
     def _is_due(self) -> bool:
         waited_s = self._reactor.seconds() - self._written_s
         return self._keeper.knows_several() or waited_s >= _INTERVAL_OF_ONE_VERSION_S
--- a/turnward/gateway/version_keeper.py
+++ b/turnward/gateway/version_keeper.py
@@ -45,6 +45,8 @@
 #: Longest time for which streams rather begin elsewhere than at a version that is not recorded yet;
 #: the store may refuse its row for longer.
 _RECORDED_S = 5.0
+#: Time after which a version that is not recorded yet is told in the routers' own rows.
+_OVERDUE_S = 2.0
 
 
 class StreamOrigin(msgspec.Struct, frozen=True):
@@ -102,6 +104,8 @@
     unrecorded : callable
         Returns the versions of a pool that this router has yet to record for those that start
         later.
+    unconfirmed : callable
+        Returns the versions of a pool that this router did not see recorded.
     wait_until_read : callable
         Returns whether the versions of streams that routers have stored were read, after a short
         time at the latest.
@@ -139,6 +143,7 @@
         self.on_suspected: Callable[[], None] = lambda: None
         self.on_versions_changed: Callable[[], None] = lambda: None
         self.unrecorded: Callable[[str], frozenset[str]] = lambda pool: frozenset()
+        self.unconfirmed: Callable[[str], frozenset[str]] = lambda pool: frozenset()
         self.wait_until_read: Callable[[], defer.Deferred[bool]] = lambda: defer.succeed(True)
 
     @classmethod
@@ -309,6 +314,27 @@
         }
         return unannounced | unrecorded
 
+    def overdue_versions(self) -> dict[str, set[str]]:
+        """Return the versions that this router should have recorded by now, by pool."""
+        since_s = self._clock() - _OVERDUE_S
+        return {
+            pool: {
+                version
+                for version in versions & self.unrecorded(pool)
+                if self._seen_s.get(pool, {}).get(version, -math.inf) < since_s
+            }
+            for pool, versions in self.pools.recordable().items()
+            if len(versions) > 1
+        }
+
+    def unrecorded_ages_s(self) -> dict[str, dict[str, float]]:
+        """Return how long ago versions left that this router did not see recorded, by pool."""
+        unrecorded = {
+            pool: {version: ages_s[version] for version in ages_s.keys() & self.unconfirmed(pool)}
+            for pool, ages_s in self.pools.ages_s().items()
+        }
+        return {pool: ages_s for pool, ages_s in unrecorded.items() if ages_s}
+
     def _restarted(self, pool: str) -> Collection[str]:
         """Return the endpoints that may have restarted as another version."""
         endpoints = sum(map(len, self._incarnations.get(pool, {}).values()))
--- a/turnward/software_versions/pool_versions.py
+++ b/turnward/software_versions/pool_versions.py
@@ -92,6 +92,12 @@
         for pool, versions in by_pool.items():
             self._history(pool).add(versions, now_s)
 
+    def add_seen(self, by_pool: Mapping[str, Mapping[str, float]]) -> None:
+        """Add versions that were in the table until some time, unless they are known."""
+        for pool, versions in by_pool.items():
+            for version, seen_s in versions.items():
+                self._history(pool).add((version,), seen_s)
+
     def add_recorded(self, by_pool: Mapping[str, Iterable[str]]) -> None:
         """Add all versions of the past of some pools, as other routers have recorded them."""
         self.add_versions(by_pool)
@@ -163,6 +169,17 @@
             if self._stream_limit_s(pool)
         }
 
+    def ages_s(self) -> dict[str, dict[str, float]]:
+        """Return how long ago each version left, by pool with streams; 0 if it is present."""
+        now_s = self._clock()
+        return {
+            pool: {
+                version: max(0.0, now_s - self._histories[pool].left_s[version])
+                for version in versions
+            }
+            for pool, versions in self.recordable().items()
+        }
+
     def _history(self, pool: str) -> "_PoolHistory":
         history = self._histories.get(pool)
         if history is None:
@@ -198,10 +215,10 @@
             self.left_s[version] = min(self.left_s[version], now_s)
         self.left_s.update(dict.fromkeys(versions, math.inf))
 
-    def add(self, versions: Iterable[str], now_s: float) -> None:
-        """Add versions that have left now unless they are known."""
+    def add(self, versions: Iterable[str], at_s: float) -> None:
+        """Add versions that have left at some time unless they are known."""
         for version in versions:
-            self.left_s.setdefault(version, now_s)
+            self.left_s.setdefault(version, at_s)
 
     def extend(self, source: "_PoolHistory", now_s: float) -> None:
         """Add the versions of another pool, whose streams may have gone on there until now."""
