Rows of streams that can't be read do not hold back the rows of pools' versions

Since a gateway that starts read the rows of pools' versions only after those of streams. While the store served the one table and refused the other, it recorded no version that came, so that a mass kill could again join streams.

The versions of a pool are now read, and written, independently; what is recorded counts as the whole past once the rows of streams have been read too.

--- a/turnward/gateway/pool_version_rows.py
+++ b/turnward/gateway/pool_version_rows.py
@@ -67,8 +67,8 @@
     store_is_away : callable
         Returns whether calls to the store are known to fail; then rows are not read again yet.
     versions_seen : callable
-        Returns when each version is last known to have begun streams, by pool, once the rows of
-        streams have been read. The store may have refused to record such a version.
+        Returns when each version was last seen that may not be recorded, by pool, once the rows of
+        streams have been read. Until then the rows of pools' versions do not tell the whole past.
     """
 
     def __init__(
@@ -92,6 +92,7 @@
         self._writing: set[str] = set()
         self._has_read = False
         self._reading = False
+        self._has_seen = False
         #: When the last read that was answered was sent.
         self._read_s = 0.0
         #: Number of gaps so far; what was asked for before the latest one is out of date.
@@ -116,20 +117,26 @@
             defer.ensureDeferred(self._read_until_answered())
 
     async def _read(self) -> None:
-        seen = await self.versions_seen()
         await self._read_until_answered()
-        self._versions.add_seen(seen)
-        if seen:
-            names = {pool: sorted(versions) for pool, versions in seen.items()}
-            self._log.event("pool_versions.unrecorded", versions=names)
         self._has_read = True
         checks = task.LoopingCall(self.check)
         checks.clock = self._reactor
         checks.start(_CHECK_INTERVAL_S)
+        self._add_seen(await self.versions_seen())
         if self._may_be_recorded_again():
             await task.deferLater(self._reactor, REWRITE_PERIOD_S)
             await self._read_until_answered()
 
+    def _add_seen(self, seen: dict[str, dict[str, float]]) -> None:
+        """Add the versions that other rows tell; then those recorded are the whole past."""
+        self._has_seen = True
+        for pool, recorded in self._recorded.items():
+            self._add(pool, recorded, recorded.versions)
+        self._versions.add_seen(seen)
+        if seen:
+            names = {pool: sorted(versions) for pool, versions in seen.items()}
+            self._log.event("pool_versions.unrecorded", versions=names)
+
     def _may_be_recorded_again(self) -> bool:
         """Return whether a rollback of the store may have lost what others write again."""
         known = all(recorded.complete for recorded in self._recorded_pools().values())
@@ -176,11 +183,14 @@
             self._versions.add_stream_limit(pool, recorded.stream_limit_s)
         if self._versions.knows_past(pool):
             versions -= told.versions
-        if recorded.complete:
+        self._add(pool, recorded, versions)
+        self._recorded[pool] = recorded
+
+    def _add(self, pool: str, recorded: RecordedVersions, versions: frozenset[str]) -> None:
+        if recorded.complete and self._has_seen:
             self._versions.add_recorded({pool: versions})
         else:
             self._versions.add_versions({pool: versions})
-        self._recorded[pool] = recorded
 
     def _log_read(self, version: int) -> None:
         recorded = self._recorded_pools()
--- a/turnward/gateway/tests/test_unrecorded_versions.py
+++ b/turnward/gateway/tests/test_unrecorded_versions.py
@@ -125,6 +125,19 @@
         harness.network.advance(1.0)
 
 
+def test_gateway_that_cannot_read_the_rows_of_streams_records_a_version_that_comes():
+    harness = make_fleet(gateways=1)
+    kill_all(harness)
+    (machine,) = harness.machines
+    machine.restart()
+    gateway = harness.run_gateway(machine, "node-1", start=False)
+    delay_stream_rows(harness.clients[-1], machine, late_s=60.0)
+    gateway.start()
+    assert harness.network.advance_until(lambda: gateway.ready)
+    add_slow_version(harness)
+    assert harness.rows.get(RowKey("pool_versions", "", "pool")).value == b'["v1","v2"]'
+
+
 def delay_stream_rows(client, machine, late_s):
     """Have the store answer the first reads of the rows of streams late."""
     read_table = client.read_table
