Relayed requests: a peer reports in the head whether a request has run

Cause: a router took a peer's refusal without a reason in its body for "not run". A response to HEAD has no body, so a peer's 502 after a lost answer counted as not run. The same held for 204, 304, unframed refusals that end early, and for 400, 404, 408, 413 and 431 without the request's id; and a promising status was passed on whatever the peer had said.

Change: the header Relay-Report tells whether the request has run, and the reason; bodies decide nothing. Without one valid report the request may have run, also at a peer of an older build: 502, or a repeat where that is allowed. Why this works: the only source of "not run" is now the peer's explicit word, in the part of a response that every response has.

--- a/turnward/gateway/forwarding.py
+++ b/turnward/gateway/forwarding.py
@@ -26,6 +26,7 @@
 from turnward.gateway.quarantines import Quarantines
 from turnward.gateway.relay import Relay, RelayServer
 from turnward.gateway.relay_note import RelayNote
+from turnward.gateway.relay_report import RelayReport
 from turnward.gateway.request_turns import Stage
 from turnward.gateway.retries import RetryBudgetShare
 from turnward.gateway.retry_after import RetryAfterEstimator
@@ -765,12 +766,19 @@
         headers = [*headers, (b"content-type", b"application/json")]
         if self._request_id:
             headers.append((self._forwarder.dialect.request_id, self._request_id))
+        if self._note is not None:
+            headers.append(self._relay_report(outcome, reason).header())
         body = msgspec.json.encode({"error": reason})
         if self._turns.answer(status, headers, body):
             self._end(outcome, status, reason=reason, **fields)
         else:
             self._end(Outcome.ABORTED, None, reason=reason)
 
+    def _relay_report(self, outcome: Outcome, reason: Reason) -> RelayReport:
+        """Return what the router that relayed the request is told of it."""
+        not_run = outcome is Outcome.REFUSED and not self._may_have_run
+        return RelayReport(not_run, reason)
+
     def time_limit_reached(self) -> None:
         """End a request whose deadline has passed."""
         if self._ended:
--- a/turnward/gateway/relay.py
+++ b/turnward/gateway/relay.py
@@ -19,7 +19,7 @@
 from turnward.gateway.relay_attempt import MAX_IDLE_S, RelayAttempt, RelayRefusal
 from turnward.gateway.relay_note import RelayNote, RelayNoteError
 from turnward.gateway.relay_peers import RelayPeers
-from turnward.http1 import ExchangeFailure, InboundRequest, OutboundPool
+from turnward.http1 import ExchangeFailure, FailureCause, InboundRequest, OutboundPool
 from turnward.link_use import LinkUse
 
 __all__ = ["Relay", "RelayServer"]
@@ -50,7 +50,6 @@
 #: Refusals that concern the peer alone; another one may serve the request.
 _REASONS_OF_THE_PEER = frozenset(
     (
-        "",
         *SHARED_OUT_REASONS,
         Reason.BUDGET_UNREACHABLE,
         Reason.ENDPOINTS_UNRESPONSIVE,
@@ -285,12 +284,12 @@
 
     def refused(self, request, attempt: RelayAttempt, refusal: RelayRefusal) -> None:
         """Handle a response of the peer's own."""
-        unforwarded = refusal.status in NOT_RUN_STATUSES or not refusal.reason
-        if not refusal.reason:
-            self.peers.note_runs_none(attempt.address)
-        elif refusal.reason in _REASONS_OF_NO_PATH:
+        if not refusal.not_run and not _may_pass_on(refusal):
+            self._unreported(request, attempt)
+            return
+        if refusal.reason in _REASONS_OF_NO_PATH:
             self.peers.note_unreached(attempt.address, request.pool)
-        if not unforwarded or refusal.reason not in _REASONS_OF_THE_PEER:
+        if not refusal.not_run or refusal.reason not in _REASONS_OF_THE_PEER:
             self._metrics.requests_relayed.labels(request.pool, "refused").inc()
             request.answer_for_peer(attempt, refusal, outcome_of(refusal.status))
             return
@@ -299,6 +298,15 @@
         request.end_relay(attempt, "not_run", status=refusal.status, reason=refusal.reason)
         self._try_another(request)
 
+    def _unreported(self, request, attempt: RelayAttempt) -> None:
+        """Handle a response that does not tell whether the request has run."""
+        self.peers.note_tells_nothing(attempt.address)
+        self._metrics.requests_relayed.labels(request.pool, "lost").inc()
+        failure = ExchangeFailure(
+            FailureCause.MALFORMED, sent=True, answered=True, reused=attempt.reused
+        )
+        request.relay_lost(attempt, failure)
+
     def _note_turned_away(self, pool: str) -> None:
         times_s = self._turned_away_s.setdefault(pool, deque(maxlen=_MAX_TURNED_AWAY))
         times_s.append(self._reactor.seconds())
@@ -326,6 +334,11 @@
             request.return_to_endpoints()
 
 
+def _may_pass_on(refusal: RelayRefusal) -> bool:
+    """Return whether the caller may get the response to a request that may have run."""
+    return refusal.report is not None and refusal.status not in NOT_RUN_STATUSES
+
+
 def outcome_of(status: int) -> Outcome:
     """Return how a request ended that a peer answered with a status of its own."""
     if status == 504:
--- a/turnward/gateway/relay_attempt.py
+++ b/turnward/gateway/relay_attempt.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from turnward.gateway.relay_note import RELAY_PREFIX, RelayNote, without_relay_note
+from turnward.gateway.relay_report import RelayReport, without_relay_report
 from turnward.gateway.request_turns import AttemptBase
 from turnward.gateway.streams import EventSplitter
 from turnward.http1 import (
@@ -12,7 +13,6 @@
     FailureCause,
     HeaderList,
     OutboundPool,
-    ResponseMatch,
     encode_request_head,
     end_to_end_headers,
     header_value,
@@ -25,8 +25,6 @@
 _BUFFER_LIMIT_BYTES = 65_536
 #: Longest idle time of a connection that carries a relayed request.
 MAX_IDLE_S = 1.0
-#: Statuses of a router's own that come without the request's id, before anything is forwarded.
-_UNFORWARDED_STATUSES = frozenset((400, 404, 408, 413, 431))
 
 
 class RelayRefusal(msgspec.Struct, frozen=True):
@@ -40,23 +38,30 @@
         Its headers that concern the caller.
     body : bytes
         Its body.
-    reason : str
-        The reason that the body names; empty if the peer has not tried to serve the request.
+    report : RelayReport or None
+        What the peer tells of the request; None if nothing, and the request may have run.
     """
 
     status: int
     headers: HeaderList
     body: bytes
-    reason: str
+    report: RelayReport | None
 
     @classmethod
     def from_response(cls, status: int, headers: HeaderList, body: bytes) -> "RelayRefusal":
         """Return the refusal in a response."""
-        try:
-            reason = str(msgspec.json.decode(body, type=dict[str, str]).get("error", ""))
-        except msgspec.DecodeError:
-            reason = ""
-        return cls(status, end_to_end_headers(headers), body, reason)
+        report = RelayReport.from_headers(headers)
+        return cls(status, without_relay_report(end_to_end_headers(headers)), body, report)
+
+    @property
+    def reason(self) -> str:
+        """The reason that the peer tells; empty without a report."""
+        return self.report.reason if self.report is not None else ""
+
+    @property
+    def not_run(self) -> bool:
+        """Whether the peer tells that the request has not run."""
+        return self.report is not None and self.report.not_run
 
 
 class RelayAttempt(AttemptBase):
@@ -177,13 +182,6 @@
 
     # Response.
 
-    def match(self, status, headers):
-        """Match the response to the request; a refusal may lack the request id."""
-        match = super().match(status, headers)
-        if match is ResponseMatch.INVALID and status in _UNFORWARDED_STATUSES:
-            return ResponseMatch.OWN
-        return match
-
     def head_received(self, status, headers):
         """Decide what to do with the response."""
         if self.ended:
--- a/turnward/gateway/relay_peers.py
+++ b/turnward/gateway/relay_peers.py
@@ -26,7 +26,7 @@
 #: Time after a peer's word from which digests that arrive were sent after it.
 _DIGEST_DELAY_S = 0.1
 #: Longest time for which a peer is avoided that could not be reached, and time for which one is
-#: that runs no relayed requests.
+#: whose refusals do not tell whether the request has run.
 _UNREACHABLE_S = 3.0
 #: Age of a digest up to which what it says counts.
 _DIGEST_LIFETIME_S = 1.5
@@ -78,7 +78,7 @@
         self._members: list[Peer] = []
         self._members_version = -1
         self._in_flight: Counter[str] = Counter()
-        #: Until when each peer that runs no relayed requests is avoided.
+        #: Until when each peer whose refusals tell nothing is avoided.
         self._avoided_until_s: dict[str, float] = {}
         #: Since when each peer has not been reached.
         self._unreachable_since_s: dict[str, float] = {}
@@ -154,8 +154,8 @@
         """Record that a peer does not reach a pool."""
         self._note(address, pool, reaches=False)
 
-    def note_runs_none(self, address: str) -> None:
-        """Avoid a peer that runs no relayed requests."""
+    def note_tells_nothing(self, address: str) -> None:
+        """Avoid a peer whose refusals do not tell whether the request has run."""
         now_s = self._clock()
         self._avoided_until_s = {
             each: until_s for each, until_s in self._avoided_until_s.items() if until_s > now_s
