Answers whose status, version or transfer encoding is none are refused

Callers saw: an endpoint's answer with status 000 (042, 600, 999 too), with seal and body, as an answer (MIXED). The parser takes any three digits for a status, versions 0.9 and 2.0, and bodies in encodings other than chunks, whose Transfer-Encoding the gateway then drops.

Change: a head is checked where it is complete, once for endpoints, peers and the store, before anything that it says of its endpoint is noted. The exchange fails as malformed: the connection is reset, the request may have run, the endpoint's health is charged, and a repeatable request goes elsewhere. Why this works: every reader of answers of the gateway is an exchange on this connection.

--- a/turnward/gateway/tests/test_relay_reports.py
+++ b/turnward/gateway/tests/test_relay_reports.py
@@ -56,9 +56,10 @@
 class OddPeers:
     """Has peers of the first gateway answer relayed requests with given bytes."""
 
-    def __init__(self, harness, answer, numbers):
+    def __init__(self, harness, answer, numbers, closes=False):
         self.requests = []
         self._answer = answer
+        self._closes = closes or b"Connection: close" in answer
         for number in numbers:
             server = harness.gateways[number]._peer_server
             server.handler = self._handler(server.handler)
@@ -72,7 +73,7 @@
             request_id = header_value(request.headers, DIALECT.request_id)
             transport = request._connection.transport
             transport.write(self._answer.replace(b"<id>", request_id))
-            if b"Connection: close" in self._answer:
+            if self._closes:
                 transport.loseConnection()
 
         return handle
--- a/turnward/http1/__init__.py
+++ b/turnward/http1/__init__.py
@@ -11,6 +11,7 @@
     end_to_end_headers,
     header_value,
     header_values,
+    is_valid_status_line,
     response_framing,
 )
 from turnward.http1.inbound import InboundFactory, InboundLimits, InboundRequest, Refusal
@@ -46,5 +47,6 @@
     "end_to_end_headers",
     "header_value",
     "header_values",
+    "is_valid_status_line",
     "response_framing",
 ]
--- a/turnward/http1/framing.py
+++ b/turnward/http1/framing.py
@@ -3,7 +3,7 @@
 
 References
 ----------
-RFC 9110 (HTTP Semantics), section 7.6.1 on connection-specific fields;
+RFC 9110 (HTTP Semantics), section 7.6.1 on connection-specific fields, section 15 on status codes;
 RFC 9112 (HTTP/1.1), section 6 on the length of a message body.
 """
 
@@ -17,8 +17,10 @@
     "encode_request_head",
     "encode_response_head",
     "end_to_end_headers",
+    "has_known_transfer_encoding",
     "header_value",
     "header_values",
+    "is_valid_status_line",
     "keep_alive_s",
     "response_framing",
 ]
@@ -43,6 +45,9 @@
     )
 )
 
+#: Status codes; others are invalid.
+_STATUSES = range(100, 600)
+_VERSIONS = ("1.0", "1.1")
 #: Responses with these statuses have no body.
 _BODILESS_STATUSES = (204, 304)
 
@@ -76,6 +81,33 @@
     return None
 
 
+def is_valid_status_line(status: int, version: str) -> bool:
+    """Return whether a status code and a protocol version may begin an HTTP/1.x response.
+
+    Examples
+    --------
+    >>> is_valid_status_line(599, "1.1"), is_valid_status_line(0, "1.1")
+    (True, False)
+    >>> is_valid_status_line(200, "0.9")
+    False
+    """
+    return status in _STATUSES and version in _VERSIONS
+
+
+def has_known_transfer_encoding(headers: HeaderList) -> bool:
+    """Return whether the body is in chunks and not encoded further, or has no transfer encoding.
+
+    Examples
+    --------
+    >>> has_known_transfer_encoding([(b"transfer-encoding", b"Chunked")])
+    True
+    >>> has_known_transfer_encoding([(b"transfer-encoding", b"gzip, chunked")])
+    False
+    """
+    encodings = header_values(headers, b"transfer-encoding")
+    return not encodings or [each.strip().lower() for each in encodings] == [b"chunked"]
+
+
 def connection_tokens(headers: HeaderList) -> set[bytes]:
     """Return the options listed in ``Connection``, in lower case.
 
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -22,7 +22,9 @@
     BodyFraming,
     HeaderList,
     connection_tokens,
+    has_known_transfer_encoding,
     header_value,
+    is_valid_status_line,
     keep_alive_s,
     response_framing,
 )
@@ -322,6 +324,10 @@
     def on_headers_complete(self):
         """Pass the head to the exchange, unless it belongs to an earlier one."""
         status = self._parser.get_status_code()
+        is_valid = is_valid_status_line(status, self._parser.get_http_version())
+        if not is_valid or not has_known_transfer_encoding(self._headers):
+            self._reject_head()
+            return
         self._pool.note_head(status, self._headers)
         if self._exchange is None or self._complete or 100 <= status < 200:
             return
@@ -352,6 +358,12 @@
             self._usable = False
             self._end()
 
+    def _reject_head(self) -> None:
+        """Fail the exchange, if any, because of a head that is none."""
+        self._usable = False
+        if self._exchange is not None:
+            self._fail(FailureCause.MALFORMED)
+
     def on_body(self, body):
         """Pass a part of the body to the exchange."""
         if self._exchange is None or not self._in_body:
