Trailers of a response are no fields of its head

Callers saw: trailers of an endpoint's chunked answer of up to 64 KiB as header fields of the answer. The connection appended them to the list of fields that it had passed on, which a buffered answer's head is written from.

Change: fields that come after the head are ignored. Evidence: test_trailers_are_no_fields_of_the_head and test_caller_gets_no_trailers_as_fields fail on the commit before.

--- a/turnward/gateway/tests/test_odd_answers.py
+++ b/turnward/gateway/tests/test_odd_answers.py
@@ -8,6 +8,7 @@
     DIALECT,
     Harness,
     answer_ok,
+    answered,
     encode_events,
     raw_answer,
     stream_events,
@@ -190,3 +191,15 @@
     endpoint.behave = answer_ok
     harness.network.advance(5.0)
     assert harness.ask(limit_s=3.0).status == 200
+
+
+def test_caller_gets_no_trailers_as_fields():
+    """Guards against trailers of a buffered answer that are passed on in its head."""
+    answer = OK + OWN + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Late: 1\r\n\r\n"
+    harness = Harness(repeat=RetryPolicy.ONCE)
+    harness.endpoint(raw_answer(answer))
+    harness.ready()
+    caller = harness.ask(limit_s=3.0)
+    assert answered(caller)
+    assert (caller.status, caller.body) == (200, b"body")
+    assert caller.header(b"x-late") is None
--- a/turnward/http.py
+++ b/turnward/http.py
@@ -10,6 +10,7 @@
     Agent,
     FileBodyProducer,
     HTTPConnectionPool,
+    RequestTransmissionFailed,
     ResponseDone,
     ResponseFailed,
     ResponseNeverReceived,
@@ -17,6 +18,7 @@
 from twisted.web.http_headers import Headers
 
 from turnward.errors import TurnwardError
+from turnward.http1 import is_valid_status_line
 
 __all__ = [
     "HttpClient",
@@ -38,6 +40,16 @@
 )
 
 
+#: Errors that are raised once a part of the request may have been sent.
+_UNANSWERED_ERRORS = (
+    defer.TimeoutError,
+    # The server closed the connection while the request was written.
+    RequestTransmissionFailed,
+    ResponseNeverReceived,
+    ResponseFailed,
+)
+
+
 class NotSentError(TurnwardError):
     """No connection could be opened, so no byte of the request was sent."""
 
@@ -78,6 +90,12 @@
             self._finished.errback(SentUnansweredError("the response is incomplete"))
 
 
+def _has_valid_status_line(response) -> bool:
+    """Return whether a response of Twisted's client has a valid status and version."""
+    protocol, major, minor = response.version
+    return protocol == b"HTTP" and is_valid_status_line(response.code, f"{major}.{minor}")
+
+
 class HttpClient:
     """Sends requests with a time limit; its errors tell whether a request may have been sent.
 
@@ -132,10 +150,13 @@
             response = await sent.addTimeout(timeout_s, self._reactor)
         except _NOT_SENT_ERRORS as failure:
             raise NotSentError(f"no connection to {url}: {failure}") from failure
-        except (defer.TimeoutError, ResponseNeverReceived, ResponseFailed) as failure:
+        except _UNANSWERED_ERRORS as failure:
             raise SentUnansweredError(f"no response from {url}") from failure
         except error.ConnectionLost as failure:
             raise SentUnansweredError(f"connection to {url} lost") from failure
+        if not _has_valid_status_line(response):
+            response._transport.loseConnection()
+            raise SentUnansweredError(f"invalid response from {url}")
         head = HttpResponse(
             response.code,
             {
@@ -145,7 +166,7 @@
         )
         if on_head is not None:
             on_head(head)
-        finished = defer.Deferred(lambda _: response._transport.abortConnection())
+        finished = defer.Deferred(lambda _: response._transport.loseConnection())
         response.deliverBody(_Collector(on_data, finished))
         try:
             await finished.addTimeout(timeout_s, self._reactor)
--- a/turnward/http1/outbound.py
+++ b/turnward/http1/outbound.py
@@ -318,8 +318,9 @@
             self._usable = False
 
     def on_header(self, name, value):
-        """Collect a header."""
-        self._headers.append((name.lower(), value))
+        """Collect a header; trailers are ignored."""
+        if not self._in_body:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self):
         """Pass the head to the exchange, unless it belongs to an earlier one."""
--- a/turnward/http1/tests/test_odd_heads.py
+++ b/turnward/http1/tests/test_odd_heads.py
@@ -224,6 +224,18 @@
     assert exchange.heads[0][0] == status
 
 
+def test_trailers_are_no_fields_of_the_head():
+    """Guards against trailers that are passed on as fields of a buffered response's head."""
+    data = (
+        OK + ID + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+        b"Set-Cookie: a\r\nRequest-Id: other\r\n\r\n"
+    )
+    exchange = Exchanges(lambda server: EndingScript(data, 1, server)).run()
+    assert exchange.ended
+    names = [name for name, _ in exchange.heads[0][1]]
+    assert names == [b"request-id", b"transfer-encoding"]
+
+
 @pytest.mark.parametrize("data", [ODD_HEADS["status b'000'"], ODD_HEADS["status b'600'"]])
 def test_call_with_an_odd_answer_is_unanswered(data):
     exchanges = Exchanges(lambda server: EndingScript(data, 1, server))
