Odd values in rows and messages spoil nothing but themselves

Here: with one entry whose slots are above 2^64 - 1 every copy of the endpoints for a peer failed (OverflowError in packing.py), and a gateway that started while the store was away never got ready.

Cause: the decoder accepted what a later step can't encode, send or use, and that step handles all entries as one value. The same held for numbers of the operators' configuration (its version is in each digest), names of any length and with line breaks, addresses of no process, ages in rows of quarantines, and deep nesting in messages between gateways (RecursionError).

Change: bounds are in the decoded types; an address must be one that a process can have; a copy that can't be encoded or decoded whole is so entry by entry; every reader of messages of peers takes too deep nesting for undecodable bytes. Why this works: what passes the decoder now fits every later encoding, and a table is no longer lost with one entry.

--- a/turnward/gateway/accounts.py
+++ b/turnward/gateway/accounts.py
@@ -3,6 +3,7 @@
 
 import msgspec
 
+from turnward.bounds import Integer
 from turnward.gateway.account_updates import TakenTokens
 from turnward.rows import RowVersion, StoredRow
 
@@ -31,8 +32,8 @@
 class TokenLimit(msgspec.Struct, frozen=True):
     """Limit of a workspace's tokens, and the version of the configuration that sets it."""
 
-    tokens: int
-    version: int
+    tokens: Integer
+    version: Integer
 
 
 class AccountRow(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -61,17 +62,17 @@
         was restored from an older copy; negative if the row already records more than that.
     """
 
-    limit_tokens: int = 0
-    limit_version: int = 0
-    ended_tokens: int = 0
-    granted_tokens: dict[str, int] = {}
-    era: int | None = None
-    prior_era: int = 0
-    prior_number: int = 0
-    base_era: int = 0
-    base_number: int = 0
-    base_tokens: int = 0
-    unattributed_tokens: int = 0
+    limit_tokens: Integer = 0
+    limit_version: Integer = 0
+    ended_tokens: Integer = 0
+    granted_tokens: dict[str, Integer] = {}
+    era: Integer | None = None
+    prior_era: Integer = 0
+    prior_number: Integer = 0
+    base_era: Integer = 0
+    base_number: Integer = 0
+    base_tokens: Integer = 0
+    unattributed_tokens: Integer = 0
 
     @property
     def prior(self) -> RowVersion:
--- a/turnward/gateway/configuration.py
+++ b/turnward/gateway/configuration.py
@@ -5,9 +5,11 @@
 
 import msgspec
 
+from turnward.bounds import Count, Integer, Name, Number
 from turnward.gateway.zone_orders import ZoneOrder
 from turnward.http1 import InboundLimits
 from turnward.rows import RowVersion
+from turnward.settings import parse_peer_address
 from turnward.software_versions import UNNAMED_VERSION
 
 __all__ = [
@@ -42,8 +44,8 @@
 class WeightedPool(msgspec.Struct, frozen=True):
     """A pool that receives a share of a route's requests."""
 
-    pool: str
-    weight: float = 1.0
+    pool: Name
+    weight: Number = 1.0
 
 
 class Route(msgspec.Struct, frozen=True, kw_only=True):
@@ -76,13 +78,13 @@
     path_prefix: str
     pools: tuple[WeightedPool, ...]
     repeat: str = RetryPolicy.ONCE
-    time_limit_s: float = 30.0
-    target_s: float = 1.0
-    attempts: int = 1
-    priority: int = 5
+    time_limit_s: Number = 30.0
+    target_s: Number = 1.0
+    attempts: Integer = 1
+    priority: Integer = 5
     public: bool = False
     resumable: bool = False
-    pause_target_s: float = 1.0
+    pause_target_s: Number = 1.0
 
     @property
     def streams(self) -> bool:
@@ -122,9 +124,9 @@
 class EngineTraits(msgspec.Struct, frozen=True, kw_only=True):
     """Properties shared by all engines of a pool."""
 
-    slots: int = 1
-    memory_tokens: int = 0
-    event_tokens: int = 1
+    slots: Integer = 1
+    memory_tokens: Integer = 0
+    event_tokens: Integer = 1
 
 
 class WarmUpTraits(msgspec.Struct, frozen=True, kw_only=True):
@@ -139,8 +141,8 @@
         at much higher rates.
     """
 
-    cold_s: float = 0.0
-    requests_per_s: float = 0.0
+    cold_s: Number = 0.0
+    requests_per_s: Number = 0.0
 
 
 class EndpointPool(msgspec.Struct, frozen=True, kw_only=True):
@@ -154,8 +156,8 @@
         None if cold endpoints sustain as much as warm ones.
     """
 
-    name: str
-    connection_limit: int = 1_000
+    name: Name
+    connection_limit: Integer = 1_000
     engine: EngineTraits | None = None
     warm_up: WarmUpTraits | None = None
 
@@ -163,16 +165,16 @@
 class Workspace(msgspec.Struct, frozen=True, kw_only=True):
     """A workspace, its keys, and its prepaid tokens of the day."""
 
-    name: str
+    name: Name
     keys: tuple[str, ...] = ()
-    priority: int | None = None
-    prepaid_tokens: int | None = None
+    priority: Integer | None = None
+    prepaid_tokens: Integer | None = None
 
 
 class Configuration(msgspec.Struct, frozen=True, kw_only=True):
     """One complete version of the operators' configuration."""
 
-    version: int
+    version: Integer
     routes: tuple[Route, ...] = ()
     pools: tuple[EndpointPool, ...] = ()
     workspaces: tuple[Workspace, ...] = ()
@@ -220,21 +222,38 @@
         Version of the endpoint's software.
     """
 
-    endpoint_id: str
-    pool: str
-    address: str
-    zone: str = ""
-    slots: int = 1
+    endpoint_id: Name
+    pool: Name
+    address: Name
+    zone: Name = ""
+    slots: Count = 1
     leaving: bool = False
-    cold_left_s: float = 0.0
-    born_ms: int | None = None
-    version: str = UNNAMED_VERSION
+    cold_left_s: Number = 0.0
+    born_ms: Integer | None = None
+    version: Name = UNNAMED_VERSION
 
     def __post_init__(self):
         # Older builds copy entries that name no version with an empty one.
         if not self.version:
             msgspec.structs.force_setattr(self, "version", UNNAMED_VERSION)
 
+    def check(self) -> "EndpointEntry":
+        """Return the entry itself.
+
+        Raises
+        ------
+        ValueError
+            No endpoint can have the address.
+        """
+        if not self.has_valid_address:
+            raise ValueError(f"endpoint address {self.address!r} is not IP:port of a process")
+        return self
+
+    @property
+    def has_valid_address(self) -> bool:
+        """Whether a process can have the address."""
+        return parse_peer_address(self.address) is not None
+
     @property
     def incarnation(self) -> str:
         """Identifier of the endpoint's process; it changes with each restart."""
--- a/turnward/gateway/holder_client.py
+++ b/turnward/gateway/holder_client.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from turnward.gateway.decoding import decode_message
 from turnward.gateway.holders import HoldersBase
 from turnward.gateway.loans import LOANS_PATH, RETURNS_PATH, Loan, LoanAsk, LoanReturn
 from turnward.http1 import Http1Error, NotSentError
@@ -81,7 +82,7 @@
     async def _request_loan(self, address: str, workspace: str, body: bytes) -> Loan | None:
         try:
             response = await self._call(address, LOANS_PATH, body, _LOAN_TIMEOUT_S)
-            return msgspec.msgpack.decode(response, type=Loan) if response is not None else None
+            return decode_message(response, Loan) if response is not None else None
         except (Http1Error, msgspec.DecodeError) as error:
             self._mark_unresponsive(address, workspace, error)
             return None
--- a/turnward/gateway/lenders.py
+++ b/turnward/gateway/lenders.py
@@ -3,6 +3,7 @@
 
 import msgspec
 
+from turnward.gateway.decoding import decode_message
 from turnward.gateway.holders import HoldersBase
 from turnward.gateway.loans import LOANS_PATH, LenderBase, Loan
 
@@ -56,7 +57,7 @@
         if body is None:
             return 0
         try:
-            return max(0, msgspec.msgpack.decode(body, type=Loan).tokens)
+            return max(0, decode_message(body, Loan).tokens)
         except msgspec.DecodeError:
             return 0
 
--- a/turnward/gateway/members.py
+++ b/turnward/gateway/members.py
@@ -1,13 +1,17 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The members' table, in which routers discover each other; it has a row for each node."""
 
+from typing import Annotated
+
 import msgspec
 
-from turnward.settings import parse_address
+from turnward.bounds import Name
+from turnward.settings import parse_peer_address
 
 __all__ = ["MEMBERS_TABLE", "Member", "decode_member", "encode_member"]
 
 MEMBERS_TABLE = "members"
+_MAX_LINK_MBIT_PER_S = 1e9
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -29,9 +33,9 @@
         Whether it answers which pools it reaches.
     """
 
-    address: str
-    zone: str
-    link_mbit_per_s: float = 0.0
+    address: Name
+    zone: Name
+    link_mbit_per_s: Annotated[float, msgspec.Meta(ge=0, le=_MAX_LINK_MBIT_PER_S)] = 0.0
     takes_relays: bool = False
     keeps_versions: bool = False
     tells_paths: bool = False
@@ -58,6 +62,6 @@
     'z'
     """
     member = msgspec.json.decode(value, type=Member)
-    if parse_address(member.address) is None:
+    if parse_peer_address(member.address) is None:
         raise ValueError(f"member address {member.address!r} is not IP:port")
     return member
--- a/turnward/gateway/packing.py
+++ b/turnward/gateway/packing.py
@@ -2,11 +2,13 @@
 """Compressed encoding of the state that routers fetch from each other."""
 
 import zlib
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from typing import TypeVar
 
 import msgspec
 
+from turnward.gateway.decoding import decode_message
+
 __all__ = ["PackedCache", "pack", "unpack"]
 
 T = TypeVar("T")
@@ -40,7 +42,7 @@
         body = unpacker.decompress(packed, _UNPACKED_LIMIT_BYTES)
     except zlib.error as failure:
         raise msgspec.DecodeError(f"state is not zlib-compressed: {failure}") from failure
-    return msgspec.msgpack.decode(body, type=layout)
+    return decode_message(body, layout)
 
 
 class PackedCache:
@@ -52,9 +54,9 @@
         self._version: Hashable | None = None
         self._packed = b""
 
-    def get(self, version: Hashable, state: msgspec.Struct) -> bytes:
+    def get(self, version: Hashable, make_packed: Callable[[], bytes]) -> bytes:
         """Return the packed state; it is packed again only if the version differs."""
         if self._version != version:
-            self._packed = pack(state)
+            self._packed = make_packed()
             self._version = version
         return self._packed
--- a/turnward/gateway/peers.py
+++ b/turnward/gateway/peers.py
@@ -7,12 +7,15 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 from twisted.internet import defer
 from twisted.internet.protocol import DatagramProtocol
 
 from turnward.gateway.configuration import ConfigurationCopy
+from turnward.gateway.decoding import MESSAGE_DECODE_ERRORS, decode_message
+from turnward.gateway.endpoints_copy import pack_endpoints, unpack_endpoints
 from turnward.gateway.feedback_exchange import FeedbackExchange
 from turnward.gateway.loans import (
     LOANS_PATH,
@@ -22,7 +25,7 @@
     LoanReturn,
 )
 from turnward.gateway.overlay import FleetSummary, Overlay
-from turnward.gateway.packing import PackedCache, unpack
+from turnward.gateway.packing import PackedCache, pack, unpack
 from turnward.gateway.peer_book import DIGEST_LAYOUT, OLDEST_DIGEST_LAYOUT, Digest, PeerBook
 from turnward.gateway.quarantines import Quarantines
 from turnward.gateway.rate_limits import RateLimits
@@ -30,7 +33,7 @@
 from turnward.gateway.relay_paths import PathAnswer, PathQuestion
 from turnward.gateway.removed_endpoints import REWRITE_PERIOD_S
 from turnward.gateway.restart_suspicions import RestartSuspicion
-from turnward.gateway.state import EndpointsSnapshot, FleetState
+from turnward.gateway.state import FleetState
 from turnward.gateway.stream_version_exchange import STREAM_VERSION_PATH, StreamVersionNotice
 from turnward.http1 import Http1Error, HttpCaller, InboundRequest
 from turnward.link_use import LinkUse
@@ -109,7 +112,7 @@
         self.link_use.received += len(datagram)
         try:
             message = self._decoder.decode(datagram)
-        except (msgspec.DecodeError, ValueError):
+        except MESSAGE_DECODE_ERRORS:
             self._on_rejected(addr[0], None)
             return
         if message.layout in self.layouts:
@@ -482,7 +485,9 @@
 
     def _adopt_endpoints(self, body: bytes, address: str) -> None:
         self.on_heard()
-        snapshot = unpack(body, EndpointsSnapshot)
+        snapshot, unreadable = unpack_endpoints(body)
+        if unreadable:
+            self._log.failure("peer.entries_unreadable", peer=address, entries=unreadable)
         self._told_of_recovery = self._told_of_recovery or snapshot.knows_recovery
         self._state.adopt_endpoints(snapshot, f"peer {address}")
 
@@ -496,7 +501,9 @@
         if request.target == CONFIGURATION_PATH and state.routes and orders is not None:
             row = state.row_version
             copy = ConfigurationCopy(state.routes.configuration, row.number, orders, row.era)
-            packed = self._configuration.get((state.configuration_version, orders), copy)
+            packed = self._configuration.get(
+                (state.configuration_version, orders), partial(pack, copy)
+            )
             request.answer(200, [], packed)
         elif request.target == ENDPOINTS_PATH and state.endpoints_version:
             snapshot = msgspec.structs.replace(
@@ -504,7 +511,8 @@
             )
             flags = (snapshot.provisional, snapshot.knows_recovery)
             key = (snapshot.as_of, snapshot.removed, flags)
-            request.answer(200, [], self._endpoints.get(key, snapshot))
+            packed = self._endpoints.get(key, partial(pack_endpoints, snapshot))
+            request.answer(200, [], packed)
         elif request.target == LOANS_PATH:
             _decode_body(request, LoanAsk, self._lend)
         elif request.target == RETURNS_PATH:
@@ -576,8 +584,8 @@
 
     def body_received() -> None:
         try:
-            message = msgspec.msgpack.decode(b"".join(chunks), type=layout)
-        except (msgspec.DecodeError, ValueError):
+            message = decode_message(b"".join(chunks), layout)
+        except msgspec.DecodeError:
             request.answer(400, [])
             return
         handle(request, message)
--- a/turnward/gateway/quarantine_rows.py
+++ b/turnward/gateway/quarantine_rows.py
@@ -10,6 +10,7 @@
 import msgspec
 from twisted.internet import defer, task
 
+from turnward.bounds import Number
 from turnward.gateway.unreadable_rows import ROW_DECODE_ERRORS, UnreadableRows
 from turnward.quarantine import AbortedRun, Quarantine, QuarantineChange, QuarantineUpdate, Verdict
 from turnward.rows import (
@@ -42,7 +43,7 @@
         The aborted runs that led to the quarantine.
     """
 
-    store_time_s: float
+    store_time_s: Number
     lost: tuple[AbortedRun, ...]
 
     def aged(self, store_time_s: float) -> tuple[AbortedRun, ...]:
--- a/turnward/gateway/recorded_versions.py
+++ b/turnward/gateway/recorded_versions.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from turnward.bounds import Integer, Number
 from turnward.gateway.unreadable_rows import ROW_DECODE_ERRORS, UnreadableRows
 from turnward.rows import RowChange, RowKey, StoredRow
 from turnward.software_versions import UNNAMED_VERSION
@@ -53,8 +54,8 @@
     """
 
     versions: tuple[str, ...]
-    era: int | None = None
-    stream_limit_s: float = 0.0
+    era: Integer | None = None
+    stream_limit_s: Number = 0.0
 
 
 class RecordedVersions(msgspec.Struct, frozen=True):
--- a/turnward/gateway/spending.py
+++ b/turnward/gateway/spending.py
@@ -17,6 +17,7 @@
 import msgspec
 from twisted.internet import defer
 
+from turnward.bounds import Integer, Number
 from turnward.rows import (
     RowChange,
     RowKey,
@@ -63,11 +64,11 @@
     (120, 145, 220)
     """
 
-    spent_tokens: int
-    burst_tokens: int
-    rate_tokens_per_s: float
-    relax_after_s: float
-    relaxed_rate_tokens_per_s: float
+    spent_tokens: Integer
+    burst_tokens: Integer
+    rate_tokens_per_s: Number
+    relax_after_s: Number
+    relaxed_rate_tokens_per_s: Number
 
     def max_spent_tokens(self, elapsed_s: float) -> int:
         """Return the most that may have been spent a given time after the report."""
@@ -92,8 +93,8 @@
         later era the report is void: a newer one may have been lost with the earlier era.
     """
 
-    number: int
-    stamp_s: float
+    number: Integer
+    stamp_s: Number
     promises: dict[str, SpendBound]
     era: int | None = None
 
--- a/turnward/gateway/standalone.py
+++ b/turnward/gateway/standalone.py
@@ -155,7 +155,7 @@
 
 
 def _decode_endpoint(row: StoredRow) -> EndpointEntry:
-    return msgspec.json.decode(row.value, type=EndpointEntry)
+    return msgspec.json.decode(row.value, type=EndpointEntry).check()
 
 
 class GatewayResources(msgspec.Struct, forbid_unknown_fields=True):
--- a/turnward/gateway/stream_version_rows.py
+++ b/turnward/gateway/stream_version_rows.py
@@ -13,6 +13,7 @@
 import msgspec
 from twisted.internet import defer, task
 
+from turnward.bounds import Number
 from turnward.gateway.unreadable_rows import ROW_DECODE_ERRORS, UnreadableRows
 from turnward.gateway.version_keeper import VersionKeeper
 from turnward.rows import (
@@ -49,7 +50,7 @@
 _KEY_BYTES = 8
 
 #: How long ago each version left, by pool.
-VersionAges = dict[str, dict[str, float]]
+VersionAges = dict[str, dict[str, Number]]
 
 
 class StreamVersionsRow(msgspec.Struct, frozen=True):
@@ -66,7 +67,7 @@
         had left, in seconds, 0 if it was present; by pool.
     """
 
-    store_time_s: float
+    store_time_s: Number
     keys: dict[str, bytes]
     unrecorded: VersionAges = {}
 
@@ -145,7 +146,7 @@
         self._is_read = False
         self._waiting: list[defer.Deferred] = []
         #: When each version was last seen, by pool, as the rows tell.
-        self._seen_s: dict[str, dict[str, float]] = {}
+        self._seen_s: dict[str, dict[str, Number]] = {}
         #: Version of the own row, 0 if there is none; None if it has to be read.
         self._row_version: int | None = None
         self._recorded: dict[StreamKey, str] = {}
@@ -171,7 +172,7 @@
         self._reactor.callLater(_MAX_WAIT_S, self._end_wait, waiting)
         return waiting
 
-    async def versions_seen(self) -> dict[str, dict[str, float]]:
+    async def versions_seen(self) -> dict[str, dict[str, Number]]:
         """Return when each version was last seen, by pool, once the rows have been read."""
         if not self._is_read:
             waiting: defer.Deferred[bool] = defer.Deferred()
--- a/turnward/gateway/table_catch_up.py
+++ b/turnward/gateway/table_catch_up.py
@@ -12,6 +12,7 @@
 import msgspec
 from twisted.internet import defer
 
+from turnward.gateway.decoding import decode_message
 from turnward.gateway.peer_book import PeerBook
 from turnward.gateway.peers import ENDPOINTS_PATH, ENDPOINTS_VERSION_PATH, PeerSynchronizer
 from turnward.gateway.state import FleetState
@@ -161,7 +162,7 @@
             )
             if body is None:
                 return RowVersion(0)
-            version = msgspec.msgpack.decode(body, type=EndpointsVersion)
+            version = decode_message(body, EndpointsVersion)
         except (Http1Error, msgspec.DecodeError) as failure:
             what = ENDPOINTS_VERSION_PATH.decode()
             self._log.failure("peer.fetch_failed", peer=address, what=what, cause=failure)
--- a/turnward/gateway/table_listeners.py
+++ b/turnward/gateway/table_listeners.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from turnward.bounds import MAX_NAME_CHARS
 from turnward.gateway.configuration import Configuration, EndpointEntry
 from turnward.gateway.feeds import FeedListenerBase
 from turnward.gateway.members import decode_member
@@ -74,10 +75,10 @@
             if not zone.startswith(prefix):
                 continue
             zone = zone[len(prefix) :]
-            if not zone:
-                self._state.unreadable_rows.mark_unreadable(
-                    row, ValueError("drain order without a zone name in its key")
-                )
+            try:
+                zone = _zone_name(zone)
+            except ValueError as failure:
+                self._state.unreadable_rows.mark_unreadable(row, failure)
                 continue
             orders[zone] = ZoneOrder.at(zone, row.version or changes.version, not row.gone)
         return list(orders.values())
@@ -96,6 +97,21 @@
             self._state.adopt_configuration(configuration, "store", row.version)
 
 
+def _zone_name(text: str) -> str:
+    """Return the zone that an order's key names.
+
+    Raises
+    ------
+    ValueError
+        There is none, or no zone can have the name.
+    """
+    if not text:
+        raise ValueError("drain order without a zone name in its key")
+    if len(text) > MAX_NAME_CHARS:
+        raise ValueError(f"drain order for a zone of {len(text)} characters")
+    return text
+
+
 class EndpointsListener(FeedListenerBase):
     """Applies the endpoints' rows; a row that cannot be decoded counts as removed.
 
--- a/turnward/gateway/unreadable_rows.py
+++ b/turnward/gateway/unreadable_rows.py
@@ -12,6 +12,8 @@
 
 #: Errors that decoding a row may raise; ``RecursionError`` when values are nested too deeply.
 ROW_DECODE_ERRORS = (msgspec.DecodeError, ValueError, RecursionError)
+#: Most characters of a cause that are kept; it may quote a value of any size.
+_MAX_CAUSE_CHARS = 200
 #: Rows beyond this number are not remembered, and are reported each time that they are read.
 _MAX_ROWS = 1_000
 
@@ -60,7 +62,8 @@
         known = self._rows.get(row.key)
         if known is not None and known.version == row.version:
             return
-        unreadable = UnreadableRow(row.key, row.version, _reason(error), str(error))
+        cause = str(error)[:_MAX_CAUSE_CHARS]
+        unreadable = UnreadableRow(row.key, row.version, _reason(error), cause)
         if known is not None or len(self._rows) < _MAX_ROWS:
             self._rows[row.key] = unreadable
         if self.on_unreadable is not None:
--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -14,6 +14,7 @@
 import msgspec
 from twisted.internet.protocol import Factory, Protocol
 
+from turnward.bounds import Integer, Number
 from turnward.http1.framing import (
     HeaderList,
     encode_response_head,
@@ -40,10 +41,10 @@
 class InboundLimits(msgspec.Struct):
     """Limits on the size of requests and on the time that a caller may take."""
 
-    head_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    head_timeout_s: float = 5.0
-    idle_timeout_s: float = 30.0
+    head_bytes: Integer = 16_384
+    body_bytes: Integer = 4_194_304
+    head_timeout_s: Number = 5.0
+    idle_timeout_s: Number = 30.0
 
 
 class Refusal(msgspec.Struct, frozen=True):
--- a/turnward/quarantine/messages.py
+++ b/turnward/quarantine/messages.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from turnward.bounds import Integer
+
 __all__ = [
     "EMPTY_QUARANTINE_UPDATE",
     "AbortedRun",
@@ -47,8 +49,8 @@
 
     content: str
     endpoint: str
-    sent_age_ms: int
-    aborted_age_ms: int
+    sent_age_ms: Integer
+    aborted_age_ms: Integer
 
 
 class CompletedRun(msgspec.Struct, frozen=True, array_like=True):
--- a/turnward/settings/__init__.py
+++ b/turnward/settings/__init__.py
@@ -7,6 +7,7 @@
     convert_checked,
     load_settings,
     parse_address,
+    parse_peer_address,
     read_toml,
 )
 
@@ -16,5 +17,6 @@
     "convert_checked",
     "load_settings",
     "parse_address",
+    "parse_peer_address",
     "read_toml",
 ]
--- a/turnward/settings/core.py
+++ b/turnward/settings/core.py
@@ -3,6 +3,7 @@
 
 import ipaddress
 import re
+from functools import lru_cache
 from pathlib import Path
 
 import msgspec
@@ -15,9 +16,14 @@
     "convert_checked",
     "load_settings",
     "parse_address",
+    "parse_peer_address",
     "read_toml",
 ]
 
+_MAX_PORT = 65_535
+_MAX_CACHED_ADDRESSES = 8_192
+_MAX_PORT_DIGITS = 5
+_BROADCAST = ipaddress.ip_address("255.255.255.255")
 _FAULT_PATTERN = re.compile(r"^(?P<what>.*?)(?: - at `\$\.?(?P<key>.*)`)?$")
 
 
@@ -114,9 +120,29 @@
         ipaddress.ip_address(host)
     except ValueError:
         return None
-    if not port.isdigit() or int(port) > 65_535:
+    # Other digits than ASCII's count as digits, too.
+    if not (port.isascii() and port.isdigit()) or len(port) > _MAX_PORT_DIGITS:
         return None
-    return host, int(port)
+    return (host, int(port)) if int(port) <= _MAX_PORT else None
+
+
+@lru_cache(maxsize=_MAX_CACHED_ADDRESSES)
+def parse_peer_address(text: str) -> tuple[str, int] | None:
+    """Return the IP address and port in ``text``, or None if no other process can have it.
+
+    Examples
+    --------
+    >>> parse_peer_address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    >>> parse_peer_address("0.0.0.0:80") is None
+    True
+    """
+    address = parse_address(text)
+    if address is None or address[1] == 0:
+        return None
+    ip = ipaddress.ip_address(address[0])
+    reachable = not (ip.is_unspecified or ip.is_multicast or ip == _BROADCAST)
+    return address if reachable and not getattr(ip, "scope_id", None) else None
 
 
 def read_toml(path: str) -> dict:
