An unreadable report of an earlier process hides no other report

What operators would see: a node whose tokens of ended processes are never given back, with prepaid.look_back_failed again and again. One row in the node's part of the table that can't be decoded ended the reading of all.

Change: such a report gives no bounds, so that what its writer held counts as spent, and the others are read (prepaid.report_unreadable). Evidence: test_odd_report_of_an_earlier_process_hides_no_other fails in its three cases on the commit before.

--- a/turnward/gateway/spending.py
+++ b/turnward/gateway/spending.py
@@ -18,6 +18,7 @@
 from twisted.internet import defer
 
 from turnward.bounds import Integer, Number
+from turnward.gateway.unreadable_rows import ROW_DECODE_ERRORS
 from turnward.rows import (
     RowChange,
     RowKey,
@@ -225,7 +226,7 @@
         predecessor_bounds = {}
         for row in table.rows:
             if row.key.key != self._key.key and not row.gone:
-                predecessor_bounds[row.key.key] = _bounds(row, now_s, self._store.eras.known)
+                predecessor_bounds[row.key.key] = self._readable_bounds(row, now_s)
         self.predecessor_bounds = predecessor_bounds
         self._log.belief(
             "prepaid.predecessors",
@@ -234,6 +235,14 @@
             store_time_s=round(now_s, 3),
         )
 
+    def _readable_bounds(self, row: StoredRow, now_s: float) -> dict[str, int]:
+        """Return the bounds in a report; none if it can't be read, so that all counts as spent."""
+        try:
+            return _bounds(row, now_s, self._store.eras.known)
+        except ROW_DECODE_ERRORS as error:
+            self._log.failure("prepaid.report_unreadable", report=row.key.key, cause=str(error))
+            return {}
+
     # Own reports.
 
     def report_if_due(self, routers: int) -> None:
--- a/turnward/gateway/tests/test_odd_entries.py
+++ b/turnward/gateway/tests/test_odd_entries.py
@@ -16,6 +16,7 @@
 from turnward.gateway.packing import pack
 from turnward.gateway.peers import ENDPOINTS_PATH, PeerDatagramProtocol
 from turnward.gateway.quarantine_rows import QUARANTINE_TABLE
+from turnward.gateway.spending import TABLE as REPORTS_TABLE
 from turnward.gateway.state import EndpointsSnapshot
 from turnward.gateway.tests.harness import KEY, PEERS_PORT, Harness, answer_ok, answered
 from turnward.gateway.unreadable_rows import UnreadableRows
@@ -248,3 +249,19 @@
     row = StoredRow(RowKey("endpoints", "", "odd"), b"", 1)
     rows.mark_unreadable(row, ValueError("address " + LONG))
     assert len(reported[0].cause) < 300
+
+
+@pytest.mark.parametrize(
+    "value", [b"{", NESTED_JSON, b'{"number":1,"stamp_s":1e300,"promises":{}}']
+)
+def test_odd_report_of_an_earlier_process_hides_no_other(value):
+    """Guards against one report that keeps a node from reading all others, again and again."""
+    harness = Harness()
+    harness.endpoint(answer_ok)
+    harness.rows.put(REPORTS_TABLE, "node-1@odd", value, "node-1")
+    harness.ready()
+    harness.network.advance(3.0)
+    assert not harness.logs[0].of("prepaid.look_back_failed")
+    (line,) = harness.logs[0].of("prepaid.predecessors")
+    assert (line["incarnations"], line["void"]) == (["node-1@odd"], ["node-1@odd"])
+    assert harness.logs[0].of("prepaid.report_unreadable")
