Requests sent together begin in the order of their arrival

Cause: a connection began a request at once whenever none was being served, also while others waited or the next one was about to be taken from the queue: behind one that is answered as it begins, or before its body is in. It was then replaced by the next one of the queue, and its answer dropped.

Change: a request begins only if it is the next one. A malformed one is refused after all before it, and a connection on which requests wait is not idle. Why this works: the place of the request in progress is filled from the queue alone while the queue is not empty, or about to be served.

--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -266,7 +266,7 @@
 
     ``_current`` is being served. Later requests that were received together with
     it are parsed and wait in ``_queued``; bytes received afterwards wait in
-    ``_unparsed``.
+    ``_unparsed``. Requests begin in the order in which they arrived.
     """
 
     noisy = False
@@ -366,7 +366,7 @@
         request.closes = not self._parser.should_keep_alive()
         request.refusal = self._limit_refusal(request)
         self._parsing = request
-        if self._current is None:
+        if self._is_next:
             self._begin(request)
         else:
             self._queued.append(request)
@@ -435,8 +435,8 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request is in progress or partly received."""
-        return self._current is None and self.head_started_s is None and not self._unparsed
+        """Whether no request is in progress, waits or is partly received."""
+        return self._is_next and self.head_started_s is None and not self._unparsed
 
     @property
     def closing(self) -> bool:
@@ -510,10 +510,18 @@
         received_bytes = self._partial_head_bytes - _HEAD_SYNTAX_BYTES
         return self._head_bytes > limit_bytes or received_bytes > limit_bytes
 
+    @property
+    def _is_next(self) -> bool:
+        """Whether the request that arrives next is the next one to be served."""
+        waits = self._queued or self._next_request_scheduled
+        return self._current is None and not waits
+
     def _may_refuse_now(self) -> bool:
         """Return whether no request, or the refused request itself, is being served."""
         current = self._current
-        return current is None or not current.body_complete or current.refusal is not None
+        if current is None:
+            return not self._queued
+        return not current.body_complete or current.refusal is not None
 
     def _buffer_unparsed(self, data: bytes) -> None:
         self._unparsed.append(data)
@@ -538,17 +546,14 @@
         if unparsed:
             self._parse(unparsed)
 
-    @property
-    def _current_body_complete(self) -> bool:
-        return self._current is not None and self._current.body_complete
-
     def _start_next_request(self) -> None:
         self._next_request_scheduled = False
         if self._closing:
             return
         if self._queued:
             self._begin(self._queued.popleft())
-            if not self._current_body_complete:
+            # One that is answered as it begins leaves the rest to the next call.
+            if self._current is not None and not self._current.body_complete:
                 self._parse_unparsed()
         elif self._pending_refusal is None:
             self._parse_unparsed()
