A connection that closes answers first what was read on it

The connection announced that it closes with the answer in progress, whatever was read behind it; the same when a gateway sheds connections, or closes those that are idle.

Change: a connection closes with the answer to the last request that was read on it. Evidence: the six cases of test_requests_that_were_read_are_answered_ before_a_connection_closes fail on the commit before, none after.

--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -388,8 +388,12 @@
     # Called by requests.
 
     def must_close(self, request) -> bool:
-        """Return whether the connection has to be closed after the response."""
-        return self._factory.draining or self._factory.sheds_connections
+        """Return whether the connection has to be closed after the response.
+
+        Requests that were read behind this one are answered first.
+        """
+        closes = self._factory.draining or self._factory.sheds_connections
+        return closes and not self._has_waiting
 
     def write(self, request, data) -> None:
         """Send bytes of the current request's response."""
@@ -400,7 +404,7 @@
         """Close the connection or proceed to the next request."""
         if request is not self._current:
             return
-        if request.closes or self._factory.closes_idle:
+        if request.closes or (self._factory.closes_idle and not self._has_waiting):
             self.close()
         elif request.body_complete:
             self._schedule_next_request()
@@ -510,6 +514,11 @@
         received_bytes = self._partial_head_bytes - _HEAD_SYNTAX_BYTES
         return self._head_bytes > limit_bytes or received_bytes > limit_bytes
 
+    @property
+    def _has_waiting(self) -> bool:
+        """Whether anything was read behind the request that is being served."""
+        return bool(self._queued or self._unparsed)
+
     @property
     def _is_next(self) -> bool:
         """Whether the request that arrives next is the next one to be served."""
--- a/turnward/http1/tests/test_pipelined_requests.py
+++ b/turnward/http1/tests/test_pipelined_requests.py
@@ -147,6 +147,22 @@
     assert idle == [False] * 5
 
 
+@pytest.mark.parametrize("together", [True, False])
+@pytest.mark.parametrize("stage", ["draining", "closes_idle", "sheds_connections"])
+def test_requests_that_were_read_are_answered_before_a_connection_closes(stage, together):
+    """Guards against a stop that drops requests behind another one on their connection."""
+    simulation = PipelineSimulation()
+    simulation.server.callLater(0.0008, setattr, simulation.factory, stage, True)
+    requests = [encode(number, "late") for number in range(4)]
+    parts = [b"".join(requests)] if together else requests
+    caller = simulation.send([(0.0, part) for part in parts])
+    assert caller.answers == [0, 1, 2, 3]
+    assert caller.closed
+    *others, last = caller.received.split(b"HTTP/1.1 200")[1:]
+    assert not any(b"connection: close" in answer.lower() for answer in others)
+    assert (b"connection: close" in last.lower()) == (stage != "closes_idle")
+
+
 @pytest.mark.parametrize("seed", range(150))
 def test_random_requests_are_answered_in_their_order(seed):
     simulation = PipelineSimulation(seed)
