Resumable streams are checked when their draining endpoint ends

Cause: at a draining endpoint the end of a connection counted as the end of the response unchecked, since a planned end may close the port first.

Change: a resumable stream is checked there, too; if no connection opens it goes on elsewhere after its last event. Why this works: a stream that was whole gets nothing added there, one that was not gets the rest. What can't go on elsewhere is taken as before.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -373,12 +373,17 @@
         return unframed and self._status == 200 and not self._events and not self._owner.continues
 
     def end_in_doubt(self, connection):
-        """Check that the endpoint runs, unless a planned end of it may have closed its port."""
-        record = self.record
-        if self.ended or record.availability.draining:
+        """Check that the endpoint's process has outlived the end of its response.
+
+        One that drains may have closed its port before. A resumable stream is checked nevertheless:
+        if it is whole, an endpoint where it goes on adds nothing.
+        """
+        owner = self._owner
+        draining = self.record.availability.draining
+        if self.ended or (draining and not owner.resumable):
             connection.confirm_end(complete=True)
         else:
-            check_process(record.pool, self._connect_timeout_s, connection.confirm_end)
+            check_process(self.record.pool, self._connect_timeout_s, connection.confirm_end)
 
     def exchange_failed(self, failure):
         """Record the failure and report it to the forwarded request."""
--- a/turnward/gateway/tests/test_ends_of_processes.py
+++ b/turnward/gateway/tests/test_ends_of_processes.py
@@ -117,6 +117,29 @@
     assert decode_chunked(harness.ask().body) == (encode_events(1, EVENTS), True)
 
 
+def test_resumable_stream_that_a_planned_end_of_its_process_cuts_goes_on_elsewhere():
+    """Guards against the end of a draining endpoint that is taken for the end of its streams."""
+
+    def drain_and_cut(endpoint, request):
+        if not endpoint.harness.cut:
+            harness.announce(endpoint, leaving=True)
+        endpoint.machine.callLater(1.0, cut_once, endpoint, request)
+
+    harness = make_harness(drain_and_cut, resumable=True)
+    assert decode_chunked(harness.ask().body) == (encode_events(1, EVENTS), True)
+    assert len(harness.logs[0].of("attempt.chosen")) == 2
+
+
+def test_whole_stream_of_a_draining_endpoint_runs_once():
+    def drain_first(endpoint, request):
+        harness.announce(endpoint, leaving=True)
+        endpoint.machine.callLater(1.0, complete, endpoint, request)
+
+    harness = make_harness(drain_first, resumable=True)
+    assert decode_chunked(harness.ask().body) == (encode_events(1, EVENTS), True)
+    assert len(harness.logs[0].of("attempt.chosen")) == 1
+
+
 def test_caller_that_disconnects_during_the_check_harms_nothing():
     harness = make_harness(complete, endpoints=1, time_limit_s=2.0)
     endpoint = harness.endpoints[0]
