An unframed response that ends after a pause of the router is broken off

Cause: the end of such a response is the end of its connection if a new connection to the address opens. A gateway that was paused asks seconds later, and another process may answer.

Change: a response that was under way during a pause, and ends within a second after it, counts as broken off: it is resumed, repeated or reset.

--- a/turnward/gateway/attempt.py
+++ b/turnward/gateway/attempt.py
@@ -382,9 +382,17 @@
         draining = self.record.availability.draining
         if self.ended or (draining and not owner.resumable):
             connection.confirm_end(complete=True)
+        elif self._was_paused():
+            # Another process may have got the address meanwhile.
+            connection.confirm_end(complete=False)
         else:
             check_process(self.record.pool, self._connect_timeout_s, connection.confirm_end)
 
+    def _was_paused(self) -> bool:
+        """Return whether this router was paused lately, while the response was under way."""
+        pause = self._owner.forwarder.endpoints.resumed_lately()
+        return pause is not None and self.sent_s < pause.resumed_s
+
     def exchange_failed(self, failure):
         """Record the failure and report it to the forwarded request."""
         if self.ended:
--- a/turnward/gateway/tests/test_ends_of_processes.py
+++ b/turnward/gateway/tests/test_ends_of_processes.py
@@ -6,6 +6,7 @@
 from turnward.gateway import RetryPolicy
 from turnward.gateway.tests.harness import (
     DIALECT,
+    ENDPOINT_PORT,
     Harness,
     answer_head,
     answered,
@@ -140,6 +141,25 @@
     assert len(harness.logs[0].of("attempt.chosen")) == 1
 
 
+@pytest.mark.parametrize("resumable", [True, False])
+@pytest.mark.parametrize("away_s", [0.8, 2.5])
+def test_process_that_came_back_during_a_pause_has_not_finished_a_response(away_s, resumable):
+    """Guards against another process at the address, which a router sees that was paused."""
+    harness = make_harness(cut_once, endpoints=2, resumable=resumable)
+    caller = harness.send()
+    harness.network.advance_until(lambda: encode_events(1, 1) in caller.body)
+    endpoint = next(each for each in harness.endpoints if each.requests)
+    gateway = harness.machines[0]
+    gateway.freeze()
+    harness.network.advance(away_s)
+    endpoint.machine.listenTCP(ENDPOINT_PORT, endpoint.factory)
+    harness.network.advance(0.5)
+    gateway.wake()
+    harness.network.advance_until(lambda: answered(caller))
+    last = EVENTS if resumable else EVENTS // 2
+    assert decode_chunked(caller.body) == (encode_events(1, last), resumable)
+
+
 def test_caller_that_disconnects_during_the_check_harms_nothing():
     harness = make_harness(complete, endpoints=1, time_limit_s=2.0)
     endpoint = harness.endpoints[0]
