Lines of unreadable rows have a bounded key

What operators would see: a log line as long as the key that another writer chose. The key is cut at 200 characters, as the cause is. Evidence: test_line_of_an_unreadable_row_is_short fails without the cut.

--- a/turnward/gateway/process_logs.py
+++ b/turnward/gateway/process_logs.py
@@ -8,6 +8,9 @@
 
 __all__ = ["ProcessLogs"]
 
+#: Most characters of a row's key in a log line.
+_MAX_KEY_CHARS = 200
+
 
 class ProcessLogs:
     """Writes the lines.
@@ -39,7 +42,7 @@
         self._log.failure(
             "row.unreadable",
             table=row.key.table,
-            key=row.key.key,
+            key=row.key.key[:_MAX_KEY_CHARS],
             version=row.version,
             reason=row.reason,
             cause=row.cause,
--- a/turnward/gateway/tests/test_odd_entries.py
+++ b/turnward/gateway/tests/test_odd_entries.py
@@ -242,6 +242,15 @@
     assert harness.ask().status == 200
 
 
+@pytest.mark.parametrize("value", [b"{", msgspec.json.encode({**SOUND_ENTRY, "address": LONG})])
+def test_line_of_an_unreadable_row_is_short(value):
+    harness = make_fleet()
+    harness.rows.put("endpoints", LONG, value)
+    harness.network.advance(3.0)
+    (line,) = harness.logs[0].of("row.unreadable")
+    assert all(len(str(field)) < 300 for field in line.values())
+
+
 def test_cause_of_an_unreadable_row_is_short():
     reported = []
     rows = UnreadableRows()
