--- a/turnward/gateway/configuration.py
+++ b/turnward/gateway/configuration.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from turnward.bounds import Count, Integer, Name, Number
+from turnward.bounds import Count, Integer, Name, NameInHeader, Number
 from turnward.gateway.zone_orders import ZoneOrder
 from turnward.http1 import InboundLimits
 from turnward.rows import RowVersion
@@ -165,7 +165,7 @@
 class Workspace(msgspec.Struct, frozen=True, kw_only=True):
     """A workspace, its keys, and its prepaid tokens of the day."""
 
-    name: Name
+    name: NameInHeader
     keys: tuple[str, ...] = ()
     priority: Integer | None = None
     prepaid_tokens: Integer | None = None
@@ -222,7 +222,7 @@
         Version of the endpoint's software.
     """
 
-    endpoint_id: Name
+    endpoint_id: NameInHeader
     pool: Name
     address: Name
     zone: Name = ""
@@ -245,15 +245,10 @@
         ValueError
             No endpoint can have the address.
         """
-        if not self.has_valid_address:
+        if parse_peer_address(self.address) is None:
             raise ValueError(f"endpoint address {self.address!r} is not IP:port of a process")
         return self
 
-    @property
-    def has_valid_address(self) -> bool:
-        """Whether a process can have the address."""
-        return parse_peer_address(self.address) is not None
-
     @property
     def incarnation(self) -> str:
         """Identifier of the endpoint's process; it changes with each restart."""
--- a/turnward/gateway/endpoints_copy.py
+++ b/turnward/gateway/endpoints_copy.py
@@ -9,6 +9,7 @@
 from turnward.gateway.decoding import decode_message
 from turnward.gateway.packing import pack, unpack
 from turnward.gateway.state import EndpointsSnapshot
+from turnward.settings import parse_peer_address
 
 __all__ = ["pack_endpoints", "unpack_endpoints"]
 
@@ -50,7 +51,7 @@
         snapshot = unpack(packed, _EntriesApart)
         received = len(snapshot.entries)
         entries = tuple(_decode_each(snapshot.entries))
-    valid = tuple(entry for entry in entries if entry.has_valid_address)
+    valid = tuple([entry for entry in entries if parse_peer_address(entry.address)])
     return _with_entries(EndpointsSnapshot, snapshot, valid), received - len(valid)
 
 
