Connections whose request was just answered close with the idle ones

Since requests that wait keep a connection from being idle, one whose request had just been answered was missed when a stopping gateway closes idle connections: the next request is looked for in the next turn of the event loop. It is closed in that turn now.

--- a/turnward/http1/inbound.py
+++ b/turnward/http1/inbound.py
@@ -566,6 +566,8 @@
                 self._parse_unparsed()
         elif self._pending_refusal is None:
             self._parse_unparsed()
+            if self.idle and self._factory.closes_idle:
+                self.close()
             return
         if self._pending_refusal is not None and self._may_refuse_now():
             self._refuse(self._pending_refusal)
--- a/turnward/http1/tests/test_pipelined_requests.py
+++ b/turnward/http1/tests/test_pipelined_requests.py
@@ -147,6 +147,20 @@
     assert idle == [False] * 5
 
 
+def test_connection_whose_request_has_just_been_answered_is_closed_with_the_idle_ones():
+    simulation = PipelineSimulation()
+    handler = simulation.factory.handler
+
+    def handle(request):
+        handler(request)
+        simulation.factory.close_idle()
+
+    simulation.factory.handler = handle
+    caller = simulation.send([(0.0, encode(1, "at-once"))])
+    assert caller.answers == [1]
+    assert caller.closed
+
+
 @pytest.mark.parametrize("together", [True, False])
 @pytest.mark.parametrize("stage", ["draining", "closes_idle", "sheds_connections"])
 def test_requests_that_were_read_are_answered_before_a_connection_closes(stage, together):
